Whole path, thin, as separate processes

Cause: there was no product yet. The first thing that users need is one submission served end to end by separate processes.

Change: npm workspaces with a package per peer (caller, target, platform, operator, peer), decisions in core with the time as an argument, a daemon, and stand-ins for platform and targets. A submission's identifier names the incarnation that issued it; only that incarnation starts it, any other entry VM forwards it by one hop over a gRPC stream.

Ruled out: starting a submission where it lands, since a resubmission at another entry VM would then start it again.

Seen: one test with 4 entry VMs, 4 targets and the platform's stand-in passes; three copies of one request at three entry VMs give one start per task and the same answer. No speed was measured.

--- /dev/null
+++ b/packages/caller/src/index.ts
@@ -0,0 +1,4 @@
+/** The callers' HTTP interface. */
+export * from './caller-server.js';
+export type * from './job-service.js';
+export * from './status-code.js';
--- /dev/null
+++ b/packages/caller/src/status-code.ts
@@ -0,0 +1,35 @@
+/** HTTP status codes of answers. */
+import {type JobAnswer, type RefusalCode} from '@verbenarouter/core';
+
+const statusByCode: Readonly<Record<RefusalCode, number>> = {
+	'bad-request': 400,
+	unauthenticated: 401,
+	forbidden: 403,
+	'entry-unknown': 404,
+	'identifier-unknown': 404,
+	'identifier-expired': 410,
+	'identifier-reused': 409,
+	'answer-expired': 410,
+	'too-large': 413,
+	'deadline-passed': 504,
+	'deadline-impossible': 503,
+	'deadline-exceeded': 504,
+	'cannot-fit': 422,
+	'quota-exhausted': 429,
+	overloaded: 503,
+	'no-targets': 503,
+	stopping: 503,
+	'not-ready': 503,
+	'owner-unreachable': 503,
+	'owner-gone': 502,
+	'owner-silent': 504,
+	'task-failed': 502,
+	'task-lost': 504,
+	cancelled: 409,
+	internal: 500,
+};
+
+/** The HTTP status of a job's answer. */
+export function statusOf(answer: JobAnswer): number {
+	return answer.refusal === undefined ? 200 : statusByCode[answer.refusal.code];
+}
--- /dev/null
+++ b/packages/operator/src/index.ts
@@ -0,0 +1,2 @@
+/** The administration interface. */
+export {};
--- /dev/null
+++ b/packages/peer/src/index.ts
@@ -0,0 +1,4 @@
+/** Streams between entry VMs. */
+export * from './message.js';
+export * from './peer-link.js';
+export * from './peer-mesh.js';
--- /dev/null
+++ b/packages/peer/src/peer-mesh.ts
@@ -0,0 +1,186 @@
+/** All links of one entry VM: a server for the requests of its peers, and one link to each of them. */
+import {
+	Server,
+	ServerCredentials,
+	type ServerDuplexStream,
+} from '@grpc/grpc-js';
+import {type EntryVm} from '@verbenarouter/core';
+import {ResultAsync, err} from 'neverthrow';
+import {FrameBatch} from './frame-batch.js';
+import {
+	type Frame,
+	type Hello,
+	type PeerReply,
+	type PeerRequest,
+} from './message.js';
+import {PeerLink, type PeerFailure, type PeerLinkOptions} from './peer-link.js';
+import {peerService, serverOptions} from './peer-service.js';
+
+/** Settings and handlers of the mesh. */
+export type PeerMeshOptions = {
+	readonly name: string;
+	/** `host:port` to listen on. */
+	readonly listenAddress: string;
+	readonly link: PeerLinkOptions;
+	/** What this entry VM says of itself now. */
+	readonly hello: () => Hello;
+	/** Answers a peer's request; it must not reject. */
+	readonly onRequest: (request: PeerRequest) => Promise<PeerReply>;
+	/** Hears what a peer says of itself. */
+	readonly onHello: (hello: Hello) => void;
+};
+
+type ServerStream = ServerDuplexStream<Frame[], readonly Frame[]>;
+
+/** All links of one entry VM. */
+export class PeerMesh {
+	readonly #options: PeerMeshOptions;
+	readonly #server = new Server(serverOptions);
+	readonly #links = new Map<
+		string,
+		{readonly address: string; readonly link: PeerLink}
+	>();
+
+	constructor(options: PeerMeshOptions) {
+		this.#options = options;
+		this.#server.addService(peerService, {
+			exchange: (stream: ServerStream) => {
+				this.#serve(stream);
+			},
+		});
+	}
+
+	/** Listens for peers. Rejects when the address cannot be bound. */
+	async listen(): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.bindAsync(
+				this.#options.listenAddress,
+				ServerCredentials.createInsecure(),
+				(error) => {
+					if (error === null) {
+						resolve();
+					} else {
+						reject(error);
+					}
+				},
+			);
+		});
+	}
+
+	/** What each connected peer said of itself, by the name of its entry VM. */
+	get peers(): ReadonlyMap<string, Hello> {
+		return new Map(
+			[...this.#links].flatMap(([name, {link}]) =>
+				link.peer === undefined ? [] : [[name, link.peer] as const],
+			),
+		);
+	}
+
+	/** Links to exactly these entry VMs, this one left out. */
+	updateMembers(members: readonly EntryVm[]): void {
+		const wanted = new Map(
+			members
+				.filter(({name}) => name !== this.#options.name)
+				.map(({name, peerAddress}) => [name, peerAddress]),
+		);
+		for (const [name, {address, link}] of this.#links) {
+			if (wanted.get(name) !== address) {
+				link.close();
+				this.#links.delete(name);
+			}
+		}
+
+		for (const [name, address] of wanted) {
+			if (!this.#links.has(name)) {
+				const link = new PeerLink(
+					address,
+					this.#options.link,
+					this.#options.hello,
+					this.#options.onHello,
+				);
+				this.#links.set(name, {address, link});
+			}
+		}
+	}
+
+	/** Tells all peers again what this entry VM holds. */
+	announce(): void {
+		for (const {link} of this.#links.values()) {
+			link.announce();
+		}
+	}
+
+	/** Sends a request to a peer and waits for its reply. */
+	request(
+		name: string,
+		request: PeerRequest,
+		timeoutMs: number,
+	): ResultAsync<PeerReply, PeerFailure> {
+		const link = this.#links.get(name)?.link;
+		return link === undefined
+			? new ResultAsync(
+					Promise.resolve(
+						err({
+							code: 'not-sent',
+							message: `${name} is not in the list of VMs`,
+						}),
+					),
+				)
+			: link.request(request, timeoutMs);
+	}
+
+	/** Closes all links and stops listening. */
+	close(): void {
+		for (const {link} of this.#links.values()) {
+			link.close();
+		}
+
+		this.#links.clear();
+		this.#server.forceShutdown();
+	}
+
+	#serve(stream: ServerStream): void {
+		const batch = new FrameBatch((frames) => {
+			if (!stream.destroyed && !stream.cancelled) {
+				stream.write(frames);
+			}
+		});
+		stream.on('error', () => {
+			stream.end();
+		});
+		stream.on('end', () => {
+			stream.end();
+		});
+		stream.on('data', (frames: readonly Frame[]) => {
+			for (const frame of frames) {
+				void this.#receive(frame, batch);
+			}
+		});
+	}
+
+	async #receive(frame: Frame, batch: FrameBatch): Promise<void> {
+		switch (frame.type) {
+			case 'hello': {
+				this.#options.onHello(frame.hello);
+				batch.add({type: 'hello', hello: this.#options.hello()});
+				break;
+			}
+
+			case 'ping': {
+				batch.add({type: 'pong'});
+				break;
+			}
+
+			case 'request': {
+				const reply = await this.#options.onRequest(frame.request);
+				batch.add({type: 'reply', id: frame.id, reply});
+				break;
+			}
+
+			case 'pong':
+			case 'reply': {
+				break;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/peer/src/peer-service.ts
@@ -0,0 +1,60 @@
+/** The gRPC service between entry VMs: one stream in both directions, with several frames in one message. */
+import {Buffer} from 'node:buffer';
+import {
+	type ChannelOptions,
+	type Client,
+	type ClientDuplexStream,
+	type ServiceDefinition,
+} from '@grpc/grpc-js';
+import {z} from 'zod';
+import {frameSchema, type Frame} from './message.js';
+
+const framesSchema = z.array(frameSchema);
+
+function serialize(frames: readonly Frame[]) {
+	return Buffer.from(JSON.stringify(frames));
+}
+
+function deserialize(bytes: Uint8Array): Frame[] {
+	return framesSchema.parse(JSON.parse(Buffer.from(bytes).toString('utf8')));
+}
+
+/** The service, for servers. */
+export const peerService = {
+	exchange: {
+		path: '/verbenarouter.Peer/Exchange',
+		requestStream: true,
+		responseStream: true,
+		requestSerialize: serialize,
+		requestDeserialize: deserialize,
+		responseSerialize: serialize,
+		responseDeserialize: deserialize,
+	},
+} satisfies ServiceDefinition;
+
+/** A stream to another entry VM. */
+export type PeerStream = ClientDuplexStream<readonly Frame[], Frame[]>;
+
+/** Opens a stream on a client's connection. */
+export function openStream(client: Client): PeerStream {
+	return client.makeBidiStreamRequest(
+		peerService.exchange.path,
+		serialize,
+		deserialize,
+	);
+}
+
+/* eslint-disable @typescript-eslint/naming-convention -- the names are gRPC's */
+
+/** Options of channels to peers. A pool per client gives each new client a new connection. */
+export const channelOptions: ChannelOptions = {
+	'grpc.use_local_subchannel_pool': 1,
+	'grpc.max_receive_message_length': -1,
+};
+
+/** Options of the server for peers. */
+export const serverOptions: ChannelOptions = {
+	'grpc.max_receive_message_length': -1,
+};
+
+/* eslint-enable @typescript-eslint/naming-convention */
--- /dev/null
+++ b/packages/target/src/index.ts
@@ -0,0 +1,3 @@
+/** Dispatch of tasks to targets. */
+export * from './http-task-targets.js';
+export type * from './task-target.js';
--- /dev/null
+++ b/packages/verbenarouter/src/settings.ts
@@ -0,0 +1,145 @@
+/** Settings of an entry VM: JSON with comments, checked as a whole before anything starts. */
+import {nameSchema} from '@verbenarouter/core';
+import {err, ok, type Result} from 'neverthrow';
+import {
+	parseTree,
+	findNodeAtLocation,
+	type Node,
+	type ParseError,
+	parse,
+	printParseErrorCode,
+} from 'jsonc-parser';
+import {z} from 'zod';
+
+const addressSchema = z
+	.string()
+	.regex(/^[\w.:\[\]\-]+:\d{1,5}$/v, 'must be host:port');
+
+const durationSchema = z.number().int().positive().max(86_400_000);
+
+/** Settings of an entry VM. Durations are in milliseconds. */
+export const settingsSchema = z
+	.strictObject({
+		name: nameSchema,
+		zone: nameSchema,
+		/** Callers' interface. */
+		callerAddress: addressSchema,
+		/** Operators' interface, with metrics. */
+		operatorAddress: addressSchema,
+		/** Streams from other entry VMs. */
+		peerAddress: addressSchema,
+		platform: z
+			.strictObject({
+				address: z.url({protocol: /^https?$/v}),
+				timeoutMs: durationSchema.default(2000),
+				pollIntervalMs: durationSchema.default(500),
+			})
+			.readonly(),
+		memory: z
+			.strictObject({
+				startWindowMs: durationSchema.default(600_000),
+				retentionMs: durationSchema.default(600_000),
+				clockSkewMs: durationSchema.default(5000),
+				answerBytes: z.number().int().positive().default(64_000_000),
+			})
+			.readonly()
+			.prefault({}),
+		targets: z
+			.strictObject({
+				connectionsPerTarget: z.number().int().positive().max(1000).default(60),
+				connectTimeoutMs: durationSchema.default(1000),
+			})
+			.readonly()
+			.prefault({}),
+		peers: z
+			.strictObject({
+				pingIntervalMs: durationSchema.default(500),
+				silenceMs: durationSchema.default(2000),
+				reconnectMs: durationSchema.default(200),
+			})
+			.readonly()
+			.prefault({}),
+		stop: z
+			.strictObject({
+				/** Time for the balancer to notice that this entry VM is not ready any more. */
+				noticeMs: durationSchema.default(2000),
+				/** Longest time for what is in flight to end. */
+				drainMs: durationSchema.default(30_000),
+			})
+			.readonly()
+			.prefault({}),
+		bodyLimitBytes: z.number().int().positive().default(16_000_000),
+		log: z
+			.strictObject({
+				format: z.enum(['json', 'pretty']).default('json'),
+				level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+			})
+			.readonly()
+			.prefault({}),
+	})
+	.readonly();
+
+/** Settings of an entry VM. */
+export type Settings = z.infer<typeof settingsSchema>;
+
+/** One fault in a settings text. */
+export type SettingsFault = {
+	/** Dotted path of the field, empty for the whole text. */
+	readonly path: string;
+	/** Line in the text, counted from 1. */
+	readonly line: number;
+	readonly message: string;
+};
+
+/** Reads settings; every fault is named with its path and line. */
+export function parseSettings(
+	text: string,
+): Result<Settings, readonly SettingsFault[]> {
+	const errors: ParseError[] = [];
+	const value: unknown = parse(text, errors, {allowTrailingComma: true});
+	if (errors.length > 0) {
+		return err(
+			errors.map(({error, offset}) => ({
+				path: '',
+				line: lineOf(text, offset),
+				message: printParseErrorCode(error),
+			})),
+		);
+	}
+
+	const parsed = settingsSchema.safeParse(value);
+	if (parsed.success) {
+		return ok(parsed.data);
+	}
+
+	const tree = parseTree(text, [], {allowTrailingComma: true});
+	return err(
+		parsed.error.issues.map((issue) => ({
+			path: issue.path.join('.'),
+			line: lineOf(text, offsetOf(tree, issue.path)),
+			message: issue.message,
+		})),
+	);
+}
+
+/** The text's nearest place to a path: a missing field is reported at the object that lacks it. */
+function offsetOf(
+	tree: Node | undefined,
+	path: readonly PropertyKey[],
+): number {
+	if (tree === undefined) {
+		return 0;
+	}
+
+	const node = findNodeAtLocation(
+		tree,
+		path.map((key) => (typeof key === 'number' ? key : String(key))),
+	);
+	return (
+		node?.offset ?? (path.length === 0 ? 0 : offsetOf(tree, path.slice(0, -1)))
+	);
+}
+
+function lineOf(text: string, offset: number): number {
+	return text.slice(0, offset).split('\n').length;
+}
