--- a/packages/caller/src/caller-server.ts
+++ b/packages/caller/src/caller-server.ts
@@ -8,6 +8,7 @@
 	type Verdict,
 } from '@verbenarouter/core';
 import fastify, {
+	type FastifyError,
 	type FastifyInstance,
 	type FastifyReply,
 	type FastifyRequest,
@@ -17,11 +18,15 @@
 import {statusOf} from './status-code.js';
 
 const millisecondsPerSecond = 1000;
+const maximumIdentifierLength = 300;
+const payloadTooLarge = 413;
+const retryBeforeReadyMs = 1000;
 
 /** Identifiers that may be reserved at once. */
 export const maximumReservation = 1000;
 
-const reservationSchema = z.strictObject({
+/** How many identifiers to reserve. */
+export const reservationSchema = z.strictObject({
 	count: z.number().int().min(1).max(maximumReservation).default(1),
 });
 
@@ -41,8 +46,9 @@
 	const server = fastify({
 		bodyLimit: options.bodyLimitBytes,
 		forceCloseConnections: 'idle',
-		routerOptions: {maxParamLength: 300},
+		routerOptions: {maxParamLength: maximumIdentifierLength},
 	});
+	const teams = new TeamsOfRequests(service);
 
 	server.get('/healthz', async () => ({status: 'alive'}));
 	server.get('/readyz', async (_request, reply) => {
@@ -52,93 +58,154 @@
 			.send({status: isReady ? 'ready' : 'not-ready'});
 	});
 
-	server.post('/v1/identifiers', async (request, reply) => {
-		const team = teamOf(service, request);
-		if (team === undefined) {
-			return sendUnauthenticated(reply);
+	server.addHook('onRequest', async (request, reply) => {
+		if (!request.url.startsWith('/v1/')) {
+			return;
+		}
+
+		const reason = teams.authenticate(request);
+		if (reason !== undefined) {
+			await send(
+				reply,
+				answerOf(identifierOf(request), 'may-have-run', reason),
+			);
 		}
+	});
 
+	server.post('/v1/identifiers', async (request, reply) => {
 		const parsed = reservationSchema.safeParse(request.body ?? {});
 		return parsed.success
-			? reply.send({identifiers: service.reserve(team, parsed.data.count)})
+			? reply.send({
+					identifiers: service.reserve(teams.of(request), parsed.data.count),
+				})
 			: send(reply, answerOf('', 'not-run', badRequest(parsed.error)));
 	});
 
 	server.put<IdentifierRoute>(
 		'/v1/jobs/:identifier',
 		async (request, reply) => {
-			const {identifier} = request.params;
-			const team = teamOf(service, request);
-			if (team === undefined) {
-				return sendUnauthenticated(reply, identifier);
-			}
-
 			const parsed = jobSchema.safeParse(request.body);
-			// The owner records the refusal, so that no other copy runs after the caller was told "not run".
-			return send(
-				reply,
-				parsed.success
-					? await service.submit(team, identifier, parsed.data)
-					: await service.cancel(team, identifier, badRequest(parsed.error)),
-			);
+			return parsed.success
+				? send(
+						reply,
+						await service.submit(
+							teams.of(request),
+							request.params.identifier,
+							parsed.data,
+						),
+					)
+				: decline(request, reply, badRequest(parsed.error));
 		},
 	);
 
-	server.get<IdentifierRoute>(
-		'/v1/jobs/:identifier',
-		async (request, reply) => {
-			const team = teamOf(service, request);
-			return team === undefined
-				? sendUnauthenticated(reply, request.params.identifier)
-				: reply.send(await service.status(team, request.params.identifier));
-		},
+	server.get<IdentifierRoute>('/v1/jobs/:identifier', async (request) =>
+		service.status(teams.of(request), request.params.identifier),
 	);
 
 	server.delete<IdentifierRoute>(
 		'/v1/jobs/:identifier',
-		async (request, reply) => {
-			const team = teamOf(service, request);
-			return team === undefined
-				? sendUnauthenticated(reply, request.params.identifier)
-				: send(
-						reply,
-						await service.cancel(
-							team,
-							request.params.identifier,
-							refusal('cancelled', 'The caller cancelled the job.'),
-						),
-					);
-		},
+		async (request, reply) =>
+			send(
+				reply,
+				await service.cancel(
+					teams.of(request),
+					request.params.identifier,
+					refusal('cancelled', 'The caller cancelled the job.'),
+				),
+			),
 	);
 
+	server.setErrorHandler(async (error: FastifyError, request, reply) =>
+		decline(request, reply, refusalOfError(error)),
+	);
+	server.setNotFoundHandler(async (request, reply) =>
+		reply
+			.code(404)
+			.send(
+				answerOf(
+					'',
+					'not-run',
+					refusal(
+						'bad-request',
+						`There is no ${request.method} ${request.url}.`,
+					),
+				),
+			),
+	);
+
+	// The owner records the refusal, so that no other copy runs after this caller was told "not run".
+	async function decline(
+		request: FastifyRequest,
+		reply: FastifyReply,
+		reason: Refusal,
+	): Promise<FastifyReply> {
+		const identifier = identifierOf(request);
+		return send(
+			reply,
+			identifier === '' || request.method === 'GET'
+				? answerOf(
+						identifier,
+						identifier === '' ? 'not-run' : 'may-have-run',
+						reason,
+					)
+				: await service.decline(teams.of(request), identifier, reason),
+		);
+	}
+
 	return server;
 }
 
-function teamOf(
-	service: JobService,
-	request: FastifyRequest,
-): Team | undefined {
-	const [scheme, token] = request.headers.authorization?.split(' ') ?? [];
-	return scheme?.toLowerCase() === 'bearer' && token !== undefined
-		? service.authenticate(token)
-		: undefined;
-}
+/** The authenticated teams of the requests that are being answered. */
+class TeamsOfRequests {
+	readonly #service: JobService;
+	readonly #teams = new WeakMap<FastifyRequest, Team>();
 
-async function sendUnauthenticated(
-	reply: FastifyReply,
-	identifier = '',
-): Promise<FastifyReply> {
-	return send(
-		reply,
-		answerOf(
-			identifier,
-			'may-have-run',
-			refusal(
+	constructor(service: JobService) {
+		this.#service = service;
+	}
+
+	/** Finds the request's team; the answer is the reason when there is none. */
+	authenticate(request: FastifyRequest): Refusal | undefined {
+		if (!this.#service.hasCatalogue()) {
+			return refusal(
+				'not-ready',
+				'This entry VM knows no catalogue yet.',
+				retryBeforeReadyMs,
+			);
+		}
+
+		const [scheme, token] = request.headers.authorization?.split(' ') ?? [];
+		const team =
+			scheme?.toLowerCase() === 'bearer' && token !== undefined
+				? this.#service.authenticate(token)
+				: undefined;
+		if (team === undefined) {
+			return refusal(
 				'unauthenticated',
 				'A valid bearer token is needed. This request started nothing; of others with its identifier nothing is said.',
-			),
-		),
-	);
+			);
+		}
+
+		this.#teams.set(request, team);
+		return undefined;
+	}
+
+	/** The team of a request that was authenticated. */
+	of(request: FastifyRequest): Team {
+		const team = this.#teams.get(request);
+		if (team === undefined) {
+			throw new Error('the request was not authenticated');
+		}
+
+		return team;
+	}
+}
+
+function identifierOf(request: FastifyRequest): string {
+	const {identifier} = (request.params ?? {}) as Partial<
+		IdentifierRoute['Params']
+	>;
+	return identifier ?? '';
 }
 
 async function send(
@@ -165,5 +232,24 @@
 }
 
 function badRequest(error: z.ZodError): Refusal {
-	return refusal('bad-request', z.prettifyError(error));
+	return refusal(
+		'bad-request',
+		error.issues
+			.map(
+				({path, message}) =>
+					`${path.length === 0 ? 'body' : path.join('.')}: ${message}`,
+			)
+			.join('; '),
+	);
+}
+
+function refusalOfError(error: FastifyError): Refusal {
+	const status = error.statusCode ?? 500;
+	if (status === payloadTooLarge) {
+		return refusal('too-large', 'body: larger than this entry VM accepts.');
+	}
+
+	return status < 500
+		? refusal('bad-request', `body: ${error.message}`)
+		: refusal('internal', error.message);
 }
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -1,4 +1,5 @@
 /** The callers' HTTP interface. */
+export * from './caller-client.js';
 export * from './caller-server.js';
 export type * from './job-service.js';
 export * from './status-code.js';
--- a/packages/caller/src/job-service.ts
+++ b/packages/caller/src/job-service.ts
@@ -22,11 +22,18 @@
 	submit(team: Team, identifier: string, job: Job): Promise<JobAnswer>;
 	/** Where a submission stands; for an owner that is out of reach, an answer `may-have-run`. */
 	status(team: Team, identifier: string): Promise<SubmissionStatus>;
+	/**
+	 * Ensures that a submission which has not started never does, because this copy of its request cannot be taken.
+	 * One that is running or has ended is left alone, and its answer is given.
+	 */
+	decline(team: Team, identifier: string, reason: Refusal): Promise<JobAnswer>;
 	/**
 	 * Cancels a submission. One that has not started is refused from now on with the reason, and so the
 	 * answer `not-run` is true; one that has ended keeps its answer.
 	 */
 	cancel(team: Team, identifier: string, reason: Refusal): Promise<JobAnswer>;
+	/** Whether a catalogue is known, without which no team can be authenticated. */
+	hasCatalogue(): boolean;
 	/** Whether the balancer is to send callers here. */
 	isReady(): boolean;
 };
--- a/packages/verbenarouter/src/entry-vm.ts
+++ b/packages/verbenarouter/src/entry-vm.ts
@@ -58,6 +58,7 @@
 		catalogue,
 		clock,
 		log,
+		hasCatalogue: () => catalogue.isLoaded,
 		isReady: () => catalogue.isLoaded && !isStopping,
 	});
 	const mesh: PeerMesh = new PeerMesh({
@@ -72,8 +73,16 @@
 	});
 	const callers = createCallerServer(router, settings);
 
-	await mesh.listen();
-	await callers.listen(hostAndPort(settings.callerAddress));
+	try {
+		await mesh.listen();
+		await callers.listen(hostAndPort(settings.callerAddress));
+	} catch (error: unknown) {
+		// What did start would keep the process alive.
+		mesh.close();
+		await Promise.all([callers.close(), platform.close()]);
+		throw error;
+	}
+
 	logger.info('started', {incarnation: incarnationKey(incarnation)});
 
 	const polling = new AbortController();
--- a/packages/verbenarouter/src/submission-router.ts
+++ b/packages/verbenarouter/src/submission-router.ts
@@ -38,6 +38,7 @@
 	readonly catalogue: CatalogueView;
 	readonly clock: Clock;
 	readonly log: DecisionLog;
+	readonly hasCatalogue: () => boolean;
 	readonly isReady: () => boolean;
 };
 
@@ -54,6 +55,10 @@
 		this.#parts = parts;
 	}
 
+	hasCatalogue(): boolean {
+		return this.#parts.hasCatalogue();
+	}
+
 	isReady(): boolean {
 		return this.#parts.isReady();
 	}
@@ -135,6 +140,14 @@
 			: {state: 'unknown', answer: this.#answerOf(identifier, reply)};
 	}
 
+	async decline(
+		team: Team,
+		identifier: string,
+		reason: Refusal,
+	): Promise<JobAnswer> {
+		return this.cancel(team, identifier, reason);
+	}
+
 	async cancel(
 		team: Team,
 		identifier: string,
