Split the test installation into modules

Change: processes, HTTP calls, catalogue items and the caller are modules of their own; installation.ts exports them all, so imports stay as they are. No behaviour changes. Checked with npx vitest run testing/src/tests/whole-path.test.ts (1 passed).

--- a/testing/src/installation.ts
+++ b/testing/src/installation.ts
@@ -1,37 +1,27 @@
 /** A whole installation on loopback, each part a process of its own. */
-import {fork, type ChildProcess} from 'node:child_process';
-import {createHash} from 'node:crypto';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
-import {createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
-import {setTimeout as sleep} from 'node:timers/promises';
 import path from 'node:path';
-import {fileURLToPath} from 'node:url';
-import {
-	type CatalogueItem,
-	type JobAnswer,
-	type Machine,
-} from '@verbenarouter/core';
-import {request} from 'undici';
+import {type CatalogueItem, type Machine} from '@verbenarouter/core';
+import {call, until} from './http-call.js';
 import {type PlatformFaults} from './platform-stand-in.js';
+import {
+	command,
+	forkReady,
+	freePorts,
+	kill,
+	startStandIn,
+	type Part,
+} from './processes.js';
 import {
 	type TargetRecords,
 	type TargetStandInOptions,
 } from './target-stand-in.js';
 
-const standInProcess = fileURLToPath(
-	new URL('../dist/stand-in-process.js', import.meta.url),
-);
-const command = fileURLToPath(
-	new URL('../../packages/verbenarouter/dist/command.js', import.meta.url),
-);
-
-const pollIntervalMs = 20;
-
-/** The token of a team of an installation. */
-export function tokenOf(team: string): string {
-	return `token-of-${team}`;
-}
+export * from './caller-client.js';
+export * from './catalogue-fixtures.js';
+export * from './http-call.js';
+export * from './processes.js';
 
 /** How large an installation is. */
 export type InstallationOptions = {
@@ -44,23 +34,6 @@
 	readonly settings?: Readonly<Record<string, unknown>>;
 };
 
-/** One process of an installation. */
-export type Part = {
-	readonly name: string;
-	readonly zone: string;
-	readonly process: ChildProcess;
-	readonly address: string;
-	readonly peerAddress: string;
-	readonly operatorAddress: string;
-};
-
-/** An HTTP answer. */
-export type HttpAnswer<T> = {
-	readonly status: number;
-	readonly body: T;
-	readonly headers: Readonly<Record<string, unknown>>;
-};
-
 /** A whole installation on loopback. */
 export class Installation {
 	/** Starts all parts and waits until every entry VM is ready. */
@@ -256,218 +229,3 @@
 		await Promise.all(this.entryVms.map(async (part) => this.untilReady(part)));
 	}
 }
-
-/** A caller of one team. */
-export class Caller {
-	readonly #token: string;
-
-	constructor(readonly team: string) {
-		this.#token = tokenOf(team);
-	}
-
-	/** Reserves identifiers at an entry VM. */
-	async reserve({address}: Part, count = 1): Promise<readonly string[]> {
-		const answer = await call<{identifiers: string[]}>(
-			'POST',
-			`${address}/v1/identifiers`,
-			{count},
-			this.#token,
-		);
-		return answer.body.identifiers;
-	}
-
-	/** Submits a job and waits for its answer. */
-	async submit(
-		{address}: Part,
-		identifier: string,
-		job: unknown,
-	): Promise<HttpAnswer<JobAnswer>> {
-		return call<JobAnswer>(
-			'PUT',
-			`${address}/v1/jobs/${identifier}`,
-			job,
-			this.#token,
-		);
-	}
-
-	/** Asks for a submission's state. */
-	async status(
-		{address}: Part,
-		identifier: string,
-	): Promise<HttpAnswer<{state: string; answer?: JobAnswer}>> {
-		return call(
-			'GET',
-			`${address}/v1/jobs/${identifier}`,
-			undefined,
-			this.#token,
-		);
-	}
-
-	/** Cancels a submission. */
-	async cancel(
-		{address}: Part,
-		identifier: string,
-	): Promise<HttpAnswer<JobAnswer>> {
-		return call<JobAnswer>(
-			'DELETE',
-			`${address}/v1/jobs/${identifier}`,
-			undefined,
-			this.#token,
-		);
-	}
-}
-
-/** A team for an installation's catalogue. */
-export function teamItem(
-	name: string,
-	change: Partial<Extract<CatalogueItem, {kind: 'team'}>> = {},
-): CatalogueItem {
-	return {
-		kind: 'team',
-		name,
-		tokenHash: createHash('sha256').update(tokenOf(name)).digest('hex'),
-		role: 'caller',
-		quota: {concurrency: 10_000, startsPerSecond: 100_000},
-		...change,
-	};
-}
-
-/** An entry for an installation's catalogue. */
-export function entryItem(
-	name: string,
-	change: Partial<Extract<CatalogueItem, {kind: 'entry'}>> = {},
-): CatalogueItem {
-	return {
-		kind: 'entry',
-		name,
-		owner: 'coastal',
-		classOfWork: name,
-		idempotent: true,
-		needs: {processors: 1, memoryMb: 256, accelerators: 0},
-		limits: {
-			concurrency: 10_000,
-			startsPerSecond: 100_000,
-			deadlineMs: 10_000,
-			largestJob: 1400,
-		},
-		...change,
-	};
-}
-
-/** Ends a part's process and waits until it has gone. */
-export async function kill(
-	{process: child}: Part,
-	signal: NodeJS.Signals,
-): Promise<void> {
-	if (child.exitCode !== null || child.signalCode !== null) {
-		return;
-	}
-
-	const gone = new Promise((resolve) => {
-		child.once('exit', resolve);
-	});
-	child.kill(signal);
-	await gone;
-}
-
-/** Waits until a condition holds; the test's own time limit ends a wait in vain. */
-export async function until(condition: () => Promise<boolean>): Promise<void> {
-	// eslint-disable-next-line no-await-in-loop -- each look waits for the one before
-	while (!(await condition())) {
-		// eslint-disable-next-line no-await-in-loop
-		await sleep(pollIntervalMs);
-	}
-}
-
-/** One HTTP call with a JSON body. */
-export async function call<T>(
-	method: 'GET' | 'POST' | 'PUT' | 'DELETE',
-	url: string,
-	body?: unknown,
-	token?: string,
-): Promise<HttpAnswer<T>> {
-	const answer = await request(url, {
-		method,
-		headers: {
-			...(body === undefined ? {} : {'content-type': 'application/json'}),
-			...(token === undefined ? {} : {authorization: `Bearer ${token}`}),
-		},
-		...(body === undefined ? {} : {body: JSON.stringify(body)}),
-	});
-	return {
-		status: answer.statusCode,
-		body: (await answer.body.json()) as T,
-		headers: answer.headers,
-	};
-}
-
-type StandIn = {
-	readonly role: 'platform' | 'target';
-	readonly name: string;
-	readonly zone: string;
-	readonly port: number;
-	readonly options?: string;
-};
-
-async function startStandIn({
-	role,
-	name,
-	zone,
-	port,
-	options = '{}',
-}: StandIn): Promise<Part> {
-	return {
-		name,
-		zone,
-		process: await forkReady(standInProcess, [role, String(port), options]),
-		address: `http://127.0.0.1:${port}`,
-		peerAddress: '',
-		operatorAddress: '',
-	};
-}
-
-async function forkReady(
-	file: string,
-	parameters: readonly string[],
-): Promise<ChildProcess> {
-	const child = fork(file, parameters, {
-		stdio: ['ignore', 'inherit', 'inherit', 'ipc'],
-		execArgv: [],
-	});
-	await new Promise<void>((resolve, reject) => {
-		child.once('message', () => {
-			resolve();
-		});
-		child.once('exit', (code) => {
-			reject(
-				new Error(
-					`${path.basename(file)} ${parameters.join(' ')} ended with ${code} before it was ready`,
-				),
-			);
-		});
-	});
-	return child;
-}
-
-async function freePorts(count: number): Promise<readonly number[]> {
-	const servers = Array.from({length: count}, () => createServer());
-	const ports = await Promise.all(
-		servers.map(
-			async (server) =>
-				new Promise<number>((resolve) => {
-					server.listen(0, '127.0.0.1', () => {
-						resolve((server.address() as AddressInfo).port);
-					});
-				}),
-		),
-	);
-	await Promise.all(
-		servers.map(
-			async (server) =>
-				new Promise((resolve) => {
-					server.close(resolve);
-				}),
-		),
-	);
-	return ports;
-}
