Put fault-injecting proxies on the paths of a test installation

Cause: the promises have to be proved with real processes whose connections are cut, go silent or lose answers. The platform's stand-in keeps a list of VMs per Host, so that each zone's list names its own proxies. An entry VM can be killed and started again at its addresses. Ruled out: telling the zones apart at one proxy per machine, since the source address says nothing on loopback. Ports of processes now come from below the range of outgoing connections, which could take a port in between.

--- a/testing/src/installation.ts
+++ b/testing/src/installation.ts
@@ -5,6 +5,7 @@
 import {type CatalogueItem, type Machine} from '@verbenarouter/core';
 import {call, until} from './http-call.js';
 import {type PlatformFaults} from './platform-stand-in.js';
+import {ProxyNetwork} from './proxy-network.js';
 import {
 	command,
 	forkReady,
@@ -22,6 +23,8 @@
 export * from './catalogue-fixtures.js';
 export * from './http-call.js';
 export * from './processes.js';
+export * from './proxy-network.js';
+export * from './tcp-proxy.js';
 
 /** How large an installation is. */
 export type InstallationOptions = {
@@ -30,6 +33,8 @@
 	readonly targetsPerZone: number;
 	readonly items: readonly CatalogueItem[];
 	readonly target?: Partial<TargetStandInOptions>;
+	/** Puts a fault-injecting proxy on each path from an availability zone to a machine and to the platform. */
+	readonly isProxied?: boolean;
 	/** Overrides of the entry VMs' settings. */
 	readonly settings?: Readonly<Record<string, unknown>>;
 };
@@ -48,6 +53,9 @@
 
 	readonly entryVms: Part[] = [];
 	readonly targets: Part[] = [];
+	/** The proxies, when the installation was asked for them. */
+	readonly proxies = new ProxyNetwork();
+	readonly #settingsFiles = new Map<string, string>();
 	readonly #options: InstallationOptions;
 	readonly #directory: string;
 	#platform: Part | undefined;
@@ -75,6 +83,7 @@
 			...(this.#platform ? [this.#platform] : []),
 		];
 		await Promise.all(parts.map(async (part) => kill(part, 'SIGKILL')));
+		await this.proxies.close();
 		await rm(this.#directory, {recursive: true});
 	}
 
@@ -87,7 +96,10 @@
 			callerAddress: `127.0.0.1:${callerPort}`,
 			peerAddress: `127.0.0.1:${peerPort}`,
 			operatorAddress: `127.0.0.1:${operatorPort}`,
-			platform: {address: this.platform.address, pollIntervalMs: 100},
+			platform: {
+				address: await this.#platformAddress(zone),
+				pollIntervalMs: 100,
+			},
 			peers: {pingIntervalMs: 100, silenceMs: 500, reconnectMs: 50},
 			stop: {noticeMs: 300},
 			log: {level: 'warn'},
@@ -104,40 +116,53 @@
 			operatorAddress: `http://${settings.operatorAddress}`,
 		};
 		this.entryVms.push(part);
+		this.#settingsFiles.set(part.address, file);
 		await this.publishMachines();
 		return part;
 	}
 
-	/** Publishes the list of VMs as it is now, but for the given machines. */
+	/** Kills an entry VM without notice. The list of VMs goes on naming it until it is published again. */
+	async killEntryVm(part: Part): Promise<void> {
+		await kill(part, 'SIGKILL');
+		this.entryVms.splice(this.entryVms.indexOf(part), 1);
+	}
+
+	/** Starts a new process at the addresses of an entry VM that has ended. */
+	async restartEntryVm(part: Part): Promise<Part> {
+		const file = this.#settingsFiles.get(part.address) ?? '';
+		const restarted: Part = {
+			...part,
+			process: await forkReady(command, ['entry', '--settings', file]),
+		};
+		this.entryVms.push(restarted);
+		await this.publishMachines();
+		await this.untilReady(restarted);
+		return restarted;
+	}
+
+	/** Publishes the list of VMs as it is now, but for the given machines; each zone may see another one. */
 	async publishMachines(
-		change: (machine: Machine) => Machine | undefined = (machine) => machine,
+		change: (machine: Machine, zone: string) => Machine | undefined = (
+			machine,
+		) => machine,
 	): Promise<void> {
 		this.#listVersion += 1;
-		const machines: Machine[] = [
-			...this.entryVms.map(({name, zone, peerAddress}): Machine => ({
-				role: 'entry',
-				name,
-				zone,
-				state: 'live',
-				peerAddress,
-			})),
-			...this.targets.map(({name, zone, address}): Machine => ({
-				role: 'target',
-				name,
-				zone,
-				rack: 'rack-1',
-				state: 'live',
-				address,
-				slots: this.#options.target?.slots ?? 8,
-				processors: 64,
-				memoryMb: 131_072,
-				accelerators: 0,
-			})),
-		];
-		await call('PUT', `${this.platform.address}/control/machines`, {
-			version: this.#listVersion,
-			machines: machines.flatMap((machine) => change(machine) ?? []),
-		});
+		const version = this.#listVersion;
+		await Promise.all(
+			this.#options.zones.map(async (zone) => {
+				const machines = this.#machines().flatMap(
+					(machine) => change(machine, zone) ?? [],
+				);
+				const {host} = new URL(await this.#platformAddress(zone));
+				const query = this.#options.isProxied === true ? `?host=${host}` : '';
+				await call('PUT', `${this.platform.address}/control/machines${query}`, {
+					version,
+					machines: await Promise.all(
+						machines.map(async (machine) => this.#reached(zone, machine)),
+					),
+				});
+			}),
+		);
 	}
 
 	/** Gives the platform's stand-in faults. */
@@ -159,23 +184,49 @@
 		});
 	}
 
+	/** What one target has seen. */
+	async recordsOf({address}: Part): Promise<TargetRecords> {
+		const {body} = await call<TargetRecords>(
+			'GET',
+			`${address}/control/records`,
+		);
+		return body;
+	}
+
 	/** What all targets have seen, together. */
 	async records(): Promise<TargetRecords> {
-		const answers = await Promise.all(
-			this.targets.map(async ({address}) =>
-				call<TargetRecords>('GET', `${address}/control/records`),
-			),
+		const all = await Promise.all(
+			this.targets.map(async (target) => this.recordsOf(target)),
 		);
-		const all = answers.map(({body}) => body);
 		return {
 			starts: all.flatMap(({starts}) => starts),
-			refusedFull: all
-				.map(({refusedFull}) => refusedFull)
-				.reduce((a, b) => a + b, 0),
+			refusedFull: sum(all.map(({refusedFull}) => refusedFull)),
+			refusedLeaving: sum(all.map(({refusedLeaving}) => refusedLeaving)),
+			stopped: all.flatMap(({stopped}) => stopped),
 			mostBusySlots: Math.max(...all.map(({mostBusySlots}) => mostBusySlots)),
 		};
 	}
 
+	/** Changes the settings of a target's stand-in. */
+	async setTarget(
+		{address}: Part,
+		options: Partial<TargetStandInOptions>,
+	): Promise<void> {
+		await call('PUT', `${address}/control/options`, {
+			...this.#options.target,
+			...options,
+		});
+	}
+
+	/** Lets the tasks that are held at the targets go on. */
+	async releaseTasks(): Promise<void> {
+		await Promise.all(
+			this.targets.map(async ({address}) =>
+				call('POST', `${address}/control/release`),
+			),
+		);
+	}
+
 	/** Waits until an entry VM is ready for callers. */
 	async untilReady({address}: Part): Promise<void> {
 		await until(async () => {
@@ -188,6 +239,42 @@
 		});
 	}
 
+	#machines(): readonly Machine[] {
+		return [
+			...this.entryVms.map(({name, zone, peerAddress}): Machine => ({
+				role: 'entry',
+				name,
+				zone,
+				state: 'live',
+				peerAddress,
+			})),
+			...this.targets.map(({name, zone, address}): Machine => ({
+				role: 'target',
+				name,
+				zone,
+				rack: 'rack-1',
+				state: 'live',
+				address,
+				slots: this.#options.target?.slots ?? 8,
+				processors: 64,
+				memoryMb: 131_072,
+				accelerators: 0,
+			})),
+		];
+	}
+
+	async #platformAddress(zone: string): Promise<string> {
+		return this.#options.isProxied === true
+			? this.proxies.platformAddress(zone, this.platform.address)
+			: this.platform.address;
+	}
+
+	async #reached(zone: string, machine: Machine): Promise<Machine> {
+		return this.#options.isProxied === true
+			? this.proxies.reachedFrom(zone, machine)
+			: machine;
+	}
+
 	async #start(): Promise<void> {
 		const {zones, entryVmsPerZone, targetsPerZone, items, target} =
 			this.#options;
@@ -229,3 +316,7 @@
 		await Promise.all(this.entryVms.map(async (part) => this.untilReady(part)));
 	}
 }
+
+function sum(values: readonly number[]): number {
+	return values.reduce((total, value) => total + value, 0);
+}
--- a/testing/src/platform-stand-in.ts
+++ b/testing/src/platform-stand-in.ts
@@ -30,7 +30,9 @@
 export function createPlatformStandIn(): FastifyInstance {
 	const streams = new Map<string, Stream>();
 	let faults = platformFaultsSchema.parse({});
-	let list: MachineList = {version: 0, machines: []};
+	const emptyList: MachineList = {version: 0, machines: []};
+	/** Lists by the `Host` that they are asked for under; `""` for all others. */
+	const lists = new Map<string, MachineList>();
 	const server = fastify({bodyLimit: 64_000_000});
 
 	const streamOf = (name: string): Stream => {
@@ -92,13 +94,24 @@
 		},
 	);
 
-	server.get('/machines', async () => list);
+	server.get(
+		'/machines',
+		async ({headers: {host = ''}}) =>
+			lists.get(host) ?? lists.get('') ?? emptyList,
+	);
 	server.get('/usage', async () => ({workers: []}));
 
-	server.put('/control/machines', async (request) => {
-		list = machineListSchema.parse(request.body);
-		return {};
-	});
+	server.put<{Querystring: {host?: string}}>(
+		'/control/machines',
+		async ({body, query: {host = ''}}) => {
+			const list = machineListSchema.parse(body);
+			if (list.version >= (lists.get(host)?.version ?? 0)) {
+				lists.set(host, list);
+			}
+
+			return {};
+		},
+	);
 	server.put('/control/faults', async (request) => {
 		faults = platformFaultsSchema.parse(request.body);
 		return {};
--- a/testing/src/processes.ts
+++ b/testing/src/processes.ts
@@ -1,9 +1,13 @@
 /** The processes of an installation. */
 import {fork, type ChildProcess} from 'node:child_process';
-import {createServer, type AddressInfo} from 'node:net';
+import {randomInt} from 'node:crypto';
+import {createServer} from 'node:net';
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 
+const lowestPort = 12_000;
+const lowestEphemeralPort = 32_000;
+
 const standInProcess = fileURLToPath(
 	new URL('../dist/stand-in-process.js', import.meta.url),
 );
@@ -38,6 +42,16 @@
 	await gone;
 }
 
+/** Stops a part's process without ending it. */
+export function freeze({process: child}: Part): void {
+	child.kill('SIGSTOP');
+}
+
+/** Lets a frozen process go on. */
+export function wake({process: child}: Part): void {
+	child.kill('SIGCONT');
+}
+
 /** What a stand-in is started with. */
 export type StandIn = {
 	readonly role: 'platform' | 'target';
@@ -89,26 +103,23 @@
 	return child;
 }
 
-/** Ports of loopback that are free now. */
+/** Ports of loopback that are free now. They lie below those that the system gives to outgoing connections. */
 export async function freePorts(count: number): Promise<readonly number[]> {
-	const servers = Array.from({length: count}, () => createServer());
-	const ports = await Promise.all(
-		servers.map(
-			async (server) =>
-				new Promise<number>((resolve) => {
-					server.listen(0, '127.0.0.1', () => {
-						resolve((server.address() as AddressInfo).port);
-					});
-				}),
-		),
-	);
-	await Promise.all(
-		servers.map(
-			async (server) =>
-				new Promise((resolve) => {
-					server.close(resolve);
-				}),
-		),
-	);
-	return ports;
+	return Promise.all(Array.from({length: count}, async () => freePort()));
+}
+
+async function freePort(): Promise<number> {
+	const port = randomInt(lowestPort, lowestEphemeralPort);
+	const server = createServer();
+	const isFree = await new Promise<boolean>((resolve) => {
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, '127.0.0.1', () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+	return isFree ? port : freePort();
 }
