Load tool: both users' mixes, open-loop arrivals, policies side by side

Cause: placement and order can't be judged without figures. Change: testing/src/load/ draws jobs and Poisson arrivals from a seed, sends them at their intended times to one installation for each policy in alternating rounds, and reports response over ideal, refused tries, CPU per start and memory as a table and as JSON. Each entry VM knows only its own tasks in flight, sends beyond the slots and sends again at once after each refusal.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,3 +8,4 @@
 export * from './submission-memory.js';
 export type * from './task-outcome.js';
 export * from './verdict.js';
+export * from './seeded-random.js';
--- /dev/null
+++ b/testing/src/load/comparison.ts
@@ -0,0 +1,181 @@
+/** Runs policies side by side: each has an installation, and the rounds alternate between them with the same arrivals. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type Installation} from '../installation.js';
+import {
+	entryProcessIds,
+	startLoadInstallation,
+	type LoadInstallationOptions,
+} from './load-installation.js';
+import {LoadCallers, type RoundReport} from './load-run.js';
+import {Measurement, round} from './measurement.js';
+import {usageOf} from './process-usage.js';
+import {planArrivals, type Offer} from './schedule.js';
+
+/** One policy of a comparison. */
+export type Contender = {
+	readonly name: string;
+	/** Overrides of the entry VMs' settings. */
+	readonly settings: Readonly<Record<string, unknown>>;
+};
+
+/** What is compared, and under which load. */
+export type ComparisonOptions = {
+	readonly contenders: readonly Contender[];
+	readonly size: Omit<LoadInstallationOptions, 'settings'>;
+	readonly offer: Offer;
+	readonly rounds: number;
+	readonly warmUpMs: number;
+	readonly strayEvery: number;
+};
+
+/** The figures of one policy. */
+export type ContenderReport = ReturnType<Measurement['summary']> & {
+	readonly name: string;
+	readonly rounds: readonly RoundReport[];
+	readonly starts: number;
+	readonly doubleStarts: number;
+	readonly refusedFull: number;
+	readonly mostBusySlots: number;
+	/** Refused tries (two messages each) over started tasks. */
+	readonly wastedTargetMessagesPerTask: number;
+	/** Submissions that were passed on to their owners (two frames each) over started tasks. */
+	readonly forwardMessagesPerTask: number;
+	readonly cpuMicrosecondsPerStart: number;
+	readonly residentMegabytes: number;
+};
+
+const settleMs = 1500;
+const bytesPerMegabyte = 1_000_000;
+
+type Runner = {
+	readonly contender: Contender;
+	readonly installation: Installation;
+	readonly callers: LoadCallers;
+	readonly measurement: Measurement;
+	readonly rounds: RoundReport[];
+	cpuMs: number;
+	starts: number;
+	refusedFull: number;
+};
+
+/** Runs a comparison. */
+export async function compare(
+	options: ComparisonOptions,
+): Promise<readonly ContenderReport[]> {
+	const runners: Runner[] = [];
+	try {
+		for (const contender of options.contenders) {
+			// eslint-disable-next-line no-await-in-loop -- starting all at once would load the machine
+			runners.push(await startRunner(options, contender));
+		}
+
+		await sleep(settleMs);
+		for (const runner of runners) {
+			// eslint-disable-next-line no-await-in-loop -- one installation under load at a time
+			await warmUp(runner, options);
+		}
+
+		for (let index = 0; index < options.rounds; index += 1) {
+			for (const runner of runners) {
+				// eslint-disable-next-line no-await-in-loop
+				await runRound(runner, options, index);
+			}
+		}
+
+		const offeredMs = options.offer.durationMs * options.rounds;
+		return await Promise.all(
+			runners.map(async (runner) => reportOf(runner, offeredMs)),
+		);
+	} finally {
+		await Promise.all(
+			runners.map(async ({installation, callers}) => {
+				await callers.close();
+				await installation.stop();
+			}),
+		);
+	}
+}
+
+async function startRunner(
+	{size, offer, strayEvery}: ComparisonOptions,
+	contender: Contender,
+): Promise<Runner> {
+	const installation = await startLoadInstallation({
+		...size,
+		settings: contender.settings,
+	});
+	return {
+		contender,
+		installation,
+		callers: new LoadCallers(installation, strayEvery),
+		measurement: new Measurement(offer.slots),
+		rounds: [],
+		cpuMs: 0,
+		starts: 0,
+		refusedFull: 0,
+	};
+}
+
+async function warmUp(
+	{callers}: Runner,
+	{offer, warmUpMs}: ComparisonOptions,
+): Promise<void> {
+	const arrivals = planArrivals({
+		...offer,
+		seed: offer.seed - 1,
+		share: Math.min(offer.share, 0.5),
+		durationMs: warmUpMs,
+	});
+	await callers.round(arrivals, warmUpMs, () => {
+		// What comes before the processes are warm is not measured.
+	});
+}
+
+async function runRound(
+	runner: Runner,
+	{offer}: ComparisonOptions,
+	index: number,
+): Promise<void> {
+	const {installation, callers, measurement} = runner;
+	const arrivals = planArrivals({...offer, seed: offer.seed + index});
+	const processIds = entryProcessIds(installation);
+	const before = await usageOf(processIds);
+	const recordsBefore = await installation.records();
+	runner.rounds.push(
+		await callers.round(arrivals, offer.durationMs, (served) => {
+			measurement.record(served);
+		}),
+	);
+	const after = await usageOf(processIds);
+	const records = await installation.records();
+	runner.cpuMs += after.cpuMs - before.cpuMs;
+	runner.starts += records.starts.length - recordsBefore.starts.length;
+	runner.refusedFull += records.refusedFull - recordsBefore.refusedFull;
+}
+
+async function reportOf(
+	runner: Runner,
+	offeredMs: number,
+): Promise<ContenderReport> {
+	const {contender, installation, measurement, rounds, starts} = runner;
+	const [records, usage] = await Promise.all([
+		installation.records(),
+		usageOf(entryProcessIds(installation)),
+	]);
+	const strayJobs = rounds.reduce((sum, {strayJobs: jobs}) => sum + jobs, 0);
+	return {
+		name: contender.name,
+		...measurement.summary(offeredMs),
+		rounds,
+		starts,
+		doubleStarts: records.starts.length - new Set(records.starts).size,
+		refusedFull: runner.refusedFull,
+		mostBusySlots: records.mostBusySlots,
+		wastedTargetMessagesPerTask: round(
+			(2 * runner.refusedFull) / Math.max(1, starts),
+		),
+		forwardMessagesPerTask: round((2 * strayJobs) / Math.max(1, starts)),
+		cpuMicrosecondsPerStart: round((runner.cpuMs * 1000) / Math.max(1, starts)),
+		residentMegabytes: round(usage.residentBytes / bytesPerMegabyte),
+	};
+}
