Write each task at most once, and say so only when it is proven

Cause: undici's pool decided by the kind of error whether a request may have been written. Change: a request is an exchange that the connection asks for before it writes. Until then it surely did not start, from then on it may have, and a second time is refused. Connections are bounded per target, one request each, the one heard of last first; idle ones are probed in turn (GET /health), and a silent one replaces them all. Answers are bounded. A withdrawn task's connection waits a second for its answer, so that a wave of cancellations doesn't cut connections. Ruled out: pool.request, which hides the moment of writing; one abort listener for each task, whose removal from a signal's list is linear in the tasks of a job.

--- a/packages/target/src/http-task-targets.ts
+++ b/packages/target/src/http-task-targets.ts
@@ -4,29 +4,42 @@
 	type TaskOutcome,
 	type TaskStart,
 } from '@verbenarouter/core';
-import {Pool, errors} from 'undici';
-import {z} from 'zod';
+import {
+	badAnswer,
+	deadlineHeader,
+	outcomeOf,
+	startedHeader,
+	taskHeader,
+	unreachable,
+} from './task-answer.js';
+import {TargetConnections} from './target-connections.js';
+import {BoundedExchange, type ExchangeFailure} from './target-exchange.js';
 import {type TaskTargets} from './task-target.js';
 
-/** Carries the task's identifier in both directions. */
-export const taskHeader = 'verbenarouter-task';
-
-/** Remaining time of the task in milliseconds. */
-export const deadlineHeader = 'verbenarouter-deadline-ms';
-
-/** `yes` or `no`: whether the target started the task that it answers for. */
-export const startedHeader = 'verbenarouter-started';
+/** Settings of the connections to targets that have a default. */
+export type TargetBounds = {
+	/** Bytes of one answer at most. */
+	readonly answerBytes: number;
+	/** Milliseconds for which a connection may be idle and unheard before it is probed. */
+	readonly probeIntervalMs: number;
+	/** Milliseconds without an answer to a probe after which a target's connections are replaced. */
+	readonly probeTimeoutMs: number;
+	/** Milliseconds for which an idle connection is kept. */
+	readonly keepAliveMs: number;
+	/** Milliseconds for a cancellation, and for the answer of a cancelled task, after which its connection is cut. */
+	readonly cancelTimeoutMs: number;
+};
 
-const completedSchema = z.object({output: z.json()});
-const failedSchema = z.object({message: z.string()});
-const notStartedSchema = z.object({
-	reason: z.enum(['full', 'leaving', 'refused']),
-	message: z.string().default(''),
-	retryAfterMs: z.number().nonnegative().default(0),
-});
+const defaultBounds: TargetBounds = {
+	answerBytes: 8_000_000,
+	probeIntervalMs: 1000,
+	probeTimeoutMs: 500,
+	keepAliveMs: 30_000,
+	cancelTimeoutMs: 1000,
+};
 
 /** Settings of the connections to targets. */
-export type HttpTaskTargetsOptions = {
+export type HttpTaskTargetsOptions = Partial<TargetBounds> & {
 	/** Connections to one target at most. */
 	readonly connectionsPerTarget: number;
 	/** Milliseconds to wait for a connection. */
@@ -35,13 +48,15 @@
 	readonly clock: () => number;
 };
 
-/** Targets over HTTP/1.1 with one bounded pool of connections per target. */
+/** Targets over HTTP/1.1 with bounded connections to each target. */
 export class HttpTaskTargets implements TaskTargets {
-	readonly #options: HttpTaskTargetsOptions;
-	readonly #pools = new Map<string, Pool>();
+	readonly #options: HttpTaskTargetsOptions & TargetBounds;
+	readonly #connections = new Map<string, TargetConnections>();
+	/** One listener for each signal: the tasks of a job share theirs. */
+	readonly #bySignal = new WeakMap<AbortSignal, Set<BoundedExchange>>();
 
 	constructor(options: HttpTaskTargetsOptions) {
-		this.#options = options;
+		this.#options = {...defaultBounds, ...options};
 	}
 
 	async start(
@@ -50,144 +65,155 @@
 		signal: AbortSignal,
 	): Promise<TaskOutcome> {
 		const sentAt = this.#options.clock();
-		const remainingMs = Math.max(1, Math.floor(task.deadlineAtMs - sentAt));
-		try {
-			const answer = await this.#pool(target.address).request({
-				method: 'POST',
-				path: '/tasks',
-				headers: {
-					'content-type': 'application/json',
-					[taskHeader]: task.taskIdentifier,
-					[deadlineHeader]: String(remainingMs),
-				},
-				body: JSON.stringify({
-					entry: task.entry,
-					team: task.team,
-					input: task.input,
+		const timeoutMs = this.#remainingMs(task);
+		if (signal.aborted || timeoutMs <= 0) {
+			return signal.aborted
+				? withdrawn('the request was withdrawn before it was written')
+				: unreachable('the deadline had passed before the request was written');
+		}
+
+		return new Promise((resolve) => {
+			const settle = (outcome: TaskOutcome): void => {
+				exchanges.delete(exchange);
+				resolve(outcome);
+			};
+
+			const exchange = new BoundedExchange(
+				() => ({
+					method: 'POST',
+					path: '/tasks',
+					headers: {
+						'content-type': 'application/json',
+						[taskHeader]: task.taskIdentifier,
+						[deadlineHeader]: String(this.#remainingMs(task)),
+					},
+					body: JSON.stringify({
+						entry: task.entry,
+						team: task.team,
+						input: task.input,
+					}),
 				}),
-				signal,
-				headersTimeout: remainingMs,
-				bodyTimeout: remainingMs,
-			});
-			const body: unknown = await answer.body.json();
-			return outcomeOf(
 				{
-					status: answer.statusCode,
-					task: answer.headers[taskHeader],
-					started: answer.headers[startedHeader],
-					body,
+					timeoutMs,
+					answerBytes: this.#options.answerBytes,
+					withdrawnMs: this.#options.cancelTimeoutMs,
+					onAnswer: ({status, headers, body}) => {
+						settle(
+							outcomeOf(
+								{
+									status,
+									task: headers[taskHeader],
+									started: headers[startedHeader],
+									body,
+								},
+								task.taskIdentifier,
+								this.#options.clock() - sentAt,
+							),
+						);
+					},
+					onFailure(failure) {
+						settle(outcomeOfFailure(failure));
+					},
 				},
-				task.taskIdentifier,
-				this.#options.clock() - sentAt,
 			);
-		} catch (error: unknown) {
-			return outcomeOfError(error, signal);
-		}
+			const exchanges = this.#exchangesOf(signal);
+			exchanges.add(exchange);
+			this.#connectionsTo(target.address).dispatch(exchange);
+		});
 	}
 
 	async cancel(target: Target, taskIdentifier: string): Promise<void> {
-		try {
-			const answer = await this.#pool(target.address).request({
-				method: 'DELETE',
-				path: `/tasks/${encodeURIComponent(taskIdentifier)}`,
-			});
-			await answer.body.dump();
-		} catch {
-			// A lost cancellation leaves the task to its deadline at the target.
-		}
+		const {cancelTimeoutMs, answerBytes} = this.#options;
+		// A lost cancellation leaves the task to its deadline at the target.
+		await new Promise<void>((resolve) => {
+			this.#connectionsTo(target.address).dispatch(
+				new BoundedExchange(
+					() => ({
+						method: 'DELETE',
+						path: `/tasks/${encodeURIComponent(taskIdentifier)}`,
+					}),
+					{
+						timeoutMs: cancelTimeoutMs,
+						answerBytes,
+						withdrawnMs: 0,
+						onAnswer() {
+							resolve();
+						},
+						onFailure() {
+							resolve();
+						},
+					},
+				),
+			);
+		});
 	}
 
 	async close(): Promise<void> {
 		await Promise.all(
-			[...this.#pools.values()].map(async (pool) => pool.destroy()),
+			[...this.#connections.values()].map(async (connections) =>
+				connections.close(),
+			),
 		);
-		this.#pools.clear();
+		this.#connections.clear();
+	}
+
+	#remainingMs({deadlineAtMs}: TaskStart): number {
+		return Math.floor(deadlineAtMs - this.#options.clock());
 	}
 
-	#pool(address: string): Pool {
-		const known = this.#pools.get(address);
+	#connectionsTo(address: string): TargetConnections {
+		const known = this.#connections.get(address);
 		if (known !== undefined) {
 			return known;
 		}
 
-		const pool = new Pool(address, {
+		const connections = new TargetConnections(address, {
+			...this.#options,
 			connections: this.#options.connectionsPerTarget,
-			connect: {timeout: this.#options.connectTimeoutMs},
-			pipelining: 1,
+			onUnused: () => {
+				this.#connections.delete(address);
+				void connections.close();
+			},
 		});
-		this.#pools.set(address, pool);
-		return pool;
-	}
-}
-
-type TargetAnswer = {
-	readonly status: number;
-	readonly task: string | string[] | undefined;
-	readonly started: string | string[] | undefined;
-	readonly body: unknown;
-};
-
-function outcomeOf(
-	{status, task, started, body}: TargetAnswer,
-	taskIdentifier: string,
-	ranMs: number,
-): TaskOutcome {
-	if (task !== taskIdentifier) {
-		return badAnswer(`the answer is for another task (status ${status})`);
+		this.#connections.set(address, connections);
+		return connections;
 	}
 
-	if (started === 'no') {
-		const parsed = notStartedSchema.safeParse(body);
-		return parsed.success
-			? {kind: 'not-started', ...parsed.data}
-			: badAnswer('the refusal cannot be read');
-	}
+	#exchangesOf(signal: AbortSignal): Set<BoundedExchange> {
+		const known = this.#bySignal.get(signal);
+		if (known !== undefined) {
+			return known;
+		}
 
-	if (status === 200) {
-		const parsed = completedSchema.safeParse(body);
-		return parsed.success
-			? {kind: 'completed', output: parsed.data.output, ranMs}
-			: badAnswer('the output cannot be read');
+		const exchanges = new Set<BoundedExchange>();
+		this.#bySignal.set(signal, exchanges);
+		signal.addEventListener(
+			'abort',
+			() => {
+				for (const exchange of exchanges) {
+					exchange.withdraw();
+				}
+			},
+			{once: true},
+		);
+		return exchanges;
 	}
-
-	const parsed = failedSchema.safeParse(body);
-	return started === 'yes' && parsed.success
-		? {kind: 'failed', message: parsed.data.message, ranMs}
-		: badAnswer(`status ${status} does not say whether the task started`);
 }
 
-function badAnswer(message: string): TaskOutcome {
-	return {kind: 'unknown', reason: 'bad-answer', message};
-}
-
-function outcomeOfError(error: unknown, signal: AbortSignal): TaskOutcome {
-	const message = error instanceof Error ? error.message : String(error);
-	if (error instanceof errors.ConnectTimeoutError || isConnectError(error)) {
-		return {
-			kind: 'not-started',
-			reason: 'unreachable',
-			message,
-			retryAfterMs: 0,
-		};
-	}
-
-	if (signal.aborted) {
-		return {kind: 'unknown', reason: 'cancelled', message};
+function outcomeOfFailure({
+	mayBeWritten,
+	reason,
+	message,
+}: ExchangeFailure): TaskOutcome {
+	if (!mayBeWritten) {
+		return reason === 'cancelled' ? withdrawn(message) : unreachable(message);
 	}
 
-	return {
-		kind: 'unknown',
-		reason:
-			error instanceof errors.HeadersTimeoutError ||
-			error instanceof errors.BodyTimeoutError
-				? 'timeout'
-				: 'connection-lost',
-		message,
-	};
+	return reason === 'too-large'
+		? badAnswer(message)
+		: {kind: 'unknown', reason, message};
 }
 
-function isConnectError(error: unknown): boolean {
-	return (
-		error instanceof Error && 'syscall' in error && error.syscall === 'connect'
-	);
+function withdrawn(message: string): TaskOutcome {
+	return {kind: 'not-started', reason: 'cancelled', message, retryAfterMs: 0};
 }
--- /dev/null
+++ b/packages/target/src/tests/task-answer.test.ts
@@ -0,0 +1,41 @@
+import {describe, expect, it} from 'vitest';
+import {outcomeOf, type TargetAnswer} from '../task-answer.js';
+
+const answerOf = (change: Partial<TargetAnswer>): TargetAnswer => ({
+	status: 200,
+	task: 'job.0',
+	started: 'yes',
+	body: '{"output": 1}',
+	...change,
+});
+const full = '{"reason": "full", "retryAfterMs": 70}';
+const failure = '{"message": "no rice"}';
+const gateway = {task: undefined, started: undefined};
+
+describe('the outcome that an answer proves', () => {
+	it.each<[string, Partial<TargetAnswer>]>([
+		['completed', {}],
+		['completed', {body: '{"output": null}'}],
+		['failed', {status: 500, body: failure}],
+		['not-started', {status: 503, started: 'no', body: full}],
+		['unknown', {status: 502, body: failure, ...gateway}],
+		['unknown', {status: 503, body: full, ...gateway}],
+		['unknown', {status: 503, started: 'no', body: full, task: 'job.1'}],
+		['unknown', {task: 'job.1'}],
+		['unknown', {task: ['job.0', 'job.1']}],
+		['unknown', {started: 'no', body: full}],
+		['unknown', {status: 503, started: 'no', body: '{}'}],
+		['unknown', {status: 500, started: undefined, body: failure}],
+		['unknown', {status: 500, body: '<html>'}],
+		['unknown', {body: '{"output": '}],
+		['unknown', {body: '{}'}],
+	])('is %s for %j', (kind, change) => {
+		expect(outcomeOf(answerOf(change), 'job.0', 5).kind).toBe(kind);
+	});
+
+	it('keeps the time after which the target takes work again', () => {
+		expect(
+			outcomeOf(answerOf({status: 503, started: 'no', body: full}), 'job.0', 5),
+		).toMatchObject({reason: 'full', retryAfterMs: 70});
+	});
+});
--- a/packages/verbenarouter/src/settings.ts
+++ b/packages/verbenarouter/src/settings.ts
@@ -48,6 +48,12 @@
 			.strictObject({
 				connectionsPerTarget: z.number().int().positive().max(1000).default(60),
 				connectTimeoutMs: durationSchema.default(1000),
+				/** Bytes of one target's answer at most. */
+				answerBytes: z.number().int().positive().default(8_000_000),
+				/** Time for which a connection may be idle before it is probed. */
+				probeIntervalMs: durationSchema.default(1000),
+				/** Time without an answer to a probe after which a target's connections are replaced. */
+				probeTimeoutMs: durationSchema.default(500),
 			})
 			.readonly()
 			.prefault({}),
