--- a/testing/src/demo/demo-load.ts
+++ b/testing/src/demo/demo-load.ts
@@ -28,13 +28,10 @@
 	const random = seededRandom(seed);
 	const jobs: DemonstratedJob[] = [];
 	while (!shouldStop()) {
-		jobs.push(
-			await submitOne(
-				drawJob(mixOf(mixName, largestJob), random),
-				balancer,
-				random,
-			),
-		);
+		const job = drawJob(mixOf(mixName, largestJob), random);
+		// eslint-disable-next-line no-await-in-loop -- a caller waits for each answer
+		const submitted = await submitOne(job, balancer, random);
+		jobs.push(submitted);
 	}
 
 	return jobs;
