Share ledger: capacities divided among entry VMs, with loans between them

Cause: quotas and worker slots have to hold over all entry VMs together, also while zones are cut off, and nothing may be agreed per task.

Change: each entry VM holds its base share, worked out from the platform's versioned list of entry VMs, plus what it borrowed minus what it lent. Loans are counters that only grow, one pair per direction, so a lost, late or repeated record never doubles a unit. A base share may grow only when every member of the newer list has announced to keep within it; until then the smallest share under all lists counts. A new process has no base share until all others have announced to it that they dropped its predecessor's loans.

Ruled out: dividing by the newest list at once (two lists known at different times exceed the capacity), and taking any hello as evidence of a new process (a late one ended a living peer; only own streams count now).

Seen: model test with reordered, lost and repeated messages, cuts, crashes, joins and removals, 600 schedules: no overshoot, and each entry VM can get the whole capacity afterwards. Each of these, taken out, makes it fail: counters without max, waiting for announcements, announcing only when within, resending unconfirmed records, refusing ended incarnations, keeping older lists, no base share for a newcomer, dropping an ended peer's loans.

Conclusion: the rule holds in the model; cost and speed are not measured yet.

--- /dev/null
+++ b/packages/core/src/share-ledger.ts
@@ -0,0 +1,351 @@
+/**
+ * Divides capacities among entry VMs without a coordinator.
+ *
+ * Each entry VM holds its base share plus what it borrowed minus what it lent, and uses no more. The sum over all entry
+ * VMs never exceeds the capacity, whatever is lost, late, repeated or cut off. Units move to where the demand is while
+ * entry VMs reach each other, and stay where they are while they don't.
+ */
+import {ShareLending, type ShareLedgerOptions} from './share-lending.js';
+import {ShareMembers, type SharePeer} from './share-members.js';
+import {
+	type LedgerMessage,
+	type LoanRecord,
+	type MemberSet,
+} from './share-message.js';
+import {heldOf, idleOf} from './share-resource.js';
+
+export {type ShareLedgerOptions} from './share-lending.js';
+
+/** A message for one entry VM. It may be lost; {@link ShareLedger.peerSeen} makes up for it. */
+export type OutgoingLedgerMessage = {
+	readonly to: string;
+	readonly message: LedgerMessage;
+};
+
+const rememberedIncarnations = 1000;
+const generationMark = '~';
+
+/** One entry VM's shares of all divided capacities. */
+export class ShareLedger {
+	readonly #self: ShareLedgerOptions['self'];
+	readonly #members: ShareMembers;
+	readonly #lending: ShareLending;
+	readonly #endedIncarnations = new Set<string>();
+	readonly #endedNotices = new Map<string, string>();
+	#generation = 0;
+
+	constructor(options: ShareLedgerOptions) {
+		this.#self = options.self;
+		this.#members = new ShareMembers(options.self.name);
+		this.#lending = new ShareLending(options, this.#members);
+	}
+
+	/** Whether this entry VM has base shares; before that it can only borrow. */
+	get hasBase(): boolean {
+		return this.#members.hasBase;
+	}
+
+	/** Whether anything waits to be moved, sent or announced. */
+	get isBusy(): boolean {
+		return (
+			this.#lending.isBusy ||
+			this.#endedNotices.size > 0 ||
+			this.#members.mustAnnounce
+		);
+	}
+
+	/** Takes the platform's newest list of entry VMs. A row that is gone is evidence that its process has ended. */
+	setMembers(set: MemberSet): void {
+		this.#members.noteListing(set);
+		this.#adopt(set);
+		if (
+			this.hasBase &&
+			this.#members.newest?.includes(this.#self.name) === false
+		) {
+			this.#beginAnew();
+		}
+	}
+
+	/** Tells that capacities may have changed. */
+	capacitiesChanged(): void {
+		this.#lending.capacitiesChanged();
+	}
+
+	/**
+	 * A stream that this entry VM opened came up, or was renewed, and its other end names its incarnation. Another
+	 * incarnation on the same address is evidence that the earlier one has ended.
+	 */
+	peerSeen(name: string, process: string): void {
+		if (name === this.#self.name) {
+			return;
+		}
+
+		const peer = this.#members.peer(name);
+		if (peer.process !== process) {
+			this.#welcome(name, `${process}${generationMark}0`);
+		}
+
+		if (peer.incarnation === undefined) {
+			peer.process = process;
+			this.#tellEnded(name, process);
+		}
+
+		peer.told = undefined;
+		this.#lending.repeatUnconfirmed(name);
+	}
+
+	/** There is evidence that no process runs under this name, for example that its address refuses connections. */
+	peerGone(name: string): void {
+		const peer = this.#members.peers.get(name);
+		if (peer === undefined) {
+			return;
+		}
+
+		if (peer.incarnation !== undefined) {
+			this.#endedIncarnations.add(peer.incarnation);
+			this.#forgetEndedIncarnations();
+		}
+
+		this.#lending.dropLoans(name);
+		peer.incarnation = undefined;
+		peer.isVacant = true;
+		peer.told = undefined;
+		peer.announced.clear();
+	}
+
+	/** Units that this entry VM may have in use now. */
+	held(resource: string): number {
+		return heldOf(this.#lending.resource(resource));
+	}
+
+	/** Units in use. */
+	inUse(resource: string): number {
+		return this.#lending.resource(resource).inUse;
+	}
+
+	/** Units that may be taken now. */
+	free(resource: string): number {
+		return Math.max(0, idleOf(this.#lending.resource(resource)));
+	}
+
+	/** Takes units; returns whether they were free. */
+	tryTake(name: string, units: number, now: number): boolean {
+		const resource = this.#lending.resource(name);
+		if (idleOf(resource) < units) {
+			return false;
+		}
+
+		this.#lending.use(resource, resource.inUse + units, now);
+		return true;
+	}
+
+	/** Gives back units that {@link tryTake} took. */
+	giveBack(name: string, units: number, now: number): void {
+		const resource = this.#lending.resource(name);
+		this.#lending.use(resource, Math.max(0, resource.inUse - units), now);
+	}
+
+	/** Sets the units in use, for a capacity that is used at a rate; returns the units, which are at most those held. */
+	setInUse(name: string, units: number, now: number): number {
+		const resource = this.#lending.resource(name);
+		const used = Math.max(0, Math.min(units, heldOf(resource)));
+		this.#lending.use(resource, used, now);
+		return used;
+	}
+
+	/** Sets how many units could be used at once beyond those in use. */
+	wants(name: string, units: number): void {
+		if (units > 0 || this.#lending.has(name)) {
+			this.#lending.want(this.#lending.resource(name), units);
+		}
+	}
+
+	/** Takes in a message; returns whether units may have become free. */
+	receive(name: string, message: LedgerMessage, now: number): boolean {
+		if (message.to !== this.#incarnation) {
+			return false;
+		}
+
+		if (message.kind === 'ended') {
+			this.#beginAnew();
+			return false;
+		}
+
+		const peer = this.#members.peers.get(name);
+		if (peer?.process === processOf(message.from)) {
+			this.#welcome(name, message.from);
+		}
+
+		if (peer?.incarnation !== message.from) {
+			if (this.#endedIncarnations.has(message.from)) {
+				this.#endedNotices.set(name, message.from);
+			}
+
+			return false;
+		}
+
+		if (message.kind === 'member-set') {
+			this.#adopt(message.set);
+			if (message.set.members.some((member) => member.name === name)) {
+				peer.announced.add(message.set.version);
+				this.#dropUnlisted(name);
+			}
+
+			return this.#dropSuperseded();
+		}
+
+		if (!this.#members.isKnown(name)) {
+			return false;
+		}
+
+		const hasGained = message.loans.map((record) =>
+			this.#lending.merge(name, record, now),
+		);
+		return hasGained.includes(true);
+	}
+
+	/** Moves units, and gives the messages to send now. */
+	tick(now: number): readonly OutgoingLedgerMessage[] {
+		const announcements = this.#announce();
+		this.#dropSuperseded();
+		const records = this.#lending.tick(now);
+		return [
+			...this.#takeNotices(),
+			...announcements,
+			...[...records].flatMap(([name, loans]) =>
+				this.#loanMessages(name, loans),
+			),
+		];
+	}
+
+	#adopt(set: MemberSet): void {
+		if (!this.#members.adopt(set)) {
+			return;
+		}
+
+		for (const {name} of set.members) {
+			if (name !== this.#self.name) {
+				this.#members.peer(name);
+			}
+		}
+
+		for (const name of this.#members.peers.keys()) {
+			this.#dropUnlisted(name);
+		}
+
+		this.#lending.sharesChanged();
+	}
+
+	/** Takes up with a new incarnation of a peer's ledger; one that has ended is ignored. */
+	#welcome(name: string, incarnation: string): void {
+		const peer = this.#members.peer(name);
+		if (
+			peer.incarnation === incarnation ||
+			this.#endedIncarnations.has(incarnation)
+		) {
+			return;
+		}
+
+		this.peerGone(name);
+		peer.process = processOf(incarnation);
+		peer.incarnation = incarnation;
+		peer.isVacant = false;
+	}
+
+	#tellEnded(name: string, process: string): void {
+		const ended = [...this.#endedIncarnations].findLast(
+			(incarnation) => processOf(incarnation) === process,
+		);
+		if (ended !== undefined) {
+			this.#endedNotices.set(name, ended);
+		}
+	}
+
+	/** Begins anew after others may have taken this ledger for ended; units in use stay counted until they are given back. */
+	#beginAnew(): void {
+		this.#generation += 1;
+		this.#members.reset();
+		this.#lending.dropAllLoans();
+	}
+
+	/** Drops a peer that was once listed and is not in the newest list. */
+	#dropUnlisted(name: string): void {
+		if (
+			this.#members.newest?.includes(name) === false &&
+			this.#members.isKnown(name)
+		) {
+			this.peerGone(name);
+			this.#members.remove(name);
+		}
+	}
+
+	#dropSuperseded(): boolean {
+		const hasGrown = this.#members.dropSuperseded();
+		if (hasGrown) {
+			this.#lending.sharesChanged();
+		}
+
+		return hasGrown;
+	}
+
+	#announce(): readonly OutgoingLedgerMessage[] {
+		const set = this.#members.newest?.set;
+		if (
+			set === undefined ||
+			!this.#members.mustAnnounce ||
+			!this.#lending.keepsWithin
+		) {
+			return [];
+		}
+
+		return this.#members.settle().map((peer) => ({
+			to: peer.name,
+			message: {kind: 'member-set', ...this.#between(peer), set},
+		}));
+	}
+
+	get #incarnation(): string {
+		return `${this.#self.incarnation}${generationMark}${this.#generation}`;
+	}
+
+	#between(peer: SharePeer): {readonly from: string; readonly to: string} {
+		return {
+			from: this.#incarnation,
+			to: peer.incarnation ?? '',
+		};
+	}
+
+	#loanMessages(
+		name: string,
+		loans: readonly LoanRecord[],
+	): readonly OutgoingLedgerMessage[] {
+		const peer = this.#members.peers.get(name);
+		return peer?.incarnation === undefined
+			? []
+			: [{to: name, message: {kind: 'loans', ...this.#between(peer), loans}}];
+	}
+
+	#takeNotices(): readonly OutgoingLedgerMessage[] {
+		const notices = [...this.#endedNotices].map(([name, to]) => ({
+			to: name,
+			message: {kind: 'ended' as const, from: this.#incarnation, to},
+		}));
+		this.#endedNotices.clear();
+		return notices;
+	}
+
+	#forgetEndedIncarnations(): void {
+		for (const incarnation of this.#endedIncarnations) {
+			if (this.#endedIncarnations.size <= rememberedIncarnations) {
+				return;
+			}
+
+			this.#endedIncarnations.delete(incarnation);
+		}
+	}
+}
+
+/** The process of a ledger's incarnation. */
+function processOf(incarnation: string): string {
+	return incarnation.slice(0, incarnation.lastIndexOf(generationMark));
+}
