--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 /** Decisions of the dispatcher. Nothing in this package reads a clock, a file or a socket. */
 export * from './catalogue.js';
+export * from './catalogue-check.js';
 export * from './catalogue-entry.js';
 export * from './catalogue-record.js';
 export * from './catalogue-replay.js';
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,2 +1,4 @@
 /** The administration interface. */
-export {};
+export type * from './catalogue-administration.js';
+export * from './catalogue-editor.js';
+export * from './operator-server.js';
--- a/packages/peer/src/message.ts
+++ b/packages/peer/src/message.ts
@@ -1,7 +1,9 @@
 /** What entry VMs say to each other. */
 import {
+	catalogueUpdateSchema,
 	jobAnswerSchema,
 	jobSchema,
+	machineListSchema,
 	nameSchema,
 	refusalSchema,
 	submissionStateSchema,
@@ -40,16 +42,50 @@
 	})
 	.readonly();
 
+/** Asks for what the peer knows of the catalogue beyond an offset, and of the list of VMs beyond a version. */
+export const catalogueRequestSchema = z
+	.object({
+		kind: z.literal('catalogue'),
+		fromOffset: z.number().int().nonnegative(),
+		/** Version of the list that the asker has; -1 for none. */
+		listVersion: z.number().int().min(-1),
+	})
+	.readonly();
+
+/** Asks for what the peer knows of the catalogue and of the list of VMs. */
+export type CatalogueRequest = z.infer<typeof catalogueRequestSchema>;
+
+/** What an entry VM knows of the catalogue and of the list of VMs. */
+export const catalogueReplySchema = z
+	.object({
+		kind: z.literal('catalogue'),
+		/** Offset that the sender's catalogue has reached. */
+		nextOffset: z.number().int().nonnegative(),
+		/** Milliseconds since the sender's catalogue was known to be current; absent when it never was. */
+		ageMs: z.number().nonnegative().optional(),
+		update: catalogueUpdateSchema,
+		/** The sender's list, when it is newer than the asker's. */
+		list: machineListSchema.optional(),
+	})
+	.readonly();
+
+/** What an entry VM knows of the catalogue and of the list of VMs. */
+export type CatalogueReply = z.infer<typeof catalogueReplySchema>;
+
 /** A request from one entry VM to another. */
 export const peerRequestSchema = z.discriminatedUnion('kind', [
 	submitRequestSchema,
 	stateRequestSchema,
 	cancelRequestSchema,
+	catalogueRequestSchema,
 ]);
 
 /** A request from one entry VM to another. */
 export type PeerRequest = z.infer<typeof peerRequestSchema>;
 
+/** A request about one submission. */
+export type SubmissionRequest = Exclude<PeerRequest, CatalogueRequest>;
+
 /** The answer to {@link PeerRequest}. */
 export const peerReplySchema = z.discriminatedUnion('kind', [
 	z.object({kind: z.literal('answer'), answer: jobAnswerSchema}).readonly(),
@@ -62,6 +98,7 @@
 		.readonly(),
 	/** The receiver does not hold the identifier's ownership. It did nothing. */
 	z.object({kind: z.literal('not-owner')}).readonly(),
+	catalogueReplySchema,
 ]);
 
 /** The answer to {@link PeerRequest}. */
@@ -73,6 +110,8 @@
 		incarnation: incarnationSchema,
 		/** Keys of the incarnations whose submissions this entry VM answers for, its own among them. */
 		holds: z.array(z.string()).readonly(),
+		/** Offset that the sender's catalogue has reached. */
+		catalogueOffset: z.number().int().nonnegative().optional(),
 	})
 	.readonly();
 
--- a/packages/platform/src/http-platform.ts
+++ b/packages/platform/src/http-platform.ts
@@ -12,6 +12,9 @@
 	type UsageReport,
 } from './platform.js';
 
+/** Below this status the platform refused the call before it did anything. */
+const firstServerError = 500;
+
 const appendedSchema = z.object({offset: z.number().int().nonnegative()});
 const usageSchema = z.object({workers: z.array(usageReportSchema).readonly()});
 
@@ -38,7 +41,7 @@
 
 	append(
 		stream: string,
-		record: z.infer<ReturnType<typeof z.json>>,
+		record: unknown,
 	): ResultAsync<number, PlatformFailure> {
 		return this.#call(
 			'POST',
@@ -101,15 +104,17 @@
 						}),
 				signal: AbortSignal.timeout(this.#timeoutMs),
 			});
-			const answered: unknown = await answer.body.json();
 			if (answer.statusCode !== 200) {
+				await answer.body.dump();
 				return err({
 					code: 'refused',
 					message: `the platform answered with status ${answer.statusCode}`,
-					mayHaveTakenEffect,
+					mayHaveTakenEffect:
+						mayHaveTakenEffect && answer.statusCode >= firstServerError,
 				});
 			}
 
+			const answered: unknown = await answer.body.json();
 			const parsed = schema.safeParse(answered);
 			return parsed.success
 				? ok(parsed.data)
@@ -133,8 +138,15 @@
 		return {code: 'timeout', message, mayHaveTakenEffect};
 	}
 
+	if (error instanceof SyntaxError) {
+		return {code: 'bad-answer', message, mayHaveTakenEffect};
+	}
+
+	// Nothing was sent when there was no connection to send it on.
 	const isConnect =
-		error instanceof Error && 'syscall' in error && error.syscall === 'connect';
+		error instanceof Error &&
+		(('syscall' in error && error.syscall === 'connect') ||
+			error.name === 'ConnectTimeoutError');
 	return {
 		code: 'unreachable',
 		message,
--- a/packages/platform/src/platform.ts
+++ b/packages/platform/src/platform.ts
@@ -20,6 +20,13 @@
 		/** Offset that the next appended record will get. */
 		endOffset: z.number().int().nonnegative(),
 	})
+	.refine(
+		({records}) =>
+			records.every(
+				({offset}, index) => offset === (records[0]?.offset ?? 0) + index,
+			),
+		{path: ['records'], error: 'must have consecutive offsets'},
+	)
 	.readonly();
 
 /** Records in order of their offsets. */
@@ -48,11 +55,8 @@
 
 /** The platform's services. Each call ends within the client's timeout. */
 export type Platform = {
-	/** Appends a record; the answer is its offset. */
-	append(
-		stream: string,
-		record: z.infer<ReturnType<typeof z.json>>,
-	): ResultAsync<number, PlatformFailure>;
+	/** Appends a record, which is any value that JSON can hold; the answer is its offset. */
+	append(stream: string, record: unknown): ResultAsync<number, PlatformFailure>;
 	/** Reads records from an offset on; when that one is gone, from the oldest one that is kept. */
 	read(
 		stream: string,
--- a/packages/verbenarouter/src/catalogue-follower.ts
+++ b/packages/verbenarouter/src/catalogue-follower.ts
@@ -1,6 +1,15 @@
-/** Follows the catalogue's stream of the platform's log. */
-import {Catalogue, type Entry, type Team} from '@verbenarouter/core';
-import {type Platform} from '@verbenarouter/platform';
+/** Keeps the newest catalogue that this entry VM has heard of, from the platform's log or from peers. */
+import {
+	CatalogueReplay,
+	type Catalogue,
+	type Entry,
+	type Team,
+} from '@verbenarouter/core';
+import {type CatalogueStatus} from '@verbenarouter/operator';
+import {type CatalogueReply} from '@verbenarouter/peer';
+import {type Platform, type PlatformFailure} from '@verbenarouter/platform';
+import {type ResultAsync} from 'neverthrow';
+import {type Clock} from './clock.js';
 import {type CatalogueView} from './submission-router.js';
 
 /** The stream on which operators publish. */
@@ -8,65 +17,165 @@
 
 const recordsPerRead = 500;
 
+/** Parts that the follower uses. */
+export type CatalogueFollowerParts = {
+	readonly platform: Pick<Platform, 'append' | 'read'>;
+	readonly clock: Clock;
+	/** Hears that the log brought something new. */
+	readonly onNews: () => void;
+};
+
 /** Keeps the newest catalogue that this entry VM has heard of. */
 export class CatalogueFollower implements CatalogueView {
-	readonly #platform: Platform;
-	#catalogue = new Catalogue();
+	readonly #parts: CatalogueFollowerParts;
+	#replay = new CatalogueReplay();
 	#teamsByHash: ReadonlyMap<string, Team> = new Map();
-	#isLoaded = false;
+	#reading: Promise<boolean> = Promise.resolve(true);
+	#couldRead = false;
+	#source: CatalogueStatus['source'] = 'none';
+	/** Time at which the catalogue was known to be current. */
+	#confirmedAtMs: number | undefined;
 
-	constructor(platform: Platform) {
-		this.#platform = platform;
+	constructor(parts: CatalogueFollowerParts) {
+		this.#parts = parts;
 	}
 
-	/** Whether the log has been read to its end at least once. */
+	/** Whether the catalogue was current at some time, by the log or by a peer. */
 	get isLoaded(): boolean {
-		return this.#isLoaded;
+		return this.#confirmedAtMs !== undefined;
 	}
 
 	/** The newest catalogue. */
 	get catalogue(): Catalogue {
-		return this.#catalogue;
+		return this.#replay.catalogue;
+	}
+
+	/** The replay behind the catalogue. */
+	get replay(): CatalogueReplay {
+		return this.#replay;
+	}
+
+	/** Milliseconds since the catalogue was known to be current; `undefined` when it never was. */
+	get ageMs(): number | undefined {
+		return (
+			this.#confirmedAtMs &&
+			Math.max(0, Math.round(this.#parts.clock() - this.#confirmedAtMs))
+		);
+	}
+
+	/** How fresh the catalogue is, and where it came from. */
+	get status(): Pick<
+		CatalogueStatus,
+		'nextOffset' | 'ageMs' | 'source' | 'state' | 'snapshotOffset'
+	> {
+		return {
+			nextOffset: this.catalogue.nextOffset,
+			ageMs: this.ageMs,
+			source: this.#source,
+			state: this.#state,
+			snapshotOffset: this.#replay.lastSnapshot?.offset,
+		};
+	}
+
+	get #state(): CatalogueStatus['state'] {
+		if (!this.#couldRead) {
+			return 'log-unreadable';
+		}
+
+		if (this.#replay.hasGap) {
+			return 'gap';
+		}
+
+		return this.#replay.isLogBehind ? 'log-behind' : 'current';
 	}
 
 	entry(name: string): Entry | undefined {
-		return this.#catalogue.entry(name);
+		return this.catalogue.entry(name);
 	}
 
 	team(name: string): Team | undefined {
-		return this.#catalogue.team(name);
+		return this.catalogue.team(name);
 	}
 
 	teamByTokenHash(hash: string): Team | undefined {
 		return this.#teamsByHash.get(hash);
 	}
 
-	/** Reads what the log has got since the last call. */
-	async follow(): Promise<void> {
-		const page = await this.#platform.read(
+	/** Appends a record to the catalogue's stream. */
+	append(record: unknown): ResultAsync<number, PlatformFailure> {
+		return this.#parts.platform.append(catalogueStream, record);
+	}
+
+	/** Reads to the log's end, beginning after the call; `false` when that fails, or when a gap is left. */
+	async follow(): Promise<boolean> {
+		const before = this.#reading;
+		this.#reading = (async () => {
+			await before;
+			return this.#readToEnd();
+		})();
+		return this.#reading;
+	}
+
+	/** Takes over what a peer knows beyond this entry VM's own knowledge. */
+	learn(reply: CatalogueReply, roundTripMs: number): void {
+		const now = this.#parts.clock();
+		this.#replace(this.#replay.learn(reply.update), 'peer');
+		const {ageMs, nextOffset} = reply;
+		if (ageMs !== undefined && this.catalogue.nextOffset >= nextOffset) {
+			this.#confirm(now - ageMs - roundTripMs);
+		}
+	}
+
+	async #readToEnd(): Promise<boolean> {
+		const askedAtMs = this.#parts.clock();
+		const askedFrom = this.#replay.readFrom;
+		const page = await this.#parts.platform.read(
 			catalogueStream,
-			this.#catalogue.nextOffset,
+			askedFrom,
 			recordsPerRead,
 		);
+		this.#couldRead = page.isOk();
 		if (page.isErr()) {
-			return;
+			return false;
+		}
+
+		const hasNews = this.#replace(
+			this.#replay.read(page.value, askedFrom),
+			'log',
+		);
+		const {endOffset, records} = page.value;
+		if (records.length > 0 && this.#replay.readFrom < endOffset) {
+			return this.#readToEnd();
 		}
 
-		const {records, endOffset} = page.value;
-		if (records.length > 0) {
-			let next = this.#catalogue;
-			for (const {offset, record} of records) {
-				next = next.apply(offset, record);
-			}
+		if (hasNews) {
+			this.#parts.onNews();
+		}
+
+		const isCurrent = !this.#replay.hasGap && !this.#replay.isLogBehind;
+		if (isCurrent) {
+			this.#confirm(askedAtMs);
+		}
+
+		return isCurrent;
+	}
+
+	#confirm(atMs: number): void {
+		this.#confirmedAtMs = Math.max(this.#confirmedAtMs ?? 0, atMs);
+	}
 
-			this.#catalogue = next;
+	#replace(next: CatalogueReplay, source: 'log' | 'peer'): boolean {
+		const hasNews = next.catalogue.nextOffset > this.catalogue.nextOffset;
+		this.#replay = next;
+		if (hasNews) {
+			this.#source = source;
 			this.#teamsByHash = new Map(
-				next.items.flatMap(({item}) =>
+				next.catalogue.items.flatMap(({item}) =>
 					item.kind === 'team' ? [[item.tokenHash, item] as const] : [],
 				),
 			);
 		}
 
-		this.#isLoaded ||= this.#catalogue.nextOffset >= endOffset;
+		return hasNews;
 	}
 }
--- a/packages/verbenarouter/src/entry-vm.ts
+++ b/packages/verbenarouter/src/entry-vm.ts
@@ -7,11 +7,13 @@
 	SubmissionMemory,
 	incarnationKey,
 	type Incarnation,
+	type MachineList,
 } from '@verbenarouter/core';
-import {PeerMesh} from '@verbenarouter/peer';
+import {createOperatorServer} from '@verbenarouter/operator';
+import {PeerMesh, type Hello} from '@verbenarouter/peer';
 import {HttpPlatform} from '@verbenarouter/platform';
 import {HttpTaskTargets} from '@verbenarouter/target';
-import {CatalogueFollower} from './catalogue-follower.js';
+import {createCatalogue} from './catalogue.js';
 import {steadyClock} from './clock.js';
 import {LoggerDecisionLog} from './decision-log.js';
 import {Dispatcher} from './dispatcher.js';
@@ -50,11 +52,11 @@
 		settings.memory,
 	);
 	const platform = new HttpPlatform(settings.platform);
-	const catalogue = new CatalogueFollower(platform);
 	const metrics = new Metrics(() => ({
 		submissionsRemembered: memory.size,
 		jobsActive: dispatcher.activeJobs,
 		catalogueOffset: catalogue.catalogue.nextOffset,
+		catalogueAgeMs: catalogue.ageMs ?? -1,
 		residentBytes: process.memoryUsage.rss(),
 		cpuSeconds: process.cpuUsage().user / 1e6,
 	}));
@@ -65,6 +67,18 @@
 	);
 	const dispatcher: Dispatcher = new Dispatcher(targets, clock, log);
 	const owner = new SubmissionOwner(memory, dispatcher, clock);
+	const catalogueParts = createCatalogue({
+		settings,
+		platform,
+		clock,
+		logger,
+		mesh: () => mesh,
+		hello: () => hello(),
+		onList(list) {
+			updateMachines(list);
+		},
+	});
+	const {follower: catalogue} = catalogueParts;
 	let isStopping = false;
 	const router: SubmissionRouter = new SubmissionRouter({
 		memory,
@@ -80,54 +94,69 @@
 		name: settings.name,
 		listenAddress: settings.peerAddress,
 		link: settings.peers,
-		hello: () => ({incarnation, holds: memory.holds}),
-		onRequest: async (request) => router.answerPeer(request),
-		onHello() {
-			// What a peer says of itself is kept by its link.
+		hello,
+		onRequest: async (request) =>
+			request.kind === 'catalogue'
+				? catalogueParts.relay.answer(request)
+				: router.answerPeer(request),
+		onHello(heard) {
+			catalogueParts.heard(heard);
 		},
 	});
 	const callers = createCallerServer(
 		new MeasuredJobService(router, metrics, clock),
 		settings,
 	);
+	const operators = createOperatorServer(catalogueParts.service);
 
 	try {
 		await mesh.listen();
 		await callers.listen(hostAndPort(settings.callerAddress));
+		await operators.listen(hostAndPort(settings.operatorAddress));
 	} catch (error: unknown) {
 		// What did start would keep the process alive.
 		mesh.close();
-		await Promise.all([callers.close(), platform.close()]);
+		await Promise.all([callers.close(), operators.close(), platform.close()]);
 		throw error;
 	}
 
 	logger.info({event: 'started', incarnation: incarnationKey(incarnation)});
 
+	catalogueParts.start();
 	const polling = new AbortController();
 	const polled = poll();
 
 	async function poll(): Promise<void> {
 		while (!polling.signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop -- one read after the other
-			await Promise.all([catalogue.follow(), updateMachines()]);
+			await readMachines();
 			// eslint-disable-next-line no-await-in-loop
 			await sleep(settings.platform.pollIntervalMs);
 		}
 	}
 
-	async function updateMachines(): Promise<void> {
+	async function readMachines(): Promise<void> {
 		const list = await platform.machines();
 		if (list.isOk()) {
-			const {machines} = list.value;
-			mesh.updateMembers(
-				machines.filter((machine) => machine.role === 'entry'),
-			);
-			dispatcher.updateTargets(
-				machines.filter((machine) => machine.role === 'target'),
-			);
+			catalogueParts.list.read(list.value);
 		}
 	}
 
+	function hello(): Hello {
+		return {
+			incarnation,
+			holds: memory.holds,
+			catalogueOffset: catalogue.catalogue.nextOffset,
+		};
+	}
+
+	function updateMachines({machines}: MachineList): void {
+		mesh.updateMembers(machines.filter((machine) => machine.role === 'entry'));
+		dispatcher.updateTargets(
+			machines.filter((machine) => machine.role === 'target'),
+		);
+	}
+
 	return {
 		incarnation,
 		async stop() {
@@ -140,9 +169,9 @@
 				await sleep(drainPollMs);
 			}
 
-			await callers.close();
+			await Promise.all([callers.close(), operators.close()]);
 			polling.abort();
-			await polled;
+			await Promise.all([polled, catalogueParts.stop()]);
 			mesh.close();
 			await Promise.all([targets.close(), platform.close()]);
 			logger.info({event: 'stopped'});
--- a/packages/verbenarouter/src/settings.ts
+++ b/packages/verbenarouter/src/settings.ts
@@ -35,6 +35,26 @@
 				pollIntervalMs: durationSchema.default(500),
 			})
 			.readonly(),
+		/** `host:port` of other entry VMs' peer interfaces, asked when the platform does not answer at start. */
+		seedPeers: z.array(addressSchema).max(100).readonly().default([]),
+		catalogue: z
+			.strictObject({
+				/** Time between two reads of the log. */
+				readIntervalMs: durationSchema.default(2000),
+				/** SHA-256 of a token that may administer while the catalogue has no team of operators. */
+				bootstrapTokenHash: z
+					.string()
+					.regex(/^[\da-f]{64}$/v, 'must be 64 lower-case hexadecimal digits')
+					.optional(),
+				/** Records after which the catalogue is written to the log again. */
+				snapshotEveryRecords: z.number().int().positive().default(500),
+				/** Age after which it is written again; the log has to keep records for four times as long. */
+				snapshotEveryMs: durationSchema.default(21_600_000),
+				/** Longest random wait of an entry VM before it writes. */
+				snapshotJitterMs: durationSchema.default(60_000),
+			})
+			.readonly()
+			.prefault({}),
 		memory: z
 			.strictObject({
 				startWindowMs: durationSchema.default(600_000),
--- a/packages/verbenarouter/src/submission-router.ts
+++ b/packages/verbenarouter/src/submission-router.ts
@@ -17,7 +17,7 @@
 	type PeerFailure,
 	type PeerMesh,
 	type PeerReply,
-	type PeerRequest,
+	type SubmissionRequest,
 } from '@verbenarouter/peer';
 import {type Clock} from './clock.js';
 import {type DecisionLog} from './decision-log.js';
@@ -171,7 +171,7 @@
 	}
 
 	/** Answers a peer. It never forwards again: a peer that asks the wrong entry VM hears so. */
-	async answerPeer(request: PeerRequest): Promise<PeerReply> {
+	async answerPeer(request: SubmissionRequest): Promise<PeerReply> {
 		const parsed = parseIdentifier(request.identifier);
 		const team = this.#parts.catalogue.team(request.team);
 		if (
@@ -212,7 +212,7 @@
 
 	async #submitForPeer(
 		team: Team,
-		request: Extract<PeerRequest, {kind: 'submit'}>,
+		request: Extract<SubmissionRequest, {kind: 'submit'}>,
 	): Promise<JobAnswer> {
 		const {identifier, job, remainingMs} = request;
 		const entry = this.#parts.catalogue.entry(job.entry);
@@ -238,7 +238,7 @@
 
 	async #forward(
 		{issuer}: SubmissionIdentifier,
-		request: PeerRequest,
+		request: SubmissionRequest,
 		timeoutMs: number,
 	): Promise<PeerReply | PeerFailure> {
 		const key = incarnationKey(issuer);
