Dispatcher in parts: placement, order, estimates, health, retries, door

Change: pure modules in core (target-board, placement, job-queue, estimate, target-health, retry-budget, door, slot-share, busy-slots), each with its baseline kept and chosen under `placement` in the settings. Owned slots are a fixed share of each target of the own zone until shares can be lent. Needs are respected, what fits nowhere is refused with cannot-fit, and a deadline that cannot be kept is refused. Ruled out: retries without a budget (the former dispatcher). Conclusion: lending of slots is next.

--- a/packages/verbenarouter/src/decision-log.ts
+++ b/packages/verbenarouter/src/decision-log.ts
@@ -1,4 +1,5 @@
 /** One log line for each placement or routing decision. */
+import {type PassedOver} from '@verbenarouter/core';
 import {type ProcessLogger} from './logger.js';
 
 /** A task was given to a target. */
@@ -7,6 +8,12 @@
 	readonly task: number;
 	readonly target: string;
 	readonly reason: string;
+	/** Milliseconds since the job arrived. */
+	readonly waitedMs: number;
+	/** Targets among which it was chosen. */
+	readonly candidates: number;
+	/** Targets that were passed over, counted by reason. */
+	readonly passedOver: Readonly<PassedOver>;
 };
 
 /** A submission was run here, forwarded or refused. */
--- a/packages/verbenarouter/src/dispatcher.ts
+++ b/packages/verbenarouter/src/dispatcher.ts
@@ -1,52 +1,76 @@
 /** Sends the tasks of admitted jobs to targets. */
 import {
-	JobRun,
+	BusySlots,
+	EntryFailures,
+	RetryBudget,
+	TargetBoard,
+	defaultRetrySettings,
 	refusal,
-	type Entry,
-	type Job,
+	refusalAtDoor,
+	seededRandom,
+	type Choice,
 	type JobAnswer,
+	type KnownTarget,
+	type Random,
 	type Refusal,
+	type SlotView,
 	type Target,
-	type Team,
+	type TaskOutcome,
 } from '@verbenarouter/core';
 import {type TaskTargets} from '@verbenarouter/target';
+import {ActiveJob, JobPlan, taskKind, type JobOrder} from './active-job.js';
 import {type Clock} from './clock.js';
 import {type DecisionLog} from './decision-log.js';
+import {
+	decisionsOf,
+	unlimited,
+	type Decisions,
+	type PlacementSettings,
+	type StartLimits,
+} from './dispatch-decisions.js';
 
-/** A job that has been admitted. */
-export type JobOrder = {
-	readonly identifier: string;
-	readonly team: Team;
-	readonly entry: Entry;
-	readonly job: Job;
-	readonly deadlineAtMs: number;
-};
+export {type JobOrder} from './active-job.js';
 
-type ActiveJob = {
-	readonly order: JobOrder;
-	readonly run: JobRun;
-	readonly abort: AbortController;
-	readonly targets: Map<number, Target>;
-	readonly settle: (answer: JobAnswer) => void;
-	readonly timer: NodeJS.Timeout;
-};
+const retryWithoutTargetsMs = 1000;
+const shortestFullMs = 20;
 
-type QueuedTask = {readonly active: ActiveJob; readonly index: number};
+/** What the dispatcher works with. */
+export type DispatcherParts = {
+	readonly targets: TaskTargets;
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly slots: SlotView;
+	readonly zone: string;
+	readonly placement: PlacementSettings;
+	readonly limits?: StartLimits;
+	/** Seed of the choices by chance; it differs between entry VMs, lest they all choose alike. */
+	readonly seed: number;
+};
 
 /** Sends the tasks of admitted jobs to targets. */
 export class Dispatcher {
-	readonly #targets: TaskTargets;
+	readonly #parts: DispatcherParts;
 	readonly #clock: Clock;
-	readonly #log: DecisionLog;
+	readonly #limits: StartLimits;
+	readonly #board: TargetBoard;
+	readonly #decisions: Decisions;
+	readonly #random: Random;
+	readonly #retries: RetryBudget;
+	readonly #failures = new EntryFailures();
+	readonly #busy = new BusySlots();
 	readonly #active = new Map<string, ActiveJob>();
-	readonly #inFlight = new Map<string, number>();
-	#queue: QueuedTask[] = [];
-	#list: readonly Target[] = [];
+	#waitingTasks = 0;
 
-	constructor(targets: TaskTargets, clock: Clock, log: DecisionLog) {
-		this.#targets = targets;
-		this.#clock = clock;
-		this.#log = log;
+	constructor(parts: DispatcherParts) {
+		this.#parts = parts;
+		this.#clock = parts.clock;
+		this.#limits = parts.limits ?? unlimited;
+		this.#board = new TargetBoard(parts.zone, parts.slots);
+		this.#random = seededRandom(parts.seed);
+		this.#retries = new RetryBudget(defaultRetrySettings, this.#random);
+		this.#decisions = decisionsOf(parts.placement, () =>
+			Math.max(1, this.#board.liveSlots(this.#clock())),
+		);
 	}
 
 	/** Jobs that have no answer yet. */
@@ -54,53 +78,66 @@
 		return this.#active.size;
 	}
 
+	/** Tasks that wait for a slot. */
+	get waitingTasks(): number {
+		return this.#waitingTasks;
+	}
+
+	/** Tasks that are at targets. */
+	get tasksInFlight(): number {
+		return this.#busy.count;
+	}
+
 	/** Takes the platform's newest list of targets. */
 	updateTargets(list: readonly Target[]): void {
-		this.#list = list;
-		this.#pump();
+		this.#board.update(list);
+		this.pump();
 	}
 
 	/** Why this job cannot be taken now; `undefined` when it can. */
-	refusalFor({deadlineAtMs}: JobOrder, now: number): Refusal | undefined {
+	refusalFor(order: JobOrder, now: number): Refusal | undefined {
+		const {deadlineAtMs, entry} = order;
 		if (deadlineAtMs <= now) {
 			return refusal('deadline-passed', 'The deadline had passed on arrival.');
 		}
 
-		return this.#list.some(({state}) => state === 'live')
-			? undefined
-			: refusal('no-targets', 'No target takes work now.', 1000);
+		if (!this.#board.hasLive(now)) {
+			return refusal(
+				'no-targets',
+				'No target takes work now.',
+				retryWithoutTargetsMs,
+			);
+		}
+
+		if (!this.#board.canEverHold(entry.needs)) {
+			return refusal(
+				'cannot-fit',
+				`No target has what a task of "${entry.name}" needs.`,
+			);
+		}
+
+		const {estimates, queue} = this.#decisions;
+		const plan = new JobPlan(order, estimates, now);
+		return refusalAtDoor({
+			remainingMs: deadlineAtMs - now,
+			longestMs: plan.longestMs,
+			leastMs: estimates.leastMs(taskKind(order, 0)),
+			workMs: plan.workMs,
+			aheadMs: queue.aheadMs(plan),
+			busySlots: Math.max(this.#busy.count, this.#busy.mean(now)),
+		});
 	}
 
 	/** Runs a job and gives its one answer. */
 	async dispatch(order: JobOrder): Promise<JobAnswer> {
 		return new Promise((resolve) => {
-			const run = new JobRun(order.identifier, order.job.tasks.length);
-			const timer = setTimeout(
-				() => {
-					this.cancel(
-						order.identifier,
-						refusal(
-							'deadline-exceeded',
-							'The job did not end before its deadline.',
-						),
-					);
-				},
-				Math.max(0, order.deadlineAtMs - this.#clock()),
-			);
-			const active: ActiveJob = {
-				order,
-				run,
-				abort: new AbortController(),
-				targets: new Map(),
-				settle: resolve,
-				timer,
-			};
+			const {estimates, queue} = this.#decisions;
+			const active = new ActiveJob(order, estimates, this.#clock(), resolve);
 			this.#active.set(order.identifier, active);
-			for (const index of order.job.tasks.keys()) {
-				this.#queue.push({active, index});
-			}
-
-			this.#pump();
+			this.#waitingTasks += active.waitingCount;
+			queue.add(active, active.workMs);
+			this.#watchDeadline(active);
+			this.pump();
 		});
 	}
 
@@ -113,66 +150,249 @@
 		}
 	}
 
-	#pump(): void {
-		const waiting = this.#queue;
-		this.#queue = [];
-		for (const queued of waiting) {
-			if (!queued.active.run.mayStart(queued.index)) {
-				continue;
+	/** Gives waiting tasks to free slots; to be called when slots or limits may have become free. */
+	pump(): void {
+		const now = this.#clock();
+		const blocked = new Set<string>();
+		for (;;) {
+			const active = this.#decisions.queue.next(
+				(job) =>
+					!blocked.has(job.entry) && !blocked.has(`${job.team}/${job.entry}`),
+			);
+			if (active === undefined) {
+				break;
 			}
 
-			const target = this.#place();
-			if (target === undefined) {
-				this.#queue.push(queued);
+			const choice = this.#board.choice(active.order.entry.needs, now);
+			const known = this.#decisions.policy.choose(
+				choice.candidates,
+				this.#random,
+			);
+			if (known === undefined) {
+				if (isOutOfSlots(choice)) {
+					break;
+				}
+
+				blocked.add(active.entry);
+			} else if (this.#limits.tryStart(active.order, now)) {
+				this.#place(active, known, choice, now);
 			} else {
-				void this.#start(queued, target);
+				blocked.add(`${active.team}/${active.entry}`);
 			}
 		}
+
+		this.#parts.slots.want(this.#waitingTasks, now);
 	}
 
-	#place(): Target | undefined {
-		const free = this.#list.filter(
-			({state, name, slots}) =>
-				state === 'live' && (this.#inFlight.get(name) ?? 0) < slots,
+	/** Gives up what cannot end in time: when its tasks could no longer start, and at the deadline. */
+	#watchDeadline(active: ActiveJob): void {
+		const {order} = active;
+		const leastMs = this.#decisions.estimates.leastMs(taskKind(order, 0));
+		const lastStartAtMs = order.deadlineAtMs - leastMs;
+		active.timer = setTimeout(
+			() => {
+				if (active.hasWaiting) {
+					this.cancel(
+						order.identifier,
+						refusal(
+							'deadline-impossible',
+							'Tasks still wait that could not end before the deadline.',
+							this.#drainMs(),
+						),
+					);
+					return;
+				}
+
+				active.timer = setTimeout(
+					() => {
+						this.cancel(
+							order.identifier,
+							refusal(
+								'deadline-exceeded',
+								'The job did not end before its deadline.',
+							),
+						);
+					},
+					Math.max(0, order.deadlineAtMs - this.#clock()),
+				);
+			},
+			Math.max(0, lastStartAtMs - this.#clock()),
 		);
-		return free.toSorted(
-			(a, b) =>
-				(this.#inFlight.get(a.name) ?? 0) - (this.#inFlight.get(b.name) ?? 0),
-		)[0];
 	}
 
-	async #start({active, index}: QueuedTask, target: Target): Promise<void> {
-		const {order, run} = active;
-		const input = order.job.tasks[index]?.input ?? null;
-		run.taskSent(index);
-		active.targets.set(index, target);
-		this.#inFlight.set(target.name, (this.#inFlight.get(target.name) ?? 0) + 1);
-		this.#log.placed({
-			identifier: order.identifier,
+	#drainMs(): number {
+		return (
+			this.#decisions.queue.waitingMs /
+			Math.max(1, this.#busy.mean(this.#clock()))
+		);
+	}
+
+	#place(
+		active: ActiveJob,
+		known: KnownTarget,
+		choice: Choice,
+		now: number,
+	): void {
+		const index = active.takeWaiting();
+		if (index === undefined) {
+			return;
+		}
+
+		const {queue, policy} = this.#decisions;
+		this.#waitingTasks -= 1;
+		queue.served(active, active.expectedMs[index]!);
+		if (!active.hasWaiting) {
+			queue.remove(active);
+		}
+
+		this.#board.sent(known, active.order.entry.needs, now);
+		this.#busy.change(1, now);
+		this.#parts.log.placed({
+			identifier: active.identifier,
 			task: index,
-			target: target.name,
-			reason: 'least-in-flight',
+			target: known.target.name,
+			reason: policy.name,
+			waitedMs: Math.round(now - active.arrivedAtMs),
+			candidates: choice.candidates.length,
+			passedOver: choice.passedOver,
 		});
-		const outcome = await this.#targets.start(
-			target,
+		void this.#send(active, index, known);
+	}
+
+	async #send(
+		active: ActiveJob,
+		index: number,
+		known: KnownTarget,
+	): Promise<void> {
+		const {order, run} = active;
+		run.taskSent(index);
+		active.inFlight.set(index, known);
+		if (!active.refusals.has(index)) {
+			this.#retries.started();
+		}
+
+		const outcome = await this.#parts.targets.start(
+			known.target,
 			{
 				taskIdentifier: `${order.identifier}.${index}`,
 				entry: order.entry.name,
 				team: order.team.name,
-				input,
+				input: order.job.tasks[index]?.input ?? null,
 				deadlineAtMs: order.deadlineAtMs,
 			},
 			active.abort.signal,
 		);
-		this.#inFlight.set(target.name, (this.#inFlight.get(target.name) ?? 1) - 1);
-		active.targets.delete(index);
+		const now = this.#clock();
+		active.inFlight.delete(index);
+		this.#board.ended(known, order.entry.needs, now);
+		this.#limits.ended(order, now);
+		this.#busy.change(-1, now);
+		this.#learn(active, index, known, outcome);
 		run.taskEnded(index, outcome);
+		this.#finishIfSettled(active);
 		if (run.mayStart(index)) {
-			this.#queue.push({active, index});
+			this.#tryAgainLater(active, index);
 		}
 
-		this.#finishIfSettled(active);
-		this.#pump();
+		this.pump();
+	}
+
+	#learn(
+		active: ActiveJob,
+		index: number,
+		known: KnownTarget,
+		outcome: TaskOutcome,
+	): void {
+		const now = this.#clock();
+		switch (outcome.kind) {
+			case 'completed': {
+				this.#failures.observe(active.entry, false);
+				known.health.completed(outcome.ranMs, active.expectedMs[index]!);
+				this.#decisions.estimates.observe(
+					taskKind(active.order, index),
+					outcome.ranMs,
+				);
+				break;
+			}
+
+			case 'failed': {
+				this.#failures.observe(active.entry, true);
+				if (!this.#failures.isFailing(active.entry)) {
+					this.#blame(active, known, now);
+				}
+
+				break;
+			}
+
+			case 'unknown': {
+				if (outcome.reason !== 'cancelled') {
+					this.#blame(active, known, now);
+				}
+
+				break;
+			}
+
+			case 'not-started': {
+				this.#learnRefusal(active, known, outcome, now);
+				break;
+			}
+		}
+	}
+
+	#learnRefusal(
+		active: ActiveJob,
+		known: KnownTarget,
+		{reason, retryAfterMs}: Extract<TaskOutcome, {kind: 'not-started'}>,
+		now: number,
+	): void {
+		if (reason === 'cancelled') {
+			return;
+		}
+
+		if (reason === 'leaving') {
+			known.saidLeavingAtMs = now;
+		} else if (reason === 'unreachable') {
+			this.#blame(active, known, now);
+		} else {
+			const waitMs = Math.max(shortestFullMs, retryAfterMs);
+			known.fullUntilMs = now + waitMs;
+			this.#pumpIn(waitMs);
+		}
+	}
+
+	#blame(active: ActiveJob, known: KnownTarget, now: number): void {
+		if (known.health.failed(active.identifier, now)) {
+			this.#pumpIn(known.health.triedFromMs - now);
+		}
+	}
+
+	#pumpIn(delayMs: number): void {
+		setTimeout(() => {
+			this.pump();
+		}, delayMs).unref();
+	}
+
+	#tryAgainLater(active: ActiveJob, index: number): void {
+		const refusals = (active.refusals.get(index) ?? 0) + 1;
+		active.refusals.set(index, refusals);
+		setTimeout(() => {
+			if (!active.run.mayStart(index)) {
+				return;
+			}
+
+			if (this.#retries.tryTake(this.#clock())) {
+				this.#putBack(active, index);
+			} else {
+				this.#tryAgainLater(active, index);
+			}
+		}, this.#retries.delayMs(refusals));
+	}
+
+	#putBack(active: ActiveJob, index: number): void {
+		active.putBack(index);
+		this.#waitingTasks += 1;
+		this.#decisions.queue.add(active, active.expectedMs[index]!);
+		this.pump();
 	}
 
 	#finishIfSettled(active: ActiveJob): void {
@@ -182,11 +402,19 @@
 		}
 
 		clearTimeout(active.timer);
+		this.#decisions.queue.remove(active);
+		this.#waitingTasks -= active.waitingCount;
 		active.settle(run.answer);
-		for (const [index, target] of active.targets) {
-			void this.#targets.cancel(target, `${order.identifier}.${index}`);
+		for (const [index, {target}] of active.inFlight) {
+			void this.#parts.targets.cancel(target, `${order.identifier}.${index}`);
 		}
 
 		active.abort.abort();
 	}
 }
+
+/** Whether every target was passed over for want of free slots, so that no other task can be placed either. */
+function isOutOfSlots({passedOver}: Choice): boolean {
+	const {leaving, setAside, full, needs} = passedOver;
+	return leaving + setAside + full + needs === 0;
+}
--- a/packages/verbenarouter/src/entry-vm.ts
+++ b/packages/verbenarouter/src/entry-vm.ts
@@ -1,9 +1,11 @@
 /** One entry VM: the parts put together, started and stopped. */
-import {randomBytes} from 'node:crypto';
+import {randomBytes, randomInt} from 'node:crypto';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createCallerServer} from '@verbenarouter/caller';
 import {
+	FixedSlotShares,
+	SharedSlots,
 	SubmissionMemory,
 	incarnationKey,
 	type Incarnation,
@@ -27,6 +29,7 @@
 const nonceBytes = 6;
 const secretBytes = 32;
 const drainPollMs = 20;
+const largestSeed = 2 ** 31;
 
 /** A running entry VM. */
 export type RunningEntryVm = {
@@ -65,7 +68,16 @@
 		metrics,
 		clock,
 	);
-	const dispatcher: Dispatcher = new Dispatcher(targets, clock, log);
+	const slots = slotsOf(settings);
+	const dispatcher: Dispatcher = new Dispatcher({
+		targets,
+		clock,
+		log,
+		slots,
+		zone: settings.zone,
+		placement: settings.placement,
+		seed: randomInt(largestSeed),
+	});
 	const owner = new SubmissionOwner(memory, dispatcher, clock);
 	const catalogueParts = createCatalogue({
 		settings,
@@ -151,7 +163,9 @@
 	}
 
 	function updateMachines({machines}: MachineList): void {
-		mesh.updateMembers(machines.filter((machine) => machine.role === 'entry'));
+		const entryVms = machines.filter((machine) => machine.role === 'entry');
+		mesh.updateMembers(entryVms);
+		slots.update(entryVms);
 		dispatcher.updateTargets(
 			machines.filter((machine) => machine.role === 'target'),
 		);
@@ -179,6 +193,12 @@
 	};
 }
 
+function slotsOf({placement, name}: Settings): SharedSlots | FixedSlotShares {
+	return placement.policy === 'owned-slots'
+		? new FixedSlotShares(name)
+		: new SharedSlots();
+}
+
 function hostAndPort(address: string): {
 	readonly host: string;
 	readonly port: number;
--- a/packages/verbenarouter/src/settings.ts
+++ b/packages/verbenarouter/src/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of an entry VM: JSON with comments, checked as a whole before anything starts. */
-import {nameSchema} from '@verbenarouter/core';
+import {nameSchema, placementPolicyNames} from '@verbenarouter/core';
 import {err, ok, type Result} from 'neverthrow';
 import {
 	parseTree,
@@ -77,6 +77,22 @@
 			})
 			.readonly()
 			.prefault({}),
+		placement: z
+			.strictObject({
+				policy: z.enum(placementPolicyNames).default('owned-slots'),
+				/** Order of the waiting jobs; `first-in-first-out` is the baseline. */
+				order: z
+					.enum(['fair-shortest-first', 'first-in-first-out'])
+					.default('fair-shortest-first'),
+				/** Where run times come from; `declared` is the baseline. */
+				estimates: z.enum(['learned', 'declared']).default('learned'),
+				/** A job goes before those that arrive this many times its ideal response time after it. */
+				stretch: z.number().nonnegative().max(1000).default(4),
+				/** Milliseconds of all slots by which a team may run ahead of another that waits. */
+				fairnessMs: durationSchema.default(1000),
+			})
+			.readonly()
+			.prefault({}),
 		peers: z
 			.strictObject({
 				pingIntervalMs: durationSchema.default(500),
--- a/testing/src/load/comparison.ts
+++ b/testing/src/load/comparison.ts
@@ -1,4 +1,5 @@
 /** Runs policies side by side: each has an installation, and the rounds alternate between them with the same arrivals. */
+import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Installation} from '../installation.js';
 import {
@@ -40,7 +41,9 @@
 	readonly wastedTargetMessagesPerTask: number;
 	/** Submissions that were passed on to their owners (two frames each) over started tasks. */
 	readonly forwardMessagesPerTask: number;
+	/** Processor time of all entry VMs beyond what they use when nothing is offered. */
 	readonly cpuMicrosecondsPerStart: number;
+	readonly idleCpuShare: number;
 	readonly residentMegabytes: number;
 };
 
@@ -53,6 +56,8 @@
 	readonly callers: LoadCallers;
 	readonly measurement: Measurement;
 	readonly rounds: RoundReport[];
+	/** Cores that the entry VMs use together when nothing is offered. */
+	idleCpuShare: number;
 	cpuMs: number;
 	starts: number;
 	refusedFull: number;
@@ -69,7 +74,7 @@
 			runners.push(await startRunner(options, contender));
 		}
 
-		await sleep(settleMs);
+		await measureIdle(runners);
 		for (const runner of runners) {
 			// eslint-disable-next-line no-await-in-loop -- one installation under load at a time
 			await warmUp(runner, options);
@@ -110,12 +115,25 @@
 		callers: new LoadCallers(installation, strayEvery),
 		measurement: new Measurement(offer.slots),
 		rounds: [],
+		idleCpuShare: 0,
 		cpuMs: 0,
 		starts: 0,
 		refusedFull: 0,
 	};
 }
 
+async function measureIdle(runners: readonly Runner[]): Promise<void> {
+	const idle = runners.map(async (runner) => {
+		const processIds = entryProcessIds(runner.installation);
+		await sleep(settleMs);
+		const before = await usageOf(processIds);
+		await sleep(settleMs);
+		const after = await usageOf(processIds);
+		runner.idleCpuShare = (after.cpuMs - before.cpuMs) / settleMs;
+	});
+	await Promise.all(idle);
+}
+
 async function warmUp(
 	{callers}: Runner,
 	{offer, warmUpMs}: ComparisonOptions,
@@ -139,6 +157,7 @@
 	const {installation, callers, measurement} = runner;
 	const arrivals = planArrivals({...offer, seed: offer.seed + index});
 	const processIds = entryProcessIds(installation);
+	const startedAt = performance.now();
 	const before = await usageOf(processIds);
 	const recordsBefore = await installation.records();
 	runner.rounds.push(
@@ -148,7 +167,10 @@
 	);
 	const after = await usageOf(processIds);
 	const records = await installation.records();
-	runner.cpuMs += after.cpuMs - before.cpuMs;
+	runner.cpuMs +=
+		after.cpuMs -
+		before.cpuMs -
+		runner.idleCpuShare * (performance.now() - startedAt);
 	runner.starts += records.starts.length - recordsBefore.starts.length;
 	runner.refusedFull += records.refusedFull - recordsBefore.refusedFull;
 }
@@ -176,6 +198,7 @@
 		),
 		forwardMessagesPerTask: round((2 * strayJobs) / Math.max(1, starts)),
 		cpuMicrosecondsPerStart: round((runner.cpuMs * 1000) / Math.max(1, starts)),
+		idleCpuShare: round(runner.idleCpuShare),
 		residentMegabytes: round(usage.residentBytes / bytesPerMegabyte),
 	};
 }
--- a/testing/src/load/mix.ts
+++ b/testing/src/load/mix.ts
@@ -112,7 +112,6 @@
 	},
 };
 
-const meanSampleJobs = 4000;
 const shareWithoutDeclaration = 0.1;
 
 /** A mix by its name, with jobs of at most so many tasks. */
@@ -158,14 +157,6 @@
 	};
 }
 
-/** Mean work of a job in slot milliseconds, from a sample. */
-export function meanWorkMs(mix: Mix, random: Random): number {
-	const works = Array.from({length: meanSampleJobs}, () =>
-		workMs(drawJob(mix, random)),
-	);
-	return works.reduce((sum, work) => sum + work, 0) / meanSampleJobs;
-}
-
 /** Work of a job in slot milliseconds. */
 export function workMs({tasks}: PlannedJob): number {
 	return tasks.reduce((sum, {runMs}) => sum + runMs, 0);
--- a/testing/src/load/schedule.ts
+++ b/testing/src/load/schedule.ts
@@ -1,6 +1,6 @@
 /** Arrivals of an open loop: they do not wait for answers. */
 import {seededRandom} from '@verbenarouter/core';
-import {drawJob, meanWorkMs, type Mix, type PlannedJob} from './mix.js';
+import {drawJob, workMs, type Mix, type PlannedJob} from './mix.js';
 
 /** One arrival. */
 export type Arrival = {
@@ -19,25 +19,22 @@
 	readonly seed: number;
 };
 
-const meanSeed = 1;
-
-/** Draws Poisson arrivals for a share of the slots. */
+/**
+ * Draws jobs until their work makes up the offered share, and spreads them as a Poisson process of that many arrivals
+ * would, so that the offered work is the same for every seed but for the last job.
+ */
 export function planArrivals(offer: Offer): readonly Arrival[] {
 	const {mix, share, slots, durationMs, seed} = offer;
 	const random = seededRandom(seed);
-	const meanGapMs = meanWorkMs(mix, seededRandom(meanSeed)) / (share * slots);
-	const arrivals: Arrival[] = [];
+	const jobs: PlannedJob[] = [];
 	for (
-		let atMs = gap(random, meanGapMs);
-		atMs < durationMs;
-		atMs += gap(random, meanGapMs)
+		let leftMs = share * slots * durationMs;
+		leftMs > 0;
+		leftMs -= workMs(jobs.at(-1)!)
 	) {
-		arrivals.push({atMs, job: drawJob(mix, random)});
+		jobs.push(drawJob(mix, random));
 	}
 
-	return arrivals;
-}
-
-function gap(random: () => number, meanMs: number): number {
-	return -meanMs * Math.log(1 - random());
+	const times = jobs.map(() => random() * durationMs).toSorted((a, b) => a - b);
+	return jobs.map((job, index) => ({atMs: times[index] ?? 0, job}));
 }
--- a/testing/src/load/table.ts
+++ b/testing/src/load/table.ts
@@ -31,6 +31,7 @@
 		['double starts', (report) => `${report.doubleStarts}`],
 		['most busy slots of a target', (report) => `${report.mostBusySlots}`],
 		['entry VM CPU µs/start', (report) => `${report.cpuMicrosecondsPerStart}`],
+		['idle entry VMs, cores', (report) => `${report.idleCpuShare}`],
 		['largest entry VM, MB', (report) => `${report.residentMegabytes}`],
 	];
 	return [
