Serve metrics and health to operators; hold the settings example complete

Cause: metrics were collected and not served; the annotated example lacked three groups of settings that had come since, and its test did not notice.

Change: /metrics, /metrics.json, /healthz and /readyz on the operators' address, without a token and without content; the test now compares the example's own text with all defaults. It failed on the old example.

--- a/packages/verbenarouter/src/entry-vm.ts
+++ b/packages/verbenarouter/src/entry-vm.ts
@@ -22,6 +22,7 @@
 import {createLogger} from './logger.js';
 import {MeasuredJobService, MeasuredTaskTargets} from './measured.js';
 import {Metrics} from './metrics.js';
+import {addMetricsRoutes} from './metrics-routes.js';
 import {type Settings} from './settings.js';
 import {SubmissionOwner} from './submission-owner.js';
 import {SubmissionRouter} from './submission-router.js';
@@ -120,6 +121,7 @@
 		settings,
 	);
 	const operators = createOperatorServer(catalogueParts.service);
+	addMetricsRoutes(operators, metrics, () => router.isReady());
 
 	try {
 		await mesh.listen();
--- /dev/null
+++ b/packages/verbenarouter/src/metrics-routes.ts
@@ -0,0 +1,21 @@
+/** Metrics, health and readiness on the operators' interface. They need no token and tell no content. */
+import {type FastifyInstance} from 'fastify';
+import {type Metrics} from './metrics.js';
+
+/** Adds `/metrics` for scrapers, `/metrics.json` for people, `/healthz` and `/readyz`. */
+export function addMetricsRoutes(
+	server: FastifyInstance,
+	metrics: Metrics,
+	isReady: () => boolean,
+): void {
+	server.get('/metrics', async (_request, reply) =>
+		reply.type('text/plain; version=0.0.4; charset=utf-8').send(metrics.text()),
+	);
+	server.get('/metrics.json', async () => metrics.snapshot());
+	server.get('/healthz', async () => ({status: 'alive'}));
+	server.get('/readyz', async (_request, reply) =>
+		reply
+			.code(isReady() ? 200 : 503)
+			.send({status: isReady() ? 'ready' : 'not-ready'}),
+	);
+}
--- a/packages/verbenarouter/src/tests/settings.test.ts
+++ b/packages/verbenarouter/src/tests/settings.test.ts
@@ -1,4 +1,5 @@
 import {readFileSync} from 'node:fs';
+import {parse} from 'jsonc-parser';
 import {describe, expect, it} from 'vitest';
 import {parseSettings} from '../settings.js';
 
@@ -21,9 +22,9 @@
 			new URL('../../example/entry.jsonc', import.meta.url),
 			'utf8',
 		);
-		expect(parseSettings(text)._unsafeUnwrap()).toEqual(
-			parseSettings(textOf({}))._unsafeUnwrap(),
-		);
+		const settings = parseSettings(text)._unsafeUnwrap();
+		expect(settings).toEqual(parseSettings(textOf({}))._unsafeUnwrap());
+		expect(parse(text, [], {allowTrailingComma: true})).toEqual(settings);
 	});
 
 	it.each([
--- a/testing/src/measure-log-line.ts
+++ b/testing/src/measure-log-line.ts
@@ -21,6 +21,9 @@
 			task: index,
 			target: 'target-zone-a-1',
 			reason: 'least-in-flight',
+			waitedMs: 1,
+			candidates: 10,
+			passedOver: {leaving: 0, setAside: 1, full: 0, busy: 3, needs: 0},
 		});
 		if (index % linesPerTurn === 0) {
 			// eslint-disable-next-line no-await-in-loop -- the lines of one turn of the event loop are written together
