--- a/packages/caller/src/caller-server.ts
+++ b/packages/caller/src/caller-server.ts
@@ -79,7 +79,7 @@
 				reply,
 				parsed.success
 					? await service.submit(team, identifier, parsed.data)
-					: await service.cancel(team, identifier, badRequest(parsed.error)),
+					: await service.decline(team, identifier, badRequest(parsed.error)),
 			);
 		},
 	);
--- a/packages/caller/src/job-service.ts
+++ b/packages/caller/src/job-service.ts
@@ -27,6 +27,11 @@
 	 * answer `not-run` is true; one that has ended keeps its answer.
 	 */
 	cancel(team: Team, identifier: string, reason: Refusal): Promise<JobAnswer>;
+	/**
+	 * Refuses a submission from now on that has not started, because this copy of its request is not valid. One that
+	 * runs goes on, and only this copy is refused; one that has ended keeps its answer.
+	 */
+	decline(team: Team, identifier: string, reason: Refusal): Promise<JobAnswer>;
 	/** Whether the balancer is to send callers here. */
 	isReady(): boolean;
 };
--- a/packages/core/src/job-run.ts
+++ b/packages/core/src/job-run.ts
@@ -9,7 +9,7 @@
 export class JobRun {
 	readonly #states: TaskState[];
 	readonly #outputs: JsonValue[];
-	#completed = 0;
+	readonly #counts: Record<TaskState, number>;
 	#answer: JobAnswer | undefined;
 
 	constructor(
@@ -17,6 +17,13 @@
 		taskCount: number,
 	) {
 		this.#states = Array.from<TaskState>({length: taskCount}).fill('queued');
+		this.#counts = {
+			queued: taskCount,
+			'in-flight': 0,
+			completed: 0,
+			failed: 0,
+			unknown: 0,
+		};
 		this.#outputs = Array.from<JsonValue>({length: taskCount}).fill(null);
 	}
 
@@ -25,11 +32,9 @@
 		return this.#answer;
 	}
 
-	/** Indices of the tasks that are at a target now. */
-	get inFlight(): readonly number[] {
-		return this.#states.flatMap((state, index) =>
-			state === 'in-flight' ? [index] : [],
-		);
+	/** Tasks that are at a target now. */
+	get inFlightCount(): number {
+		return this.#counts['in-flight'];
 	}
 
 	/** Whether this task may be sent now. */
@@ -39,25 +44,24 @@
 
 	/** Records that a task is about to be sent. */
 	taskSent(index: number): void {
-		this.#states[index] = 'in-flight';
+		this.#move(index, 'in-flight');
 	}
 
 	/** Records the outcome of a task. A task that surely did not start is queued again. */
 	taskEnded(index: number, outcome: TaskOutcome): void {
 		if (outcome.kind === 'not-started') {
-			this.#states[index] = 'queued';
+			this.#move(index, 'queued');
 			return;
 		}
 
-		this.#states[index] = outcome.kind;
+		this.#move(index, outcome.kind);
 		if (this.#answer !== undefined) {
 			return;
 		}
 
 		if (outcome.kind === 'completed') {
 			this.#outputs[index] = outcome.output;
-			this.#completed += 1;
-			if (this.#completed === this.#states.length) {
+			if (this.#counts.completed === this.#states.length) {
 				this.#answer = {
 					identifier: this.identifier,
 					verdict: 'completed',
@@ -87,17 +91,21 @@
 		};
 	}
 
+	#move(index: number, state: TaskState): void {
+		const earlier = this.#states[index];
+		if (earlier !== undefined) {
+			this.#counts[earlier] -= 1;
+			this.#counts[state] += 1;
+			this.#states[index] = state;
+		}
+	}
+
 	#verdictWithoutAnswer(): Verdict {
-		if (
-			this.#states.some((state) => state === 'completed' || state === 'failed')
-		) {
+		const {completed, failed, unknown, 'in-flight': inFlight} = this.#counts;
+		if (completed + failed > 0) {
 			return 'failed';
 		}
 
-		return this.#states.some(
-			(state) => state === 'in-flight' || state === 'unknown',
-		)
-			? 'may-have-run'
-			: 'not-run';
+		return inFlight + unknown > 0 ? 'may-have-run' : 'not-run';
 	}
 }
--- a/packages/core/src/submission-memory.ts
+++ b/packages/core/src/submission-memory.ts
@@ -1,9 +1,16 @@
 /**
  * What an owner remembers of the submissions whose identifiers it issued or took over.
  *
- * A record is kept at least until its identifier can no longer start, so that a copy of a request either finds the
- * record or is too old to start. Nothing here is agreed with anyone: only the holder of an identifier's secret admits it.
+ * A record is kept at least until its identifier can no longer start anywhere, so that a copy of a request either finds
+ * the record or is too old to start. Nothing here is agreed with anyone: only the holder of an identifier's secret admits it.
  */
+import {
+	type HandOver,
+	type HandOverReply,
+	type JobShape,
+	type Ownership,
+	type SettledSubmission,
+} from './hand-over.js';
 import {
 	incarnationKey,
 	isIssuedTo,
@@ -12,7 +19,16 @@
 	type Incarnation,
 } from './identifier.js';
 import {type JobAnswer} from './job.js';
-import {refusal, type Refusal, type Verdict} from './verdict.js';
+import {
+	identifierExpired,
+	identifierReused,
+	identifierUnknown,
+	sizeOf,
+	withoutOutputs,
+	type Admission,
+	type RunningRecord,
+	type SettledRecord,
+} from './submission-record.js';
 
 /** Bounds of the memory of submissions. */
 export type MemoryLimits = {
@@ -26,78 +42,67 @@
 	readonly answerBytes: number;
 };
 
-/** What one job looks like, to tell a copy of a request from another request under the same identifier. */
-export type JobShape = {
-	readonly entry: string;
-	readonly taskCount: number;
-};
-
-/** What is remembered of one submission. */
-export type SubmissionRecord =
-	| {readonly state: 'running'; readonly team: string; readonly shape: JobShape}
-	| {
-			readonly state: 'settled';
-			readonly team: string;
-			readonly shape: JobShape | undefined;
-			readonly answer: JobAnswer;
-			readonly answerBytes: number;
-			readonly settledAtMs: number;
-	  };
-
-/** What to do with a copy of a request. */
-export type Admission =
-	| {readonly kind: 'start'}
-	| {readonly kind: 'join'}
-	| {readonly kind: 'answer'; readonly answer: JobAnswer}
-	| {
-			readonly kind: 'refuse';
-			readonly verdict: Verdict;
-			readonly refusal: Refusal;
-	  };
-
-/** The right to start the submissions whose identifiers one incarnation issued. */
-export type Ownership = {
-	readonly issuer: Incarnation;
-	readonly secret: string;
-};
-
-/** What one owner hands to its successor. */
-export type HandOver = {
-	readonly ownerships: readonly Ownership[];
-	readonly settled: ReadonlyArray<{
-		readonly identifier: string;
-		readonly team: string;
-		readonly answer: JobAnswer;
-		readonly settledAtMs: number;
-	}>;
-};
+/**
+ * - `open`: starts submissions.
+ * - `closed`: a hand-over may have been received; starts nothing.
+ * - `passed-on`: the successor has confirmed; starts nothing and holds nothing.
+ */
+type Phase = 'open' | 'closed' | 'passed-on';
 
 /** The submissions that one entry VM owns. */
 export class SubmissionMemory {
 	readonly #self: Ownership;
 	readonly #limits: MemoryLimits;
-	readonly #ownerships = new Map<string, Ownership>();
-	readonly #records = new Map<string, SubmissionRecord>();
+	readonly #ownerships = new Map<
+		string,
+		{readonly ownership: Ownership; readonly sinceMs: number}
+	>();
+
+	readonly #running = new Map<string, RunningRecord>();
+	/** Running ones of earlier owners, in the order of their adoption. */
+	readonly #elsewhere = new Map<string, RunningRecord>();
+	/** In the order of settling, which forgetting relies on. */
+	readonly #settled = new Map<string, SettledRecord>();
+	/** Identifiers of settled submissions whose outputs are kept, oldest first. */
+	readonly #withOutputs = new Set<string>();
+	/** Settled submissions that the successor does not have yet; `undefined` until this entry VM leaves. */
+	#unshared: Map<string, SettledSubmission> | undefined;
+	/** Senders of declined hand-overs: each may have found another successor since. */
+	readonly #declined = new Set<string>();
+	#phase: Phase = 'open';
 	#sequence = 0;
 	#answerBytes = 0;
 
 	constructor(self: Ownership, limits: MemoryLimits) {
 		this.#self = self;
 		this.#limits = limits;
-		this.#ownerships.set(incarnationKey(self.issuer), self);
+		this.#ownerships.set(incarnationKey(self.issuer), {
+			ownership: self,
+			sinceMs: Number.POSITIVE_INFINITY,
+		});
 	}
 
 	/** Submissions that are remembered. */
 	get size(): number {
-		return this.#records.size;
+		return this.#running.size + this.#elsewhere.size + this.#settled.size;
+	}
+
+	/** Submissions that run here. */
+	get runningHere(): number {
+		return this.#running.size;
+	}
+
+	/** Settled submissions that the successor does not have yet. */
+	get unsharedCount(): number {
+		return this.#unshared?.size ?? 0;
 	}
 
-	/** Keys of the incarnations whose submissions this entry VM answers for. */
+	/** Keys of the incarnations whose submissions this entry VM may start. */
 	get holds(): readonly string[] {
-		return [...this.#ownerships.keys()];
+		return this.#phase === 'passed-on' ? [] : [...this.#ownerships.keys()];
 	}
 
-	/** Issues an identifier under which the team may start one submission. */
+	/** Issues an identifier under which the team may start one submission, here or at the successor. */
 	issue(team: string, now: number): string {
 		this.#sequence += 1;
 		return issueIdentifier(
@@ -106,8 +111,8 @@
 		);
 	}
 
-	/** Whether this entry VM is the one that may start the identifier's submission. */
-	owns(issuer: Incarnation): boolean {
+	/** Whether this entry VM owns, or has owned, the submissions of an incarnation. */
+	knows(issuer: Incarnation): boolean {
 		return this.#ownerships.has(incarnationKey(issuer));
 	}
 
@@ -119,34 +124,49 @@
 		now: number,
 	): Admission {
 		const known = this.lookUp(identifier, team, now);
-		if (known.kind !== 'start') {
-			return known.kind === 'refuse' || this.#isSameShape(identifier, shape)
-				? known
-				: identifierReused();
+		if (known.kind === 'start') {
+			this.#running.set(identifier, {
+				team,
+				shape,
+				at: undefined,
+				sinceMs: now,
+			});
+			return known;
 		}
 
-		this.#records.set(identifier, {state: 'running', team, shape});
-		return known;
+		return known.kind === 'refuse' || this.#isSameShape(identifier, shape)
+			? known
+			: identifierReused();
 	}
 
 	/** What {@link admit} would decide, without recording anything. */
 	lookUp(identifier: string, team: string, now: number): Admission {
 		const parsed = parseIdentifier(identifier);
-		const ownership =
-			parsed && this.#ownerships.get(incarnationKey(parsed.issuer));
+		const held = parsed && this.#ownerships.get(incarnationKey(parsed.issuer));
 		if (
 			parsed === undefined ||
-			ownership === undefined ||
-			!isIssuedTo(identifier, ownership.secret, team)
+			held === undefined ||
+			!isIssuedTo(identifier, held.ownership.secret, team)
 		) {
 			return identifierUnknown();
 		}
 
-		const record = this.#records.get(identifier);
-		if (record !== undefined) {
-			return record.state === 'running'
-				? {kind: 'join'}
-				: {kind: 'answer', answer: record.answer};
+		const settled = this.#settled.get(identifier);
+		if (settled !== undefined) {
+			return {kind: 'answer', answer: settled.answer};
+		}
+
+		if (this.#running.has(identifier)) {
+			return {kind: 'join'};
+		}
+
+		const at = this.#elsewhere.get(identifier)?.at;
+		if (at !== undefined) {
+			return {kind: 'elsewhere', at};
+		}
+
+		if (this.#phase !== 'open') {
+			return {kind: 'moved'};
 		}
 
 		return now > this.#lastStartAt(parsed.issuer, parsed.issuedAtMs)
@@ -161,77 +181,198 @@
 		answer: JobAnswer,
 		now: number,
 	): void {
-		const record = this.#records.get(identifier);
-		if (record?.state === 'settled') {
-			return;
-		}
-
-		const answerBytes = sizeOf(answer);
-		this.#answerBytes += answerBytes;
-		// Deleting first keeps the map in the order of settling, which forgetting relies on.
-		this.#records.delete(identifier);
-		this.#records.set(identifier, {
-			state: 'settled',
-			team,
-			shape: record?.shape,
-			answer,
-			answerBytes,
-			settledAtMs: now,
-		});
+		const shape = this.#running.get(identifier)?.shape;
+		this.#running.delete(identifier);
+		this.#record({identifier, team, shape, answer}, now);
 	}
 
 	/** Drops what need not be remembered any longer, and the outputs of the oldest answers beyond the byte limit. */
 	forget(now: number): void {
-		for (const [identifier, record] of this.#records) {
-			if (record.state === 'running') {
-				continue;
+		const isOver = (identifier: string, sinceMs: number) =>
+			now >= sinceMs + this.#limits.retentionMs &&
+			this.#cannotStartAnywhere(identifier, now);
+		for (const [identifier, record] of this.#settled) {
+			if (!isOver(identifier, record.settledAtMs)) {
+				break;
 			}
 
-			const isOld =
-				now >= record.settledAtMs + this.#limits.retentionMs &&
-				this.#cannotStart(identifier, now);
-			if (isOld) {
-				this.#answerBytes -= record.answerBytes;
-				this.#records.delete(identifier);
-			} else if (this.#answerBytes > this.#limits.answerBytes) {
-				this.#answerBytes -= record.answerBytes;
-				this.#records.set(identifier, withoutOutputs(record));
-			} else {
+			this.#answerBytes -= record.answerBytes;
+			this.#withOutputs.delete(identifier);
+			this.#settled.delete(identifier);
+		}
+
+		for (const [identifier, {sinceMs}] of this.#elsewhere) {
+			if (!isOver(identifier, sinceMs)) {
+				break;
+			}
+
+			this.#elsewhere.delete(identifier);
+		}
+
+		this.#dropOutputs();
+		this.#dropOwnerships(now);
+	}
+
+	/** Begins to collect what the successor needs. From now on no hand-over is adopted here. */
+	startLeaving(): void {
+		this.#unshared = new Map(
+			[...this.#settled].map(([identifier, {team, shape, answer}]) => [
+				identifier,
+				{identifier, team, shape, answer},
+			]),
+		);
+	}
+
+	/** Some of the settled submissions that the successor does not have yet. */
+	nextUnshared(count: number, bytes: number): readonly SettledSubmission[] {
+		const batch: SettledSubmission[] = [];
+		let batchBytes = 0;
+		for (const [identifier, settled] of this.#unshared ?? []) {
+			batchBytes += this.#settled.get(identifier)?.answerBytes ?? 0;
+			if (batch.length === count || (batch.length > 0 && batchBytes > bytes)) {
 				break;
 			}
+
+			batch.push(settled);
 		}
+
+		return batch;
 	}
 
-	/** Everything that a successor needs to answer in this owner's place. Call it when nothing is running any more. */
-	handOver(): HandOver {
+	/** Records that the successor has these. */
+	markShared(batch: readonly SettledSubmission[]): void {
+		for (const {identifier} of batch) {
+			this.#unshared?.delete(identifier);
+		}
+	}
+
+	/** Stops starting submissions, and gives what makes the successor their owner. */
+	close(now: number): HandOver {
+		this.#phase = 'closed';
+		const {issuer} = this.#self;
 		return {
-			ownerships: [...this.#ownerships.values()],
-			settled: [...this.#records].flatMap(([identifier, record]) =>
-				record.state === 'settled'
-					? [
-							{
-								identifier,
-								team: record.team,
-								answer: record.answer,
-								settledAtMs: record.settledAtMs,
-							},
-						]
-					: [],
+			from: issuer,
+			sentAtMs: now,
+			ownerships: [...this.#ownerships.values()].map(
+				({ownership}) => ownership,
 			),
+			running: [...this.#running, ...this.#elsewhere].map(
+				([identifier, {team, shape, at = issuer}]) => ({
+					identifier,
+					team,
+					shape,
+					at,
+				}),
+			),
+			settled: [...(this.#unshared?.values() ?? [])],
 		};
 	}
 
-	/** Takes the place of an owner that has declared to start nothing more. */
-	adopt(handOver: HandOver, now: number): void {
+	/** Starts submissions again. Only for a hand-over that surely was not and never will be adopted. */
+	reopen(): void {
+		this.#phase = 'open';
+	}
+
+	/** Records that the successor has adopted the hand-over. */
+	passOn({settled}: HandOver): void {
+		this.#phase = 'passed-on';
+		this.markShared(settled);
+	}
+
+	/** Takes the place of an owner that starts nothing more. Delayed and repeated hand-overs change nothing. */
+	adopt(handOver: HandOver, now: number): HandOverReply {
+		if (this.knows(handOver.from)) {
+			return 'adopted';
+		}
+
+		// A clock behind the sender's could start again what the sender has already forgotten.
+		const isBehind = handOver.sentAtMs > now + this.#limits.clockSkewMs;
+		if (
+			this.#unshared !== undefined ||
+			isBehind ||
+			this.#declined.has(incarnationKey(handOver.from))
+		) {
+			this.#declined.add(incarnationKey(handOver.from));
+			return 'declined';
+		}
+
 		for (const ownership of handOver.ownerships) {
-			this.#ownerships.set(incarnationKey(ownership.issuer), ownership);
+			this.#ownerships.set(incarnationKey(ownership.issuer), {
+				ownership,
+				sinceMs: now,
+			});
+		}
+
+		this.adoptSettled(handOver.settled, now);
+		for (const {identifier, ...running} of handOver.running) {
+			if (!this.#settled.has(identifier)) {
+				this.#elsewhere.set(identifier, {...running, sinceMs: now});
+			}
+		}
+
+		return 'adopted';
+	}
+
+	/** Records answers that an earlier owner, or one that is about to hand over, has given. */
+	adoptSettled(settled: readonly SettledSubmission[], now: number): void {
+		for (const submission of settled) {
+			if (!this.#running.has(submission.identifier)) {
+				this.#record(submission, now);
+			}
+		}
+	}
+
+	#record(submission: SettledSubmission, now: number): void {
+		const {identifier, team, answer} = submission;
+		if (this.#settled.has(identifier)) {
+			return;
+		}
+
+		const shape = submission.shape ?? this.#elsewhere.get(identifier)?.shape;
+		const answerBytes = sizeOf(answer);
+		this.#elsewhere.delete(identifier);
+		this.#answerBytes += answerBytes;
+		this.#settled.set(identifier, {
+			team,
+			shape,
+			answer,
+			answerBytes,
+			settledAtMs: now,
+		});
+		if (answerBytes > 0) {
+			this.#withOutputs.add(identifier);
+		}
+
+		this.#unshared?.set(identifier, {identifier, team, shape, answer});
+	}
+
+	#dropOutputs(): void {
+		for (const identifier of this.#withOutputs) {
+			const record = this.#settled.get(identifier);
+			if (this.#answerBytes <= this.#limits.answerBytes) {
+				break;
+			}
+
+			this.#withOutputs.delete(identifier);
+			if (record !== undefined) {
+				this.#answerBytes -= record.answerBytes;
+				this.#settled.set(identifier, withoutOutputs(record));
+			}
 		}
+	}
 
-		for (const {identifier, team, answer} of handOver.settled) {
-			this.settle(identifier, team, answer, now);
+	/** Drops adopted ownerships none of whose identifiers can start or be remembered any more. */
+	#dropOwnerships(now: number): void {
+		const {startWindowMs, retentionMs, clockSkewMs} = this.#limits;
+		for (const [key, {sinceMs}] of this.#ownerships) {
+			// The issuer may issue for a while after its hand-over, hence twice the window.
+			if (now > sinceMs + 2 * (startWindowMs + clockSkewMs) + retentionMs) {
+				this.#ownerships.delete(key);
+			}
 		}
 	}
 
+	/** A clock that is not the issuer's may be behind it, so that such an identifier ends earlier. */
 	#lastStartAt(issuer: Incarnation, issuedAtMs: number): number {
 		const isOwnClock =
 			incarnationKey(issuer) === incarnationKey(this.#self.issuer);
@@ -242,78 +383,25 @@
 		);
 	}
 
-	#cannotStart(identifier: string, now: number): boolean {
+	/** A later owner's clock may be behind this one, so that records outlive the start window by the skew. */
+	#cannotStartAnywhere(identifier: string, now: number): boolean {
 		const parsed = parseIdentifier(identifier);
+		const {startWindowMs, clockSkewMs} = this.#limits;
 		return (
 			parsed === undefined ||
-			now > this.#lastStartAt(parsed.issuer, parsed.issuedAtMs)
+			now > parsed.issuedAtMs + startWindowMs + clockSkewMs
 		);
 	}
 
 	#isSameShape(identifier: string, shape: JobShape): boolean {
-		const known = this.#records.get(identifier)?.shape;
+		const record =
+			this.#settled.get(identifier) ??
+			this.#running.get(identifier) ??
+			this.#elsewhere.get(identifier);
+		const known = record?.shape;
 		return (
 			known === undefined ||
 			(known.entry === shape.entry && known.taskCount === shape.taskCount)
 		);
 	}
 }
-
-function sizeOf(answer: JobAnswer): number {
-	return answer.outputs === undefined
-		? 0
-		: JSON.stringify(answer.outputs).length;
-}
-
-function withoutOutputs(
-	record: Extract<SubmissionRecord, {state: 'settled'}>,
-): SubmissionRecord {
-	const {identifier, verdict} = record.answer;
-	return record.answer.outputs === undefined
-		? {...record, answerBytes: 0}
-		: {
-				...record,
-				answerBytes: 0,
-				answer: {
-					identifier,
-					verdict,
-					refusal: refusal(
-						'answer-expired',
-						'The submission completed, and its answer is no longer kept.',
-					),
-				},
-			};
-}
-
-function identifierUnknown(): Admission {
-	return {
-		kind: 'refuse',
-		verdict: 'may-have-run',
-		refusal: refusal(
-			'identifier-unknown',
-			'This identifier was not issued to this team by the entry VM that it names.',
-		),
-	};
-}
-
-function identifierExpired(): Admission {
-	return {
-		kind: 'refuse',
-		verdict: 'may-have-run',
-		refusal: refusal(
-			'identifier-expired',
-			'This identifier is too old to start, and what became of it is no longer remembered.',
-		),
-	};
-}
-
-function identifierReused(): Admission {
-	return {
-		kind: 'refuse',
-		verdict: 'may-have-run',
-		refusal: refusal(
-			'identifier-reused',
-			'This identifier was used with another entry or another number of tasks.',
-		),
-	};
-}
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -2,3 +2,4 @@
 export * from './message.js';
 export * from './peer-link.js';
 export * from './peer-mesh.js';
+export * from './within-time.js';
--- a/packages/peer/src/message.ts
+++ b/packages/peer/src/message.ts
@@ -1,10 +1,10 @@
 /** What entry VMs say to each other. */
 import {
-	jobAnswerSchema,
-	jobSchema,
 	nameSchema,
 	refusalSchema,
 	submissionStateSchema,
+	type Job,
+	type JobAnswer,
 } from '@verbenarouter/core';
 import {z} from 'zod';
 
@@ -13,13 +13,28 @@
 	.object({zone: nameSchema, entryVm: nameSchema, nonce: z.string()})
 	.readonly();
 
+/** A job that the sender has checked already; a second check costs more than all the rest of a forward. */
+const checkedJobSchema = z.custom<Job>(isObject);
+
+/** An answer that the sender has built itself. */
+const checkedAnswerSchema = z.custom<JobAnswer>(isObject);
+
+/** Forwards that a request may still go through. It bounds a chain of successors. */
+const hopsLeftSchema = z.number().int().nonnegative();
+
+/** Fields of each request about one submission. */
+const aboutSubmission = {
+	identifier: z.string(),
+	team: nameSchema,
+	hopsLeft: hopsLeftSchema,
+};
+
 /** Asks the owner of an identifier to run a job, or to wait for it when it is already known. */
 export const submitRequestSchema = z
 	.object({
 		kind: z.literal('submit'),
-		identifier: z.string(),
-		team: nameSchema,
-		job: jobSchema,
+		...aboutSubmission,
+		job: checkedJobSchema,
 		/** Milliseconds that the caller still waits. */
 		remainingMs: z.number(),
 	})
@@ -27,24 +42,96 @@
 
 /** Asks the owner what became of a submission. */
 export const stateRequestSchema = z
-	.object({kind: z.literal('state'), identifier: z.string(), team: nameSchema})
+	.object({kind: z.literal('state'), ...aboutSubmission})
 	.readonly();
 
 /** Asks the owner to cancel a submission, or to refuse it from now on when it has not started. */
 export const cancelRequestSchema = z
 	.object({
 		kind: z.literal('cancel'),
+		...aboutSubmission,
+		reason: refusalSchema,
+	})
+	.readonly();
+
+/** Asks the owner to refuse a submission that has not started. One that has started goes on. */
+export const declineRequestSchema = z
+	.object({
+		kind: z.literal('decline'),
+		...aboutSubmission,
+		reason: refusalSchema,
+	})
+	.readonly();
+
+const ownershipSchema = z
+	.object({issuer: incarnationSchema, secret: z.string()})
+	.readonly();
+
+const shapeSchema = z
+	.object({entry: nameSchema, taskCount: z.number().int()})
+	.readonly();
+
+const settledSubmissionSchema = z
+	.object({
 		identifier: z.string(),
 		team: nameSchema,
-		reason: refusalSchema,
+		shape: shapeSchema.optional(),
+		answer: checkedAnswerSchema,
 	})
 	.readonly();
 
-/** A request from one entry VM to another. */
-export const peerRequestSchema = z.discriminatedUnion('kind', [
+/** Settled submissions for the successor, before and after the hand-over. */
+export const recordsRequestSchema = z
+	.object({
+		kind: z.literal('records'),
+		settled: z.array(settledSubmissionSchema).readonly(),
+	})
+	.readonly();
+
+/** Makes one process the successor of the sender. */
+export const handOverRequestSchema = z
+	.object({
+		kind: z.literal('hand-over'),
+		to: incarnationSchema,
+		handOver: z
+			.object({
+				from: incarnationSchema,
+				sentAtMs: z.number(),
+				ownerships: z.array(ownershipSchema).readonly(),
+				running: z
+					.array(
+						z
+							.object({
+								identifier: z.string(),
+								team: nameSchema,
+								shape: shapeSchema,
+								at: incarnationSchema,
+							})
+							.readonly(),
+					)
+					.readonly(),
+				settled: z.array(settledSubmissionSchema).readonly(),
+			})
+			.readonly(),
+	})
+	.readonly();
+
+/** A request about one submission. */
+export const submissionRequestSchema = z.discriminatedUnion('kind', [
 	submitRequestSchema,
 	stateRequestSchema,
 	cancelRequestSchema,
+	declineRequestSchema,
+]);
+
+/** A request about one submission. */
+export type SubmissionRequest = z.infer<typeof submissionRequestSchema>;
+
+/** A request from one entry VM to another. */
+export const peerRequestSchema = z.discriminatedUnion('kind', [
+	...submissionRequestSchema.options,
+	recordsRequestSchema,
+	handOverRequestSchema,
 ]);
 
 /** A request from one entry VM to another. */
@@ -52,16 +139,20 @@
 
 /** The answer to {@link PeerRequest}. */
 export const peerReplySchema = z.discriminatedUnion('kind', [
-	z.object({kind: z.literal('answer'), answer: jobAnswerSchema}).readonly(),
+	z.object({kind: z.literal('answer'), answer: checkedAnswerSchema}).readonly(),
 	z
 		.object({
 			kind: z.literal('state'),
 			state: submissionStateSchema,
-			answer: jobAnswerSchema.optional(),
+			answer: checkedAnswerSchema.optional(),
 		})
 		.readonly(),
 	/** The receiver does not hold the identifier's ownership. It did nothing. */
 	z.object({kind: z.literal('not-owner')}).readonly(),
+	z.object({kind: z.literal('recorded')}).readonly(),
+	z.object({kind: z.literal('adopted')}).readonly(),
+	/** The receiver has not adopted the hand-over and never will. */
+	z.object({kind: z.literal('declined')}).readonly(),
 ]);
 
 /** The answer to {@link PeerRequest}. */
@@ -71,8 +162,14 @@
 export const helloSchema = z
 	.object({
 		incarnation: incarnationSchema,
-		/** Keys of the incarnations whose submissions this entry VM answers for, its own among them. */
+		/** Start of the process in milliseconds since 1970 by its own clock. */
+		startedAtMs: z.number(),
+		/** Grows with each change of the fields below. */
+		version: z.number().int().nonnegative(),
+		/** Keys of the incarnations whose submissions this entry VM answers for. */
 		holds: z.array(z.string()).readonly(),
+		/** Whether it stops: it adopts nothing more. */
+		isLeaving: z.boolean(),
 	})
 	.readonly();
 
@@ -102,3 +199,7 @@
 
 /** One record on a stream between two entry VMs. */
 export type Frame = z.infer<typeof frameSchema>;
+
+function isObject(value: unknown): boolean {
+	return typeof value === 'object' && value !== null;
+}
--- a/packages/peer/src/peer-link.ts
+++ b/packages/peer/src/peer-link.ts
@@ -8,7 +8,7 @@
 	type PeerReply,
 	type PeerRequest,
 } from './message.js';
-import {channelOptions, openStream} from './peer-service.js';
+import {channelOptions, openStream, type PeerStream} from './peer-service.js';
 
 /** Why a request has no reply. Only `not-sent` proves that the peer did nothing. */
 export type PeerFailure = {
@@ -36,6 +36,7 @@
 	readonly #onHello: (hello: Hello) => void;
 	readonly #waiting = new Map<number, Waiting>();
 	#client: Client | undefined;
+	#stream: PeerStream | undefined;
 	#batch: FrameBatch | undefined;
 	#peer: Hello | undefined;
 	#nextId = 1;
@@ -63,6 +64,17 @@
 		return this.#peer;
 	}
 
+	/** Takes what the connected process said of itself on its own link, which may be newer. */
+	heard(hello: Hello): void {
+		if (
+			this.#peer !== undefined &&
+			this.#peer.incarnation.nonce === hello.incarnation.nonce &&
+			this.#peer.version <= hello.version
+		) {
+			this.#peer = hello;
+		}
+	}
+
 	/** Tells the peer again what this entry VM holds. */
 	announce(): void {
 		this.#batch?.add({type: 'hello', hello: this.#hello()});
@@ -120,6 +132,7 @@
 		);
 		const stream = openStream(client);
 		this.#client = client;
+		this.#stream = stream;
 		this.#batch = new FrameBatch((frames) => {
 			stream.write(frames);
 		});
@@ -168,8 +181,13 @@
 
 	#disconnect(reason: string): void {
 		clearInterval(this.#pingTimer);
-		this.#client?.close();
+		const client = this.#client;
+		const stream = this.#stream;
 		this.#client = undefined;
+		this.#stream = undefined;
+		// An open stream would keep its connection, and the process, alive.
+		stream?.cancel();
+		client?.close();
 		this.#batch = undefined;
 		this.#peer = undefined;
 		for (const id of this.#waiting.keys()) {
@@ -179,7 +197,8 @@
 
 	#receive(frame: Frame): void {
 		if (frame.type === 'hello') {
-			this.#peer = frame.hello;
+			this.#peer ??= frame.hello;
+			this.heard(frame.hello);
 			this.#onHello(frame.hello);
 		} else if (frame.type === 'reply') {
 			this.#finish(frame.id, ok(frame.reply));
--- a/packages/peer/src/peer-mesh.ts
+++ b/packages/peer/src/peer-mesh.ts
@@ -1,4 +1,5 @@
 /** All links of one entry VM: a server for the requests of its peers, and one link to each of them. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	Server,
 	ServerCredentials,
@@ -15,6 +16,7 @@
 } from './message.js';
 import {PeerLink, type PeerFailure, type PeerLinkOptions} from './peer-link.js';
 import {peerService, serverOptions} from './peer-service.js';
+import {withinTime} from './within-time.js';
 
 /** Settings and handlers of the mesh. */
 export type PeerMeshOptions = {
@@ -30,12 +32,19 @@
 	readonly onHello: (hello: Hello) => void;
 };
 
+const closeGraceMs = 2000;
+const closePollMs = 10;
+
 type ServerStream = ServerDuplexStream<Frame[], readonly Frame[]>;
 
 /** All links of one entry VM. */
 export class PeerMesh {
 	readonly #options: PeerMeshOptions;
 	readonly #server = new Server(serverOptions);
+	readonly #streams = new Set<ServerStream>();
+	/** Nonce of the newest process of each entry VM that has opened a stream to this one. */
+	readonly #linkedFrom = new Map<string, string>();
+	#requestsInProgress = 0;
 	readonly #links = new Map<
 		string,
 		{readonly address: string; readonly link: PeerLink}
@@ -76,6 +85,15 @@
 		);
 	}
 
+	/** Whether there is a working stream to and from each entry VM that it is to link to. */
+	get isLinkedToAll(): boolean {
+		return [...this.#links].every(
+			([name, {link}]) =>
+				link.peer !== undefined &&
+				this.#linkedFrom.get(name) === link.peer.incarnation.nonce,
+		);
+	}
+
 	/** Links to exactly these entry VMs, this one left out. */
 	updateMembers(members: readonly EntryVm[]): void {
 		const wanted = new Map(
@@ -87,6 +105,7 @@
 			if (wanted.get(name) !== address) {
 				link.close();
 				this.#links.delete(name);
+				this.#linkedFrom.delete(name);
 			}
 		}
 
@@ -129,8 +148,9 @@
 			: link.request(request, timeoutMs);
 	}
 
-	/** Closes all links and stops listening. */
-	close(): void {
+	/** Answers the requests that have come, then closes all links and stops listening. */
+	async close(): Promise<void> {
+		await withinTime(this.#finishRequests(), closeGraceMs);
 		for (const {link} of this.#links.values()) {
 			link.close();
 		}
@@ -139,9 +159,31 @@
 		this.#server.forceShutdown();
 	}
 
+	async #finishRequests(): Promise<void> {
+		do {
+			// Also when nothing is in progress: the last replies are written at the end of the turn.
+			// eslint-disable-next-line no-await-in-loop -- one look after the other
+			await sleep(closePollMs);
+		} while (this.#requestsInProgress > 0);
+
+		for (const stream of this.#streams) {
+			stream.end();
+		}
+
+		await new Promise<void>((resolve) => {
+			this.#server.tryShutdown(() => {
+				resolve();
+			});
+		});
+	}
+
 	#serve(stream: ServerStream): void {
+		this.#streams.add(stream);
+		stream.on('close', () => {
+			this.#streams.delete(stream);
+		});
 		const batch = new FrameBatch((frames) => {
-			if (!stream.destroyed && !stream.cancelled) {
+			if (!stream.writableEnded && !stream.cancelled) {
 				stream.write(frames);
 			}
 		});
@@ -161,6 +203,9 @@
 	async #receive(frame: Frame, batch: FrameBatch): Promise<void> {
 		switch (frame.type) {
 			case 'hello': {
+				this.#links
+					.get(frame.hello.incarnation.entryVm)
+					?.link.heard(frame.hello);
 				this.#options.onHello(frame.hello);
 				batch.add({type: 'hello', hello: this.#options.hello()});
 				break;
@@ -172,7 +217,9 @@
 			}
 
 			case 'request': {
+				this.#requestsInProgress += 1;
 				const reply = await this.#options.onRequest(frame.request);
+				this.#requestsInProgress -= 1;
 				batch.add({type: 'reply', id: frame.id, reply});
 				break;
 			}
--- a/packages/verbenarouter/src/entry-vm.ts
+++ b/packages/verbenarouter/src/entry-vm.ts
@@ -3,6 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createCallerServer} from '@verbenarouter/caller';
 import {
+	OwnerSearch,
 	SubmissionMemory,
 	incarnationKey,
 	type Incarnation,
@@ -14,13 +15,16 @@
 import {steadyClock} from './clock.js';
 import {LoggerDecisionLog, createLogger} from './decision-log.js';
 import {Dispatcher} from './dispatcher.js';
+import {HandOverReceiver, HandOverSender} from './hand-over.js';
+import {PeerForwarder} from './peer-forwarder.js';
 import {type Settings} from './settings.js';
 import {SubmissionOwner} from './submission-owner.js';
 import {SubmissionRouter} from './submission-router.js';
 
 const nonceBytes = 6;
 const secretBytes = 32;
-const drainPollMs = 20;
+/** Longest time for which an entry VM that has just started waits for its links before it is ready. */
+const linkWaitMs = 3000;
 
 /** A running entry VM. */
 export type RunningEntryVm = {
@@ -51,23 +55,58 @@
 	const dispatcher = new Dispatcher(targets, clock, log);
 	const owner = new SubmissionOwner(memory, dispatcher, clock);
 	let isStopping = false;
+	let listedAtMs: number | undefined;
+	let wasLinked = false;
+	const startedAtMs = clock();
+	let helloVersion = 0;
+	const search = new OwnerSearch({
+		self: incarnation,
+		clockSkewMs: settings.memory.clockSkewMs,
+	});
+	const handOverParts = {
+		self: incarnation,
+		memory,
+		mesh: () => mesh,
+		clock,
+		log(message: string, peer: string) {
+			logger.info(message, {peer});
+		},
+	};
+	const sender = new HandOverSender(handOverParts);
+	const forwarder = new PeerForwarder({
+		mesh: () => mesh,
+		search,
+		log,
+		successor: () => sender.successor,
+	});
 	const router: SubmissionRouter = new SubmissionRouter({
 		memory,
 		owner,
-		mesh: () => mesh,
+		forwarder,
+		sender,
+		receiver: new HandOverReceiver(handOverParts, sender),
 		catalogue,
 		clock,
 		log,
-		isReady: () => catalogue.isLoaded && !isStopping,
+		isReady: () => catalogue.isLoaded && isLinked() && !isStopping,
 	});
 	const mesh: PeerMesh = new PeerMesh({
 		name: settings.name,
 		listenAddress: settings.peerAddress,
 		link: settings.peers,
-		hello: () => ({incarnation, holds: memory.holds}),
+		hello() {
+			helloVersion += 1;
+			return {
+				incarnation,
+				startedAtMs,
+				version: helloVersion,
+				holds: memory.holds,
+				isLeaving: isStopping,
+			};
+		},
 		onRequest: async (request) => router.answerPeer(request),
-		onHello() {
-			// What a peer says of itself is kept by its link.
+		onHello(hello) {
+			search.updatePeer(hello);
 		},
 	});
 	const callers = createCallerServer(router, settings);
@@ -88,13 +127,22 @@
 		}
 	}
 
+	/** Callers bring identifiers of all entry VMs, so that the first one waits until the links are there. */
+	function isLinked(): boolean {
+		wasLinked ||=
+			listedAtMs !== undefined &&
+			(mesh.isLinkedToAll || clock() > listedAtMs + linkWaitMs);
+		return wasLinked;
+	}
+
 	async function updateMachines(): Promise<void> {
 		const list = await platform.machines();
 		if (list.isOk()) {
+			listedAtMs ??= clock();
 			const {machines} = list.value;
-			mesh.updateMembers(
-				machines.filter((machine) => machine.role === 'entry'),
-			);
+			const entryVms = machines.filter((machine) => machine.role === 'entry');
+			mesh.updateMembers(entryVms);
+			search.updateList(entryVms.map(({name}) => name));
 			dispatcher.updateTargets(
 				machines.filter((machine) => machine.role === 'target'),
 			);
@@ -106,17 +154,13 @@
 		async stop() {
 			isStopping = true;
 			logger.info('stopping');
-			await sleep(settings.stop.noticeMs);
-			const drainUntil = clock() + settings.stop.drainMs;
-			while (dispatcher.activeJobs > 0 && clock() < drainUntil) {
-				// eslint-disable-next-line no-await-in-loop
-				await sleep(drainPollMs);
-			}
-
+			const now = clock();
+			const noticeUntilMs = now + settings.stop.noticeMs;
+			await sender.run(noticeUntilMs, noticeUntilMs + settings.stop.drainMs);
 			await callers.close();
 			polling.abort();
 			await polled;
-			mesh.close();
+			await mesh.close();
 			await Promise.all([targets.close(), platform.close()]);
 			logger.info('stopped');
 		},
--- a/packages/verbenarouter/src/submission-owner.ts
+++ b/packages/verbenarouter/src/submission-owner.ts
@@ -2,6 +2,7 @@
 import {
 	refusal,
 	type Admission,
+	type Incarnation,
 	type JobAnswer,
 	type Refusal,
 	type SubmissionMemory,
@@ -9,9 +10,23 @@
 	type Verdict,
 } from '@verbenarouter/core';
 import {type SubmissionStatus} from '@verbenarouter/caller';
+import {withinTime} from '@verbenarouter/peer';
 import {type Clock} from './clock.js';
 import {type Dispatcher, type JobOrder} from './dispatcher.js';
 
+/** The submission is another entry VM's to answer for. Nothing was done here. */
+export type Redirect =
+	| {readonly kind: 'elsewhere'; readonly at: Incarnation}
+	| {readonly kind: 'moved'};
+
+/** What the owner says to one copy of a request. */
+export type OwnerReply =
+	{readonly kind: 'answer'; readonly answer: JobAnswer} | Redirect;
+
+/** What the owner says about a submission's state. */
+export type OwnerStatus =
+	({readonly kind: 'state'} & SubmissionStatus) | Redirect;
+
 /** Runs the submissions that this entry VM owns. */
 export class SubmissionOwner {
 	readonly #memory: SubmissionMemory;
@@ -25,9 +40,9 @@
 		this.#clock = clock;
 	}
 
-	/** Starts a job, or waits with the other copies of its request. */
-	async submit(order: JobOrder): Promise<JobAnswer> {
-		const {identifier, team, job} = order;
+	/** Starts a job, or waits with the other copies of its request until this copy's own deadline. */
+	async submit(order: JobOrder): Promise<OwnerReply> {
+		const {identifier, team, job, deadlineAtMs} = order;
 		const now = this.#clock();
 		const admission = this.#memory.admit(
 			identifier,
@@ -35,42 +50,52 @@
 			{entry: job.entry, taskCount: job.tasks.length},
 			now,
 		);
+		if (admission.kind === 'join') {
+			return answered(await this.#join(identifier, deadlineAtMs - now));
+		}
+
 		if (admission.kind !== 'start') {
-			return this.#answerOf(identifier, admission);
+			return replyTo(identifier, admission);
 		}
 
 		const reason = this.#dispatcher.refusalFor(order, now);
 		if (reason !== undefined) {
-			return this.#refuse(identifier, team, reason);
+			return answered(this.#refuse(identifier, team, reason));
 		}
 
 		const running = this.#run(order);
 		this.#running.set(identifier, running);
-		return running;
+		return answered(await running);
 	}
 
 	/** Where a submission stands. */
-	status(identifier: string, team: Team): SubmissionStatus {
+	status(identifier: string, team: Team): OwnerStatus {
 		const known = this.#memory.lookUp(identifier, team.name, this.#clock());
 		switch (known.kind) {
 			case 'start': {
-				return {state: 'unknown'};
+				return {kind: 'state', state: 'unknown'};
 			}
 
 			case 'join': {
-				return {state: 'running'};
+				return {kind: 'state', state: 'running'};
 			}
 
 			case 'answer': {
-				return {state: 'settled', answer: known.answer};
+				return {kind: 'state', state: 'settled', answer: known.answer};
 			}
 
 			case 'refuse': {
 				return {
+					kind: 'state',
 					state: 'unknown',
 					answer: answerWith(identifier, known.verdict, known.refusal),
 				};
 			}
+
+			case 'elsewhere':
+			case 'moved': {
+				return known;
+			}
 		}
 	}
 
@@ -79,17 +104,30 @@
 		identifier: string,
 		team: Team,
 		reason: Refusal,
-	): Promise<JobAnswer> {
+	): Promise<OwnerReply> {
 		const known = this.#memory.lookUp(identifier, team.name, this.#clock());
 		if (known.kind === 'start') {
-			return this.#refuse(identifier, team, reason);
+			return answered(this.#refuse(identifier, team, reason));
 		}
 
 		if (known.kind === 'join') {
 			this.#dispatcher.cancel(identifier, reason);
+			return answered(await this.#answerOfRunning(identifier));
+		}
+
+		return replyTo(identifier, known);
+	}
+
+	/** Refuses a submission that has not started from now on. One that runs goes on, and only this copy is refused. */
+	decline(identifier: string, team: Team, reason: Refusal): OwnerReply {
+		const known = this.#memory.lookUp(identifier, team.name, this.#clock());
+		if (known.kind === 'start') {
+			return answered(this.#refuse(identifier, team, reason));
 		}
 
-		return this.#answerOf(identifier, known);
+		return known.kind === 'join'
+			? answered(answerWith(identifier, 'may-have-run', reason))
+			: replyTo(identifier, known);
 	}
 
 	async #run(order: JobOrder): Promise<JobAnswer> {
@@ -100,6 +138,32 @@
 		return final;
 	}
 
+	async #join(identifier: string, waitMs: number): Promise<JobAnswer> {
+		const answer = await withinTime(this.#answerOfRunning(identifier), waitMs);
+		return (
+			answer ??
+			answerWith(
+				identifier,
+				'may-have-run',
+				refusal(
+					'deadline-exceeded',
+					'The submission runs on; it did not end before the deadline of this copy of the request.',
+				),
+			)
+		);
+	}
+
+	async #answerOfRunning(identifier: string): Promise<JobAnswer> {
+		return (
+			this.#running.get(identifier) ??
+			answerWith(
+				identifier,
+				'may-have-run',
+				refusal('internal', 'The running submission has no answer.'),
+			)
+		);
+	}
+
 	#refuse(identifier: string, team: Team, reason: Refusal): JobAnswer {
 		const answer = this.#withNextIdentifier(
 			answerWith(identifier, 'not-run', reason),
@@ -123,32 +187,6 @@
 				}
 			: answer;
 	}
-
-	async #answerOf(
-		identifier: string,
-		admission: Exclude<Admission, {kind: 'start'}>,
-	): Promise<JobAnswer> {
-		switch (admission.kind) {
-			case 'answer': {
-				return admission.answer;
-			}
-
-			case 'refuse': {
-				return answerWith(identifier, admission.verdict, admission.refusal);
-			}
-
-			case 'join': {
-				return (
-					this.#running.get(identifier) ??
-					answerWith(
-						identifier,
-						'may-have-run',
-						refusal('internal', 'The running submission has no answer.'),
-					)
-				);
-			}
-		}
-	}
 }
 
 /** An answer without outputs. */
@@ -159,3 +197,16 @@
 ): JobAnswer {
 	return {identifier, verdict, refusal: reason};
 }
+
+function answered(answer: JobAnswer): OwnerReply {
+	return {kind: 'answer', answer};
+}
+
+function replyTo(
+	identifier: string,
+	known: Exclude<Admission, {kind: 'start' | 'join'}>,
+): OwnerReply {
+	return known.kind === 'refuse'
+		? answered(answerWith(identifier, known.verdict, known.refusal))
+		: known;
+}
--- a/packages/verbenarouter/src/submission-router.ts
+++ b/packages/verbenarouter/src/submission-router.ts
@@ -2,26 +2,35 @@
 import {createHash} from 'node:crypto';
 import {type JobService, type SubmissionStatus} from '@verbenarouter/caller';
 import {
-	incarnationKey,
 	parseIdentifier,
 	refusal,
 	type Entry,
 	type Job,
 	type JobAnswer,
 	type Refusal,
-	type SubmissionIdentifier,
 	type SubmissionMemory,
 	type Team,
 } from '@verbenarouter/core';
 import {
-	type PeerFailure,
-	type PeerMesh,
 	type PeerReply,
 	type PeerRequest,
+	type SubmissionRequest,
 } from '@verbenarouter/peer';
 import {type Clock} from './clock.js';
 import {type DecisionLog} from './decision-log.js';
-import {answerWith, type SubmissionOwner} from './submission-owner.js';
+import {type HandOverReceiver, type HandOverSender} from './hand-over.js';
+import {
+	ownerUnreachable,
+	replyWith,
+	type PeerForwarder,
+	type SubmissionReply,
+} from './peer-forwarder.js';
+import {
+	answerWith,
+	type OwnerReply,
+	type OwnerStatus,
+	type SubmissionOwner,
+} from './submission-owner.js';
 
 /** What the catalogue tells the router. */
 export type CatalogueView = {
@@ -34,17 +43,19 @@
 export type SubmissionRouterParts = {
 	readonly memory: SubmissionMemory;
 	readonly owner: SubmissionOwner;
-	readonly mesh: () => PeerMesh;
+	readonly forwarder: PeerForwarder;
+	readonly sender: HandOverSender;
+	readonly receiver: HandOverReceiver;
 	readonly catalogue: CatalogueView;
 	readonly clock: Clock;
 	readonly log: DecisionLog;
 	readonly isReady: () => boolean;
 };
 
-const retryAfterUnreachableMs = 1000;
-const stateTimeoutMs = 2000;
-/** Time for an owner's answer to come back after the deadline that the owner keeps itself. */
-const forwardMarginMs = 1000;
+/** Forwards of one request: to the owner, through two successors, and to where the submission runs. */
+const maximumHops = 4;
+/** Longest time for which a request waits until the successor has confirmed the hand-over. */
+const handOverWaitMs = 2000;
 
 /** Takes each submission to the entry VM that owns its identifier. */
 export class SubmissionRouter implements JobService {
@@ -75,64 +86,28 @@
 		const entry = this.#parts.catalogue.entry(job.entry);
 		const reason = refusalByEntry(entry, team, job);
 		if (entry === undefined || reason !== undefined) {
-			return this.cancel(
-				team,
-				identifier,
-				reason ?? refusal('entry-unknown', 'The entry is unknown.'),
-			);
-		}
-
-		const waitMs = Math.min(
-			job.deadlineMs ?? entry.limits.deadlineMs,
-			entry.limits.deadlineMs,
-		);
-		const parsed = this.#parse(identifier);
-		if (parsed === undefined) {
-			return malformedIdentifier(identifier);
+			return this.decline(team, identifier, reason ?? entryUnknown(job));
 		}
 
-		if (this.#parts.memory.owns(parsed.issuer)) {
-			this.#parts.log.routed({
-				identifier,
-				team: team.name,
-				decision: 'run-here',
-				reason: 'owner',
-			});
-			return this.#parts.owner.submit({
-				identifier,
-				team,
-				entry,
-				job,
-				deadlineAtMs: this.#parts.clock() + waitMs,
-			});
-		}
-
-		const reply = await this.#forward(
-			parsed,
-			{kind: 'submit', identifier, team: team.name, job, remainingMs: waitMs},
-			waitMs + forwardMarginMs,
-		);
-		return this.#answerOf(identifier, reply);
+		return this.#answer(team, {
+			kind: 'submit',
+			...aboutSubmission(team, identifier),
+			job,
+			remainingMs: Math.min(
+				job.deadlineMs ?? entry.limits.deadlineMs,
+				entry.limits.deadlineMs,
+			),
+		});
 	}
 
 	async status(team: Team, identifier: string): Promise<SubmissionStatus> {
-		const parsed = this.#parse(identifier);
-		if (parsed === undefined) {
-			return {state: 'unknown', answer: malformedIdentifier(identifier)};
-		}
-
-		if (this.#parts.memory.owns(parsed.issuer)) {
-			return this.#parts.owner.status(identifier, team);
-		}
-
-		const reply = await this.#forward(
-			parsed,
-			{kind: 'state', identifier, team: team.name},
-			stateTimeoutMs,
-		);
-		return 'kind' in reply && reply.kind === 'state'
+		const reply = await this.#handle(team, {
+			kind: 'state',
+			...aboutSubmission(team, identifier),
+		});
+		return reply.kind === 'state'
 			? {state: reply.state, answer: reply.answer}
-			: {state: 'unknown', answer: this.#answerOf(identifier, reply)};
+			: {state: 'unknown', answer: answerFrom(identifier, reply)};
 	}
 
 	async cancel(
@@ -140,159 +115,163 @@
 		identifier: string,
 		reason: Refusal,
 	): Promise<JobAnswer> {
-		const parsed = this.#parse(identifier);
-		if (parsed === undefined) {
-			return malformedIdentifier(identifier);
-		}
+		return this.#answer(team, {
+			kind: 'cancel',
+			...aboutSubmission(team, identifier),
+			reason,
+		});
+	}
 
-		if (this.#parts.memory.owns(parsed.issuer)) {
-			return this.#parts.owner.cancel(identifier, team, reason);
+	async decline(
+		team: Team,
+		identifier: string,
+		reason: Refusal,
+	): Promise<JobAnswer> {
+		return this.#answer(team, {
+			kind: 'decline',
+			...aboutSubmission(team, identifier),
+			reason,
+		});
+	}
+
+	/** Answers a peer, also one that has not yet heard of a hand-over. */
+	async answerPeer(request: PeerRequest): Promise<PeerReply> {
+		if (request.kind === 'records' || request.kind === 'hand-over') {
+			return this.#parts.receiver.answer(request);
 		}
 
-		const reply = await this.#forward(
-			parsed,
-			{kind: 'cancel', identifier, team: team.name, reason},
-			stateTimeoutMs,
-		);
-		return this.#answerOf(identifier, reply);
+		const team = this.#parts.catalogue.team(request.team);
+		return team === undefined
+			? {kind: 'not-owner'}
+			: this.#handle(team, request);
 	}
 
-	/** Answers a peer. It never forwards again: a peer that asks the wrong entry VM hears so. */
-	async answerPeer(request: PeerRequest): Promise<PeerReply> {
+	async #answer(team: Team, request: SubmissionRequest): Promise<JobAnswer> {
+		return answerFrom(request.identifier, await this.#handle(team, request));
+	}
+
+	async #handle(
+		team: Team,
+		request: SubmissionRequest,
+	): Promise<SubmissionReply> {
 		const parsed = parseIdentifier(request.identifier);
-		const team = this.#parts.catalogue.team(request.team);
-		if (
-			parsed === undefined ||
-			team === undefined ||
-			!this.#parts.memory.owns(parsed.issuer)
-		) {
-			return {kind: 'not-owner'};
+		if (parsed === undefined) {
+			return malformedIdentifier(request);
+		}
+
+		const {memory, sender, forwarder, clock} = this.#parts;
+		if (!memory.knows(parsed.issuer)) {
+			return forwarder.toOwner(request, parsed);
 		}
 
+		let late = request;
+		let reply = await this.#here(team, request);
+		if (reply.kind === 'moved') {
+			const arrivedAtMs = clock();
+			if ((await sender.decided(handOverWaitMs)) === undefined) {
+				return replyWith(request, ownerUnreachable());
+			}
+
+			late = afterWait(request, clock() - arrivedAtMs);
+			reply = await this.#here(team, late);
+		}
+
+		switch (reply.kind) {
+			case 'elsewhere': {
+				return forwarder.toProcess(late, reply.at, parsed.issuedAtMs);
+			}
+
+			case 'moved': {
+				return forwarder.toOwner(late, parsed);
+			}
+
+			case 'answer':
+			case 'state': {
+				return reply;
+			}
+		}
+	}
+
+	async #here(
+		team: Team,
+		request: SubmissionRequest,
+	): Promise<OwnerReply | OwnerStatus> {
+		const {owner} = this.#parts;
+		const {identifier} = request;
 		switch (request.kind) {
 			case 'submit': {
-				return {
-					kind: 'answer',
-					answer: await this.#submitForPeer(team, request),
-				};
+				return this.#submitHere(team, request);
 			}
 
 			case 'state': {
-				return {
-					kind: 'state',
-					...this.#parts.owner.status(request.identifier, team),
-				};
+				return owner.status(identifier, team);
 			}
 
 			case 'cancel': {
-				return {
-					kind: 'answer',
-					answer: await this.#parts.owner.cancel(
-						request.identifier,
-						team,
-						request.reason,
-					),
-				};
+				return owner.cancel(identifier, team, request.reason);
+			}
+
+			case 'decline': {
+				return owner.decline(identifier, team, request.reason);
 			}
 		}
 	}
 
-	async #submitForPeer(
+	async #submitHere(
 		team: Team,
-		request: Extract<PeerRequest, {kind: 'submit'}>,
-	): Promise<JobAnswer> {
-		const {identifier, job, remainingMs} = request;
-		const entry = this.#parts.catalogue.entry(job.entry);
+		{
+			identifier,
+			job,
+			remainingMs,
+		}: Extract<SubmissionRequest, {kind: 'submit'}>,
+	): Promise<OwnerReply> {
+		const {owner, catalogue, clock, log} = this.#parts;
+		const entry = catalogue.entry(job.entry);
 		const reason = refusalByEntry(entry, team, job);
-		return entry === undefined || reason !== undefined
-			? this.#parts.owner.cancel(
-					identifier,
-					team,
-					reason ?? refusal('entry-unknown', 'The entry is unknown.'),
-				)
-			: this.#parts.owner.submit({
-					identifier,
-					team,
-					entry,
-					job,
-					deadlineAtMs: this.#parts.clock() + remainingMs,
-				});
-	}
-
-	#parse(identifier: string): SubmissionIdentifier | undefined {
-		return parseIdentifier(identifier);
-	}
-
-	async #forward(
-		{issuer}: SubmissionIdentifier,
-		request: PeerRequest,
-		timeoutMs: number,
-	): Promise<PeerReply | PeerFailure> {
-		const key = incarnationKey(issuer);
-		const holder = [...this.#parts.mesh().peers].find(([, hello]) =>
-			hello.holds.includes(key),
-		)?.[0];
-		this.#parts.log.routed({
-			identifier: request.identifier,
-			team: request.team,
-			decision: holder === undefined ? 'refuse' : 'forward',
-			reason:
-				holder === undefined
-					? 'no peer holds the identifier'
-					: `owner ${holder}`,
-		});
-		if (holder === undefined) {
-			return {
-				code: 'not-sent',
-				message: 'no entry VM within reach holds this identifier',
-			};
+		if (entry === undefined || reason !== undefined) {
+			return owner.decline(identifier, team, reason ?? entryUnknown(job));
 		}
 
-		const result = await this.#parts.mesh().request(holder, request, timeoutMs);
-		return result.isOk() ? result.value : result.error;
+		log.routed({
+			identifier,
+			team: team.name,
+			decision: 'run-here',
+			reason: 'owner',
+		});
+		return owner.submit({
+			identifier,
+			team,
+			entry,
+			job,
+			deadlineAtMs: clock() + Math.min(remainingMs, entry.limits.deadlineMs),
+		});
 	}
+}
 
-	#answerOf(identifier: string, reply: PeerReply | PeerFailure): JobAnswer {
-		if ('code' in reply) {
-			return reply.code === 'not-sent'
-				? answerWith(
-						identifier,
-						'may-have-run',
-						refusal(
-							'owner-unreachable',
-							`The owner of this identifier is out of reach: ${reply.message}.`,
-							retryAfterUnreachableMs,
-						),
-					)
-				: answerWith(
-						identifier,
-						'may-have-run',
-						refusal(
-							'owner-silent',
-							`The owner did not answer: ${reply.message}.`,
-							retryAfterUnreachableMs,
-						),
-					);
-		}
+function aboutSubmission(team: Team, identifier: string) {
+	return {identifier, team: team.name, hopsLeft: maximumHops};
+}
 
-		if (reply.kind === 'answer') {
-			return reply.answer;
-		}
+function afterWait(
+	request: SubmissionRequest,
+	waitedMs: number,
+): SubmissionRequest {
+	return request.kind === 'submit'
+		? {...request, remainingMs: request.remainingMs - waitedMs}
+		: request;
+}
 
-		return answerWith(
-			identifier,
-			'may-have-run',
-			refusal(
-				'owner-unreachable',
-				'The owner of this identifier has moved; ask again.',
-				retryAfterUnreachableMs,
-			),
-		);
-	}
+function answerFrom(identifier: string, reply: SubmissionReply): JobAnswer {
+	return reply.kind === 'answer'
+		? reply.answer
+		: answerWith(identifier, 'may-have-run', ownerUnreachable());
 }
 
-function malformedIdentifier(identifier: string): JobAnswer {
-	return answerWith(
+function malformedIdentifier({
+	kind,
+	identifier,
+}: SubmissionRequest): SubmissionReply {
+	const answer = answerWith(
 		identifier,
 		'not-run',
 		refusal(
@@ -300,6 +279,16 @@
 			'identifier: this is not a submission identifier; reserve one first.',
 		),
 	);
+	return kind === 'state'
+		? {kind: 'state', state: 'unknown', answer}
+		: {kind: 'answer', answer};
+}
+
+function entryUnknown({entry}: Job): Refusal {
+	return refusal(
+		'entry-unknown',
+		`entry: the catalogue has no entry "${entry}".`,
+	);
 }
 
 function refusalByEntry(
@@ -308,10 +297,7 @@
 	job: Job,
 ): Refusal | undefined {
 	if (entry === undefined) {
-		return refusal(
-			'entry-unknown',
-			`entry: the catalogue has no entry "${job.entry}".`,
-		);
+		return entryUnknown(job);
 	}
 
 	if (entry.teams !== undefined && !entry.teams.includes(team.name)) {
