--- a/packages/verbenarouter/src/entry-vm.ts
+++ b/packages/verbenarouter/src/entry-vm.ts
@@ -6,6 +6,7 @@
 import {
 	FixedSlotShares,
 	SharedSlots,
+	OwnerSearch,
 	SubmissionMemory,
 	incarnationKey,
 	type Incarnation,
@@ -23,14 +24,17 @@
 import {MeasuredJobService, MeasuredTaskTargets} from './measured.js';
 import {Metrics} from './metrics.js';
 import {addMetricsRoutes} from './metrics-routes.js';
+import {HandOverReceiver, HandOverSender} from './hand-over.js';
+import {PeerForwarder} from './peer-forwarder.js';
 import {type Settings} from './settings.js';
 import {SubmissionOwner} from './submission-owner.js';
 import {SubmissionRouter} from './submission-router.js';
 
 const nonceBytes = 6;
 const secretBytes = 32;
-const drainPollMs = 20;
 const largestSeed = 2 ** 31;
+/** Longest time for which an entry VM that has just started waits for its links before it is ready. */
+const linkWaitMs = 3000;
 
 /** A running entry VM. */
 export type RunningEntryVm = {
@@ -93,15 +97,41 @@
 	});
 	const {follower: catalogue} = catalogueParts;
 	let isStopping = false;
+	let listedAtMs: number | undefined;
+	let wasLinked = false;
+	const startedAtMs = clock();
+	let helloVersion = 0;
+	const search = new OwnerSearch({
+		self: incarnation,
+		clockSkewMs: settings.memory.clockSkewMs,
+	});
+	const handOverParts = {
+		self: incarnation,
+		memory,
+		mesh: () => mesh,
+		clock,
+		log(event: string, peer: string) {
+			logger.info({event, peer});
+		},
+	};
+	const sender = new HandOverSender(handOverParts);
+	const forwarder = new PeerForwarder({
+		mesh: () => mesh,
+		search,
+		log,
+		successor: () => sender.successor,
+	});
 	const router: SubmissionRouter = new SubmissionRouter({
 		memory,
 		owner,
-		mesh: () => mesh,
+		forwarder,
+		sender,
+		receiver: new HandOverReceiver(handOverParts, sender),
 		catalogue,
 		clock,
 		log,
 		hasCatalogue: () => catalogue.isLoaded,
-		isReady: () => catalogue.isLoaded && !isStopping,
+		isReady: () => catalogue.isLoaded && isLinked() && !isStopping,
 	});
 	const mesh: PeerMesh = new PeerMesh({
 		name: settings.name,
@@ -113,6 +143,7 @@
 				? catalogueParts.relay.answer(request)
 				: router.answerPeer(request),
 		onHello(heard) {
+			search.updatePeer(heard);
 			catalogueParts.heard(heard);
 		},
 	});
@@ -129,8 +160,12 @@
 		await operators.listen(hostAndPort(settings.operatorAddress));
 	} catch (error: unknown) {
 		// What did start would keep the process alive.
-		mesh.close();
-		await Promise.all([callers.close(), operators.close(), platform.close()]);
+		await Promise.all([
+			mesh.close(),
+			callers.close(),
+			operators.close(),
+			platform.close(),
+		]);
 		throw error;
 	}
 
@@ -149,6 +184,14 @@
 		}
 	}
 
+	/** Callers bring identifiers of all entry VMs, so that the first one waits until the links are there. */
+	function isLinked(): boolean {
+		wasLinked ||=
+			listedAtMs !== undefined &&
+			(mesh.isLinkedToAll || clock() > listedAtMs + linkWaitMs);
+		return wasLinked;
+	}
+
 	async function readMachines(): Promise<void> {
 		const list = await platform.machines();
 		if (list.isOk()) {
@@ -157,16 +200,22 @@
 	}
 
 	function hello(): Hello {
+		helloVersion += 1;
 		return {
 			incarnation,
+			startedAtMs,
+			version: helloVersion,
 			holds: memory.holds,
+			isLeaving: isStopping,
 			catalogueOffset: catalogue.catalogue.nextOffset,
 		};
 	}
 
 	function updateMachines({machines}: MachineList): void {
 		const entryVms = machines.filter((machine) => machine.role === 'entry');
+		listedAtMs ??= clock();
 		mesh.updateMembers(entryVms);
+		search.updateList(entryVms.map(({name}) => name));
 		slots.update(entryVms);
 		dispatcher.updateTargets(
 			machines.filter((machine) => machine.role === 'target'),
@@ -178,17 +227,12 @@
 		async stop() {
 			isStopping = true;
 			logger.info({event: 'stopping'});
-			await sleep(settings.stop.noticeMs);
-			const drainUntil = clock() + settings.stop.drainMs;
-			while (dispatcher.activeJobs > 0 && clock() < drainUntil) {
-				// eslint-disable-next-line no-await-in-loop
-				await sleep(drainPollMs);
-			}
-
+			const noticeUntilMs = clock() + settings.stop.noticeMs;
+			await sender.run(noticeUntilMs, noticeUntilMs + settings.stop.drainMs);
 			await Promise.all([callers.close(), operators.close()]);
 			polling.abort();
 			await Promise.all([polled, catalogueParts.stop()]);
-			mesh.close();
+			await mesh.close();
 			await Promise.all([targets.close(), platform.close()]);
 			logger.info({event: 'stopped'});
 		},
--- a/testing/src/measure-peers.ts
+++ b/testing/src/measure-peers.ts
@@ -30,7 +30,13 @@
 		entryVm: name,
 		nonce: '0123456789ab',
 	};
-	return {incarnation, holds: [`zone-a.${name}.0123456789ab`]};
+	return {
+		incarnation,
+		startedAtMs: 0,
+		version: 1,
+		holds: [`zone-a.${name}.0123456789ab`],
+		isLeaving: false,
+	};
 }
 
 function createMesh(name: string, port: number): PeerMesh {
@@ -77,11 +83,7 @@
 	const cpuBefore = process.cpuUsage();
 	await sleep(windowMs);
 	const {user, system} = process.cpuUsage(cpuBefore);
-	await Promise.all(
-		meshes.map(async (mesh) => {
-			mesh.close();
-		}),
-	);
+	await Promise.all(meshes.map(async (mesh) => mesh.close()));
 	const seconds = windowMs / 1000;
 	return {
 		entryVms,
@@ -131,11 +133,7 @@
 	const before = counter.bytes;
 	await sleep(windowMs);
 	const bytes = counter.bytes - before;
-	await Promise.all(
-		meshes.map(async (mesh) => {
-			mesh.close();
-		}),
-	);
+	await Promise.all(meshes.map(async (mesh) => mesh.close()));
 	counter.server.close();
 	return bytes / (windowMs / 1000);
 }
