Slots as resources of the share ledger; the limits' gate in the dispatcher

Change: LedgerSlots spreads the wish for slots over the targets, the own zone's first; the dispatcher asks a StartGate before it places a task. Not measured yet: the ledger is not wired in.

--- a/packages/core/src/slot-share.ts
+++ b/packages/core/src/slot-share.ts
@@ -1,7 +1,14 @@
 /** Ways to know which slots of the targets an entry VM may fill. */
 import {type EntryVm, type Target} from './member.js';
+import {type ShareLedger} from './share-ledger.js';
 import {type SlotView} from './target-board.js';
 
+/** The part of a share ledger that slots need. */
+export type SlotLedger = Pick<
+	ShareLedger,
+	'free' | 'held' | 'tryTake' | 'giveBack' | 'wants'
+>;
+
 /** The baseline: every slot that this entry VM has not filled itself counts as free, and targets refuse what is too much. */
 export class SharedSlots implements SlotView {
 	readonly #inUse = new Map<string, number>();
@@ -90,6 +97,87 @@
 	}
 }
 
+/** Slots as resources of a share ledger, which lends them between entry VMs. */
+export class LedgerSlots implements SlotView {
+	readonly #ledger: SlotLedger;
+	readonly #zone: string;
+	readonly #onWant: () => void;
+	#targets: readonly Target[] = [];
+	#wanted: ReadonlyMap<string, number> = new Map();
+
+	/** `onWant` hears that slots are wanted, so that they can be asked for at once. */
+	constructor(ledger: SlotLedger, zone: string, onWant: () => void) {
+		this.#ledger = ledger;
+		this.#zone = zone;
+		this.#onWant = onWant;
+	}
+
+	/** Takes the platform's newest list of targets. */
+	updateTargets(targets: readonly Target[]): void {
+		this.#targets = targets.filter(({state}) => state === 'live');
+	}
+
+	free({name}: Target): number {
+		return this.#ledger.free(slotsResource(name));
+	}
+
+	tryTake({name}: Target, now: number): boolean {
+		return this.#ledger.tryTake(slotsResource(name), 1, now);
+	}
+
+	release({name}: Target, now: number): void {
+		this.#ledger.giveBack(slotsResource(name), 1, now);
+	}
+
+	/** Spreads the wish over the targets, those of the own zone first. */
+	want(waitingTasks: number): void {
+		if (waitingTasks === 0 && this.#wanted.size === 0) {
+			return;
+		}
+
+		const wanted = this.#spread(waitingTasks);
+		for (const name of this.#wanted.keys()) {
+			if (!wanted.has(name)) {
+				this.#ledger.wants(slotsResource(name), 0);
+			}
+		}
+
+		for (const [name, units] of wanted) {
+			this.#ledger.wants(slotsResource(name), units);
+		}
+
+		this.#wanted = wanted;
+		if (wanted.size > 0) {
+			this.#onWant();
+		}
+	}
+
+	#spread(waitingTasks: number): ReadonlyMap<string, number> {
+		const wanted = new Map<string, number>();
+		let left = waitingTasks;
+		for (const isOwn of [true, false]) {
+			const targets = this.#targets.filter(
+				({zone}) => (zone === this.#zone) === isOwn,
+			);
+			const each = Math.ceil(left / Math.max(1, targets.length));
+			for (const {name, slots} of targets) {
+				const held = this.#ledger.held(slotsResource(name));
+				const units = Math.min(left, each, Math.max(0, slots - held));
+				if (units > 0) {
+					wanted.set(name, units);
+					left -= units;
+				}
+			}
+		}
+
+		return wanted;
+	}
+}
+
+function slotsResource(target: string): string {
+	return `slots/${target}`;
+}
+
 /** Equal parts; the odd slots go to other holders for each target. */
 function shareOf(
 	{name, slots}: Target,
--- a/packages/verbenarouter/src/dispatch-decisions.ts
+++ b/packages/verbenarouter/src/dispatch-decisions.ts
@@ -9,28 +9,12 @@
 	type PlacementPolicy,
 	type RunTimeEstimates,
 } from '@verbenarouter/core';
-import {type ActiveJob, type JobOrder} from './active-job.js';
+import {type ActiveJob} from './active-job.js';
 import {type Settings} from './settings.js';
 
 /** Settings of placement and order. */
 export type PlacementSettings = Settings['placement'];
 
-/** Limits on starts that hold over all entry VMs. */
-export type StartLimits = {
-	/** Takes the right to start one task now; returns whether there was one. */
-	tryStart(order: JobOrder, now: number): boolean;
-	/** Gives the right back when the task has ended. */
-	ended(order: JobOrder, now: number): void;
-};
-
-/** No limits. */
-export const unlimited: StartLimits = {
-	tryStart: () => true,
-	ended() {
-		// Nothing was taken.
-	},
-};
-
 /** The deciding parts. */
 export type Decisions = {
 	readonly policy: PlacementPolicy;
--- a/packages/verbenarouter/src/dispatcher.ts
+++ b/packages/verbenarouter/src/dispatcher.ts
@@ -23,11 +23,10 @@
 import {type DecisionLog} from './decision-log.js';
 import {
 	decisionsOf,
-	unlimited,
 	type Decisions,
 	type PlacementSettings,
-	type StartLimits,
 } from './dispatch-decisions.js';
+import {OpenGate, type StartGate} from './start-gate.js';
 
 export {type JobOrder} from './active-job.js';
 
@@ -42,7 +41,8 @@
 	readonly slots: SlotView;
 	readonly zone: string;
 	readonly placement: PlacementSettings;
-	readonly limits?: StartLimits;
+	/** Limits of teams and entries; absent means none. */
+	readonly gate?: StartGate;
 	/** Seed of the choices by chance; it differs between entry VMs, lest they all choose alike. */
 	readonly seed: number;
 };
@@ -51,7 +51,7 @@
 export class Dispatcher {
 	readonly #parts: DispatcherParts;
 	readonly #clock: Clock;
-	readonly #limits: StartLimits;
+	readonly #gate: StartGate;
 	readonly #board: TargetBoard;
 	readonly #decisions: Decisions;
 	readonly #random: Random;
@@ -64,7 +64,7 @@
 	constructor(parts: DispatcherParts) {
 		this.#parts = parts;
 		this.#clock = parts.clock;
-		this.#limits = parts.limits ?? unlimited;
+		this.#gate = parts.gate ?? new OpenGate();
 		this.#board = new TargetBoard(parts.zone, parts.slots);
 		this.#random = seededRandom(parts.seed);
 		this.#retries = new RetryBudget(defaultRetrySettings, this.#random);
@@ -91,7 +91,7 @@
 	/** Takes the platform's newest list of targets. */
 	updateTargets(list: readonly Target[]): void {
 		this.#board.update(list);
-		this.pump();
+		this.resume();
 	}
 
 	/** Why this job cannot be taken now; `undefined` when it can. */
@@ -137,7 +137,7 @@
 			this.#waitingTasks += active.waitingCount;
 			queue.add(active, active.workMs);
 			this.#watchDeadline(active);
-			this.pump();
+			this.resume();
 		});
 	}
 
@@ -151,7 +151,7 @@
 	}
 
 	/** Gives waiting tasks to free slots; to be called when slots or limits may have become free. */
-	pump(): void {
+	resume(): void {
 		const now = this.#clock();
 		const blocked = new Set<string>();
 		for (;;) {
@@ -174,7 +174,7 @@
 				}
 
 				blocked.add(active.entry);
-			} else if (this.#limits.tryStart(active.order, now)) {
+			} else if (this.#gate.mayStart(active.order, now)) {
 				this.#place(active, known, choice, now);
 			} else {
 				blocked.add(`${active.team}/${active.entry}`);
@@ -246,6 +246,7 @@
 		}
 
 		this.#board.sent(known, active.order.entry.needs, now);
+		this.#gate.started(active.order, now);
 		this.#busy.change(1, now);
 		this.#parts.log.placed({
 			identifier: active.identifier,
@@ -285,7 +286,7 @@
 		const now = this.#clock();
 		active.inFlight.delete(index);
 		this.#board.ended(known, order.entry.needs, now);
-		this.#limits.ended(order, now);
+		this.#gate.ended(order, now);
 		this.#busy.change(-1, now);
 		this.#learn(active, index, known, outcome);
 		run.taskEnded(index, outcome);
@@ -294,7 +295,7 @@
 			this.#tryAgainLater(active, index);
 		}
 
-		this.pump();
+		this.resume();
 	}
 
 	#learn(
@@ -368,7 +369,7 @@
 
 	#pumpIn(delayMs: number): void {
 		setTimeout(() => {
-			this.pump();
+			this.resume();
 		}, delayMs).unref();
 	}
 
@@ -392,7 +393,7 @@
 		active.putBack(index);
 		this.#waitingTasks += 1;
 		this.#decisions.queue.add(active, active.expectedMs[index]!);
-		this.pump();
+		this.resume();
 	}
 
 	#finishIfSettled(active: ActiveJob): void {
--- a/testing/src/measure-log-line.ts
+++ b/testing/src/measure-log-line.ts
@@ -20,10 +20,10 @@
 				'zone-a.entry-zone-a-0.2de27a863029.mx80g932.1.RNDJivZtHTDs5oNK',
 			task: index,
 			target: 'target-zone-a-1',
-			reason: 'least-in-flight',
-			waitedMs: 1,
-			candidates: 10,
-			passedOver: {leaving: 0, setAside: 1, full: 0, busy: 3, needs: 0},
+			reason: 'owned-slots',
+			waitedMs: 3,
+			candidates: 4,
+			passedOver: {leaving: 0, setAside: 1, full: 0, busy: 5, needs: 0},
 		});
 		if (index % linesPerTurn === 0) {
 			// eslint-disable-next-line no-await-in-loop -- the lines of one turn of the event loop are written together
