--- a/packages/verbenarouter/src/active-job.ts
+++ b/packages/verbenarouter/src/active-job.ts
@@ -71,7 +71,7 @@
 		this.settle = settle;
 		this.run = new JobRun(order.identifier, order.job.tasks.length);
 		this.#waiting = [...order.job.tasks.keys()].toSorted(
-			(a, b) => this.expectedMs[a]! - this.expectedMs[b]!,
+			(a, b) => this.expectedMs[a]! - this.expectedMs[b]! || b - a,
 		);
 		setMaxListeners(0, this.abort.signal);
 	}
--- /dev/null
+++ b/packages/verbenarouter/src/tests/dispatcher.test.ts
@@ -0,0 +1,246 @@
+import {
+	SharedSlots,
+	refusal,
+	type CatalogueItem,
+	type Target,
+	type TaskOutcome,
+	type TaskStart,
+} from '@verbenarouter/core';
+import {type TaskTargets} from '@verbenarouter/target';
+import {describe, expect, it} from 'vitest';
+import {Dispatcher, type JobOrder} from '../dispatcher.js';
+import {type Placed} from '../decision-log.js';
+import {settingsSchema} from '../settings.js';
+
+type Sent = {
+	readonly target: string;
+	readonly task: TaskStart;
+	readonly end: (outcome: TaskOutcome) => void;
+};
+
+/** Targets whose tasks end when the test says so. */
+class FakeTargets implements TaskTargets {
+	readonly sent: Sent[] = [];
+	readonly cancelled: string[] = [];
+	/** Answers at once when it gives an outcome. */
+	answer: (target: Target, task: TaskStart) => TaskOutcome | undefined = () =>
+		undefined;
+
+	async start(target: Target, task: TaskStart): Promise<TaskOutcome> {
+		return new Promise((resolve) => {
+			this.sent.push({target: target.name, task, end: resolve});
+			const outcome = this.answer(target, task);
+			if (outcome !== undefined) {
+				resolve(outcome);
+			}
+		});
+	}
+
+	async cancel(_target: Target, taskIdentifier: string): Promise<void> {
+		this.cancelled.push(taskIdentifier);
+	}
+
+	async close(): Promise<void> {
+		// Nothing is open.
+	}
+}
+
+const completed: TaskOutcome = {kind: 'completed', output: 1, ranMs: 100};
+const {placement} = settingsSchema.parse({
+	name: 'entry-1',
+	zone: 'zone-a',
+	callerAddress: '127.0.0.1:1',
+	operatorAddress: '127.0.0.1:2',
+	peerAddress: '127.0.0.1:3',
+	platform: {address: 'http://127.0.0.1:4'},
+});
+
+function fixture(...list: readonly Target[]) {
+	const targets = new FakeTargets();
+	const placed: Placed[] = [];
+	const dispatcher = new Dispatcher({
+		targets,
+		clock: () => Date.now(),
+		log: {
+			placed(decision) {
+				placed.push(decision);
+			},
+			routed() {
+				// Nothing is routed.
+			},
+		},
+		slots: new SharedSlots(),
+		zone: 'zone-a',
+		placement,
+		seed: 1,
+	});
+	dispatcher.updateTargets(list);
+	return {dispatcher, targets, placed};
+}
+
+function targetFixture(name: string, slots = 8): Target {
+	return {
+		role: 'target',
+		name,
+		zone: 'zone-a',
+		rack: 'rack-1',
+		state: 'live',
+		address: `http://${name}:80`,
+		slots,
+		processors: 64,
+		memoryMb: 131_072,
+		accelerators: 0,
+	};
+}
+
+function orderFixture(
+	identifier: string,
+	tasks = 1,
+	needs: Partial<Extract<CatalogueItem, {kind: 'entry'}>['needs']> = {},
+): JobOrder {
+	return {
+		identifier,
+		team: {
+			kind: 'team',
+			name: 'coastal',
+			tokenHash: '',
+			role: 'caller',
+			quota: {concurrency: 1000, startsPerSecond: 1000},
+		},
+		entry: {
+			kind: 'entry',
+			name: 'macro-check',
+			owner: 'coastal',
+			classOfWork: 'macro-check',
+			idempotent: false,
+			needs: {processors: 1, memoryMb: 256, accelerators: 0, ...needs},
+			limits: {
+				concurrency: 1000,
+				startsPerSecond: 1000,
+				deadlineMs: 60_000,
+				largestJob: 1400,
+			},
+		},
+		job: {
+			entry: 'macro-check',
+			tasks: Array.from({length: tasks}, (_, input) => ({input})),
+		},
+		deadlineAtMs: Date.now() + 60_000,
+	};
+}
+
+describe('the dispatcher', () => {
+	it('fills the slots, goes on as they become free, and logs each placement', async () => {
+		const {dispatcher, targets, placed} = fixture(targetFixture('one', 2));
+		const answer = dispatcher.dispatch(orderFixture('job', 3));
+		expect(targets.sent).toHaveLength(2);
+		expect(dispatcher.waitingTasks).toBe(1);
+		targets.answer = () => completed;
+		for (const {end} of targets.sent) {
+			end(completed);
+		}
+
+		await expect(answer).resolves.toMatchObject({
+			verdict: 'completed',
+			outputs: [1, 1, 1],
+		});
+		expect(placed).toHaveLength(3);
+		expect(placed[0]).toMatchObject({
+			target: 'one',
+			reason: 'owned-slots',
+			candidates: 1,
+			passedOver: {busy: 0},
+		});
+		expect(dispatcher.tasksInFlight).toBe(0);
+	});
+
+	it('tries another target only when the task surely did not start', async () => {
+		const {dispatcher, targets} = fixture(
+			targetFixture('full'),
+			targetFixture('free'),
+		);
+		targets.answer = ({name}) =>
+			name === 'full'
+				? {
+						kind: 'not-started',
+						reason: 'full',
+						message: '',
+						retryAfterMs: 10_000,
+					}
+				: completed;
+		const answers = await Promise.all(
+			['a', 'b', 'c'].map(async (name) =>
+				dispatcher.dispatch(orderFixture(name, 4)),
+			),
+		);
+		expect(answers.map(({verdict}) => verdict)).toEqual(
+			Array.from({length: 3}, () => 'completed'),
+		);
+		targets.answer = () => ({
+			kind: 'unknown',
+			reason: 'connection-lost',
+			message: 'cut',
+		});
+		const before = targets.sent.length;
+		await expect(
+			dispatcher.dispatch(orderFixture('lost')),
+		).resolves.toMatchObject({verdict: 'may-have-run'});
+		expect(targets.sent).toHaveLength(before + 1);
+	});
+
+	it('gives nothing more to a target that says it leaves', async () => {
+		const {dispatcher, targets} = fixture(
+			targetFixture('leaves'),
+			targetFixture('stays'),
+		);
+		targets.answer = ({name}) =>
+			name === 'leaves'
+				? {kind: 'not-started', reason: 'leaving', message: '', retryAfterMs: 0}
+				: completed;
+		for (let index = 0; index < 10; index += 1) {
+			// eslint-disable-next-line no-await-in-loop -- one job after the other
+			await dispatcher.dispatch(orderFixture(`job-${index}`));
+		}
+
+		expect(
+			targets.sent.filter(({target}) => target === 'leaves').length,
+		).toBeLessThanOrEqual(1);
+	});
+
+	it('keeps work from a worker that fails everything at once', async () => {
+		const {dispatcher, targets} = fixture(
+			targetFixture('fails'),
+			targetFixture('works-1'),
+			targetFixture('works-2'),
+		);
+		targets.answer = ({name}) =>
+			name === 'fails' ? {kind: 'failed', message: '', ranMs: 1} : completed;
+		const verdicts: string[] = [];
+		for (let index = 0; index < 60; index += 1) {
+			// eslint-disable-next-line no-await-in-loop -- one job after the other
+			const {verdict} = await dispatcher.dispatch(orderFixture(`job-${index}`));
+			verdicts.push(verdict);
+		}
+
+		expect(verdicts.filter((verdict) => verdict === 'failed').length).toBe(3);
+	});
+
+	it('refuses what fits nowhere, and what has no target', () => {
+		const {dispatcher} = fixture(targetFixture('one'));
+		const order = orderFixture('job', 1, {accelerators: 1});
+		expect(dispatcher.refusalFor(order, Date.now())?.code).toBe('cannot-fit');
+		expect(
+			fixture().dispatcher.refusalFor(orderFixture('job'), Date.now())?.code,
+		).toBe('no-targets');
+	});
+
+	it('frees the queue of a cancelled job at once', async () => {
+		const {dispatcher, targets} = fixture(targetFixture('one', 1));
+		const large = dispatcher.dispatch(orderFixture('large', 1000));
+		expect(dispatcher.waitingTasks).toBe(999);
+		dispatcher.cancel('large', refusal('cancelled', 'by the caller'));
+		await expect(large).resolves.toMatchObject({verdict: 'may-have-run'});
+		expect(dispatcher.waitingTasks).toBe(0);
+		expect(targets.cancelled).toEqual(['large.0']);
+	});
+});
--- a/testing/src/load/load-installation.ts
+++ b/testing/src/load/load-installation.ts
@@ -15,6 +15,8 @@
 	readonly zones: number;
 	readonly entryVmsPerZone: number;
 	readonly targetsPerZone: number;
+	/** Processes among which the targets of a zone are divided; a divisor of their number. */
+	readonly farmsPerZone: number;
 	readonly slotsPerTarget: number;
 	/** Overrides of the entry VMs' settings. */
 	readonly settings: Readonly<Record<string, unknown>>;
@@ -24,7 +26,8 @@
 export async function startLoadInstallation(
 	options: LoadInstallationOptions,
 ): Promise<Installation> {
-	const {mix, entryVmsPerZone, targetsPerZone, slotsPerTarget} = options;
+	const {mix, entryVmsPerZone, targetsPerZone, farmsPerZone, slotsPerTarget} =
+		options;
 	const zones = Array.from(
 		{length: options.zones},
 		(_, index) => `zone-${index + 1}`,
@@ -38,9 +41,18 @@
 		settings: options.settings,
 	});
 	const farms = await Promise.all(
-		zones.map(async (zone) => startFarm(zone, targetsPerZone, slotsPerTarget)),
+		zones.flatMap((zone) =>
+			Array.from({length: farmsPerZone}, async () =>
+				startFarm(zone, targetsPerZone / farmsPerZone, slotsPerTarget),
+			),
+		),
+	);
+	installation.targets.push(
+		...farms.flat().map((part, index) => ({
+			...part,
+			name: `target-${part.zone}-${index}`,
+		})),
 	);
-	installation.targets.push(...farms.flat());
 	await installation.publishMachines();
 	return installation;
 }
@@ -62,17 +74,13 @@
 	const [{ports}] = (await once(child, 'message')) as [
 		{readonly ports: readonly number[]},
 	];
-	return ports.map((port, index) => partOf(zone, index, port, child));
+	child.setMaxListeners(0);
+	return ports.map((port) => partOf(zone, port, child));
 }
 
-function partOf(
-	zone: string,
-	index: number,
-	port: number,
-	process: ChildProcess,
-): Part {
+function partOf(zone: string, port: number, process: ChildProcess): Part {
 	return {
-		name: `target-${zone}-${index}`,
+		name: '',
 		zone,
 		process,
 		address: `http://127.0.0.1:${port}`,
--- a/testing/src/load/main.ts
+++ b/testing/src/load/main.ts
@@ -40,6 +40,11 @@
 		default: 2,
 		describe: 'Targets in each zone',
 	})
+	.option('farms', {
+		type: 'number',
+		default: 1,
+		describe: 'Processes among which the targets of a zone are divided',
+	})
 	.option('slots', {type: 'number', default: 8, describe: 'Slots of a target'})
 	.option('largest-job', {
 		type: 'number',
@@ -87,6 +92,7 @@
 		zones: options.zones,
 		entryVmsPerZone: options.entryVms,
 		targetsPerZone: options.targets,
+		farmsPerZone: options.farms,
 		slotsPerTarget: options.slots,
 	},
 	offer: {
