Placement policy and the division of slots are two settings

Cause: owned slots were one of the policies, though any policy can choose among the slots that an entry VM may fill. Change: placement.slots is lent, fixed or shared; placement.policy is least-in-flight, two-choices or random.

--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -4,9 +4,8 @@
 
 /** Names of the placement policies. */
 export const placementPolicyNames = [
-	'owned-slots',
-	'two-choices',
 	'least-in-flight',
+	'two-choices',
 	'random',
 ] as const;
 
@@ -39,10 +38,8 @@
 
 /** The target with the least tasks in flight, as a share of its slots. */
 export class LeastInFlightPlacement implements PlacementPolicy {
-	readonly name: PlacementPolicyName;
-
-	constructor(name: 'least-in-flight' | 'owned-slots' = 'least-in-flight') {
-		this.name = name;
+	get name(): PlacementPolicyName {
+		return 'least-in-flight';
 	}
 
 	choose(
@@ -85,7 +82,7 @@
 	}
 }
 
-/** The policy with this name. With owned slots every slot that is free is surely free, so the least loaded target is taken. */
+/** The policy with this name. */
 export function placementPolicy(name: PlacementPolicyName): PlacementPolicy {
 	switch (name) {
 		case 'random': {
@@ -96,9 +93,8 @@
 			return new TwoChoicesPlacement();
 		}
 
-		case 'least-in-flight':
-		case 'owned-slots': {
-			return new LeastInFlightPlacement(name);
+		case 'least-in-flight': {
+			return new LeastInFlightPlacement();
 		}
 	}
 }
--- a/packages/core/src/slot-share.ts
+++ b/packages/core/src/slot-share.ts
@@ -112,8 +112,8 @@
 		this.#onWant = onWant;
 	}
 
-	/** Takes the platform's newest list of targets. */
-	updateTargets(targets: readonly Target[]): void {
+	/** Takes the platform's newest list. */
+	update(_entryVms: readonly EntryVm[], targets: readonly Target[]): void {
 		this.#targets = targets.filter(({state}) => state === 'live');
 	}
 
--- a/packages/verbenarouter/src/settings.ts
+++ b/packages/verbenarouter/src/settings.ts
@@ -79,7 +79,12 @@
 			.prefault({}),
 		placement: z
 			.strictObject({
-				policy: z.enum(placementPolicyNames).default('owned-slots'),
+				policy: z.enum(placementPolicyNames).default('least-in-flight'),
+				/**
+				 * Which slots of the targets may be filled: a share that is lent between entry VMs, a fixed share, or all of
+				 * them, when targets have to refuse what is too much.
+				 */
+				slots: z.enum(['lent', 'fixed', 'shared']).default('lent'),
 				/** Order of the waiting jobs; `first-in-first-out` is the baseline. */
 				order: z
 					.enum(['fair-shortest-first', 'first-in-first-out'])
--- a/testing/src/load/measure-starts.ts
+++ b/testing/src/load/measure-starts.ts
@@ -88,7 +88,8 @@
 		slots: new SharedSlots(),
 		zone: 'zone-a',
 		placement: {
-			policy: 'owned-slots',
+			policy: 'least-in-flight',
+			slots: 'shared',
 			order: 'fair-shortest-first',
 			estimates: 'learned',
 			stretch: 4,
--- a/testing/src/measure-log-line.ts
+++ b/testing/src/measure-log-line.ts
@@ -20,7 +20,7 @@
 				'zone-a.entry-zone-a-0.2de27a863029.mx80g932.1.RNDJivZtHTDs5oNK',
 			task: index,
 			target: 'target-zone-a-1',
-			reason: 'owned-slots',
+			reason: 'least-in-flight',
 			waitedMs: 3,
 			candidates: 4,
 			passedOver: {leaving: 0, setAside: 1, full: 0, busy: 5, needs: 0},
