Load tool counts the messages between entry VMs; completed work in the steady part of a round

Cause: forwards were only guessed, loans not counted, and at overload the first seconds fill queues. Change: peers' messages are a gauge of each entry VM; the tool takes those beyond the idle rate.

--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -3,3 +3,4 @@
 export * from './peer-link.js';
 export * from './peer-mesh.js';
 export * from './within-time.js';
+export {peerTraffic} from './peer-service.js';
--- a/packages/peer/src/peer-service.ts
+++ b/packages/peer/src/peer-service.ts
@@ -11,8 +11,14 @@
 
 const framesSchema = z.array(frameSchema);
 
+/** What this process has sent to peers since its start. */
+export const peerTraffic = {messages: 0, bytes: 0};
+
 function serialize(frames: readonly Frame[]) {
-	return Buffer.from(JSON.stringify(frames));
+	const bytes = Buffer.from(JSON.stringify(frames));
+	peerTraffic.messages += 1;
+	peerTraffic.bytes += bytes.length;
+	return bytes;
 }
 
 function deserialize(bytes: Uint8Array): Frame[] {
--- a/packages/verbenarouter/src/entry-vm.ts
+++ b/packages/verbenarouter/src/entry-vm.ts
@@ -13,7 +13,7 @@
 	type MachineList,
 } from '@verbenarouter/core';
 import {createOperatorServer} from '@verbenarouter/operator';
-import {PeerMesh, type Hello} from '@verbenarouter/peer';
+import {PeerMesh, peerTraffic, type Hello} from '@verbenarouter/peer';
 import {HttpPlatform} from '@verbenarouter/platform';
 import {HttpTaskTargets} from '@verbenarouter/target';
 import {createCatalogue} from './catalogue.js';
@@ -63,6 +63,10 @@
 	const metrics = new Metrics(() => ({
 		submissionsRemembered: memory.size,
 		jobsActive: dispatcher.activeJobs,
+		tasksWaiting: dispatcher.waitingTasks,
+		tasksInFlight: dispatcher.tasksInFlight,
+		peerMessagesSent: peerTraffic.messages,
+		peerBytesSent: peerTraffic.bytes,
 		catalogueOffset: catalogue.catalogue.nextOffset,
 		catalogueAgeMs: catalogue.ageMs ?? -1,
 		residentBytes: process.memoryUsage.rss(),
@@ -240,9 +244,9 @@
 }
 
 function slotsOf({placement, name}: Settings): SharedSlots | FixedSlotShares {
-	return placement.policy === 'owned-slots'
-		? new FixedSlotShares(name)
-		: new SharedSlots();
+	return placement.slots === 'shared'
+		? new SharedSlots()
+		: new FixedSlotShares(name);
 }
 
 function hostAndPort(address: string): {
--- a/packages/verbenarouter/src/settings.ts
+++ b/packages/verbenarouter/src/settings.ts
@@ -93,7 +93,7 @@
 				estimates: z.enum(['learned', 'declared']).default('learned'),
 				/** A job goes before those that arrive this many times its ideal response time after it. */
 				stretch: z.number().nonnegative().max(1000).default(4),
-				/** Milliseconds of all slots by which a team may run ahead of another that waits. */
+				/** Milliseconds of all slots by which a team may run ahead of another that waits; beyond that its jobs count as due later. */
 				fairnessMs: durationSchema.default(1000),
 			})
 			.readonly()
--- a/testing/src/load/comparison.ts
+++ b/testing/src/load/comparison.ts
@@ -1,7 +1,7 @@
 /** Runs policies side by side: each has an installation, and the rounds alternate between them with the same arrivals. */
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type Installation} from '../installation.js';
+import {call, type Installation} from '../installation.js';
 import {
 	entryProcessIds,
 	startLoadInstallation,
@@ -39,8 +39,10 @@
 	readonly mostBusySlots: number;
 	/** Refused tries (two messages each) over started tasks. */
 	readonly wastedTargetMessagesPerTask: number;
-	/** Submissions that were passed on to their owners (two frames each) over started tasks. */
-	readonly forwardMessagesPerTask: number;
+	/** All messages between entry VMs over started tasks, beyond those that are sent when nothing is offered. */
+	readonly peerMessagesPerTask: number;
+	/** Messages between entry VMs a second when nothing is offered. */
+	readonly idlePeerMessagesPerSecond: number;
 	/** Processor time of all entry VMs beyond what they use when nothing is offered. */
 	readonly cpuMicrosecondsPerStart: number;
 	readonly idleCpuShare: number;
@@ -48,6 +50,7 @@
 };
 
 const settleMs = 1500;
+const millisecondsPerSecond = 1000;
 const bytesPerMegabyte = 1_000_000;
 
 type Runner = {
@@ -58,6 +61,9 @@
 	readonly rounds: RoundReport[];
 	/** Cores that the entry VMs use together when nothing is offered. */
 	idleCpuShare: number;
+	/** Messages between entry VMs in a millisecond when nothing is offered. */
+	idlePeerMessageRate: number;
+	peerMessages: number;
 	cpuMs: number;
 	starts: number;
 	refusedFull: number;
@@ -116,6 +122,8 @@
 		measurement: new Measurement(offer.slots),
 		rounds: [],
 		idleCpuShare: 0,
+		idlePeerMessageRate: 0,
+		peerMessages: 0,
 		cpuMs: 0,
 		starts: 0,
 		refusedFull: 0,
@@ -127,8 +135,11 @@
 		const processIds = entryProcessIds(runner.installation);
 		await sleep(settleMs);
 		const before = await usageOf(processIds);
+		const messagesBefore = await peerMessagesOf(runner.installation);
 		await sleep(settleMs);
 		const after = await usageOf(processIds);
+		const messages = await peerMessagesOf(runner.installation);
+		runner.idlePeerMessageRate = (messages - messagesBefore) / settleMs;
 		runner.idleCpuShare = (after.cpuMs - before.cpuMs) / settleMs;
 	});
 	await Promise.all(idle);
@@ -159,6 +170,7 @@
 	const processIds = entryProcessIds(installation);
 	const startedAt = performance.now();
 	const before = await usageOf(processIds);
+	const messagesBefore = await peerMessagesOf(installation);
 	const recordsBefore = await installation.records();
 	runner.rounds.push(
 		await callers.round(arrivals, offer.durationMs, (served) => {
@@ -167,14 +179,28 @@
 	);
 	const after = await usageOf(processIds);
 	const records = await installation.records();
-	runner.cpuMs +=
-		after.cpuMs -
-		before.cpuMs -
-		runner.idleCpuShare * (performance.now() - startedAt);
+	const elapsedMs = performance.now() - startedAt;
+	runner.cpuMs += after.cpuMs - before.cpuMs - runner.idleCpuShare * elapsedMs;
+	runner.peerMessages +=
+		(await peerMessagesOf(installation)) -
+		messagesBefore -
+		runner.idlePeerMessageRate * elapsedMs;
 	runner.starts += records.starts.length - recordsBefore.starts.length;
 	runner.refusedFull += records.refusedFull - recordsBefore.refusedFull;
 }
 
+async function peerMessagesOf({entryVms}: Installation): Promise<number> {
+	const counts = await Promise.all(
+		entryVms.map(async ({operatorAddress}) => {
+			const {body} = await call<{
+				readonly gauges: Readonly<Record<string, number>>;
+			}>('GET', `${operatorAddress}/metrics.json`);
+			return body.gauges.peerMessagesSent ?? 0;
+		}),
+	);
+	return counts.reduce((sum, count) => sum + count, 0);
+}
+
 async function reportOf(
 	runner: Runner,
 	offeredMs: number,
@@ -184,7 +210,6 @@
 		installation.records(),
 		usageOf(entryProcessIds(installation)),
 	]);
-	const strayJobs = rounds.reduce((sum, {strayJobs: jobs}) => sum + jobs, 0);
 	return {
 		name: contender.name,
 		...measurement.summary(offeredMs),
@@ -196,7 +221,10 @@
 		wastedTargetMessagesPerTask: round(
 			(2 * runner.refusedFull) / Math.max(1, starts),
 		),
-		forwardMessagesPerTask: round((2 * strayJobs) / Math.max(1, starts)),
+		peerMessagesPerTask: round(runner.peerMessages / Math.max(1, starts)),
+		idlePeerMessagesPerSecond: round(
+			runner.idlePeerMessageRate * millisecondsPerSecond,
+		),
 		cpuMicrosecondsPerStart: round((runner.cpuMs * 1000) / Math.max(1, starts)),
 		idleCpuShare: round(runner.idleCpuShare),
 		residentMegabytes: round(usage.residentBytes / bytesPerMegabyte),
--- a/testing/src/load/load-run.ts
+++ b/testing/src/load/load-run.ts
@@ -5,7 +5,7 @@
 import {Agent, type Dispatcher} from 'undici';
 import {tokenOf, type Installation, type Part} from '../installation.js';
 import {type PlannedJob} from './mix.js';
-import {type ServedJob} from './measurement.js';
+import {steadyShare, type ServedJob} from './measurement.js';
 import {type Arrival} from './schedule.js';
 
 const reservationSize = 500;
@@ -204,7 +204,9 @@
 			job,
 			responseMs: elapsedMs - atMs,
 			answer,
-			isInWindow: elapsedMs <= this.#durationMs,
+			isInWindow:
+				elapsedMs <= this.#durationMs &&
+				elapsedMs > this.#durationMs * (1 - steadyShare),
 		});
 	}
 
--- a/testing/src/load/measurement.ts
+++ b/testing/src/load/measurement.ts
@@ -3,6 +3,9 @@
 import {type JobAnswer} from '@verbenarouter/core';
 import {longestMs, workMs, type PlannedJob} from './mix.js';
 
+/** Last part of a round, in which the queues have filled as far as they will, as a share of it. */
+export const steadyShare = 2 / 3;
+
 const ratioScale = 1000;
 const histogramDigits = 3;
 const highestRatio = 100_000_000;
@@ -27,7 +30,7 @@
 	/** Milliseconds from the intended arrival to the answer. */
 	readonly responseMs: number;
 	readonly answer: JobAnswer;
-	/** Whether the answer came while load was still offered. */
+	/** Whether the answer came in the last part of the round in which load was offered, see {@link steadyShare}. */
 	readonly isInWindow: boolean;
 };
 
@@ -85,9 +88,9 @@
 			tasks: this.#tasks,
 			completedTasks: this.#completedTasks,
 			completedTasksPerSecond: round(this.#completedTasks / (offeredMs / 1000)),
-			/** Work of jobs that completed while load was offered, as a share of what the slots can do. */
+			/** Work of jobs that completed in the steady part of the rounds, as a share of what the slots can do. */
 			completedShareOfSlots: round(
-				this.#completedWorkMs / (this.#slots * offeredMs),
+				this.#completedWorkMs / (this.#slots * offeredMs * steadyShare),
 			),
 			endings: Object.fromEntries(
 				[...this.#endings].toSorted(([a], [b]) => a.localeCompare(b)),
--- a/testing/src/load/table.ts
+++ b/testing/src/load/table.ts
@@ -27,7 +27,11 @@
 			'wasted target messages/task',
 			(report) => `${report.wastedTargetMessagesPerTask}`,
 		],
-		['forward messages/task', (report) => `${report.forwardMessagesPerTask}`],
+		['peer messages/task', (report) => `${report.peerMessagesPerTask}`],
+		[
+			'peer messages/s when idle',
+			(report) => `${report.idlePeerMessagesPerSecond}`,
+		],
 		['double starts', (report) => `${report.doubleStarts}`],
 		['most busy slots of a target', (report) => `${report.mostBusySlots}`],
 		['entry VM CPU µs/start', (report) => `${report.cpuMicrosecondsPerStart}`],
