--- a/packages/verbenarouter/src/settings.ts
+++ b/packages/verbenarouter/src/settings.ts
@@ -79,7 +79,12 @@
 			.prefault({}),
 		placement: z
 			.strictObject({
-				policy: z.enum(placementPolicyNames).default('owned-slots'),
+				policy: z.enum(placementPolicyNames).default('least-in-flight'),
+				/**
+				 * Which slots of the targets may be filled: a share that is lent between entry VMs, a fixed share, or all of
+				 * them, when targets have to refuse what is too much.
+				 */
+				slots: z.enum(['lent', 'fixed', 'shared']).default('lent'),
 				/** Order of the waiting jobs; `first-in-first-out` is the baseline. */
 				order: z
 					.enum(['fair-shortest-first', 'first-in-first-out'])
@@ -88,7 +93,7 @@
 				estimates: z.enum(['learned', 'declared']).default('learned'),
 				/** A job goes before those that arrive this many times its ideal response time after it. */
 				stretch: z.number().nonnegative().max(1000).default(4),
-				/** Milliseconds of all slots by which a team may run ahead of another that waits. */
+				/** Milliseconds of all slots by which a team may run ahead of another that waits; beyond that its jobs count as due later. */
 				fairnessMs: durationSchema.default(1000),
 			})
 			.readonly()
