Platform's stand-in: answers are really lost, calls really cut, and counted

Cause: destroying a request whose body was read does not cut its connection, so a lost append answer arrived after all, and every test that relied on it tested nothing; an append without a body was taken as a record. Change: the connection is cut and the reply taken out of the server's hands; appends can also be lost before they take effect; a body-less append is refused; calls are counted. An entry VM is ready only when it has a list of VMs.

--- a/packages/verbenarouter/src/entry-vm.ts
+++ b/packages/verbenarouter/src/entry-vm.ts
@@ -88,7 +88,10 @@
 		clock,
 		log,
 		hasCatalogue: () => catalogue.isLoaded,
-		isReady: () => catalogue.isLoaded && !isStopping,
+		isReady: () =>
+			catalogue.isLoaded &&
+			catalogueParts.list.newest !== undefined &&
+			!isStopping,
 	});
 	const mesh: PeerMesh = new PeerMesh({
 		name: settings.name,
--- a/testing/src/platform-stand-in.ts
+++ b/testing/src/platform-stand-in.ts
@@ -1,6 +1,10 @@
 /** A small stand-in for the platform: a log in memory, a list of VMs, and faults on request. */
 import {machineListSchema, type MachineList} from '@verbenarouter/core';
-import fastify, {type FastifyInstance} from 'fastify';
+import fastify, {
+	type FastifyInstance,
+	type FastifyReply,
+	type FastifyRequest,
+} from 'fastify';
 import {z} from 'zod';
 
 const querySchema = z.object({
@@ -16,11 +20,21 @@
 	delayMs: z.number().nonnegative().default(0),
 	/** This many appends take effect and then lose their answers. */
 	loseAppendAnswers: z.number().int().nonnegative().default(0),
+	/** This many appends are lost before they take effect, which looks the same to their writers. */
+	loseAppends: z.number().int().nonnegative().default(0),
 });
 
 /** Faults that the stand-in can be told to have. */
 export type PlatformFaults = z.infer<typeof platformFaultsSchema>;
 
+/** Calls that the stand-in has answered or cut since it started. */
+export type PlatformCounts = {
+	readonly appends: number;
+	readonly reads: number;
+	readonly machines: number;
+	readonly usage: number;
+};
+
 type Stream = {
 	oldestOffset: number;
 	readonly records: unknown[];
@@ -41,13 +55,18 @@
 		return stream;
 	};
 
-	server.addHook('onRequest', async (request) => {
+	let counts: PlatformCounts = {appends: 0, reads: 0, machines: 0, usage: 0};
+	const count = (name: keyof PlatformCounts) => {
+		counts = {...counts, [name]: counts[name] + 1};
+	};
+
+	server.addHook('onRequest', async (request, reply) => {
 		if (request.url.startsWith('/control')) {
 			return;
 		}
 
 		if (faults.isDown) {
-			request.raw.destroy();
+			return cut(request, reply);
 		}
 
 		if (faults.delayMs > 0) {
@@ -60,11 +79,21 @@
 	server.post<{Params: {stream: string}}>(
 		'/logs/:stream/records',
 		async (request, reply) => {
+			count('appends');
+			if (request.body === undefined || request.body === null) {
+				return reply.code(400).send({message: 'a record is needed'});
+			}
+
+			if (faults.loseAppends > 0) {
+				faults = {...faults, loseAppends: faults.loseAppends - 1};
+				return cut(request, reply);
+			}
+
 			const stream = streamOf(request.params.stream);
 			stream.records.push(request.body);
 			if (faults.loseAppendAnswers > 0) {
 				faults = {...faults, loseAppendAnswers: faults.loseAppendAnswers - 1};
-				request.raw.destroy();
+				return cut(request, reply);
 			}
 
 			return reply.send({
@@ -76,6 +105,7 @@
 	server.get<{Params: {stream: string}}>(
 		'/logs/:stream/records',
 		async (request, reply) => {
+			count('reads');
 			const query = querySchema.safeParse(request.query);
 			if (!query.success) {
 				return reply.code(400).send({message: z.prettifyError(query.error)});
@@ -94,12 +124,16 @@
 		},
 	);
 
-	server.get(
-		'/machines',
-		async ({headers: {host = ''}}) =>
-			lists.get(host) ?? lists.get('') ?? emptyList,
-	);
-	server.get('/usage', async () => ({workers: []}));
+	server.get('/machines', async ({headers: {host = ''}}) => {
+		count('machines');
+		return lists.get(host) ?? lists.get('') ?? emptyList;
+	});
+	server.get('/usage', async () => {
+		count('usage');
+		return {workers: []};
+	});
+
+	server.get('/control/counts', async () => counts);
 
 	server.put<{Querystring: {host?: string}}>(
 		'/control/machines',
@@ -135,3 +169,10 @@
 
 	return server;
 }
+
+/** Cuts the connection without an answer. */
+function cut(request: FastifyRequest, reply: FastifyReply): FastifyReply {
+	void reply.hijack();
+	request.raw.socket.destroy();
+	return reply;
+}
--- /dev/null
+++ b/testing/src/tests/platform-stand-in.test.ts
@@ -0,0 +1,104 @@
+import {HttpPlatform} from '@verbenarouter/platform';
+import {type FastifyInstance} from 'fastify';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {call} from '../http-call.js';
+import {
+	createPlatformStandIn,
+	type PlatformFaults,
+} from '../platform-stand-in.js';
+
+describe('the platform client against the stand-in', () => {
+	let server: FastifyInstance;
+	let address: string;
+	let platform: HttpPlatform;
+
+	beforeEach(async () => {
+		server = createPlatformStandIn();
+		address = await server.listen({host: '127.0.0.1', port: 0});
+		platform = new HttpPlatform({address, timeoutMs: 300});
+	});
+
+	afterEach(async () => {
+		await platform.close();
+		server.server.closeAllConnections();
+		await server.close();
+	});
+
+	async function setFaults(faults: Partial<PlatformFaults>) {
+		await call('PUT', `${address}/control/faults`, faults);
+	}
+
+	async function records(stream = 'catalogue') {
+		const page = await platform.read(stream, 0, 100);
+		return page._unsafeUnwrap();
+	}
+
+	it('appends nothing while the platform is down', async () => {
+		await setFaults({isDown: true});
+		const failure = await platform.append('catalogue', {value: 1});
+		expect(failure._unsafeUnwrapErr()).toMatchObject({
+			code: 'unreachable',
+			mayHaveTakenEffect: true,
+		});
+		await setFaults({});
+		expect(await records()).toMatchObject({records: [], endOffset: 0});
+	});
+
+	it('loses the answer of an append that took effect', async () => {
+		await setFaults({loseAppendAnswers: 1});
+		const failure = await platform.append('catalogue', {value: 1});
+		expect(failure._unsafeUnwrapErr().mayHaveTakenEffect).toBe(true);
+		const second = await platform.append('catalogue', {value: 2});
+		expect(second._unsafeUnwrap()).toBe(1);
+		expect(await records()).toMatchObject({endOffset: 2});
+	});
+
+	it('loses an append that has no effect, which looks the same to its writer', async () => {
+		await setFaults({loseAppends: 1});
+		const failure = await platform.append('catalogue', {value: 1});
+		expect(failure._unsafeUnwrapErr().mayHaveTakenEffect).toBe(true);
+		expect(await records()).toMatchObject({endOffset: 0});
+	});
+
+	it('gives up a call that takes too long', async () => {
+		await setFaults({delayMs: 2000});
+		const failure = await platform.read('catalogue', 0, 10);
+		expect(failure._unsafeUnwrapErr()).toMatchObject({code: 'timeout'});
+	});
+
+	it('keeps offsets when old records are dropped', async () => {
+		for (const value of [1, 2, 3]) {
+			// eslint-disable-next-line no-await-in-loop -- in order
+			await platform.append('catalogue', {value});
+		}
+
+		await call('POST', `${address}/control/logs/catalogue/drop-before/2`);
+		expect(await records()).toEqual({
+			records: [{offset: 2, record: {value: 3}}],
+			oldestOffset: 2,
+			endOffset: 3,
+		});
+	});
+
+	it('proves that an append did nothing when it was refused or could not connect', async () => {
+		const refused = await platform.append('catalogue', undefined);
+		expect(refused._unsafeUnwrapErr()).toMatchObject({
+			code: 'refused',
+			mayHaveTakenEffect: false,
+		});
+		await server.close();
+		const unreachable = await platform.append('catalogue', {value: 1});
+		expect(unreachable._unsafeUnwrapErr()).toMatchObject({
+			code: 'unreachable',
+			mayHaveTakenEffect: false,
+		});
+	});
+
+	it('counts the calls', async () => {
+		await platform.append('catalogue', {value: 1});
+		await records();
+		await records('other');
+		const {body} = await call('GET', `${address}/control/counts`);
+		expect(body).toEqual({appends: 1, reads: 2, machines: 0, usage: 0});
+	});
+});
