Command line: catalogue list, show, put, delete, history, edit, status

Cause: operators had the HTTP interface only. Change: one command for each question, JSON on request, an exit code for each answer, items as JSON with comments. Ruled out: an edit identifier made up by the command (an edit that is sent again with the same revision cannot take effect twice, and the interface could then no longer prove that nothing was written).

--- a/packages/verbenarouter/src/command.ts
+++ b/packages/verbenarouter/src/command.ts
@@ -3,6 +3,7 @@
 import process from 'node:process';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import {catalogueCommand} from './commands/catalogue.js';
 import {checkSettingsCommand} from './commands/check-settings.js';
 import {entryCommand} from './commands/entry.js';
 import {
@@ -18,6 +19,7 @@
 	.command(submitCommand)
 	.command(statusCommand)
 	.command(cancelCommand)
+	.command(catalogueCommand)
 	.demandCommand(1, 'Name a command; --help lists them.')
 	.strict()
 	.help()
--- a/packages/verbenarouter/src/commands/exit-code.ts
+++ b/packages/verbenarouter/src/commands/exit-code.ts
@@ -10,11 +10,17 @@
 	badInput: 2,
 	/** An address cannot be bound, or a server cannot be reached. */
 	unavailable: 3,
+	/** The token is not that of a team with the role that is needed. */
+	unauthenticated: 4,
+	/** The catalogue has no such item or edit. */
+	notFound: 5,
+	/** The item has another revision than the one that the edit was based on. */
+	conflict: 6,
 	/** The job failed: some of its tasks ran. */
 	failed: 10,
-	/** The job did not run and will not: it may be submitted again under another identifier. */
+	/** The job did not run, or the edit did not take effect, and will not: it may be sent again under another identifier. */
 	notRun: 11,
-	/** The job may have run: submitting it again under another identifier may run it twice. */
+	/** The job may have run, or the edit may have taken effect: ask again before sending it under another identifier. */
 	mayHaveRun: 12,
 } as const;
 
--- /dev/null
+++ b/testing/src/tests/catalogue-command.test.ts
@@ -0,0 +1,112 @@
+import {execFile} from 'node:child_process';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {
+	Installation,
+	command,
+	entryItem,
+	teamItem,
+	tokenOf,
+} from '../installation.js';
+
+type Ended = {
+	readonly code: number;
+	readonly stdout: string;
+	readonly stderr: string;
+};
+
+describe('verbenarouter catalogue', () => {
+	let installation: Installation;
+	let directory: string;
+
+	beforeAll(async () => {
+		directory = await mkdtemp(path.join(tmpdir(), 'catalogue-command-'));
+		await writeFile(path.join(directory, 'token'), tokenOf('operators'));
+		await writeFile(path.join(directory, 'wrong'), 'wrong');
+		await writeFile(
+			path.join(directory, 'entry.jsonc'),
+			`// A comment\n${JSON.stringify(entryItem('macro-check'))}`,
+		);
+		await writeFile(
+			path.join(directory, 'bad.jsonc'),
+			'{"kind": "entry", "name": "price-check", "idempotent": "yes"}',
+		);
+		installation = await Installation.start({
+			zones: ['zone-a'],
+			entryVmsPerZone: 1,
+			targetsPerZone: 1,
+			items: [teamItem('coastal'), teamItem('operators', {role: 'operator'})],
+		});
+	});
+
+	afterAll(async () => {
+		await installation.stop();
+		await rm(directory, {recursive: true});
+	});
+
+	async function run(
+		words: readonly string[],
+		tokenFile = 'token',
+	): Promise<Ended> {
+		return new Promise((resolve) => {
+			const child = execFile(
+				process.execPath,
+				[
+					command,
+					'catalogue',
+					...words,
+					'--entry-vm',
+					installation.entryVms[0]!.operatorAddress,
+					'--token-file',
+					path.join(directory, tokenFile),
+				],
+				(_error, stdout, stderr) => {
+					resolve({code: child.exitCode ?? -1, stdout, stderr});
+				},
+			);
+		});
+	}
+
+	it('puts, shows, lists and deletes, with an exit code for each answer', async () => {
+		const file = path.join(directory, 'entry.jsonc');
+		const put = await run(['put', file, '--json']);
+		expect(put.code).toBe(0);
+		const {revision} = JSON.parse(put.stdout) as {revision: number};
+		const conflict = await run(['put', file]);
+		expect([conflict.code, conflict.stderr]).toEqual([
+			6,
+			expect.stringContaining(`the item has revision ${revision}`),
+		]);
+		const shown = await run(['show', 'entry', 'macro-check']);
+		expect(shown.stdout).toContain(`// revision ${revision}`);
+		const listed = await run(['list']);
+		expect(listed.stdout.trim().split('\n')).toHaveLength(3);
+		const status = await run(['status', '--revision', String(revision)]);
+		expect(status.stdout).toContain('is known to be in force everywhere');
+		const deleted = await run([
+			'delete',
+			'entry',
+			'macro-check',
+			'--based-on',
+			String(revision),
+		]);
+		expect(deleted.code).toBe(0);
+		const history = await run(['history', 'entry', 'macro-check']);
+		expect(history.stdout.trim().split('\n')).toHaveLength(2);
+		expect(await run(['show', 'entry', 'macro-check'])).toMatchObject({
+			code: 5,
+		});
+	});
+
+	it('names every fault, and a token that may not', async () => {
+		const bad = await run(['put', path.join(directory, 'bad.jsonc')]);
+		expect(bad.code).toBe(2);
+		expect(bad.stderr).toContain('item.idempotent: ');
+		expect(bad.stderr).toContain('item.limits: ');
+		expect(await run(['list'], 'wrong')).toMatchObject({code: 4});
+		expect(await run(['list'], 'missing')).toMatchObject({code: 2});
+	});
+});
