--- a/packages/core/src/submission-memory.ts
+++ b/packages/core/src/submission-memory.ts
@@ -26,22 +26,11 @@
 	sizeOf,
 	withoutOutputs,
 	type Admission,
+	type MemoryLimits,
 	type RunningRecord,
 	type SettledRecord,
 } from './submission-record.js';
 
-/** Bounds of the memory of submissions. */
-export type MemoryLimits = {
-	/** Milliseconds after its issue during which an identifier may start. */
-	readonly startWindowMs: number;
-	/** Milliseconds for which a settled submission is remembered at least. */
-	readonly retentionMs: number;
-	/** Greatest difference in milliseconds between the clocks of two entry VMs. */
-	readonly clockSkewMs: number;
-	/** Bytes of answers that are kept; the oldest outputs are dropped first, their verdicts stay. */
-	readonly answerBytes: number;
-};
-
 /**
  * - `open`: starts submissions.
  * - `closed`: a hand-over may have been received; starts nothing.
--- a/packages/core/src/submission-record.ts
+++ b/packages/core/src/submission-record.ts
@@ -4,6 +4,18 @@
 import {type JobAnswer} from './job.js';
 import {refusal, type Refusal, type Verdict} from './verdict.js';
 
+/** Bounds of the memory of submissions. */
+export type MemoryLimits = {
+	/** Milliseconds after its issue during which an identifier may start. */
+	readonly startWindowMs: number;
+	/** Milliseconds for which a settled submission is remembered at least. */
+	readonly retentionMs: number;
+	/** Greatest difference in milliseconds between the clocks of two entry VMs. */
+	readonly clockSkewMs: number;
+	/** Bytes of answers that are kept; the oldest outputs are dropped first, their verdicts stay. */
+	readonly answerBytes: number;
+};
+
 /** A submission that has started and has no answer yet. */
 export type RunningRecord = {
 	readonly team: string;
--- a/packages/peer/src/peer-mesh.ts
+++ b/packages/peer/src/peer-mesh.ts
@@ -203,9 +203,9 @@
 	async #receive(frame: Frame, batch: FrameBatch): Promise<void> {
 		switch (frame.type) {
 			case 'hello': {
-				this.#links
-					.get(frame.hello.incarnation.entryVm)
-					?.link.heard(frame.hello);
+				const {entryVm, nonce} = frame.hello.incarnation;
+				this.#linkedFrom.set(entryVm, nonce);
+				this.#links.get(entryVm)?.link.heard(frame.hello);
 				this.#options.onHello(frame.hello);
 				batch.add({type: 'hello', hello: this.#options.hello()});
 				break;
