Headroom beside a job that has most of the slots; samples of busy slots

Cause: a small job that meets a plan rebuild at its entry VM waits for one of its tasks to end. Change: such a job leaves a share of the slots free, but for ten seconds after a refusal for want of slots. The load tool samples tasks at targets. Not measured yet.

--- a/packages/core/src/target-board.ts
+++ b/packages/core/src/target-board.ts
@@ -46,6 +46,8 @@
 export type Choice = {
 	readonly candidates: readonly KnownTarget[];
 	readonly passedOver: Readonly<PassedOver>;
+	/** Slots that may be filled now on targets of all kinds. */
+	readonly freeSlots: number;
 };
 
 /** A target that said itself that it leaves may be tried again after this time, when the list still calls it live. */
@@ -133,6 +135,7 @@
 		const isCapped = this.#isMostlyAside(now);
 		let candidates: KnownTarget[] = [];
 		let best = worstTier;
+		let freeSlots = 0;
 		for (const known of this.#listed) {
 			const reason = this.#reasonAgainst(known, needs, now, isCapped);
 			if (reason !== undefined) {
@@ -140,6 +143,7 @@
 				continue;
 			}
 
+			freeSlots += this.#slots.free(known.target);
 			const tier = this.#tierOf(known);
 			if (tier < best) {
 				best = tier;
@@ -151,7 +155,7 @@
 			}
 		}
 
-		return {candidates, passedOver};
+		return {candidates, passedOver, freeSlots};
 	}
 
 	/** Records that a task is about to be sent; returns whether a slot was free for it. */
--- a/packages/core/src/tests/job-queue.test.ts
+++ b/packages/core/src/tests/job-queue.test.ts
@@ -31,6 +31,19 @@
 	return [job.identifier, ...served(queue)];
 }
 
+/** Adds a small job, then serves the job that is next. */
+function serveAmongSmall(
+	queue: JobQueue<WaitingJob>,
+	index: number,
+	team: string,
+): string {
+	add(queue, jobFixture(`small-${index}`, {team, arrivedAtMs: index * 100}));
+	const job = queue.next(() => true)!;
+	queue.served(job, job.waitingMs);
+	queue.remove(job);
+	return job.identifier;
+}
+
 describe('first in, first out', () => {
 	it('serves jobs as they came', () => {
 		const queue = new FirstInFirstOut<WaitingJob>();
@@ -88,19 +101,9 @@
 				(workMs, teams) => {
 					const queue = fairQueue();
 					add(queue, jobFixture('waits', {workMs}));
-					const turns = Array.from({length: 1000}, (_, index) => {
-						add(
-							queue,
-							jobFixture(`small-${index}`, {
-								team: `team-${index % teams}`,
-								arrivedAtMs: index * 100,
-							}),
-						);
-						const job = queue.next(() => true)!;
-						queue.served(job, job.waitingMs);
-						queue.remove(job);
-						return job.identifier;
-					});
+					const turns = Array.from({length: 1000}, (_, index) =>
+						serveAmongSmall(queue, index, `team-${index % teams}`),
+					);
 					expect(turns).toContain('waits');
 				},
 			),
--- a/packages/verbenarouter/src/dispatcher.ts
+++ b/packages/verbenarouter/src/dispatcher.ts
@@ -32,6 +32,7 @@
 
 const retryWithoutTargetsMs = 1000;
 const shortestFullMs = 20;
+const overloadMemoryMs = 10_000;
 
 /** What the dispatcher works with. */
 export type DispatcherParts = {
@@ -60,6 +61,8 @@
 	readonly #busy = new BusySlots();
 	readonly #active = new Map<string, ActiveJob>();
 	#waitingTasks = 0;
+	/** When a job was last refused at the door for want of slots. */
+	#refusedAtMs = Number.NEGATIVE_INFINITY;
 
 	constructor(parts: DispatcherParts) {
 		this.#parts = parts;
@@ -118,7 +121,7 @@
 
 		const {estimates, queue} = this.#decisions;
 		const plan = new JobPlan(order, estimates, now);
-		return refusalAtDoor({
+		const reason = refusalAtDoor({
 			remainingMs: deadlineAtMs - now,
 			longestMs: plan.longestMs,
 			leastMs: estimates.leastMs(taskKind(order, 0)),
@@ -126,6 +129,8 @@
 			aheadMs: queue.aheadMs(plan),
 			busySlots: Math.max(this.#busy.count, this.#busy.mean(now)),
 		});
+		this.#refusedAtMs = reason?.code === 'overloaded' ? now : this.#refusedAtMs;
+		return reason;
 	}
 
 	/** Runs a job and gives its one answer. */
@@ -157,7 +162,9 @@
 		for (;;) {
 			const active = this.#decisions.queue.next(
 				(job) =>
-					!blocked.has(job.entry) && !blocked.has(`${job.team}/${job.entry}`),
+					!blocked.has(job.entry) &&
+					!blocked.has(job.identifier) &&
+					!blocked.has(`${job.team}/${job.entry}`),
 			);
 			if (active === undefined) {
 				break;
@@ -174,6 +181,8 @@
 				}
 
 				blocked.add(active.entry);
+			} else if (this.#leavesHeadroom(active, choice, now)) {
+				blocked.add(active.identifier);
 			} else if (this.#gate.mayStart(active.order, now)) {
 				this.#place(active, known, choice, now);
 			} else {
@@ -184,6 +193,23 @@
 		this.#parts.slots.want(this.#waitingTasks, now);
 	}
 
+	/**
+	 * Whether a job that has most of this entry VM's slots leaves the last free ones to others. Under overload none are
+	 * left, since every slot is wanted.
+	 */
+	#leavesHeadroom(
+		active: ActiveJob,
+		{freeSlots}: Choice,
+		now: number,
+	): boolean {
+		const slots = this.#busy.count + freeSlots;
+		return (
+			2 * active.inFlight.size > slots &&
+			freeSlots <= slots * this.#parts.placement.headroom &&
+			now - this.#refusedAtMs > overloadMemoryMs
+		);
+	}
+
 	/** Gives up what cannot end in time: when its tasks could no longer start, and at the deadline. */
 	#watchDeadline(active: ActiveJob): void {
 		const {order} = active;
--- a/packages/verbenarouter/src/settings.ts
+++ b/packages/verbenarouter/src/settings.ts
@@ -95,6 +95,8 @@
 				stretch: z.number().nonnegative().max(1000).default(4),
 				/** Milliseconds of all slots by which a team may run ahead of another that waits; beyond that its jobs count as due later. */
 				fairnessMs: durationSchema.default(1000),
+				/** Share of the slots that a job which has most of them leaves to other jobs, but for times of overload. */
+				headroom: z.number().nonnegative().max(1).default(0.15),
 			})
 			.readonly()
 			.prefault({}),
--- a/testing/src/load/comparison.ts
+++ b/testing/src/load/comparison.ts
@@ -8,7 +8,7 @@
 	type LoadInstallationOptions,
 } from './load-installation.js';
 import {LoadCallers, type RoundReport} from './load-run.js';
-import {Measurement, round} from './measurement.js';
+import {Measurement, round as rounded, steadyShare} from './measurement.js';
 import {usageOf} from './process-usage.js';
 import {planArrivals, type Offer} from './schedule.js';
 
@@ -33,6 +33,8 @@
 export type ContenderReport = ReturnType<Measurement['summary']> & {
 	readonly name: string;
 	readonly rounds: readonly RoundReport[];
+	/** Tasks at targets over slots, in the steady part of the rounds. */
+	readonly busyShareOfSlots: number;
 	readonly starts: number;
 	readonly doubleStarts: number;
 	readonly refusedFull: number;
@@ -50,6 +52,7 @@
 };
 
 const settleMs = 1500;
+const samplesPerRound = 40;
 const millisecondsPerSecond = 1000;
 const bytesPerMegabyte = 1_000_000;
 
@@ -59,6 +62,8 @@
 	readonly callers: LoadCallers;
 	readonly measurement: Measurement;
 	readonly rounds: RoundReport[];
+	/** Samples of the tasks at targets. */
+	readonly inFlight: number[];
 	/** Cores that the entry VMs use together when nothing is offered. */
 	idleCpuShare: number;
 	/** Messages between entry VMs in a millisecond when nothing is offered. */
@@ -121,6 +126,7 @@
 		callers: new LoadCallers(installation, strayEvery),
 		measurement: new Measurement(offer.slots),
 		rounds: [],
+		inFlight: [],
 		idleCpuShare: 0,
 		idlePeerMessageRate: 0,
 		peerMessages: 0,
@@ -172,11 +178,13 @@
 	const before = await usageOf(processIds);
 	const messagesBefore = await peerMessagesOf(installation);
 	const recordsBefore = await installation.records();
-	runner.rounds.push(
-		await callers.round(arrivals, offer.durationMs, (served) => {
+	const [round] = await Promise.all([
+		callers.round(arrivals, offer.durationMs, (served) => {
 			measurement.record(served);
 		}),
-	);
+		sampleInFlight(runner, offer.durationMs),
+	]);
+	runner.rounds.push(round);
 	const after = await usageOf(processIds);
 	const records = await installation.records();
 	const elapsedMs = performance.now() - startedAt;
@@ -189,18 +197,40 @@
 	runner.refusedFull += records.refusedFull - recordsBefore.refusedFull;
 }
 
-async function peerMessagesOf({entryVms}: Installation): Promise<number> {
+async function peerMessagesOf(installation: Installation): Promise<number> {
+	return gaugeOf(installation, 'peerMessagesSent');
+}
+
+/** Sum of one gauge over the entry VMs. */
+async function gaugeOf(
+	{entryVms}: Installation,
+	name: string,
+): Promise<number> {
 	const counts = await Promise.all(
 		entryVms.map(async ({operatorAddress}) => {
 			const {body} = await call<{
 				readonly gauges: Readonly<Record<string, number>>;
 			}>('GET', `${operatorAddress}/metrics.json`);
-			return body.gauges.peerMessagesSent ?? 0;
+			return body.gauges[name] ?? 0;
 		}),
 	);
 	return counts.reduce((sum, count) => sum + count, 0);
 }
 
+/** Samples the tasks at targets in the steady part of a round. */
+async function sampleInFlight(
+	{installation, inFlight}: Runner,
+	durationMs: number,
+): Promise<void> {
+	await sleep(durationMs * (1 - steadyShare));
+	for (let index = 0; index < samplesPerRound; index += 1) {
+		// eslint-disable-next-line no-await-in-loop -- one sample after the other
+		inFlight.push(await gaugeOf(installation, 'tasksInFlight'));
+		// eslint-disable-next-line no-await-in-loop
+		await sleep((durationMs * steadyShare) / samplesPerRound);
+	}
+}
+
 async function reportOf(
 	runner: Runner,
 	offeredMs: number,
@@ -214,19 +244,26 @@
 		name: contender.name,
 		...measurement.summary(offeredMs),
 		rounds,
+		busyShareOfSlots: rounded(
+			runner.inFlight.reduce((sum, count) => sum + count, 0) /
+				Math.max(1, runner.inFlight.length) /
+				measurement.slots,
+		),
 		starts,
 		doubleStarts: records.starts.length - new Set(records.starts).size,
 		refusedFull: runner.refusedFull,
 		mostBusySlots: records.mostBusySlots,
-		wastedTargetMessagesPerTask: round(
+		wastedTargetMessagesPerTask: rounded(
 			(2 * runner.refusedFull) / Math.max(1, starts),
 		),
-		peerMessagesPerTask: round(runner.peerMessages / Math.max(1, starts)),
-		idlePeerMessagesPerSecond: round(
+		peerMessagesPerTask: rounded(runner.peerMessages / Math.max(1, starts)),
+		idlePeerMessagesPerSecond: rounded(
 			runner.idlePeerMessageRate * millisecondsPerSecond,
 		),
-		cpuMicrosecondsPerStart: round((runner.cpuMs * 1000) / Math.max(1, starts)),
-		idleCpuShare: round(runner.idleCpuShare),
-		residentMegabytes: round(usage.residentBytes / bytesPerMegabyte),
+		cpuMicrosecondsPerStart: rounded(
+			(runner.cpuMs * 1000) / Math.max(1, starts),
+		),
+		idleCpuShare: rounded(runner.idleCpuShare),
+		residentMegabytes: rounded(usage.residentBytes / bytesPerMegabyte),
 	};
 }
--- a/testing/src/load/measure-starts.ts
+++ b/testing/src/load/measure-starts.ts
@@ -94,6 +94,7 @@
 			estimates: 'learned',
 			stretch: 4,
 			fairnessMs: 1000,
+			headroom: 0.15,
 		},
 		seed: 1,
 	});
--- a/testing/src/load/measurement.ts
+++ b/testing/src/load/measurement.ts
@@ -36,7 +36,6 @@
 
 /** Collects answers. */
 export class Measurement {
-	readonly #slots: number;
 	readonly #byClass = new Map<string, {ideal: Histogram; bound: Histogram}>();
 	readonly #endings = new Map<string, number>();
 	readonly #refusalMs = ratioHistogram();
@@ -45,9 +44,8 @@
 	#completedWorkMs = 0;
 	#jobs = 0;
 
-	constructor(slots: number) {
-		this.#slots = slots;
-	}
+	/** `slots` counts the slots of all targets. */
+	constructor(readonly slots: number) {}
 
 	/** Tasks of completed jobs. */
 	get completedTasks(): number {
@@ -74,7 +72,7 @@
 		this.#completedTasks += job.tasks.length;
 		this.#completedWorkMs += isInWindow ? workMs(job) : 0;
 		const ideal = longestMs(job);
-		const bound = Math.max(ideal, workMs(job) / this.#slots);
+		const bound = Math.max(ideal, workMs(job) / this.slots);
 		const {ideal: overIdeal, bound: overBound} = this.#histograms(job.entry);
 		overIdeal.recordValue(Math.round((responseMs / ideal) * ratioScale));
 		overBound.recordValue(Math.round((responseMs / bound) * ratioScale));
@@ -90,7 +88,7 @@
 			completedTasksPerSecond: round(this.#completedTasks / (offeredMs / 1000)),
 			/** Work of jobs that completed in the steady part of the rounds, as a share of what the slots can do. */
 			completedShareOfSlots: round(
-				this.#completedWorkMs / (this.#slots * offeredMs * steadyShare),
+				this.#completedWorkMs / (this.slots * offeredMs * steadyShare),
 			),
 			endings: Object.fromEntries(
 				[...this.#endings].toSorted(([a], [b]) => a.localeCompare(b)),
--- a/testing/src/load/table.ts
+++ b/testing/src/load/table.ts
@@ -21,6 +21,7 @@
 				] as const,
 		),
 		['completed work / slots', (report) => `${report.completedShareOfSlots}`],
+		['busy slots / slots', (report) => `${report.busyShareOfSlots}`],
 		['completed tasks/s', (report) => `${report.completedTasksPerSecond}`],
 		['endings', ({endings}) => endingsOf(endings)],
 		[
