--- a/testing/src/measure-catalogue.ts
+++ b/testing/src/measure-catalogue.ts
@@ -156,3 +156,6 @@
 const relayed = await measureInForce(false);
 const readOnly = await measureInForce(true);
 console.table({'with relay': relayed, 'each reads alone': readOnly});
+// Connections that went silent would keep the process alive.
+// eslint-disable-next-line unicorn/no-process-exit
+process.exit();
