Relay: ask one peer at a time

Cause: a fresh entry VM asked every peer that said hello, and would have got the whole catalogue (1.57 MB at 850 items) 62 times at the size to design for; and a hello that came while its sender was asked was passed over until the next read of the log. Change: what peers last said is kept, and one of those that are ahead is asked at a time.

--- a/packages/verbenarouter/src/catalogue-relay.ts
+++ b/packages/verbenarouter/src/catalogue-relay.ts
@@ -28,6 +28,8 @@
 	readonly request: SendRequest;
 };
 
+type HeardPeer = ConnectedPeer & {readonly offset: number};
+
 /** Parts that the relay connects. */
 export type CatalogueRelayParts = {
 	readonly follower: CatalogueFollower;
@@ -42,7 +44,9 @@
 /** Passes the catalogue and the list of VMs between entry VMs. Knowledge only ever grows. */
 export class CatalogueRelay {
 	readonly #parts: CatalogueRelayParts;
-	readonly #asking = new Set<string>();
+	/** What peers last said of themselves. */
+	readonly #heard = new Map<string, HeardPeer>();
+	#isCatchingUp = false;
 	#nextPeer = 0;
 
 	constructor(parts: CatalogueRelayParts) {
@@ -67,12 +71,14 @@
 
 	/** Asks a peer that has reached a higher offset, or that may know the list of VMs while it is unknown here. */
 	heard(hello: Hello, request?: SendRequest): void {
-		const {follower, list} = this.#parts;
-		const isAhead =
-			(hello.catalogueOffset ?? 0) > follower.catalogue.nextOffset;
 		const name = hello.incarnation.entryVm;
-		if ((isAhead || list.newest === undefined) && !this.#asking.has(name)) {
-			void this.ask(name, request ?? this.#parts.request(name));
+		this.#heard.set(name, {
+			name,
+			offset: hello.catalogueOffset ?? 0,
+			request: request ?? this.#parts.request(name),
+		});
+		if (!this.#isCatchingUp) {
+			void this.#catchUp();
 		}
 	}
 
@@ -82,18 +88,14 @@
 		const peer = peers[this.#nextPeer % Math.max(1, peers.length)];
 		this.#nextPeer += 1;
 		if (peer !== undefined) {
-			await this.ask(peer.name, peer.request);
+			await this.ask(peer.request);
 		}
 	}
 
 	/** Asks a peer and learns from its reply; `undefined` when there is none. */
-	async ask(
-		name: string,
-		request: SendRequest,
-	): Promise<CatalogueReply | undefined> {
+	async ask(request: SendRequest): Promise<CatalogueReply | undefined> {
 		const {follower, list, clock} = this.#parts;
 		const askedAtMs = clock();
-		this.#asking.add(name);
 		const reply = await request(
 			{
 				kind: 'catalogue',
@@ -102,7 +104,6 @@
 			},
 			replyTimeoutMs,
 		);
-		this.#asking.delete(name);
 		if (reply.isErr() || reply.value.kind !== 'catalogue') {
 			return undefined;
 		}
@@ -125,7 +126,7 @@
 		);
 		const states = await Promise.all(
 			others.map(async ({name, zone}): Promise<EntryVmState> => {
-				const reply = await this.ask(name, this.#parts.request(name));
+				const reply = await this.ask(this.#parts.request(name));
 				return reply === undefined
 					? {entryVm: name, zone, inForce: 'unknown'}
 					: stateOf({name, zone}, revision, reply);
@@ -137,6 +138,31 @@
 			...states,
 		];
 	}
+
+	/** Asks one peer at a time, so that a fresh entry VM does not get the whole catalogue from each of them. */
+	async #catchUp(): Promise<void> {
+		this.#isCatchingUp = true;
+		for (
+			let peer = this.#peerAhead();
+			peer !== undefined;
+			peer = this.#peerAhead()
+		) {
+			// A peer that has more to say by then says hello again.
+			this.#heard.delete(peer.name);
+			// eslint-disable-next-line no-await-in-loop -- one peer after the other
+			await this.ask(peer.request);
+		}
+
+		this.#isCatchingUp = false;
+	}
+
+	#peerAhead(): HeardPeer | undefined {
+		const {follower, list} = this.#parts;
+		return [...this.#heard.values()].find(
+			({offset}) =>
+				offset > follower.catalogue.nextOffset || list.newest === undefined,
+		);
+	}
 }
 
 function entryVmsOf(list: MachineList | undefined) {
