Fresh entry VMs begin near the end of the log

Pages hold 200 records instead of 500. Seen: tests of the follower; the model begins near the end too, and still fails with any of five rules taken out.

--- a/packages/core/src/catalogue-replay.ts
+++ b/packages/core/src/catalogue-replay.ts
@@ -96,6 +96,12 @@
 		return this.#state.gap !== undefined;
 	}
 
+	/** Whether the log keeps records that were left out between the catalogue and the gap's far side. */
+	get hasSkipped(): boolean {
+		const {gap, oldestOffset} = this.#state;
+		return gap !== undefined && gap.fromOffset > oldestOffset;
+	}
+
 	/** Whether the log ended before the offset from which it was last read, so that it has lost records. */
 	get isLogBehind(): boolean {
 		return this.#state.isLogBehind;
@@ -148,6 +154,11 @@
 		);
 	}
 
+	/** The replay without the records beyond its gap, so that reading goes on where the catalogue ends. */
+	withoutGap(): CatalogueReplay {
+		return new CatalogueReplay({...this.#state, gap: undefined});
+	}
+
 	/** What brings a peer that lacks the records from an offset on up to date. */
 	updateFor(fromOffset: number): CatalogueUpdate {
 		const {tail, catalogue, lastSnapshot} = this.#state;
--- a/packages/core/src/tests/catalogue-model.test.ts
+++ b/packages/core/src/tests/catalogue-model.test.ts
@@ -10,6 +10,7 @@
 
 const seed = 20_260_801;
 const readers = 4;
+const tailRecords = 6;
 const names = ['a', 'b'] as const;
 const readerArbitrary = fc.nat(readers - 1);
 
@@ -43,6 +44,8 @@
 			do: fc.constant('read' as const),
 			reader: readerArbitrary,
 			limit: fc.integer({min: 1, max: 5}),
+			/** A fresh reader begins near the log's end, and one that found no snapshot there begins again. */
+			isNearEnd: fc.boolean(),
 		}),
 	},
 	{
@@ -128,10 +131,16 @@
 			}
 
 			case 'read': {
-				const replay = this.replays[step.reader]!;
+				const known = this.replays[step.reader]!;
+				const replay =
+					known.hasSkipped && !step.isNearEnd ? known.withoutGap() : known;
+				const from =
+					step.isNearEnd && replay.readFrom === 0
+						? Math.max(0, this.log.length - tailRecords)
+						: replay.readFrom;
 				this.#change(
 					step.reader,
-					replay.read(this.#page(replay, step.limit), replay.readFrom),
+					replay.read(this.#page(from, step.limit), from),
 				);
 				break;
 			}
@@ -194,8 +203,8 @@
 		);
 	}
 
-	#page(replay: CatalogueReplay, limit: number) {
-		const from = Math.max(replay.readFrom, this.oldestOffset);
+	#page(askedFrom: number, limit: number) {
+		const from = Math.max(askedFrom, this.oldestOffset);
 		return {
 			records: this.log
 				.map((record, offset) => ({offset, record}))
@@ -267,7 +276,7 @@
 					);
 					log.push(snapshotOf(whole.catalogue));
 					for (const reader of model.replays.keys()) {
-						model.take({do: 'read', reader, limit: 1000});
+						model.take({do: 'read', reader, limit: 1000, isNearEnd: false});
 						expect(model.replays[reader]!.isAtEnd).toBe(true);
 					}
 				},
--- a/packages/verbenarouter/src/catalogue-follower.ts
+++ b/packages/verbenarouter/src/catalogue-follower.ts
@@ -15,7 +15,10 @@
 /** The stream on which operators publish. */
 export const catalogueStream = 'catalogue';
 
-const recordsPerRead = 500;
+const recordsPerRead = 200;
+
+/** Records at the log's end in which a fresh entry VM looks for a snapshot before it reads the whole log. */
+const tailRecords = 600;
 
 /** Parts that the follower uses. */
 export type CatalogueFollowerParts = {
@@ -127,8 +130,32 @@
 	}
 
 	async #readToEnd(): Promise<boolean> {
+		const from =
+			this.#replay.readFrom === 0
+				? await this.#tailOffset()
+				: this.#replay.readFrom;
+		const isCurrent = from !== undefined && (await this.#readFrom(from));
+		if (!this.#couldRead || !this.#replay.hasSkipped) {
+			return isCurrent;
+		}
+
+		// No snapshot is near the end: whatever the log keeps is needed.
+		this.#replay = this.#replay.withoutGap();
+		return this.#readFrom(this.#replay.readFrom);
+	}
+
+	/** Offset a little before the log's end; `undefined` when the log cannot be read. */
+	async #tailOffset(): Promise<number | undefined> {
+		const page = await this.#parts.platform.read(catalogueStream, 0, 1);
+		this.#couldRead = page.isOk();
+		return page.isOk()
+			? Math.max(0, page.value.endOffset - tailRecords)
+			: undefined;
+	}
+
+	/** Reads from an offset to the log's end. */
+	async #readFrom(askedFrom: number): Promise<boolean> {
 		const askedAtMs = this.#parts.clock();
-		const askedFrom = this.#replay.readFrom;
 		const page = await this.#parts.platform.read(
 			catalogueStream,
 			askedFrom,
@@ -145,7 +172,7 @@
 		);
 		const {endOffset, records} = page.value;
 		if (records.length > 0 && this.#replay.readFrom < endOffset) {
-			return this.#readToEnd();
+			return this.#readFrom(this.#replay.readFrom);
 		}
 
 		if (hasNews) {
--- a/packages/verbenarouter/src/tests/catalogue-follower.test.ts
+++ b/packages/verbenarouter/src/tests/catalogue-follower.test.ts
@@ -42,6 +42,9 @@
 	readonly records: unknown[] = [];
 	oldestOffset = 0;
 	isDown = false;
+	/** Number of the read from which on the platform is down. */
+	failsAtRead = 0;
+	readonly readOffsets: number[] = [];
 
 	append(_stream: string, record: unknown) {
 		this.records.push(record);
@@ -49,6 +52,8 @@
 	}
 
 	read(_stream: string, fromOffset: number, limit: number) {
+		this.readOffsets.push(fromOffset);
+		this.isDown ||= this.readOffsets.length === this.failsAtRead;
 		const from = Math.max(fromOffset, this.oldestOffset);
 		return result<LogPage>(
 			this.isDown
@@ -136,6 +141,50 @@
 		expect(news).toEqual([1700]);
 	});
 
+	it('starts from a snapshot near the end of a long log', async () => {
+		const {platform, follower} = start();
+		platform.records.push(
+			...Array.from({length: 3000}, (_, index) =>
+				editOf(teamOf(`team-${index}`, 'caller')),
+			),
+		);
+		const known = new CatalogueReplay().learn(
+			replyOf(platform.records, 0, 0).update,
+		);
+		platform.records.push(
+			{
+				type: 'snapshot',
+				...known.catalogue.toSnapshot(),
+				author: 'entry-a',
+				writtenAtMs: 0,
+			},
+			editOf(teamOf('coastal', 'caller')),
+		);
+		expect(await follower.follow()).toBe(true);
+		expect(follower.catalogue.items).toHaveLength(3001);
+		expect(platform.readOffsets).toEqual([0, 2402, 2602, 2802]);
+		await follower.follow();
+		expect(platform.readOffsets.at(-1)).toBe(3002);
+	});
+
+	it('reads the whole log when its end has no snapshot, also after an outage in between', async () => {
+		const {platform, follower} = start();
+		platform.records.push(
+			...Array.from({length: 1000}, (_, index) =>
+				editOf(teamOf(`team-${index}`, 'caller')),
+			),
+		);
+		platform.failsAtRead = 3;
+		expect(await follower.follow()).toBe(false);
+		expect([follower.isLoaded, follower.catalogue.nextOffset]).toEqual([
+			false,
+			0,
+		]);
+		platform.isDown = false;
+		expect(await follower.follow()).toBe(true);
+		expect(follower.catalogue.items).toHaveLength(1000);
+	});
+
 	it('shows a gap, is not loaded, and goes on once a peer has closed it', async () => {
 		const {platform, follower} = start();
 		platform.records.push(
