--- a/packages/core/src/tests/submission-memory.test.ts
+++ b/packages/core/src/tests/submission-memory.test.ts
@@ -234,7 +234,11 @@
 			}
 
 			case 'deliver': {
-				this.#deliver(this.#messages[pick % this.#messages.length], isLost);
+				// Every other time the newest message, so that chains of successors come about.
+				this.#deliver(
+					this.#messages.at(pick % 2 === 0 ? -1 : pick % this.#messages.length),
+					isLost,
+				);
 				break;
 			}
 
@@ -254,7 +258,7 @@
 			}
 
 			case 'wait': {
-				this.#now += pick % 12;
+				this.#now += pick % 30;
 				for (const {memory, clockOffsetMs} of this.#vms) {
 					memory.forget(this.#now + clockOffsetMs);
 				}
@@ -392,7 +396,7 @@
 					}
 				},
 			),
-			{seed: 20_260_714, numRuns: 3000},
+			{seed: 20_260_714, numRuns: 10_000},
 		);
 	});
 });
--- a/testing/src/tests/ownership.test.ts
+++ b/testing/src/tests/ownership.test.ts
@@ -114,32 +114,57 @@
 		await expectStartedOnce([settled, running, unused, late]);
 	});
 
-	it('starts nothing while a frozen successor may have adopted its identifiers', async () => {
+	it('starts nothing while a frozen successor may have adopted its identifiers, and asks no other one', async () => {
 		const [late = '', unused = ''] = await caller.reserve(first, 2);
-		await kill(third, 'SIGKILL');
-		await installation.publishMachines((machine) =>
-			machine.name === third.name ? undefined : machine,
-		);
-		second.process.kill('SIGSTOP');
+		const [frozen, other] = [second, third].toSorted((a, b) =>
+			a.name.localeCompare(b.name),
+		) as [Part, Part];
+		frozen.process.kill('SIGSTOP');
 		const hasGone = kill(first, 'SIGTERM');
 		await untilNotReady(first);
-		const {body} = await caller.submit(first, late, jobOf(0));
-		expect(body.verdict).toBe('may-have-run');
+		const copies = await Promise.all(
+			[first, other].map(async (part) => caller.submit(part, late, jobOf(0))),
+		);
+		expect(copies.map(({body}) => body.verdict)).toEqual([
+			'may-have-run',
+			'may-have-run',
+		]);
 		await expectStartedOnce([]);
-		second.process.kill('SIGCONT');
+		frozen.process.kill('SIGCONT');
 		await hasGone;
 		const answers = await Promise.all(
 			[late, unused].map(async (identifier) =>
-				caller.submit(second, identifier, jobOf(0)),
+				caller.submit(frozen, identifier, jobOf(0)),
 			),
 		);
-		expect(answers.map(({body: {outputs}}) => outputs)).toEqual([
+		expect(answers.map(({body}) => body.outputs)).toEqual([
 			answerOf(late),
 			answerOf(unused),
 		]);
 		await expectStartedOnce([late, unused]);
 	});
 
+	it('finishes what is in flight when it stops with no peer in reach', async () => {
+		await Promise.all(
+			[second, third].map(async (part) => kill(part, 'SIGKILL')),
+		);
+		const [running = '', late = ''] = await caller.reserve(first, 2);
+		const original = caller.submit(first, running, jobOf(1000));
+		await untilRunning(running);
+		const hasGone = kill(first, 'SIGTERM');
+		await untilNotReady(first);
+		const answers = await Promise.all([
+			original,
+			caller.submit(first, late, jobOf(0)),
+		]);
+		expect(answers.map(({body}) => body.outputs)).toEqual([
+			answerOf(running),
+			answerOf(late),
+		]);
+		await hasGone;
+		await expectStartedOnce([running, late]);
+	});
+
 	it('says that a killed owner is out of reach, and that it is gone once there is proof', async () => {
 		const [running = '', unused = ''] = await caller.reserve(first, 2);
 		const forwarded = caller.submit(second, running, jobOf(60_000));
