--- a/packages/core/src/share-ledger.ts
+++ b/packages/core/src/share-ledger.ts
@@ -184,6 +184,11 @@
 			return false;
 		}
 
+		if (message.kind === 'left') {
+			this.peerGone(name);
+			return true;
+		}
+
 		if (message.kind === 'member-set') {
 			this.#adopt(message.set);
 			if (message.set.members.some((member) => member.name === name)) {
@@ -204,6 +209,19 @@
 		return hasGained.includes(true);
 	}
 
+	/** Ends this ledger at a planned stop, when nothing is in use any more; gives the messages that tell the peers so. */
+	leave(): readonly OutgoingLedgerMessage[] {
+		const messages = [...this.#members.peers.values()]
+			.filter(({incarnation}) => incarnation !== undefined)
+			.map((peer) => ({
+				to: peer.name,
+				message: {kind: 'left' as const, ...this.#between(peer)},
+			}));
+		this.#beginAnew();
+		this.#members.leave();
+		return messages;
+	}
+
 	/** Moves units, and gives the messages to send now. */
 	tick(now: number): readonly OutgoingLedgerMessage[] {
 		const announcements = this.#announce();
--- a/packages/core/src/share-members.ts
+++ b/packages/core/src/share-members.ts
@@ -110,6 +110,11 @@
 		this.#isListed = set.members.some(({name}) => name === this.#self);
 	}
 
+	/** Announces nothing any more, because this entry VM stops. */
+	leave(): void {
+		this.#isListed = false;
+	}
+
 	/** Begins anew, without base shares, as after a restart. */
 	reset(): void {
 		this.#hasBase = false;
--- a/packages/core/src/share-message.ts
+++ b/packages/core/src/share-message.ts
@@ -71,6 +71,10 @@
 			loans: z.array(loanRecordSchema).readonly(),
 		})
 		.readonly(),
+	/** The sender has stopped: it uses nothing any more, and will not again under this incarnation. */
+	z
+		.object({kind: z.literal('left'), from: z.string(), to: z.string()})
+		.readonly(),
 	/** The sender has taken the receiver for ended, and dropped its loans. The receiver begins anew. */
 	z
 		.object({kind: z.literal('ended'), from: z.string(), to: z.string()})
--- a/packages/peer/src/message.ts
+++ b/packages/peer/src/message.ts
@@ -2,6 +2,7 @@
 import {
 	catalogueUpdateSchema,
 	machineListSchema,
+	ledgerMessageSchema,
 	nameSchema,
 	refusalSchema,
 	submissionStateSchema,
@@ -229,6 +230,13 @@
 			reply: peerReplySchema,
 		})
 		.readonly(),
+	/** Messages between the share ledgers of both ends; they need no reply. */
+	z
+		.object({
+			type: z.literal('shares'),
+			messages: z.array(ledgerMessageSchema).readonly(),
+		})
+		.readonly(),
 	z.object({type: z.literal('ping')}).readonly(),
 	z.object({type: z.literal('pong')}).readonly(),
 ]);
--- a/packages/peer/src/peer-link.ts
+++ b/packages/peer/src/peer-link.ts
@@ -80,6 +80,16 @@
 		this.#batch?.add({type: 'hello', hello: this.#hello()});
 	}
 
+	/** Sends what needs no reply. It is lost while there is no working stream; returns whether there is one. */
+	notify(frame: Extract<Frame, {type: 'shares'}>): boolean {
+		if (this.#peer === undefined || this.#batch === undefined) {
+			return false;
+		}
+
+		this.#batch.add(frame);
+		return true;
+	}
+
 	/** Sends a request and waits for the reply. */
 	request(
 		request: PeerRequest,
--- a/packages/peer/src/peer-mesh.ts
+++ b/packages/peer/src/peer-mesh.ts
@@ -5,7 +5,7 @@
 	ServerCredentials,
 	type ServerDuplexStream,
 } from '@grpc/grpc-js';
-import {type EntryVm} from '@verbenarouter/core';
+import {type EntryVm, type LedgerMessage} from '@verbenarouter/core';
 import {ResultAsync, err} from 'neverthrow';
 import {FrameBatch} from './frame-batch.js';
 import {
@@ -30,6 +30,10 @@
 	readonly onRequest: (request: PeerRequest) => Promise<PeerReply>;
 	/** Hears what a peer says of itself. */
 	readonly onHello: (hello: Hello) => void;
+	/** Hears what the other end says on a stream that this entry VM opened, each time that it says so. */
+	readonly onLinkHello?: (hello: Hello) => void;
+	/** Hears messages of a peer's share ledger. */
+	readonly onShares?: (messages: readonly LedgerMessage[]) => void;
 };
 
 const closeGraceMs = 2000;
@@ -115,7 +119,10 @@
 					address,
 					this.#options.link,
 					this.#options.hello,
-					this.#options.onHello,
+					(hello) => {
+						this.#options.onHello(hello);
+						this.#options.onLinkHello?.(hello);
+					},
 				);
 				this.#links.set(name, {address, link});
 			}
@@ -129,6 +136,16 @@
 		}
 	}
 
+	/** Whether there is a working stream to a peer. */
+	isConnected(name: string): boolean {
+		return this.#links.get(name)?.link.peer !== undefined;
+	}
+
+	/** Sends messages of the share ledger to a peer; they are lost while there is no working stream. */
+	notify(name: string, messages: readonly LedgerMessage[]): void {
+		this.#links.get(name)?.link.notify({type: 'shares', messages});
+	}
+
 	/** Sends a request to a peer and waits for its reply. */
 	request(
 		name: string,
@@ -224,6 +241,11 @@
 				break;
 			}
 
+			case 'shares': {
+				this.#options.onShares?.(frame.messages);
+				break;
+			}
+
 			case 'pong':
 			case 'reply': {
 				break;
