Quotas of teams and entries, held over all entry VMs together

Cause: concurrency and starts per second of teams, entries and teams on an entry stood in the catalogue and nothing kept them.

Change: a gate asks the share ledger before each start (concurrency units, and a token bucket that fills at the rate of the units held); the ledger's messages go as a new frame on the peer streams. A job whose tasks can't all start within the rate before the deadline is refused at once (quota-exhausted, with the time after which the waiting tasks are through); other tasks wait for their units. Workers' slots have resources of the same ledger. A planned stop tells the peers, so that loans go back at once.

Two faults of the ledger, found by the process tests: an announcement that arrived before the receiver knew the sender was lost for ever (units stayed unusable, about every second start of four entry VMs; the sender now hears in each announcement what arrived and repeats), and an older reading of the list could unlist a listed entry VM. The model now brings up each stream on its own and failed before the repair (property failed after 1 and 3 schedules).

Ruled out: counting every waiting task as demand (units would be borrowed for tasks that wait for a worker); refused connections as evidence of an end (a firewall between zones refuses too).

--- a/packages/core/src/limit.ts
+++ b/packages/core/src/limit.ts
@@ -1,6 +1,7 @@
 /** The limits that a task has to stay within, as resources of a share ledger. */
 import {type Catalogue} from './catalogue.js';
 import {type Entry, type Quota, type Team} from './catalogue-entry.js';
+import {type Target} from './member.js';
 import {rateUnits} from './rate-share.js';
 import {type Capacity} from './share-split.js';
 
@@ -31,6 +32,23 @@
 	return `${kind}/${scope}`;
 }
 
+/** The resource of a worker's slots, which the entry VMs of its zone divide. */
+export function slotsResource(target: string): string {
+	return `slots/${target}`;
+}
+
+/** The capacity of a worker's slots. */
+export function slotsCapacity(
+	targets: ReadonlyMap<string, Target>,
+	resource: string,
+): Capacity | undefined {
+	const [kind, name = ''] = resource.split('/');
+	const target = kind === 'slots' ? targets.get(name) : undefined;
+	return target === undefined
+		? undefined
+		: {units: target.slots, zone: target.zone};
+}
+
 /** The quota that a catalogue has for a scope. */
 export function quotaOf(
 	catalogue: Pick<Catalogue, 'entry' | 'team'>,
--- a/packages/core/src/rate-share.ts
+++ b/packages/core/src/rate-share.ts
@@ -63,8 +63,7 @@
 	#roll(now: number): void {
 		const elapsedMs = now - this.#windowAtMs;
 		if (elapsedMs >= windowMs) {
-			this.#startsBefore =
-				elapsedMs < 2 * windowMs ? this.#startsInWindow : 0;
+			this.#startsBefore = elapsedMs < 2 * windowMs ? this.#startsInWindow : 0;
 			this.#startsInWindow = 0;
 			this.#windowAtMs = now;
 		}
--- a/packages/core/src/share-ledger.ts
+++ b/packages/core/src/share-ledger.ts
@@ -56,7 +56,7 @@
 
 	/** Takes the platform's newest list of entry VMs. A row that is gone is evidence that its process has ended. */
 	setMembers(set: MemberSet): void {
-		this.#members.noteListing(set);
+		this.#members.noteListRead();
 		this.#adopt(set);
 		if (
 			this.hasBase &&
@@ -162,12 +162,12 @@
 
 	/** Takes in a message; returns whether units may have become free. */
 	receive(name: string, message: LedgerMessage, now: number): boolean {
-		if (message.to !== this.#incarnation) {
+		if (message.kind === 'ended') {
+			this.#hearEnded(name, message.to);
 			return false;
 		}
 
-		if (message.kind === 'ended') {
-			this.#beginAnew();
+		if (message.to !== this.#incarnation) {
 			return false;
 		}
 
@@ -191,6 +191,11 @@
 
 		if (message.kind === 'member-set') {
 			this.#adopt(message.set);
+			if (message.heard < (peer.told ?? -1)) {
+				// The sender did not know this entry VM yet when it was told.
+				peer.told = undefined;
+			}
+
 			if (message.set.members.some((member) => member.name === name)) {
 				peer.announced.add(message.set.version);
 				this.#dropUnlisted(name);
@@ -270,6 +275,18 @@
 		peer.isVacant = false;
 	}
 
+	/** A peer takes an incarnation of this ledger for ended, or does not know its successor yet. */
+	#hearEnded(name: string, ended: string): void {
+		if (ended === this.#incarnation) {
+			this.#beginAnew();
+		}
+
+		const peer = this.#members.peers.get(name);
+		if (peer !== undefined) {
+			peer.told = undefined;
+		}
+	}
+
 	#tellEnded(name: string, process: string): void {
 		const ended = [...this.#endedIncarnations].findLast(
 			(incarnation) => processOf(incarnation) === process,
@@ -318,7 +335,12 @@
 
 		return this.#members.settle().map((peer) => ({
 			to: peer.name,
-			message: {kind: 'member-set', ...this.#between(peer), set},
+			message: {
+				kind: 'member-set',
+				...this.#between(peer),
+				set,
+				heard: Math.max(-1, ...peer.announced),
+			},
 		}));
 	}
 
--- a/packages/core/src/share-members.ts
+++ b/packages/core/src/share-members.ts
@@ -29,7 +29,7 @@
 	#splits: readonly ShareSplit[] = [];
 	#settledVersion = -1;
 	#hasBase = false;
-	#isListed = false;
+	#hasReadList = false;
 
 	constructor(self: string) {
 		this.#self = self;
@@ -49,8 +49,9 @@
 	get mustAnnounce(): boolean {
 		const version = this.newest?.set.version;
 		return (
-			this.#isListed &&
+			this.#hasReadList &&
 			version !== undefined &&
+			this.newest?.includes(this.#self) === true &&
 			(this.#settledVersion < version ||
 				[...this.#peers.values()].some(
 					({incarnation, told}) =>
@@ -103,16 +104,16 @@
 	}
 
 	/**
-	 * Notes whether the platform's own list names this entry VM. Before it does, nothing is announced: an older list,
-	 * learned from a peer, may name a predecessor whose row is about to go.
+	 * Notes that the platform's own list was read. Before that nothing is announced: an older list, learned from a peer,
+	 * may name a predecessor whose row is about to go.
 	 */
-	noteListing(set: MemberSet): void {
-		this.#isListed = set.members.some(({name}) => name === this.#self);
+	noteListRead(): void {
+		this.#hasReadList = true;
 	}
 
 	/** Announces nothing any more, because this entry VM stops. */
 	leave(): void {
-		this.#isListed = false;
+		this.#hasReadList = false;
 	}
 
 	/** Begins anew, without base shares, as after a restart. */
--- a/packages/core/src/share-message.ts
+++ b/packages/core/src/share-message.ts
@@ -61,6 +61,8 @@
 			from: z.string(),
 			to: z.string(),
 			set: memberSetSchema,
+			/** Version of the newest set that the sender has heard from the receiver; -1 for none. */
+			heard: z.number().int().min(-1),
 		})
 		.readonly(),
 	z
--- a/packages/core/src/slot-share.ts
+++ b/packages/core/src/slot-share.ts
@@ -1,5 +1,6 @@
 /** Ways to know which slots of the targets an entry VM may fill. */
 import {type EntryVm, type Target} from './member.js';
+import {slotsResource} from './limit.js';
 import {type ShareLedger} from './share-ledger.js';
 import {type SlotView} from './target-board.js';
 
@@ -174,10 +175,6 @@
 	}
 }
 
-function slotsResource(target: string): string {
-	return `slots/${target}`;
-}
-
 /** Equal parts; the odd slots go to other holders for each target. */
 function shareOf(
 	{name, slots}: Target,
--- a/packages/core/src/tests/share-network.ts
+++ b/packages/core/src/tests/share-network.ts
@@ -119,6 +119,7 @@
 		this.node(name)?.ledger.setMembers(this.#set);
 	}
 
+	/** The stream that one entry VM opened to another comes up. */
 	connect(from: string, to: string): void {
 		const [a, b] = [this.node(from), this.node(to)];
 		if (
@@ -128,9 +129,7 @@
 			!this.isCut(from, to)
 		) {
 			a.ledger.peerSeen(to, b.incarnation);
-			b.ledger.peerSeen(from, a.incarnation);
 			a.seen.push([to, b.incarnation]);
-			b.seen.push([from, a.incarnation]);
 		}
 	}
 
@@ -231,6 +230,8 @@
 			for (const to of this.names) {
 				this.connect(from, to);
 			}
+
+			this.run(1);
 		}
 
 		this.run(rounds);
--- a/packages/verbenarouter/src/entry-vm.ts
+++ b/packages/verbenarouter/src/entry-vm.ts
@@ -20,6 +20,7 @@
 import {steadyClock} from './clock.js';
 import {LoggerDecisionLog} from './decision-log.js';
 import {Dispatcher} from './dispatcher.js';
+import {Limits} from './limits.js';
 import {createLogger} from './logger.js';
 import {MeasuredJobService, MeasuredTaskTargets} from './measured.js';
 import {Metrics} from './metrics.js';
@@ -32,6 +33,8 @@
 
 const nonceBytes = 6;
 const secretBytes = 32;
+/** Time for the last messages of the share ledger to go out. */
+const leaveGraceMs = 20;
 const largestSeed = 2 ** 31;
 /** Longest time for which an entry VM that has just started waits for its links before it is ready. */
 const linkWaitMs = 3000;
@@ -77,6 +80,15 @@
 		metrics,
 		clock,
 	);
+	const limits = new Limits({
+		incarnation,
+		catalogue: () => catalogue.catalogue,
+		mesh: () => mesh,
+		clock,
+		onGain() {
+			dispatcher.resume();
+		},
+	});
 	const slots = slotsOf(settings);
 	const dispatcher: Dispatcher = new Dispatcher({
 		targets,
@@ -85,9 +97,10 @@
 		slots,
 		zone: settings.zone,
 		placement: settings.placement,
+		gate: limits.gate,
 		seed: randomInt(largestSeed),
 	});
-	const owner = new SubmissionOwner(memory, dispatcher, clock);
+	const owner = new SubmissionOwner(memory, dispatcher, clock, limits.gate);
 	const catalogueParts = createCatalogue({
 		settings,
 		platform,
@@ -125,6 +138,7 @@
 		log,
 		successor: () => sender.successor,
 	});
+	let relayedList: MachineList | undefined;
 	const router: SubmissionRouter = new SubmissionRouter({
 		memory,
 		owner,
@@ -150,6 +164,12 @@
 			search.updatePeer(heard);
 			catalogueParts.heard(heard);
 		},
+		onLinkHello(heard) {
+			limits.exchange.linkUp(heard);
+		},
+		onShares(messages) {
+			limits.exchange.receive(messages);
+		},
 	});
 	const callers = createCallerServer(
 		new MeasuredJobService(router, metrics, clock),
@@ -176,7 +196,9 @@
 	logger.info({event: 'started', incarnation: incarnationKey(incarnation)});
 
 	catalogueParts.start();
+	limits.exchange.start();
 	const polling = new AbortController();
+	let hasReadList = false;
 	const polled = poll();
 
 	async function poll(): Promise<void> {
@@ -199,7 +221,11 @@
 	async function readMachines(): Promise<void> {
 		const list = await platform.machines();
 		if (list.isOk()) {
+			hasReadList = true;
 			catalogueParts.list.read(list.value);
+			limits.updateMachines(list.value);
+		} else if (!hasReadList && relayedList !== undefined) {
+			limits.updateMachines(relayedList);
 		}
 	}
 
@@ -215,7 +241,9 @@
 		};
 	}
 
-	function updateMachines({machines}: MachineList): void {
+	function updateMachines(list: MachineList): void {
+		const {machines} = list;
+		relayedList = list;
 		const entryVms = machines.filter((machine) => machine.role === 'entry');
 		listedAtMs ??= clock();
 		mesh.updateMembers(entryVms);
@@ -236,6 +264,8 @@
 			await Promise.all([callers.close(), operators.close()]);
 			polling.abort();
 			await Promise.all([polled, catalogueParts.stop()]);
+			limits.exchange.stop();
+			await sleep(leaveGraceMs);
 			await mesh.close();
 			await Promise.all([targets.close(), platform.close()]);
 			logger.info({event: 'stopped'});
--- a/packages/verbenarouter/src/ledger-exchange.ts
+++ b/packages/verbenarouter/src/ledger-exchange.ts
@@ -9,14 +9,14 @@
 } from '@verbenarouter/core';
 import {type Hello, type PeerMesh} from '@verbenarouter/peer';
 import {type Clock} from './clock.js';
-import {type QuotaGate} from './quota-gate.js';
 
 const turnIntervalMs = 50;
 
 /** The parts that the exchange connects. */
 export type LedgerExchangeParts = {
 	readonly ledger: ShareLedger;
-	readonly gate: () => QuotaGate;
+	/** Prepares the ledger's turn; returns whether tasks that waited may start now. */
+	readonly beforeTurn: (now: number) => boolean;
 	readonly mesh: () => Pick<PeerMesh, 'notify'>;
 	readonly clock: Clock;
 	/** Hears that tasks that waited may find units now. */
@@ -37,9 +37,7 @@
 	/** Starts giving the ledger its turns. */
 	start(): void {
 		this.#timer = setInterval(() => {
-			if (this.#parts.gate().isBusy || this.#parts.ledger.isBusy) {
-				this.#turn();
-			}
+			this.#turn();
 		}, turnIntervalMs);
 	}
 
@@ -108,7 +106,7 @@
 		}
 
 		const now = this.#parts.clock();
-		const mayStart = this.#parts.gate().review(now);
+		const mayStart = this.#parts.beforeTurn(now);
 		this.#send(this.#parts.ledger.tick(now));
 		if (mayStart) {
 			this.#parts.onGain();
--- a/packages/verbenarouter/src/quota-gate.ts
+++ b/packages/verbenarouter/src/quota-gate.ts
@@ -115,11 +115,6 @@
 		return mayStart.includes(true);
 	}
 
-	/** Whether anything here is used or wanted. */
-	get isBusy(): boolean {
-		return this.#busy.size > 0;
-	}
-
 	#jobOf(order: JobOrder): AdmittedJob {
 		const known = this.#jobs.get(order);
 		if (known !== undefined) {
@@ -198,7 +193,11 @@
 			scope.rate,
 			isShortOfRate ? scope.share.unitsFor(waiting, rate) : 0,
 		);
-		if (!isWaiting && used === 0 && this.#ledger.inUse(scope.concurrency) === 0) {
+		if (
+			!isWaiting &&
+			used === 0 &&
+			this.#ledger.inUse(scope.concurrency) === 0
+		) {
 			this.#busy.delete(scope);
 		}
 
--- a/packages/verbenarouter/src/submission-owner.ts
+++ b/packages/verbenarouter/src/submission-owner.ts
@@ -13,6 +13,7 @@
 import {withinTime} from '@verbenarouter/peer';
 import {type Clock} from './clock.js';
 import {type Dispatcher, type JobOrder} from './dispatcher.js';
+import {type StartGate} from './start-gate.js';
 
 /** The submission is another entry VM's to answer for. Nothing was done here. */
 export type Redirect =
@@ -32,12 +33,19 @@
 	readonly #memory: SubmissionMemory;
 	readonly #dispatcher: Dispatcher;
 	readonly #clock: Clock;
+	readonly #gate: StartGate;
 	readonly #running = new Map<string, Promise<JobAnswer>>();
 
-	constructor(memory: SubmissionMemory, dispatcher: Dispatcher, clock: Clock) {
+	constructor(
+		memory: SubmissionMemory,
+		dispatcher: Dispatcher,
+		clock: Clock,
+		gate: StartGate,
+	) {
 		this.#memory = memory;
 		this.#dispatcher = dispatcher;
 		this.#clock = clock;
+		this.#gate = gate;
 	}
 
 	/** Starts a job, or waits with the other copies of its request until this copy's own deadline. */
@@ -58,7 +66,8 @@
 			return replyTo(identifier, admission);
 		}
 
-		const reason = this.#dispatcher.refusalFor(order, now);
+		const reason =
+			this.#dispatcher.refusalFor(order, now) ?? this.#gate.refusal(order, now);
 		if (reason !== undefined) {
 			return answered(this.#refuse(identifier, team, reason));
 		}
@@ -131,7 +140,9 @@
 	}
 
 	async #run(order: JobOrder): Promise<JobAnswer> {
+		this.#gate.admitted(order, this.#clock());
 		const answer = await this.#dispatcher.dispatch(order);
+		this.#gate.settled(order, this.#clock());
 		const final = this.#withNextIdentifier(answer, order.team);
 		this.#settle(order.identifier, order.team, final);
 		this.#running.delete(order.identifier);
