Small jobs pass large ones for sixteen times the ideal response time

Cause: at twice the slots' load, plan rebuilds that had waited longer than four times their ideal went before new small jobs. Tried and dropped: asking for slots only from 3 or 6 waiting tasks.

--- a/packages/verbenarouter/src/settings.ts
+++ b/packages/verbenarouter/src/settings.ts
@@ -92,7 +92,7 @@
 				/** Where run times come from; `declared` is the baseline. */
 				estimates: z.enum(['learned', 'declared']).default('learned'),
 				/** A job goes before those that arrive this many times its ideal response time after it. */
-				stretch: z.number().nonnegative().max(1000).default(4),
+				stretch: z.number().nonnegative().max(1000).default(16),
 				/** Milliseconds of all slots by which a team may run ahead of another that waits; beyond that its jobs count as due later. */
 				fairnessMs: durationSchema.default(1000),
 				/** Share of the slots that a job which has most of them leaves to other jobs, but for times of overload. */
