--- a/packages/verbenarouter/src/tests/dispatcher.test.ts
+++ b/packages/verbenarouter/src/tests/dispatcher.test.ts
@@ -7,7 +7,7 @@
 	type TaskStart,
 } from '@verbenarouter/core';
 import {type TaskTargets} from '@verbenarouter/target';
-import {describe, expect, it} from 'vitest';
+import {afterEach, describe, expect, it, vi} from 'vitest';
 import {Dispatcher, type JobOrder} from '../dispatcher.js';
 import {type Placed} from '../decision-log.js';
 import {settingsSchema} from '../settings.js';
@@ -243,4 +243,62 @@
 		expect(dispatcher.waitingTasks).toBe(0);
 		expect(targets.cancelled).toEqual(['large.0']);
 	});
+
+	describe('with a worker that is busy', () => {
+		afterEach(() => {
+			vi.useRealTimers();
+		});
+
+		/** One slot whose tasks took 100 ms so far, and which is taken by a task that does not end. */
+		async function busyFixture() {
+			vi.useFakeTimers();
+			const parts = fixture(targetFixture('one', 1));
+			parts.targets.answer = () => completed;
+			for (let index = 0; index < 30; index += 1) {
+				// eslint-disable-next-line no-await-in-loop -- one job after the other
+				await parts.dispatcher.dispatch(orderFixture(`learn-${index}`));
+			}
+
+			parts.targets.answer = () => undefined;
+			void parts.dispatcher.dispatch(orderFixture('blocks'));
+			return parts;
+		}
+
+		it('gives a job up as soon as it could no longer end in time', async () => {
+			const {dispatcher, targets} = await busyFixture();
+			const sentBefore = targets.sent.length;
+			const answer = dispatcher.dispatch({
+				...orderFixture('waits'),
+				deadlineAtMs: Date.now() + 500,
+			});
+			await vi.advanceTimersByTimeAsync(450);
+			await expect(answer).resolves.toMatchObject({
+				verdict: 'not-run',
+				refusal: {code: 'deadline-impossible'},
+			});
+			expect(dispatcher.waitingTasks).toBe(0);
+			expect(targets.sent).toHaveLength(sentBefore);
+		});
+
+		it('refuses at the door what would come too late behind the queue', async () => {
+			const {dispatcher} = await busyFixture();
+			void dispatcher.dispatch(orderFixture('queue', 100));
+			const order = {
+				...orderFixture('late'),
+				deadlineAtMs: Date.now() + 5000,
+			};
+			expect(dispatcher.refusalFor(order, Date.now())).toBeUndefined();
+			for (let index = 0; index < 100; index += 1) {
+				void dispatcher.dispatch(orderFixture(`small-${index}`));
+			}
+
+			const reason = dispatcher.refusalFor(order, Date.now());
+			expect(reason?.code).toBe('overloaded');
+			expect(reason?.retryAfterMs).toBeGreaterThan(1000);
+			const impossible = {...order, deadlineAtMs: Date.now() + 50};
+			expect(dispatcher.refusalFor(impossible, Date.now())?.code).toBe(
+				'deadline-impossible',
+			);
+		});
+	});
 });
