A cancelled task keeps its slot until its target has answered; learning from outcomes in a module of its own

Cause: the slot of a cancelled task was filled again at once, while the target still ran it: one task beyond the slots by our own doing. Not measured: waves of cancellations under load.

--- a/packages/verbenarouter/src/active-job.ts
+++ b/packages/verbenarouter/src/active-job.ts
@@ -54,6 +54,8 @@
 	readonly abort = new AbortController();
 	/** Tasks at targets, by their index. */
 	readonly inFlight = new Map<number, KnownTarget>();
+	/** Cancellations of tasks at targets, by their index; each ends when the target has answered. */
+	readonly cancellations = new Map<number, Promise<void>>();
 	/** How often tasks were surely not started, by their index. */
 	readonly refusals = new Map<number, number>();
 	readonly settle: (answer: JobAnswer) => void;
--- a/packages/verbenarouter/src/dispatcher.ts
+++ b/packages/verbenarouter/src/dispatcher.ts
@@ -1,7 +1,6 @@
 /** Sends the tasks of admitted jobs to targets. */
 import {
 	BusySlots,
-	EntryFailures,
 	RetryBudget,
 	TargetBoard,
 	defaultRetrySettings,
@@ -15,7 +14,6 @@
 	type Refusal,
 	type SlotView,
 	type Target,
-	type TaskOutcome,
 } from '@verbenarouter/core';
 import {type TaskTargets} from '@verbenarouter/target';
 import {ActiveJob, JobPlan, taskKind, type JobOrder} from './active-job.js';
@@ -26,12 +24,12 @@
 	type Decisions,
 	type PlacementSettings,
 } from './dispatch-decisions.js';
+import {OutcomeLearning} from './outcome-learning.js';
 import {OpenGate, type StartGate} from './start-gate.js';
 
 export {type JobOrder} from './active-job.js';
 
 const retryWithoutTargetsMs = 1000;
-const shortestFullMs = 20;
 const overloadMemoryMs = 10_000;
 
 /** What the dispatcher works with. */
@@ -57,7 +55,7 @@
 	readonly #decisions: Decisions;
 	readonly #random: Random;
 	readonly #retries: RetryBudget;
-	readonly #failures = new EntryFailures();
+	readonly #learning: OutcomeLearning;
 	readonly #busy = new BusySlots();
 	readonly #active = new Map<string, ActiveJob>();
 	#waitingTasks = 0;
@@ -74,6 +72,7 @@
 		this.#decisions = decisionsOf(parts.placement, () =>
 			Math.max(1, this.#board.liveSlots(this.#clock())),
 		);
+		this.#learning = new OutcomeLearning(this.#decisions.estimates);
 	}
 
 	/** Jobs that have no answer yet. */
@@ -309,12 +308,22 @@
 			},
 			active.abort.signal,
 		);
+		// A slot is free only when the target knows of the cancellation.
+		await active.cancellations.get(index);
 		const now = this.#clock();
 		active.inFlight.delete(index);
 		this.#board.ended(known, order.entry.needs, now);
 		this.#gate.ended(order, now);
 		this.#busy.change(-1, now);
-		this.#learn(active, index, known, outcome);
+		const leftAloneMs = this.#learning.learn(
+			{active, index, known},
+			outcome,
+			now,
+		);
+		if (leftAloneMs !== undefined) {
+			this.#resumeIn(leftAloneMs);
+		}
+
 		run.taskEnded(index, outcome);
 		this.#finishIfSettled(active);
 		if (run.mayStart(index)) {
@@ -324,76 +333,7 @@
 		this.resume();
 	}
 
-	#learn(
-		active: ActiveJob,
-		index: number,
-		known: KnownTarget,
-		outcome: TaskOutcome,
-	): void {
-		const now = this.#clock();
-		switch (outcome.kind) {
-			case 'completed': {
-				this.#failures.observe(active.entry, false);
-				known.health.completed(outcome.ranMs, active.expectedMs[index]!);
-				this.#decisions.estimates.observe(
-					taskKind(active.order, index),
-					outcome.ranMs,
-				);
-				break;
-			}
-
-			case 'failed': {
-				this.#failures.observe(active.entry, true);
-				if (!this.#failures.isFailing(active.entry)) {
-					this.#blame(active, known, now);
-				}
-
-				break;
-			}
-
-			case 'unknown': {
-				if (outcome.reason !== 'cancelled') {
-					this.#blame(active, known, now);
-				}
-
-				break;
-			}
-
-			case 'not-started': {
-				this.#learnRefusal(active, known, outcome, now);
-				break;
-			}
-		}
-	}
-
-	#learnRefusal(
-		active: ActiveJob,
-		known: KnownTarget,
-		{reason, retryAfterMs}: Extract<TaskOutcome, {kind: 'not-started'}>,
-		now: number,
-	): void {
-		if (reason === 'cancelled') {
-			return;
-		}
-
-		if (reason === 'leaving') {
-			known.saidLeavingAtMs = now;
-		} else if (reason === 'unreachable') {
-			this.#blame(active, known, now);
-		} else {
-			const waitMs = Math.max(shortestFullMs, retryAfterMs);
-			known.fullUntilMs = now + waitMs;
-			this.#pumpIn(waitMs);
-		}
-	}
-
-	#blame(active: ActiveJob, known: KnownTarget, now: number): void {
-		if (known.health.failed(active.identifier, now)) {
-			this.#pumpIn(known.health.triedFromMs - now);
-		}
-	}
-
-	#pumpIn(delayMs: number): void {
+	#resumeIn(delayMs: number): void {
 		setTimeout(() => {
 			this.resume();
 		}, delayMs).unref();
@@ -433,7 +373,10 @@
 		this.#waitingTasks -= active.waitingCount;
 		active.settle(run.answer);
 		for (const [index, {target}] of active.inFlight) {
-			void this.#parts.targets.cancel(target, `${order.identifier}.${index}`);
+			active.cancellations.set(
+				index,
+				this.#parts.targets.cancel(target, `${order.identifier}.${index}`),
+			);
 		}
 
 		active.abort.abort();
--- a/packages/verbenarouter/src/tests/dispatcher.test.ts
+++ b/packages/verbenarouter/src/tests/dispatcher.test.ts
@@ -26,8 +26,18 @@
 	answer: (target: Target, task: TaskStart) => TaskOutcome | undefined = () =>
 		undefined;
 
-	async start(target: Target, task: TaskStart): Promise<TaskOutcome> {
+	/** What a cancellation waits for. */
+	cancelAnswered: Promise<void> = Promise.resolve();
+
+	async start(
+		target: Target,
+		task: TaskStart,
+		signal: AbortSignal,
+	): Promise<TaskOutcome> {
 		return new Promise((resolve) => {
+			signal.addEventListener('abort', () => {
+				resolve({kind: 'unknown', reason: 'cancelled', message: ''});
+			});
 			this.sent.push({target: target.name, task, end: resolve});
 			const outcome = this.answer(target, task);
 			if (outcome !== undefined) {
@@ -38,6 +48,7 @@
 
 	async cancel(_target: Target, taskIdentifier: string): Promise<void> {
 		this.cancelled.push(taskIdentifier);
+		await this.cancelAnswered;
 	}
 
 	async close(): Promise<void> {
@@ -244,6 +255,23 @@
 		expect(targets.cancelled).toEqual(['large.0']);
 	});
 
+	it('fills the slot of a cancelled task only after the target has answered the cancellation', async () => {
+		const {dispatcher, targets} = fixture(targetFixture('one', 1));
+		let answerCancellation = (): void => undefined;
+		targets.cancelAnswered = new Promise((resolve) => {
+			answerCancellation = resolve;
+		});
+		const cancelled = dispatcher.dispatch(orderFixture('cancelled'));
+		void dispatcher.dispatch(orderFixture('next'));
+		dispatcher.cancel('cancelled', refusal('cancelled', 'by the caller'));
+		await cancelled;
+		await new Promise(setImmediate);
+		expect(targets.sent).toHaveLength(1);
+		answerCancellation();
+		await vi.waitUntil(() => targets.sent.length === 2);
+		expect(targets.sent[1]?.task.taskIdentifier).toBe('next.0');
+	});
+
 	describe('with a worker that is busy', () => {
 		afterEach(() => {
 			vi.useRealTimers();
