--- a/packages/verbenarouter/src/tests/dispatcher.test.ts
+++ b/packages/verbenarouter/src/tests/dispatcher.test.ts
@@ -22,13 +22,12 @@
 class FakeTargets implements TaskTargets {
 	readonly sent: Sent[] = [];
 	readonly cancelled: string[] = [];
+	/** What a cancellation waits for. */
+	cancelAnswered: Promise<void> = Promise.resolve();
 	/** Answers at once when it gives an outcome. */
 	answer: (target: Target, task: TaskStart) => TaskOutcome | undefined = () =>
 		undefined;
 
-	/** What a cancellation waits for. */
-	cancelAnswered: Promise<void> = Promise.resolve();
-
 	async start(
 		target: Target,
 		task: TaskStart,
