--- a/packages/operator/src/operator-answer.ts
+++ b/packages/operator/src/operator-answer.ts
@@ -1,6 +1,7 @@
 /** Answers of the operators' interface. */
 import {type ItemFault} from '@verbenarouter/core';
 import {type FastifyReply} from 'fastify';
+import {type z} from 'zod';
 import {type EditVerdict} from './catalogue-editor.js';
 
 /** Seconds after which to ask again when the platform does not answer. */
@@ -55,3 +56,14 @@
 
 	return reply.code(status).send(verdict);
 }
+
+/** The faults that a schema found; `prefix` is the field that holds the checked value. */
+export function faultsOf(
+	error: z.ZodError,
+	prefix?: string,
+): readonly ItemFault[] {
+	return error.issues.map(({path, message}) => ({
+		path: [...(prefix === undefined ? [] : [prefix]), ...path].join('.'),
+		message,
+	}));
+}
--- /dev/null
+++ b/packages/operator/src/read-routes.ts
@@ -0,0 +1,99 @@
+/** Routes that show the catalogue, and where it is in force. */
+import {type ItemKey} from '@verbenarouter/core';
+import {type FastifyInstance, type FastifyReply} from 'fastify';
+import {z} from 'zod';
+import {type CatalogueAdministration} from './catalogue-administration.js';
+import {faultsOf, sendFaults, sendProblem} from './operator-answer.js';
+import {type OperatorGuard} from './operator-guard.js';
+
+const revisionQuerySchema = z.object({
+	revision: z.coerce.number().int().positive(),
+});
+
+/** Adds the routes about the whole catalogue. */
+export function addCatalogueRoutes(
+	server: FastifyInstance,
+	administration: CatalogueAdministration,
+	guard: OperatorGuard,
+): void {
+	server.get(
+		'/v1/catalogue',
+		guard.guarded(async (_request, _reply, {catalogue}) => ({
+			nextOffset: catalogue.nextOffset,
+			items: catalogue.items,
+		})),
+	);
+	server.get(
+		'/v1/catalogue/status',
+		guard.guarded(async () => administration.status()),
+	);
+	server.get(
+		'/v1/catalogue/in-force',
+		guard.guarded(async (request, reply) => {
+			const query = revisionQuerySchema.safeParse(request.query);
+			if (!query.success) {
+				return sendFaults(reply, faultsOf(query.error));
+			}
+
+			const {revision} = query.data;
+			const entryVms = await administration.inForce(revision);
+			return {
+				revision,
+				isInForceEverywhere: entryVms.every(({inForce}) => inForce === 'yes'),
+				entryVms,
+			};
+		}),
+	);
+	server.get<{Params: {editId: string}}>(
+		'/v1/catalogue/edits/:editId',
+		guard.guarded(async (request, reply) => {
+			const {editId} = request.params as {editId: string};
+			const verdict = await administration.findEdit(editId);
+			return verdict === undefined
+				? sendProblem(
+						reply,
+						404,
+						'edit-unknown',
+						'No record of this edit is among the latest ones that this entry VM has read.',
+					)
+				: reply.send(verdict);
+		}),
+	);
+}
+
+/** Adds the routes that show one item. */
+export function addItemRoutes(
+	server: FastifyInstance,
+	guard: OperatorGuard,
+): void {
+	server.get(
+		'/v1/catalogue/:kind/:name',
+		guard.withKey(async (key, _request, reply, {catalogue}) => {
+			const found = catalogue.find({...key});
+			return found === undefined
+				? sendUnknownItem(reply, key)
+				: reply.header('etag', `"${found.revision}"`).send(found);
+		}),
+	);
+	server.get(
+		'/v1/catalogue/:kind/:name/history',
+		guard.withKey(async (key, _request, reply, {catalogue}) => {
+			const history = catalogue.history(key);
+			return history.length === 0
+				? sendUnknownItem(reply, key)
+				: reply.send({history});
+		}),
+	);
+}
+
+async function sendUnknownItem(
+	reply: FastifyReply,
+	{kind, name}: ItemKey,
+): Promise<FastifyReply> {
+	return sendProblem(
+		reply,
+		404,
+		'item-unknown',
+		`The catalogue has no ${kind} "${name}".`,
+	);
+}
