--- a/packages/core/src/share-ledger.ts
+++ b/packages/core/src/share-ledger.ts
@@ -58,12 +58,6 @@
 	setMembers(set: MemberSet): void {
 		this.#members.noteListRead();
 		this.#adopt(set);
-		if (
-			this.hasBase &&
-			this.#members.newest?.includes(this.#self.name) === false
-		) {
-			this.#beginAnew();
-		}
 	}
 
 	/** Tells that capacities may have changed. */
@@ -94,6 +88,23 @@
 		this.#lending.repeatUnconfirmed(name);
 	}
 
+	/**
+	 * An entry VM that no list names yet opened a stream to this one, for example during an outage of the platform. It has
+	 * no base share and may borrow. Of two processes of one name, the one that started later counts.
+	 */
+	guestSeen(name: string, process: string, startedAtMs: number): void {
+		const peer = this.#members.peers.get(name);
+		if (
+			this.#members.newest?.includes(name) !== false ||
+			(peer?.process !== process && (peer?.startedAtMs ?? 0) >= startedAtMs)
+		) {
+			return;
+		}
+
+		this.peerSeen(name, process);
+		this.#members.peer(name).startedAtMs = startedAtMs;
+	}
+
 	/** There is evidence that no process runs under this name, for example that its address refuses connections. */
 	peerGone(name: string): void {
 		const peer = this.#members.peers.get(name);
@@ -109,6 +120,8 @@
 		this.#lending.dropLoans(name);
 		peer.incarnation = undefined;
 		peer.isVacant = true;
+		peer.isGuest = false;
+		peer.wasListed = false;
 		peer.told = undefined;
 		peer.announced.clear();
 	}
@@ -198,7 +211,10 @@
 
 			if (message.set.members.some((member) => member.name === name)) {
 				peer.announced.add(message.set.version);
+				peer.wasListed = true;
 				this.#dropUnlisted(name);
+			} else {
+				peer.isGuest = true;
 			}
 
 			return this.#dropSuperseded();
@@ -242,13 +258,19 @@
 	}
 
 	#adopt(set: MemberSet): void {
+		const wasListed = this.#members.newest?.includes(this.#self.name) === true;
 		if (!this.#members.adopt(set)) {
 			return;
 		}
 
+		if (wasListed && !set.members.some(({name}) => name === this.#self.name)) {
+			this.#beginAnew();
+		}
+
 		for (const {name} of set.members) {
 			if (name !== this.#self.name) {
-				this.#members.peer(name);
+				const peer = this.#members.peer(name);
+				peer.wasListed ||= peer.isGuest;
 			}
 		}
 
@@ -307,7 +329,7 @@
 	#dropUnlisted(name: string): void {
 		if (
 			this.#members.newest?.includes(name) === false &&
-			this.#members.isKnown(name)
+			this.#members.peers.get(name)?.wasListed === true
 		) {
 			this.peerGone(name);
 			this.#members.remove(name);
--- a/packages/core/src/share-members.ts
+++ b/packages/core/src/share-members.ts
@@ -14,6 +14,12 @@
 	process: string | undefined;
 	/** The newest incarnation of its ledger that was heard of; `undefined` before the first one and after evidence of its end. */
 	incarnation: string | undefined;
+	/** When its process started, by its own clock; known of entry VMs that no list names yet. */
+	startedAtMs: number | undefined;
+	/** Whether it has announced a set that does not name it, so that it may borrow although no list names it. */
+	isGuest: boolean;
+	/** Whether a set that was kept within has named this incarnation. */
+	wasListed: boolean;
 	/** Whether there is evidence that no process runs under this name; its next incarnation starts without a share. */
 	isVacant: boolean;
 	/** Versions of the sets that this incarnation has announced to this entry VM. */
@@ -51,7 +57,6 @@
 		return (
 			this.#hasReadList &&
 			version !== undefined &&
-			this.newest?.includes(this.#self) === true &&
 			(this.#settledVersion < version ||
 				[...this.#peers.values()].some(
 					({incarnation, told}) =>
@@ -71,7 +76,10 @@
 	 */
 	isKnown(name: string): boolean {
 		const peer = this.#peers.get(name);
-		return peer?.incarnation !== undefined && peer.announced.size > 0;
+		return (
+			peer?.incarnation !== undefined &&
+			(peer.isGuest || peer.announced.size > 0)
+		);
 	}
 
 	/** Finds a peer, and begins to know of it when it is new. */
@@ -85,6 +93,9 @@
 			name,
 			process: undefined,
 			incarnation: undefined,
+			startedAtMs: undefined,
+			isGuest: false,
+			wasListed: false,
 			isVacant: false,
 			announced: new Set(),
 			told: undefined,
--- a/packages/core/src/tests/share-ledger.test.ts
+++ b/packages/core/src/tests/share-ledger.test.ts
@@ -66,8 +66,8 @@
 		network.start(pick(network.names, first));
 	},
 	unlist(network: ShareNetwork, first: number) {
-		if (network.names.length > 2) {
-			network.unlist(pick(network.names, first));
+		if (network.listed.length > 2) {
+			network.unlist(pick(network.listed, first));
 		}
 	},
 	join(network: ShareNetwork, first: number) {
@@ -76,6 +76,13 @@
 			network.join(name);
 		}
 	},
+	/** A process that the platform's list never names. */
+	guest(network: ShareNetwork, first: number) {
+		const name = `entry-${6 + (first % 2)}`;
+		if (network.node(name) === undefined) {
+			network.start(name);
+		}
+	},
 	take(network: ShareNetwork, first: number, second: number) {
 		const ledger = network.node(pick(network.names, first))?.ledger;
 		ledger?.tryTake(resource, second % 6, network.now);
--- a/packages/core/src/tests/share-network.ts
+++ b/packages/core/src/tests/share-network.ts
@@ -16,6 +16,7 @@
 	readonly name: string;
 	readonly zone: string;
 	readonly incarnation: string;
+	readonly startedAtMs: number;
 	readonly ledger: ShareLedger;
 	capacity: number;
 	readonly seen: Array<readonly [name: string, incarnation: string]>;
@@ -62,6 +63,11 @@
 			.reduce((sum, units) => sum + units, 0);
 	}
 
+	/** Names on the platform's list. */
+	get listed(): readonly string[] {
+		return this.#set.members.map(({name}) => name);
+	}
+
 	node(name: string): Node | undefined {
 		return this.nodes.get(name);
 	}
@@ -81,6 +87,7 @@
 			name,
 			zone,
 			incarnation,
+			startedAtMs: this.#starts,
 			ledger,
 			capacity: this.capacity,
 			seen: [],
@@ -102,17 +109,17 @@
 	/** Takes an entry VM whose process has ended out of the platform's list. */
 	unlist(name: string): void {
 		this.crash(name);
-		this.#publish(this.#listed.filter((other) => other !== name));
+		this.#publish(this.listed.filter((other) => other !== name));
 	}
 
 	/** The platform's list loses the row of an entry VM that lives. */
 	loseRow(name: string): void {
-		this.#publish(this.#listed.filter((other) => other !== name));
+		this.#publish(this.listed.filter((other) => other !== name));
 	}
 
 	/** The row comes back. */
 	list(name: string): void {
-		this.#publish([...new Set([...this.#listed, name])]);
+		this.#publish([...new Set([...this.listed, name])]);
 	}
 
 	readList(name: string): void {
@@ -128,8 +135,12 @@
 			a !== b &&
 			!this.isCut(from, to)
 		) {
-			a.ledger.peerSeen(to, b.incarnation);
-			a.seen.push([to, b.incarnation]);
+			if (this.listed.includes(to)) {
+				a.ledger.peerSeen(to, b.incarnation);
+				a.seen.push([to, b.incarnation]);
+			}
+
+			b.ledger.guestSeen(from, a.incarnation, a.startedAtMs);
 		}
 	}
 
@@ -215,7 +226,7 @@
 	/** Ends every fault, and lets all that is under way arrive. */
 	settle(rounds = 120): void {
 		this.heal();
-		for (const name of this.#listed) {
+		for (const name of this.listed) {
 			if (!this.nodes.has(name)) {
 				this.start(name);
 			}
@@ -253,10 +264,6 @@
 		}
 	}
 
-	get #listed(): readonly string[] {
-		return this.#set.members.map(({name}) => name);
-	}
-
 	#publish(names: readonly string[]): void {
 		this.#set = {
 			version: this.#set.version + 1,
--- a/packages/peer/src/peer-link.ts
+++ b/packages/peer/src/peer-link.ts
@@ -1,5 +1,6 @@
 /** One entry VM's stream to another: requests go out on it, and their replies come back. */
 import {Client, credentials} from '@grpc/grpc-js';
+import {type LedgerMessage} from '@verbenarouter/core';
 import {ResultAsync, err, ok, type Result} from 'neverthrow';
 import {FrameBatch} from './frame-batch.js';
 import {
@@ -26,6 +27,12 @@
 	readonly reconnectMs: number;
 };
 
+/** Hears what the peer sends of its own accord. */
+export type PeerLinkHandlers = {
+	readonly onHello: (hello: Hello) => void;
+	readonly onShares?: (messages: readonly LedgerMessage[]) => void;
+};
+
 type Waiting = (result: Result<PeerReply, PeerFailure>) => void;
 
 /** One entry VM's stream to another. It reconnects until it is closed. */
@@ -33,7 +40,7 @@
 	readonly #address: string;
 	readonly #options: PeerLinkOptions;
 	readonly #hello: () => Hello;
-	readonly #onHello: (hello: Hello) => void;
+	readonly #handlers: PeerLinkHandlers;
 	readonly #waiting = new Map<number, Waiting>();
 	#client: Client | undefined;
 	#stream: PeerStream | undefined;
@@ -50,12 +57,12 @@
 		address: string,
 		options: PeerLinkOptions,
 		hello: () => Hello,
-		onHello: (hello: Hello) => void,
+		handlers: PeerLinkHandlers,
 	) {
 		this.#address = address;
 		this.#options = options;
 		this.#hello = hello;
-		this.#onHello = onHello;
+		this.#handlers = handlers;
 		this.#connect();
 	}
 
@@ -206,12 +213,29 @@
 	}
 
 	#receive(frame: Frame): void {
-		if (frame.type === 'hello') {
-			this.#peer ??= frame.hello;
-			this.heard(frame.hello);
-			this.#onHello(frame.hello);
-		} else if (frame.type === 'reply') {
-			this.#finish(frame.id, ok(frame.reply));
+		switch (frame.type) {
+			case 'hello': {
+				this.#peer ??= frame.hello;
+				this.heard(frame.hello);
+				this.#handlers.onHello(frame.hello);
+				break;
+			}
+
+			case 'reply': {
+				this.#finish(frame.id, ok(frame.reply));
+				break;
+			}
+
+			case 'shares': {
+				this.#handlers.onShares?.(frame.messages);
+				break;
+			}
+
+			case 'ping':
+			case 'pong':
+			case 'request': {
+				break;
+			}
 		}
 	}
 
--- a/packages/peer/src/peer-mesh.ts
+++ b/packages/peer/src/peer-mesh.ts
@@ -45,6 +45,8 @@
 export class PeerMesh {
 	readonly #options: PeerMeshOptions;
 	readonly #server = new Server(serverOptions);
+	/** The newest stream that each peer opened, by the name of its entry VM. */
+	readonly #inbound = new Map<string, FrameBatch>();
 	readonly #streams = new Set<ServerStream>();
 	/** Nonce of the newest process of each entry VM that has opened a stream to this one. */
 	readonly #linkedFrom = new Map<string, string>();
@@ -119,9 +121,14 @@
 					address,
 					this.#options.link,
 					this.#options.hello,
-					(hello) => {
-						this.#options.onHello(hello);
-						this.#options.onLinkHello?.(hello);
+					{
+						onHello: (hello) => {
+							this.#options.onHello(hello);
+							this.#options.onLinkHello?.(hello);
+						},
+						onShares: (messages) => {
+							this.#options.onShares?.(messages);
+						},
 					},
 				);
 				this.#links.set(name, {address, link});
@@ -138,12 +145,20 @@
 
 	/** Whether there is a working stream to a peer. */
 	isConnected(name: string): boolean {
-		return this.#links.get(name)?.link.peer !== undefined;
+		return (
+			this.#links.get(name)?.link.peer !== undefined || this.#inbound.has(name)
+		);
 	}
 
-	/** Sends messages of the share ledger to a peer; they are lost while there is no working stream. */
+	/**
+	 * Sends messages of the share ledger to a peer, on the stream that the peer opened when there is no own one. They are
+	 * lost while there is no working stream.
+	 */
 	notify(name: string, messages: readonly LedgerMessage[]): void {
-		this.#links.get(name)?.link.notify({type: 'shares', messages});
+		const frame = {type: 'shares', messages} as const;
+		if (this.#links.get(name)?.link.notify(frame) !== true) {
+			this.#inbound.get(name)?.add(frame);
+		}
 	}
 
 	/** Sends a request to a peer and waits for its reply. */
@@ -196,14 +211,19 @@
 
 	#serve(stream: ServerStream): void {
 		this.#streams.add(stream);
-		stream.on('close', () => {
-			this.#streams.delete(stream);
-		});
 		const batch = new FrameBatch((frames) => {
 			if (!stream.writableEnded && !stream.cancelled) {
 				stream.write(frames);
 			}
 		});
+		stream.on('close', () => {
+			this.#streams.delete(stream);
+			for (const [name, other] of this.#inbound) {
+				if (other === batch) {
+					this.#inbound.delete(name);
+				}
+			}
+		});
 		stream.on('error', () => {
 			stream.end();
 		});
@@ -223,6 +243,7 @@
 				const {entryVm, nonce} = frame.hello.incarnation;
 				this.#linkedFrom.set(entryVm, nonce);
 				this.#links.get(entryVm)?.link.heard(frame.hello);
+				this.#inbound.set(entryVm, batch);
 				this.#options.onHello(frame.hello);
 				batch.add({type: 'hello', hello: this.#options.hello()});
 				break;
--- a/packages/verbenarouter/src/entry-vm.ts
+++ b/packages/verbenarouter/src/entry-vm.ts
@@ -162,6 +162,7 @@
 				: router.answerPeer(request),
 		onHello(heard) {
 			search.updatePeer(heard);
+			limits.exchange.heard(heard);
 			catalogueParts.heard(heard);
 		},
 		onLinkHello(heard) {
--- a/packages/verbenarouter/src/ledger-exchange.ts
+++ b/packages/verbenarouter/src/ledger-exchange.ts
@@ -87,6 +87,16 @@
 		this.poke();
 	}
 
+	/** Takes what an entry VM says of itself on a stream that it opened; it counts only while no list names it. */
+	heard({incarnation, startedAtMs}: Hello): void {
+		this.#parts.ledger.guestSeen(
+			incarnation.entryVm,
+			incarnationKey(incarnation),
+			startedAtMs,
+		);
+		this.poke();
+	}
+
 	/** Takes messages from a peer's ledger. */
 	receive(messages: readonly LedgerMessage[]): void {
 		const now = this.#parts.clock();
--- a/packages/verbenarouter/src/seed-peers.ts
+++ b/packages/verbenarouter/src/seed-peers.ts
@@ -18,8 +18,10 @@
 
 	constructor({addresses, link: options, hello, onHello}: SeedPeersOptions) {
 		this.#links = addresses.map((address) => {
-			const link: PeerLink = new PeerLink(address, options, hello, (heard) => {
-				onHello(heard, requestOn(link));
+			const link: PeerLink = new PeerLink(address, options, hello, {
+				onHello(heard) {
+					onHello(heard, requestOn(link));
+				},
 			});
 			return link;
 		});
