--- a/packages/core/src/share-ledger.ts
+++ b/packages/core/src/share-ledger.ts
@@ -5,6 +5,11 @@
  * VMs never exceeds the capacity, whatever is lost, late, repeated or cut off. Units move to where the demand is while
  * entry VMs reach each other, and stay where they are while they don't.
  */
+import {
+	EndedIncarnations,
+	ledgerIncarnation,
+	processOf,
+} from './ended-incarnations.js';
 import {ShareLending, type ShareLedgerOptions} from './share-lending.js';
 import {ShareMembers, type SharePeer} from './share-members.js';
 import {
@@ -22,15 +27,12 @@
 	readonly message: LedgerMessage;
 };
 
-const rememberedIncarnations = 1000;
-const generationMark = '~';
-
 /** One entry VM's shares of all divided capacities. */
 export class ShareLedger {
 	readonly #self: ShareLedgerOptions['self'];
 	readonly #members: ShareMembers;
 	readonly #lending: ShareLending;
-	readonly #endedIncarnations = new Set<string>();
+	readonly #ended = new EndedIncarnations();
 	readonly #endedNotices = new Map<string, string>();
 	#generation = 0;
 
@@ -76,7 +78,7 @@
 
 		const peer = this.#members.peer(name);
 		if (peer.process !== process) {
-			this.#welcome(name, `${process}${generationMark}0`);
+			this.#welcome(name, ledgerIncarnation(process, 0));
 		}
 
 		if (peer.incarnation === undefined) {
@@ -113,8 +115,7 @@
 		}
 
 		if (peer.incarnation !== undefined) {
-			this.#endedIncarnations.add(peer.incarnation);
-			this.#forgetEndedIncarnations();
+			this.#ended.add(peer.incarnation);
 		}
 
 		this.#lending.dropLoans(name);
@@ -190,7 +191,7 @@
 		}
 
 		if (peer?.incarnation !== message.from) {
-			if (this.#endedIncarnations.has(message.from)) {
+			if (this.#ended.has(message.from)) {
 				this.#endedNotices.set(name, message.from);
 			}
 
@@ -284,10 +285,7 @@
 	/** Takes up with a new incarnation of a peer's ledger; one that has ended is ignored. */
 	#welcome(name: string, incarnation: string): void {
 		const peer = this.#members.peer(name);
-		if (
-			peer.incarnation === incarnation ||
-			this.#endedIncarnations.has(incarnation)
-		) {
+		if (peer.incarnation === incarnation || this.#ended.has(incarnation)) {
 			return;
 		}
 
@@ -310,9 +308,7 @@
 	}
 
 	#tellEnded(name: string, process: string): void {
-		const ended = [...this.#endedIncarnations].findLast(
-			(incarnation) => processOf(incarnation) === process,
-		);
+		const ended = this.#ended.lastOf(process);
 		if (ended !== undefined) {
 			this.#endedNotices.set(name, ended);
 		}
@@ -367,7 +363,7 @@
 	}
 
 	get #incarnation(): string {
-		return `${this.#self.incarnation}${generationMark}${this.#generation}`;
+		return ledgerIncarnation(this.#self.incarnation, this.#generation);
 	}
 
 	#between(peer: SharePeer): {readonly from: string; readonly to: string} {
@@ -395,19 +391,4 @@
 		this.#endedNotices.clear();
 		return notices;
 	}
-
-	#forgetEndedIncarnations(): void {
-		for (const incarnation of this.#endedIncarnations) {
-			if (this.#endedIncarnations.size <= rememberedIncarnations) {
-				return;
-			}
-
-			this.#endedIncarnations.delete(incarnation);
-		}
-	}
-}
-
-/** The process of a ledger's incarnation. */
-function processOf(incarnation: string): string {
-	return incarnation.slice(0, incarnation.lastIndexOf(generationMark));
 }
