--- a/packages/core/src/share-ledger.ts
+++ b/packages/core/src/share-ledger.ts
@@ -5,6 +5,11 @@
  * VMs never exceeds the capacity, whatever is lost, late, repeated or cut off. Units move to where the demand is while
  * entry VMs reach each other, and stay where they are while they don't.
  */
+import {
+	EndedIncarnations,
+	ledgerIncarnation,
+	processOf,
+} from './ended-incarnations.js';
 import {ShareLending, type ShareLedgerOptions} from './share-lending.js';
 import {ShareMembers, type SharePeer} from './share-members.js';
 import {
@@ -22,15 +27,12 @@
 	readonly message: LedgerMessage;
 };
 
-const rememberedIncarnations = 1000;
-const generationMark = '~';
-
 /** One entry VM's shares of all divided capacities. */
 export class ShareLedger {
 	readonly #self: ShareLedgerOptions['self'];
 	readonly #members: ShareMembers;
 	readonly #lending: ShareLending;
-	readonly #endedIncarnations = new Set<string>();
+	readonly #ended = new EndedIncarnations();
 	readonly #endedNotices = new Map<string, string>();
 	#generation = 0;
 
@@ -58,12 +60,6 @@
 	setMembers(set: MemberSet): void {
 		this.#members.noteListRead();
 		this.#adopt(set);
-		if (
-			this.hasBase &&
-			this.#members.newest?.includes(this.#self.name) === false
-		) {
-			this.#beginAnew();
-		}
 	}
 
 	/** Tells that capacities may have changed. */
@@ -82,7 +78,7 @@
 
 		const peer = this.#members.peer(name);
 		if (peer.process !== process) {
-			this.#welcome(name, `${process}${generationMark}0`);
+			this.#welcome(name, ledgerIncarnation(process, 0));
 		}
 
 		if (peer.incarnation === undefined) {
@@ -94,6 +90,23 @@
 		this.#lending.repeatUnconfirmed(name);
 	}
 
+	/**
+	 * An entry VM that no list names yet opened a stream to this one, for example during an outage of the platform. It has
+	 * no base share and may borrow. Of two processes of one name, the one that started later counts.
+	 */
+	guestSeen(name: string, process: string, startedAtMs: number): void {
+		const peer = this.#members.peers.get(name);
+		if (
+			this.#members.newest?.includes(name) !== false ||
+			(peer?.process !== process && (peer?.startedAtMs ?? 0) >= startedAtMs)
+		) {
+			return;
+		}
+
+		this.peerSeen(name, process);
+		this.#members.peer(name).startedAtMs = startedAtMs;
+	}
+
 	/** There is evidence that no process runs under this name, for example that its address refuses connections. */
 	peerGone(name: string): void {
 		const peer = this.#members.peers.get(name);
@@ -102,13 +115,14 @@
 		}
 
 		if (peer.incarnation !== undefined) {
-			this.#endedIncarnations.add(peer.incarnation);
-			this.#forgetEndedIncarnations();
+			this.#ended.add(peer.incarnation);
 		}
 
 		this.#lending.dropLoans(name);
 		peer.incarnation = undefined;
 		peer.isVacant = true;
+		peer.isGuest = false;
+		peer.wasListed = false;
 		peer.told = undefined;
 		peer.announced.clear();
 	}
@@ -177,7 +191,7 @@
 		}
 
 		if (peer?.incarnation !== message.from) {
-			if (this.#endedIncarnations.has(message.from)) {
+			if (this.#ended.has(message.from)) {
 				this.#endedNotices.set(name, message.from);
 			}
 
@@ -198,7 +212,10 @@
 
 			if (message.set.members.some((member) => member.name === name)) {
 				peer.announced.add(message.set.version);
+				peer.wasListed = true;
 				this.#dropUnlisted(name);
+			} else {
+				peer.isGuest = true;
 			}
 
 			return this.#dropSuperseded();
@@ -242,13 +259,19 @@
 	}
 
 	#adopt(set: MemberSet): void {
+		const wasListed = this.#members.newest?.includes(this.#self.name) === true;
 		if (!this.#members.adopt(set)) {
 			return;
 		}
 
+		if (wasListed && !set.members.some(({name}) => name === this.#self.name)) {
+			this.#beginAnew();
+		}
+
 		for (const {name} of set.members) {
 			if (name !== this.#self.name) {
-				this.#members.peer(name);
+				const peer = this.#members.peer(name);
+				peer.wasListed ||= peer.isGuest;
 			}
 		}
 
@@ -262,10 +285,7 @@
 	/** Takes up with a new incarnation of a peer's ledger; one that has ended is ignored. */
 	#welcome(name: string, incarnation: string): void {
 		const peer = this.#members.peer(name);
-		if (
-			peer.incarnation === incarnation ||
-			this.#endedIncarnations.has(incarnation)
-		) {
+		if (peer.incarnation === incarnation || this.#ended.has(incarnation)) {
 			return;
 		}
 
@@ -288,9 +308,7 @@
 	}
 
 	#tellEnded(name: string, process: string): void {
-		const ended = [...this.#endedIncarnations].findLast(
-			(incarnation) => processOf(incarnation) === process,
-		);
+		const ended = this.#ended.lastOf(process);
 		if (ended !== undefined) {
 			this.#endedNotices.set(name, ended);
 		}
@@ -307,7 +325,7 @@
 	#dropUnlisted(name: string): void {
 		if (
 			this.#members.newest?.includes(name) === false &&
-			this.#members.isKnown(name)
+			this.#members.peers.get(name)?.wasListed === true
 		) {
 			this.peerGone(name);
 			this.#members.remove(name);
@@ -345,7 +363,7 @@
 	}
 
 	get #incarnation(): string {
-		return `${this.#self.incarnation}${generationMark}${this.#generation}`;
+		return ledgerIncarnation(this.#self.incarnation, this.#generation);
 	}
 
 	#between(peer: SharePeer): {readonly from: string; readonly to: string} {
@@ -373,19 +391,4 @@
 		this.#endedNotices.clear();
 		return notices;
 	}
-
-	#forgetEndedIncarnations(): void {
-		for (const incarnation of this.#endedIncarnations) {
-			if (this.#endedIncarnations.size <= rememberedIncarnations) {
-				return;
-			}
-
-			this.#endedIncarnations.delete(incarnation);
-		}
-	}
-}
-
-/** The process of a ledger's incarnation. */
-function processOf(incarnation: string): string {
-	return incarnation.slice(0, incarnation.lastIndexOf(generationMark));
 }
