Lent slots in the entry VM

Cause: the ledger's exchange is there; until now lent fell back to fixed shares. Change: LedgerSlots on the entry VM's ledger; a wish for slots gives the ledger a turn at once.

--- a/packages/verbenarouter/src/entry-vm.ts
+++ b/packages/verbenarouter/src/entry-vm.ts
@@ -5,6 +5,7 @@
 import {createCallerServer} from '@verbenarouter/caller';
 import {
 	FixedSlotShares,
+	LedgerSlots,
 	SharedSlots,
 	OwnerSearch,
 	SubmissionMemory,
@@ -89,7 +90,7 @@
 			dispatcher.resume();
 		},
 	});
-	const slots = slotsOf(settings);
+	const slots = slotsOf(settings, limits);
 	const dispatcher: Dispatcher = new Dispatcher({
 		targets,
 		clock,
@@ -249,10 +250,9 @@
 		listedAtMs ??= clock();
 		mesh.updateMembers(entryVms);
 		search.updateList(entryVms.map(({name}) => name));
-		slots.update(entryVms);
-		dispatcher.updateTargets(
-			machines.filter((machine) => machine.role === 'target'),
-		);
+		const listed = machines.filter((machine) => machine.role === 'target');
+		slots.update(entryVms, listed);
+		dispatcher.updateTargets(listed);
 	}
 
 	return {
@@ -274,10 +274,25 @@
 	};
 }
 
-function slotsOf({placement, name}: Settings): SharedSlots | FixedSlotShares {
-	return placement.slots === 'shared'
-		? new SharedSlots()
-		: new FixedSlotShares(name);
+function slotsOf(
+	{placement, name, zone}: Settings,
+	{ledger, exchange}: Limits,
+): LedgerSlots | FixedSlotShares | SharedSlots {
+	switch (placement.slots) {
+		case 'lent': {
+			return new LedgerSlots(ledger, zone, () => {
+				exchange.poke();
+			});
+		}
+
+		case 'fixed': {
+			return new FixedSlotShares(name);
+		}
+
+		case 'shared': {
+			return new SharedSlots();
+		}
+	}
 }
 
 function hostAndPort(address: string): {
