An entry VM that leaves keeps its slots until its jobs have ended

Cause: FixedSlotShares gave no slots to an entry VM whose row is "leaving" or has left the list. Tasks of admitted jobs that still waited then never started: a planned stop cut them off at their deadline, and an entry VM that woke off the list refused its own submissions only after their whole deadline.

Change: an entry VM goes on with the share of its last row. The others count without it, so that shares may exceed the slots while it drains; targets refuse what is too much before it starts, and it is sent elsewhere. Ruled out: shares of a leaving one that the others still subtract, since they would be idle for as long as the list lags.

Seen: "finishes tasks that still wait when the list says that it leaves" failed without the change ("failed" in place of "completed" after 10 s), and "frozen, taken off the list, and woken" failed (no outputs, deadline-impossible after 10 s, 4 of 4 runs). With it both pass (1 of 1, 2 of 2 runs). Not looked at: the same case for slots of the lending ledger.

--- a/packages/core/src/slot-share.ts
+++ b/packages/core/src/slot-share.ts
@@ -49,6 +49,8 @@
 export class FixedSlotShares implements SlotView {
 	readonly #self: string;
 	readonly #inUse = new SharedSlots();
+	/** The last row of this entry VM: once it leaves the list, or is to leave, it still finishes what it has admitted. */
+	#own: EntryVm | undefined;
 	#entryVms: readonly EntryVm[] = [];
 	#shares = new Map<string, number>();
 
@@ -58,7 +60,11 @@
 
 	/** Takes the platform's newest list of entry VMs. */
 	update(entryVms: readonly EntryVm[]): void {
-		this.#entryVms = entryVms.filter(({state}) => state === 'live');
+		this.#own = entryVms.find(({name}) => name === this.#self) ?? this.#own;
+		const others = entryVms.filter(
+			({name, state}) => name !== this.#self && state === 'live',
+		);
+		this.#entryVms = this.#own === undefined ? others : [...others, this.#own];
 		this.#shares = new Map();
 	}
 
--- a/testing/src/tests/ownership.test.ts
+++ b/testing/src/tests/ownership.test.ts
@@ -165,6 +165,29 @@
 		await expectStartedOnce([running, late]);
 	});
 
+	it('finishes tasks that still wait when the list says that it leaves, and when it has left the list', async () => {
+		const [identifier = ''] = await caller.reserve(first);
+		const job = {
+			entry: 'plan',
+			tasks: Array.from({length: 40}, () => ({input: {runMs: 200}})),
+		};
+		const original = caller.submit(first, identifier, job);
+		await untilRunning(identifier);
+		const hasGone = kill(first, 'SIGTERM');
+		await installation.publishMachines((machine) =>
+			machine.name === first.name ? {...machine, state: 'leaving'} : machine,
+		);
+		await untilNotReady(first);
+		await installation.publishMachines((machine) =>
+			machine.name === first.name ? undefined : machine,
+		);
+		const {body} = await original;
+		expect(body.verdict).toBe('completed');
+		await hasGone;
+		const {starts} = await installation.records();
+		expect(new Set(starts).size).toBe(starts.length);
+	});
+
 	it('says that a killed owner is out of reach, and that it is gone once there is proof', async () => {
 		const [running = '', unused = ''] = await caller.reserve(first, 2);
 		const forwarded = caller.submit(second, running, jobOf(60_000));
