An entry VM that is not on the list yet has slots of its zone

Cause: a fresh entry VM that learned the list from its peers during an outage of the platform is not on that list, and got no slots: its submissions were refused after their whole deadline.

Change: FixedSlotShares takes its own name and zone from the settings, and always counts itself among the holders of its zone. target-board.test.ts builds it with the entry VM in place of its name; its checks are the same.

--- a/packages/core/src/slot-share.ts
+++ b/packages/core/src/slot-share.ts
@@ -45,26 +45,27 @@
 	}
 }
 
+/** An entry VM among which the slots of its zone are divided. */
+export type HolderOfSlots = Pick<EntryVm, 'name' | 'zone'>;
+
 /** Fixed shares without lending: each target's slots are divided among the entry VMs of its zone. */
 export class FixedSlotShares implements SlotView {
-	readonly #self: string;
+	readonly #self: HolderOfSlots;
 	readonly #inUse = new SharedSlots();
-	/** The last row of this entry VM: once it leaves the list, or is to leave, it still finishes what it has admitted. */
-	#own: EntryVm | undefined;
-	#entryVms: readonly EntryVm[] = [];
+	#entryVms: readonly HolderOfSlots[] = [];
 	#shares = new Map<string, number>();
 
-	constructor(self: string) {
+	constructor(self: HolderOfSlots) {
 		this.#self = self;
 	}
 
 	/** Takes the platform's newest list of entry VMs. */
 	update(entryVms: readonly EntryVm[]): void {
-		this.#own = entryVms.find(({name}) => name === this.#self) ?? this.#own;
 		const others = entryVms.filter(
-			({name, state}) => name !== this.#self && state === 'live',
+			({name, state}) => name !== this.#self.name && state === 'live',
 		);
-		this.#entryVms = this.#own === undefined ? others : [...others, this.#own];
+		// Also when it is not listed, or not live: it finishes what it has admitted.
+		this.#entryVms = [...others, this.#self];
 		this.#shares = new Map();
 	}
 
@@ -95,7 +96,7 @@
 		const holders = (inZone.length > 0 ? inZone : this.#entryVms)
 			.map(({name}) => name)
 			.toSorted();
-		const position = holders.indexOf(this.#self);
+		const position = holders.indexOf(this.#self.name);
 		const share =
 			position === -1 ? 0 : shareOf(target, position, holders.length);
 		this.#shares.set(target.name, share);
--- a/packages/core/src/tests/target-board.test.ts
+++ b/packages/core/src/tests/target-board.test.ts
@@ -164,7 +164,7 @@
 						entryVm('elsewhere', 'zone-b'),
 					];
 					const shares = entryVms.map((self) => {
-						const view = new FixedSlotShares(self.name);
+						const view = new FixedSlotShares(self);
 						view.update(entryVms);
 						return view.free(targetFixture(name, {slots}));
 					});
--- a/packages/verbenarouter/src/entry-vm.ts
+++ b/packages/verbenarouter/src/entry-vm.ts
@@ -243,10 +243,14 @@
 	};
 }
 
-function slotsOf({placement, name}: Settings): SharedSlots | FixedSlotShares {
+function slotsOf({
+	placement,
+	name,
+	zone,
+}: Settings): SharedSlots | FixedSlotShares {
 	return placement.slots === 'shared'
 		? new SharedSlots()
-		: new FixedSlotShares(name);
+		: new FixedSlotShares({name, zone});
 }
 
 function hostAndPort(address: string): {
