Take in slots of entry VMs that leave or are not listed

Cause: fixed shares gave no slots to an entry VM that leaves, or that the list does not name yet. Checked: builds; tests run next.

--- a/packages/verbenarouter/src/entry-vm.ts
+++ b/packages/verbenarouter/src/entry-vm.ts
@@ -286,7 +286,7 @@
 		}
 
 		case 'fixed': {
-			return new FixedSlotShares(name);
+			return new FixedSlotShares({name, zone});
 		}
 
 		case 'shared': {
