--- a/testing/src/caller-client.ts
+++ b/testing/src/caller-client.ts
@@ -1,7 +1,7 @@
 /** A caller of an installation. */
 import {type JobAnswer} from '@verbenarouter/core';
 import {tokenOf} from './catalogue-fixtures.js';
-import {call, type HttpAnswer} from './http-call.js';
+import {call, send, type HttpAnswer} from './http-call.js';
 import {type Part} from './processes.js';
 
 /** A caller of one team. */
@@ -23,18 +23,20 @@
 		return answer.body.identifiers;
 	}
 
-	/** Submits a job and waits for its answer. */
+	/** Submits a job and waits for its answer, or until the signal tells it to go away. */
 	async submit(
 		{address}: Part,
 		identifier: string,
 		job: unknown,
+		signal?: AbortSignal,
 	): Promise<HttpAnswer<JobAnswer>> {
-		return call<JobAnswer>(
-			'PUT',
-			`${address}/v1/jobs/${identifier}`,
-			job,
-			this.#token,
-		);
+		return send<JobAnswer>({
+			method: 'PUT',
+			url: `${address}/v1/jobs/${identifier}`,
+			body: job,
+			token: this.#token,
+			signal,
+		});
 	}
 
 	/** Asks for a submission's state. */
--- a/testing/src/http-call.ts
+++ b/testing/src/http-call.ts
@@ -20,15 +20,37 @@
 	}
 }
 
+/** An HTTP request with a JSON body. */
+export type HttpRequest = {
+	readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+	readonly url: string;
+	readonly body?: unknown;
+	readonly token?: string | undefined;
+	/** Ends the call: the client goes away without its answer. */
+	readonly signal?: AbortSignal | undefined;
+};
+
 /** One HTTP call with a JSON body. */
 export async function call<T>(
-	method: 'GET' | 'POST' | 'PUT' | 'DELETE',
+	method: HttpRequest['method'],
 	url: string,
 	body?: unknown,
 	token?: string,
 ): Promise<HttpAnswer<T>> {
+	return send<T>({method, url, body, token});
+}
+
+/** Sends a request and waits for its answer. */
+export async function send<T>({
+	method,
+	url,
+	body,
+	token,
+	signal,
+}: HttpRequest): Promise<HttpAnswer<T>> {
 	const answer = await request(url, {
 		method,
+		...(signal === undefined ? {} : {signal}),
 		headers: {
 			...(body === undefined ? {} : {'content-type': 'application/json'}),
 			...(token === undefined ? {} : {authorization: `Bearer ${token}`}),
--- a/testing/src/proxy-network.ts
+++ b/testing/src/proxy-network.ts
@@ -57,12 +57,11 @@
 	/** Cuts a zone off from all other zones, in both directions; nothing that was open works again. */
 	async cutOff(zone: string): Promise<void> {
 		const paths = await this.#all();
-		for (const {fromZone, toZone, name, proxy} of paths) {
-			const isBetweenZones = (fromZone === zone) !== (toZone === zone);
-			if (name !== platformName && isBetweenZones) {
-				proxy.silenceAll();
-			}
-		}
+		const cut = paths.filter(
+			({fromZone, toZone, name}) =>
+				name !== platformName && (fromZone === zone) !== (toZone === zone),
+		);
+		await Promise.all(cut.map(async ({proxy}) => proxy.cutOff()));
 	}
 
 	/** Takes back all faults. */
--- a/testing/src/tcp-proxy.ts
+++ b/testing/src/tcp-proxy.ts
@@ -83,6 +83,12 @@
 		this.silenceOpen();
 	}
 
+	/** Nothing passes on the open connections any more, and new ones are refused, until {@link heal}. */
+	async cutOff(): Promise<void> {
+		this.silenceOpen();
+		await this.#stopListening();
+	}
+
 	/** Resets one connection, the first on which that many bytes come from its client from now on. */
 	resetNextRequest(reset: RequestReset): void {
 		this.#reset = reset;
@@ -95,11 +101,8 @@
 
 	/** Refuses new connections and resets those that are open. */
 	async refuse(): Promise<void> {
-		const closed = new Promise((resolve) => {
-			this.#server.close(resolve);
-		});
 		this.resetOpen();
-		await closed;
+		await this.#stopListening();
 	}
 
 	/** Takes back every fault. A connection that went silent stays silent. */
@@ -116,7 +119,7 @@
 
 	/** Closes the proxy and all its connections. */
 	async close(): Promise<void> {
-		await (this.#server.listening ? this.refuse() : undefined);
+		await this.refuse();
 	}
 
 	/** Takes the reset that is due on a connection after so many bytes from its client. */
@@ -162,6 +165,16 @@
 		};
 	}
 
+	/** Stops listening. The connections that are open go on. */
+	async #stopListening(): Promise<void> {
+		if (this.#server.listening) {
+			this.#server.close();
+			await new Promise((resolve) => {
+				setImmediate(resolve);
+			});
+		}
+	}
+
 	async #listen(port: number): Promise<void> {
 		await new Promise<void>((resolve) => {
 			this.#server.listen(port, loopback, resolve);
--- a/testing/src/tests/tcp-proxy.test.ts
+++ b/testing/src/tests/tcp-proxy.test.ts
@@ -106,6 +106,19 @@
 		expect(await exchange(await open(), 'one')).toBe('answer to one');
 	});
 
+	it('cuts off without telling either end', async () => {
+		const socket = await open();
+		await exchange(socket, 'one');
+		await proxy.cutOff();
+		socket.write('two');
+		await expect(open()).rejects.toThrow('ECONNREFUSED');
+		await proxy.heal();
+		expect(await exchange(await open(), 'three')).toBe('answer to three');
+		expect(socket.destroyed).toBe(false);
+		expect(received).toEqual(['one', 'three']);
+		socket.destroy();
+	});
+
 	it('replaces and exchanges answers', async () => {
 		const [first, second] = [await open(), await open()];
 		proxy.replacementAnswer = 'bad gateway';
