--- a/packages/target/src/target-connections.ts
+++ b/packages/target/src/target-connections.ts
@@ -43,6 +43,7 @@
 	#idle: Connection[] = [];
 	#generation = 0;
 	#isClosed = false;
+	#isProbing = false;
 
 	constructor(address: string, options: TargetConnectionsOptions) {
 		this.#address = address;
@@ -177,10 +178,15 @@
 
 		const [oldest] = this.#idle.toSorted((a, b) => a.heardAtMs - b.heardAtMs);
 		const unheardSince = this.#options.clock() - this.#options.probeIntervalMs;
-		if (oldest === undefined || oldest.heardAtMs > unheardSince) {
+		if (
+			this.#isProbing ||
+			oldest === undefined ||
+			oldest.heardAtMs > unheardSince
+		) {
 			return;
 		}
 
+		this.#isProbing = true;
 		this.#idle.splice(this.#idle.indexOf(oldest), 1);
 		const probe = new BoundedExchange(
 			() => ({method: 'GET', path: '/health'}),
@@ -188,10 +194,12 @@
 				timeoutMs: this.#options.probeTimeoutMs,
 				answerBytes: probeAnswerBytes,
 				withdrawnMs: 0,
-				onAnswer() {
-					// Any answer shows that the connection works.
+				// Any answer shows that the connection works.
+				onAnswer: () => {
+					this.#isProbing = false;
 				},
 				onFailure: ({reason}) => {
+					this.#isProbing = false;
 					if (reason === 'timeout') {
 						this.#replace();
 					}
--- a/packages/target/src/tests/http-task-targets.test.ts
+++ b/packages/target/src/tests/http-task-targets.test.ts
@@ -234,11 +234,16 @@
 		}
 
 		const before = sockets.length;
+		const requestsBefore = requests.length;
 		await expect
 			.poll(() => sockets.filter(({destroyed}) => destroyed).length, {
 				timeout: 10_000,
 			})
 			.toBe(2);
+		const probes = requests
+			.slice(requestsBefore)
+			.filter((request) => request === 'GET /health');
+		expect(probes.length).toBe(1);
 		expect(await client.start(target, taskOf('c'), never())).toMatchObject({
 			kind: 'completed',
 		});
--- a/testing/src/tests/steps/submission-steps.ts
+++ b/testing/src/tests/steps/submission-steps.ts
@@ -88,7 +88,7 @@
 when(
 	'{string} is submitted at {word} by a caller that goes away once it has started',
 	async function (this: Scenario, name: string, entryVm: string) {
-		const {copies, identifier, request, taskCount} = this.job(name);
+		const {identifier, request, taskCount} = this.job(name);
 		const caller = new AbortController();
 		const copy = this.caller.submit(
 			this.part(entryVm),
