--- a/testing/src/http-call.ts
+++ b/testing/src/http-call.ts
@@ -1,4 +1,4 @@
-/** Small helpers of tests: HTTP calls with JSON bodies, and waiting for conditions. */
+/** Functions for tests: HTTP calls with JSON bodies, and waiting for conditions. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {request} from 'undici';
 
--- a/testing/src/load/measure-starts.ts
+++ b/testing/src/load/measure-starts.ts
@@ -104,7 +104,7 @@
 	const cpuBefore = process.cpuUsage();
 	const startedAt = performance.now();
 	let next = 0;
-	const lane = async (): Promise<void> => {
+	const submitInTurn = async (): Promise<void> => {
 		while (next < jobs) {
 			next += 1;
 			// eslint-disable-next-line no-await-in-loop -- one job after the other
@@ -112,7 +112,7 @@
 		}
 	};
 
-	await Promise.all(Array.from({length: concurrentJobs}, lane));
+	await Promise.all(Array.from({length: concurrentJobs}, submitInTurn));
 	const {user, system} = process.cpuUsage(cpuBefore);
 	const starts = jobs * tasksPerJob;
 	return {
--- a/testing/src/measure-forwarding.ts
+++ b/testing/src/measure-forwarding.ts
@@ -50,7 +50,7 @@
 	for (const [index, identifier] of work) {
 		const kind = kinds[index % kinds.length] ?? 'owner';
 		const startedAt = performance.now();
-		// eslint-disable-next-line no-await-in-loop -- each lane waits for its answer
+		// eslint-disable-next-line no-await-in-loop -- each caller waits for its answer
 		const {body} = await caller.submit(receivers[kind], identifier, job);
 		const tookMs = performance.now() - startedAt;
 		if (body.verdict !== 'completed') {
