--- /dev/null
+++ b/packages/core/src/leadership.ts
@@ -0,0 +1,402 @@
+/**
+ * Which entry VM leads the workers of a zone.
+ *
+ * Nothing is agreed upon: a leader orders workers under a fencing token, and workers refuse every lower one. A second
+ * leader is harmless; whoever hears of a higher token stands down. The rules here only make that rare.
+ */
+
+/** What an entry VM says of itself in each heartbeat. */
+export type Heartbeat = {
+	readonly name: string;
+	readonly zone: string;
+	/** `host:port` of its peer interface. */
+	readonly address: string;
+	/** Names one life of the process. */
+	readonly incarnation: string;
+	/** Share of a core that the process may use. */
+	readonly processorShare: number;
+	readonly isStopping: boolean;
+	/** Fencing tokens by the zone that it leads. */
+	readonly leads: Readonly<Record<string, number>>;
+	/** Zones whose leader it hears at present. */
+	readonly hears: readonly string[];
+	/** Zones that it gives up, by the name of the entry VM that is to take them. */
+	readonly yields: Readonly<Record<string, string>>;
+	/** Names of entry VMs that it hears, with their addresses and zones. */
+	readonly members: readonly MemberAddress[];
+};
+
+/** Where an entry VM is reached. */
+export type MemberAddress = {
+	readonly name: string;
+	readonly zone: string;
+	readonly address: string;
+};
+
+/** Over which workers one leader places tasks. */
+export type PoolScope = 'region' | 'zone';
+
+/** Settings of leadership. Times are in milliseconds. */
+export type LeadershipSettings = {
+	/** Three heartbeats and some delay: shorter ones take busy entry VMs for dead. */
+	readonly silenceMs: number;
+	/** Head start of each candidate over the next one. */
+	readonly candidateGapMs: number;
+	/** Time after the start in which a process only listens for leaders that exist. */
+	readonly startGraceMs: number;
+	/** Extra delay of a process that has lost all of its peers, which is more likely cut off than the last one alive. */
+	readonly isolatedGraceMs: number;
+	/** Time for which all of a zone's entry VMs must be silent before others take its workers. */
+	readonly emptyZoneMs: number;
+	/** Time for which two leaders must hear each other before one yields its zones to the other. */
+	readonly mergeAfterMs: number;
+};
+
+/** Settings that suit heartbeats every 100 ms. */
+export const defaultLeadershipSettings: LeadershipSettings = {
+	silenceMs: 380,
+	candidateGapMs: 120,
+	startGraceMs: 250,
+	isolatedGraceMs: 1500,
+	emptyZoneMs: 2500,
+	mergeAfterMs: 1500,
+};
+
+/** A change that the owner of this state machine carries out. */
+export type LeadershipChange =
+	| {readonly kind: 'claimed'; readonly zone: string; readonly token: number}
+	| {
+			readonly kind: 'dropped';
+			readonly zone: string;
+			readonly reason: 'outranked' | 'yielded' | 'stopping' | 'isolated';
+	  };
+
+/** The entry VM that leads a zone, as far as is known. */
+export type ZoneLeader = {readonly name: string; readonly token: number};
+
+type Peer = {
+	readonly heartbeat: Heartbeat;
+	readonly heardAtMs: number;
+	/** Since when it has been heard without a pause. */
+	readonly heardSinceMs: number;
+	readonly isBroken: boolean;
+};
+
+/** Tokens are times in milliseconds times this factor, so that later claims are higher without any agreement. */
+const tokensPerMs = 1000;
+/** First step by which a token is raised after a refusal; clocks may differ by seconds. */
+const refusedStepMs = 10_000;
+const mostRefusedSteps = 4;
+
+/** Decides which zones one entry VM leads. */
+export class Leadership {
+	readonly #self: Pick<Heartbeat, 'name' | 'zone' | 'processorShare'>;
+	readonly #zones: readonly string[];
+	readonly #settings: LeadershipSettings;
+	readonly #peers = new Map<string, Peer>();
+	readonly #leads = new Map<string, number>();
+	/** Zones that this entry VM has yielded, until their new leader is heard. */
+	readonly #yields = new Map<string, string>();
+	readonly #leaderlessSince = new Map<string, number>();
+	readonly #refusals = new Map<string, number>();
+	#scope: PoolScope = 'zone';
+	#startedAtMs: number | undefined;
+	#highestToken = 0;
+	#isStopping = false;
+	/** Whether a refusal has shown that this entry VM is cut off from those that lead; it claims nothing until it hears one. */
+	#isBarred = false;
+	/** When at least two peers were last heard. */
+	#lastCompanyMs = Number.NEGATIVE_INFINITY;
+
+	constructor(
+		self: Pick<Heartbeat, 'name' | 'zone' | 'processorShare'>,
+		zones: readonly string[],
+		settings: LeadershipSettings = defaultLeadershipSettings,
+	) {
+		this.#self = self;
+		this.#zones = zones;
+		this.#settings = settings;
+	}
+
+	/** Fencing tokens by the zone that this entry VM leads. */
+	get leads(): ReadonlyMap<string, number> {
+		return this.#leads;
+	}
+
+	/** Zones that are yielded, by the entry VM that is to take them. */
+	get yields(): ReadonlyMap<string, string> {
+		return this.#yields;
+	}
+
+	/** Sets whether one leader takes all zones or each zone has its own. */
+	setScope(scope: PoolScope): void {
+		this.#scope = scope;
+	}
+
+	/** Takes in a heartbeat. */
+	heard(heartbeat: Heartbeat, now: number): void {
+		const known = this.#peers.get(heartbeat.name);
+		const isContinued =
+			known !== undefined &&
+			this.#isLive(known, now) &&
+			known.heartbeat.incarnation === heartbeat.incarnation;
+		this.#peers.set(heartbeat.name, {
+			heartbeat,
+			heardAtMs: now,
+			heardSinceMs: isContinued ? known.heardSinceMs : now,
+			isBroken: false,
+		});
+		for (const token of Object.values(heartbeat.leads)) {
+			this.#highestToken = Math.max(this.#highestToken, token);
+		}
+	}
+
+	/** The connection from a peer broke; until its next heartbeat it counts as gone. */
+	lost(name: string): void {
+		const known = this.#peers.get(name);
+		if (known !== undefined) {
+			this.#peers.set(name, {...known, isBroken: true});
+		}
+	}
+
+	/** Whether a peer is heard at present. */
+	isHeard(name: string, now: number): boolean {
+		const peer = this.#peers.get(name);
+		return peer !== undefined && this.#isLive(peer, now);
+	}
+
+	/** Entry VMs that are heard at present, without this one. */
+	livePeers(now: number): readonly Heartbeat[] {
+		return [...this.#peers.values()]
+			.filter((peer) => this.#isLive(peer, now))
+			.map(({heartbeat}) => heartbeat);
+	}
+
+	/** The live leader of a zone with the highest token. */
+	leaderOf(zone: string, now: number): ZoneLeader | undefined {
+		const own = this.#leads.get(zone);
+		return this.livePeers(now)
+			.flatMap(({name, leads}) => {
+				const token = leads[zone];
+				return token === undefined ? [] : [{name, token}];
+			})
+			.reduce<ZoneLeader | undefined>(
+				(best, leader) =>
+					best === undefined || leader.token > best.token ? leader : best,
+				own === undefined ? undefined : {name: this.#self.name, token: own},
+			);
+	}
+
+	/** Whether this entry VM once had company and now hears nobody. */
+	isIsolated(now: number): boolean {
+		return (
+			this.#lastCompanyMs !== Number.NEGATIVE_INFINITY &&
+			this.livePeers(now).length === 0
+		);
+	}
+
+	/** A worker of a zone has seen a higher token than the one this entry VM uses. */
+	refused(zone: string, now: number): readonly LeadershipChange[] {
+		const token = this.#leads.get(zone);
+		if (token === undefined) {
+			return [];
+		}
+
+		const refusals = (this.#refusals.get(zone) ?? 0) + 1;
+		this.#refusals.set(zone, refusals);
+		const leader = this.leaderOf(zone, now);
+		if (
+			this.isIsolated(now) ||
+			(leader !== undefined && leader.name !== this.#self.name) ||
+			refusals > mostRefusedSteps
+		) {
+			this.#isBarred = this.isIsolated(now);
+			return this.#drop(zone, this.#isBarred ? 'isolated' : 'outranked');
+		}
+
+		this.#highestToken =
+			Math.max(token, this.#highestToken) +
+			refusedStepMs * tokensPerMs * 10 ** (refusals - 1);
+		return this.#claim(zone, now);
+	}
+
+	/** Gives up all zones, each to the best live candidate; none is claimed any more. */
+	stop(now: number): readonly LeadershipChange[] {
+		this.#isStopping = true;
+		return [...this.#leads.keys()].flatMap((zone) => {
+			const [successor] = this.#candidates(zone, now).filter(
+				({name}) => name !== this.#self.name,
+			);
+			if (successor === undefined) {
+				return [];
+			}
+
+			this.#yields.set(zone, successor.name);
+			return this.#drop(zone, 'stopping');
+		});
+	}
+
+	/** Looks at what has changed with time. */
+	tick(now: number): readonly LeadershipChange[] {
+		this.#startedAtMs ??= now;
+		const peerCount = this.livePeers(now).length;
+		this.#isBarred &&= peerCount === 0;
+		if (peerCount > 1) {
+			this.#lastCompanyMs = now;
+		}
+
+		return this.#zones.flatMap((zone) => this.#tickZone(zone, now));
+	}
+
+	#tickZone(zone: string, now: number): readonly LeadershipChange[] {
+		const leader = this.leaderOf(zone, now);
+		if (leader === undefined) {
+			return this.#tickLeaderless(zone, now);
+		}
+
+		this.#leaderlessSince.delete(zone);
+		if (leader.name !== this.#self.name) {
+			this.#yields.delete(zone);
+			return this.#leads.has(zone) ? this.#drop(zone, 'outranked') : [];
+		}
+
+		const heir = this.#heirOf(zone, now);
+		if (heir === undefined) {
+			return [];
+		}
+
+		this.#yields.set(zone, heir);
+		return this.#drop(zone, 'yielded');
+	}
+
+	#tickLeaderless(zone: string, now: number): readonly LeadershipChange[] {
+		const since = this.#leaderlessSince.get(zone) ?? now;
+		this.#leaderlessSince.set(zone, since);
+		if (this.#isStopping || this.#isBarred) {
+			return [];
+		}
+
+		const peers = this.livePeers(now);
+		if (peers.some(({yields}) => yields[zone] === this.#self.name)) {
+			return this.#claim(zone, now);
+		}
+
+		const isHeardByOthers = peers.some(({hears}) => hears.includes(zone));
+		if (isHeardByOthers) {
+			return [];
+		}
+
+		const position = this.#candidates(zone, now).findIndex(
+			({name}) => name === this.#self.name,
+		);
+		return position >= 0 && now >= this.#claimAtMs(zone, since, position, now)
+			? this.#claim(zone, now)
+			: [];
+	}
+
+	#claimAtMs(
+		zone: string,
+		since: number,
+		position: number,
+		now: number,
+	): number {
+		const {candidateGapMs, startGraceMs, isolatedGraceMs, emptyZoneMs} =
+			this.#settings;
+		const hasMember =
+			this.#self.zone === zone ||
+			this.livePeers(now).some((peer) => peer.zone === zone);
+		return Math.max(
+			(this.#startedAtMs ?? now) + startGraceMs,
+			since +
+				position * candidateGapMs +
+				(hasMember ? 0 : emptyZoneMs) +
+				(this.isIsolated(now) ? isolatedGraceMs : 0),
+		);
+	}
+
+	/** Those that may lead a zone, the best first. */
+	#candidates(
+		zone: string,
+		now: number,
+	): ReadonlyArray<Pick<Heartbeat, 'name' | 'zone' | 'processorShare'>> {
+		const all = [
+			...(this.#isStopping ? [] : [this.#self]),
+			...this.livePeers(now).filter(({isStopping}) => !isStopping),
+		];
+		const inZone = all.filter((candidate) => candidate.zone === zone);
+		return (
+			this.#scope === 'region' || inZone.length === 0 ? all : inZone
+		).toSorted(
+			(left, right) =>
+				Object.keys(this.#leadsOf(right.name)).length -
+					Object.keys(this.#leadsOf(left.name)).length ||
+				right.processorShare - left.processorShare ||
+				compareText(left.name, right.name),
+		);
+	}
+
+	#leadsOf(name: string): Readonly<Record<string, number>> {
+		return name === this.#self.name
+			? Object.fromEntries(this.#leads)
+			: (this.#peers.get(name)?.heartbeat.leads ?? {});
+	}
+
+	/** The leader to which a zone that this entry VM leads should be yielded, if any. */
+	#heirOf(zone: string, now: number): string | undefined {
+		const others = [...this.#peers.values()].filter(
+			(peer) =>
+				this.#isLive(peer, now) &&
+				!peer.heartbeat.isStopping &&
+				now - peer.heardSinceMs >= this.#settings.mergeAfterMs,
+		);
+		if (this.#scope === 'zone') {
+			return this.#self.zone === zone
+				? undefined
+				: others.find(({heartbeat}) => heartbeat.zone === zone)?.heartbeat.name;
+		}
+
+		const ownCount = this.#leads.size;
+		return others
+			.map(({heartbeat}) => heartbeat)
+			.find(({name, leads, processorShare}) => {
+				const count = Object.keys(leads).length;
+				return (
+					count > ownCount ||
+					(count === ownCount &&
+						(processorShare > this.#self.processorShare ||
+							(processorShare === this.#self.processorShare &&
+								name < this.#self.name)))
+				);
+			})?.name;
+	}
+
+	#claim(zone: string, now: number): readonly LeadershipChange[] {
+		const token = Math.max(now * tokensPerMs, this.#highestToken + 1);
+		this.#highestToken = token;
+		this.#leads.set(zone, token);
+		this.#yields.delete(zone);
+		this.#leaderlessSince.delete(zone);
+		return [{kind: 'claimed', zone, token}];
+	}
+
+	#drop(
+		zone: string,
+		reason: Extract<LeadershipChange, {kind: 'dropped'}>['reason'],
+	): readonly LeadershipChange[] {
+		this.#leads.delete(zone);
+		this.#refusals.delete(zone);
+		return [{kind: 'dropped', zone, reason}];
+	}
+
+	#isLive({heardAtMs, isBroken}: Peer, now: number): boolean {
+		return !isBroken && now - heardAtMs <= this.#settings.silenceMs;
+	}
+}
+
+function compareText(left: string, right: string): number {
+	if (left === right) {
+		return 0;
+	}
+
+	return left < right ? -1 : 1;
+}
--- /dev/null
+++ b/packages/core/src/scheduled-job.ts
@@ -0,0 +1,115 @@
+/** One job in the scheduler: where its tasks stand. */
+import {type QueueSetting} from './desired-state.js';
+import {type PoolJob, type PoolTask} from './pool-job.js';
+import {type QueuedJob} from './pool-queue.js';
+
+/** One task of a job in the scheduler. */
+export type ScheduledTask = {
+	readonly task: PoolTask;
+	readonly expectedMs: number;
+	state: 'waiting' | 'placed' | 'done';
+	/** Worker of the present run. */
+	worker: string | undefined;
+	/** Number of the newest run that is known; 0 before the first. */
+	run: number;
+	failures: number;
+	/** Worker that refused it or failed it last. */
+	avoid: string | undefined;
+};
+
+/** How far beyond its objective a job is still worth answering, as a multiple of the objective. */
+const lateFactor = 3;
+
+/** One job in the scheduler. */
+export class ScheduledJob implements QueuedJob {
+	readonly job: PoolJob;
+	readonly queue: QueueSetting;
+	readonly arrivedAtMs: number;
+	readonly tasks: readonly ScheduledTask[];
+	readonly longestMs: number;
+	/** Entry VM that waits for the answer. */
+	receiver: string;
+	/** Since when its receiver is out of reach. */
+	detachedAtMs: number | undefined;
+	/** Whether an earlier leader may have started tasks of it that have not been found. */
+	isInDoubt: boolean;
+	/** Whether any run of it has been ordered or found. */
+	hasStarted = false;
+
+	constructor(
+		job: PoolJob,
+		queue: QueueSetting,
+		receiver: string,
+		expectedMs: (task: PoolTask) => number,
+		now: number,
+	) {
+		this.job = job;
+		this.queue = queue;
+		this.receiver = receiver;
+		this.isInDoubt = false;
+		this.arrivedAtMs = now - job.waitedMs;
+		this.tasks = job.tasks.map((task) => ({
+			task,
+			expectedMs: expectedMs(task),
+			state: 'waiting',
+			worker: undefined,
+			run: 0,
+			failures: 0,
+			avoid: undefined,
+		}));
+		this.longestMs = Math.max(
+			0,
+			...this.tasks.map((task) => task.expectedMs),
+		);
+	}
+
+	get id(): string {
+		return this.job.id;
+	}
+
+	get priority(): number {
+		return this.queue.priority;
+	}
+
+	get objectiveMs(): number {
+		return this.queue.stretch * this.longestMs + this.queue.latencyMs;
+	}
+
+	get startByMs(): number {
+		return this.arrivedAtMs + this.objectiveMs - this.longestMs;
+	}
+
+	get lastStartMs(): number {
+		return (
+			this.arrivedAtMs +
+			Math.min(this.job.patienceMs, lateFactor * this.objectiveMs) -
+			this.longestMs
+		);
+	}
+
+	/** When the caller leaves. */
+	get endsByMs(): number {
+		return this.arrivedAtMs + this.job.patienceMs;
+	}
+
+	get waiting(): readonly ScheduledTask[] {
+		return this.tasks.filter(({state}) => state === 'waiting');
+	}
+
+	get waitingWork(): number {
+		return this.waiting.reduce(
+			(sum, {task, expectedMs}) =>
+				sum + (task.needs.processorMillis / 1000) * expectedMs,
+			0,
+		);
+	}
+
+	get isDone(): boolean {
+		return this.tasks.every(({state}) => state === 'done');
+	}
+
+	/** Whether nothing of it runs and nothing can have run. */
+	get isUntouched(): boolean {
+		return !this.hasStarted && !this.isInDoubt;
+	}
+}
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -4,3 +4,6 @@
 export * from './peer-mesh.js';
 export * from './within-time.js';
 export {peerTraffic} from './peer-service.js';
+export * from './pool-link.js';
+export * from './pool-mesh.js';
+export type * from './pool-message.js';
--- /dev/null
+++ b/packages/verbenarouter/src/pool/daemon.ts
@@ -0,0 +1,70 @@
+/** Runs an entry VM on the platform, with the settings file that an environment variable names. */
+import {readFileSync} from 'node:fs';
+import {createServer} from 'node:http';
+import process from 'node:process';
+import {createCallerFront, parseEntrySettings} from '@verbenarouter/platform';
+import {PoolLog} from './pool-log.js';
+import {PoolNode} from './pool-node.js';
+import {steadyNow} from './steady-clock.js';
+
+/** Milliseconds that are left of the stop's grace when the process ends at the latest. */
+const exitMarginMs = 600;
+/** Milliseconds for which a stopping process still takes requests: the balancer needs two failed probes. */
+const leastStopMs = 2600;
+const stopLookMs = 50;
+const badSettingsCode = 2;
+
+function listenOn(address: string): {readonly host: string; readonly port: number} {
+	const [host = '', port = ''] = address.split(':');
+	return {host, port: Number(port)};
+}
+
+async function main(): Promise<void> {
+	const path = process.env['VERBENAROUTER_SETTINGS'] ?? '';
+	const settings = parseEntrySettings(readFileSync(path, 'utf8'));
+	if (settings.isErr()) {
+		console.error(`${path}: ${settings.error.join('; ')}`);
+		process.exitCode = badSettingsCode;
+		return;
+	}
+
+	const {value} = settings;
+	const log: PoolLog = new PoolLog(value.name, () => node.gauges);
+	const node: PoolNode = new PoolNode(value, log, steadyNow);
+	const front = createCallerFront(node);
+	const readiness = createServer((request, response) => {
+		request.resume();
+		response.writeHead(node.isReady ? 200 : 503).end();
+	});
+	const metrics = createServer((request, response) => {
+		request.resume();
+		response.writeHead(200, {'content-type': 'text/plain'});
+		response.end(log.metrics.text());
+	});
+	log.write({event: 'starting', zone: value.zone, pid: process.pid});
+	await node.start();
+	front.listen(listenOn(value.callerAddress));
+	readiness.listen(listenOn(value.readinessAddress));
+	metrics.listen(listenOn(value.metricsAddress));
+	log.write({event: 'started', tookMs: Math.round(performance.now())});
+
+	process.once('SIGTERM', () => {
+		const stoppedAtMs = steadyNow();
+		log.write({event: 'stopping', pendingJobs: node.pendingCountHere});
+		node.beginStop();
+		setInterval(() => {
+			const sinceMs = steadyNow() - stoppedAtMs;
+			const isIdle = node.pendingCountHere === 0 && sinceMs >= leastStopMs;
+			if (isIdle || sinceMs >= value.stopGraceMs - exitMarginMs) {
+				log.write({event: 'stopped', pendingJobs: node.pendingCountHere});
+				node.close();
+				setImmediate(() => {
+					// eslint-disable-next-line unicorn/no-process-exit -- open connections of callers would keep the process alive
+					process.exit(0);
+				});
+			}
+		}, stopLookMs);
+	});
+}
+
+await main();
--- /dev/null
+++ b/packages/verbenarouter/src/pool/pending-jobs.ts
@@ -0,0 +1,71 @@
+/** Jobs that this entry VM has received and not answered yet. */
+import {type PoolAnswer, type PoolJob} from '@verbenarouter/core';
+
+/** One job with the callers that wait for it. */
+export type PendingJob = {
+	readonly job: PoolJob;
+	readonly receivedAtMs: number;
+	/** Leader that it was given to last. */
+	sentTo: string | undefined;
+	/** Since when no leader has it. */
+	unsentSinceMs: number | undefined;
+	readonly waiting: Array<(answer: PoolAnswer) => void>;
+};
+
+/** Jobs that wait for their answer. */
+export class PendingJobs {
+	readonly #jobs = new Map<string, PendingJob>();
+
+	get size(): number {
+		return this.#jobs.size;
+	}
+
+	get all(): readonly PendingJob[] {
+		return [...this.#jobs.values()];
+	}
+
+	get(id: string): PendingJob | undefined {
+		return this.#jobs.get(id);
+	}
+
+	/** Adds a job, or one more caller to it; `isNew` tells which. */
+	add(
+		job: PoolJob,
+		resolve: (answer: PoolAnswer) => void,
+		now: number,
+	): {readonly pending: PendingJob; readonly isNew: boolean} {
+		const known = this.#jobs.get(job.id);
+		if (known !== undefined) {
+			known.waiting.push(resolve);
+			return {pending: known, isNew: false};
+		}
+
+		const pending: PendingJob = {
+			job,
+			receivedAtMs: now,
+			sentTo: undefined,
+			unsentSinceMs: now,
+			waiting: [resolve],
+		};
+		this.#jobs.set(job.id, pending);
+		return {pending, isNew: true};
+	}
+
+	/** Gives the answer to all callers that wait for a job. */
+	answer(id: string, answer: PoolAnswer): PendingJob | undefined {
+		const pending = this.#jobs.get(id);
+		this.#jobs.delete(id);
+		for (const resolve of pending?.waiting ?? []) {
+			resolve(answer);
+		}
+
+		return pending;
+	}
+
+	/** Takes a job off without an answer. */
+	remove(id: string): PendingJob | undefined {
+		const pending = this.#jobs.get(id);
+		this.#jobs.delete(id);
+		return pending;
+	}
+}
--- /dev/null
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -0,0 +1,727 @@
+/** One entry VM on the platform: receives jobs, and leads the pool of workers when it is its turn. */
+import {
+	BestFit,
+	Leadership,
+	LearnedEstimates,
+	ObjectiveOrder,
+	PoolScheduler,
+	defaultWorkerPoolSettings,
+	type DesiredState,
+	type Heartbeat,
+	type LeadershipChange,
+	type MemberAddress,
+	type OrderOutcome,
+	type PoolAnswer,
+	type PoolJob,
+	type WorkerEntry,
+} from '@verbenarouter/core';
+import {PoolMesh, type PoolMessage} from '@verbenarouter/peer';
+import {
+	StoreClient,
+	WorkerClient,
+	type EntrySettings,
+	type JobIntake,
+} from '@verbenarouter/platform';
+import {PendingJobs, type PendingJob} from './pending-jobs.js';
+import {type PoolLog} from './pool-log.js';
+import {StoreFollower} from './store-follower.js';
+
+/** Milliseconds between two heartbeats. */
+const heartbeatMs = 100;
+/** Milliseconds between two looks at leases, stops and deadlines. */
+const tickMs = 20;
+/** Milliseconds for which a job that no leader has seen waits for one. */
+const unsentPatienceMs = 450;
+/** The same for a job that a lost leader may have started; a fail-over takes less. */
+const resentPatienceMs = 900;
+/** Age of what is known of the store, in milliseconds, from which a leader asks the others. */
+const staleKnowledgeMs = 900;
+/** Milliseconds for which an entry VM that is no longer heard is still dialled. */
+const memberKeptMs = 120_000;
+const retryMs = 1000;
+/** Milliseconds for which a question to the leader waits for its reply. */
+const questionMs = 800;
+
+type KnownMember = MemberAddress & {readonly heardOfMs: number};
+
+/** One entry VM on the platform. */
+export class PoolNode implements JobIntake {
+	readonly #settings: EntrySettings;
+	readonly #log: PoolLog;
+	readonly #now: () => number;
+	readonly #leadership: Leadership;
+	readonly #scheduler: PoolScheduler;
+	readonly #mesh: PoolMesh;
+	readonly #workers: WorkerClient;
+	readonly #store: StoreFollower;
+	readonly #pending = new PendingJobs();
+	readonly #members = new Map<string, KnownMember>();
+	readonly #questions = new Map<number, (value: unknown) => void>();
+	readonly #incarnation: string;
+	#state: DesiredState | undefined;
+	#entries: readonly WorkerEntry[] = [];
+	#leader: string | undefined;
+	#isStopping = false;
+	#nextQuestion = 1;
+	#lastBeatMs = 0;
+	#hears: readonly string[] = [];
+	readonly #needy = new Set<string>();
+
+	constructor(settings: EntrySettings, log: PoolLog, now: () => number) {
+		this.#settings = settings;
+		this.#log = log;
+		this.#now = now;
+		this.#incarnation = `${settings.name}-${Math.floor(now())}`;
+		this.#leadership = new Leadership(settings, settings.zones);
+		this.#leadership.setScope('region');
+		this.#workers = new WorkerClient(now);
+		this.#scheduler = new PoolScheduler({
+			orders: {
+				hold: (order) => {
+					const sentAtMs = now();
+					void this.#ordered(this.#workers.hold(order), (outcome) => {
+						this.#scheduler.holdAnswered(
+							order.worker.id,
+							sentAtMs,
+							outcome,
+							now(),
+						);
+					});
+				},
+				start: (order) => {
+					void this.#ordered(this.#workers.start(order), (outcome) => {
+						this.#scheduler.startAnswered(
+							order.worker.id,
+							order.task,
+							outcome,
+							now(),
+						);
+					});
+				},
+				stop: (order) => {
+					void this.#ordered(this.#workers.stop(order), (outcome) => {
+						this.#scheduler.stopAnswered(
+							order.worker.id,
+							order.task,
+							outcome,
+							now(),
+						);
+					});
+				},
+			},
+			output: {
+				answer: (receiver, id, answer) => {
+					this.#deliver(receiver, id, answer);
+				},
+				fenced: (zone) => {
+					this.#changed(this.#leadership.refused(zone, now()), 'fenced');
+				},
+				decided: (decision) => {
+					log.write(decision);
+				},
+			},
+			estimates: new LearnedEstimates(),
+			order: new ObjectiveOrder(),
+			fit: new BestFit(),
+			zones: settings.zones,
+			poolSettings: {
+				...defaultWorkerPoolSettings,
+				leaseMs: settings.workerLeaseMs,
+				stopMs: settings.workerStopMs,
+			},
+		});
+		this.#mesh = new PoolMesh({
+			name: settings.name,
+			address: settings.peerAddress,
+			onMessage: (from, message) => {
+				this.#received(from, message);
+			},
+			onLost: (name) => {
+				this.#leadership.lost(name);
+				this.#scheduler.receiverLost(name, now());
+				log.write({event: 'peer-lost', peer: name});
+				this.#lead();
+			},
+			onOpen: (name) => {
+				log.write({event: 'peer-open', peer: name});
+				if (this.#leadership.leads.size > 0) {
+					this.#tell(name);
+				}
+
+				if (name === this.#leader) {
+					this.#resubmitAll();
+				}
+			},
+		});
+		this.#store = new StoreFollower(
+			new StoreClient(settings.storeAddress),
+			{
+				stateRead: (state) => {
+					this.#takeState(state, 'store');
+				},
+				workersRead: () => {
+					this.#takeWorkers(this.#store.directory.entries(now()), 'store');
+				},
+				recordIgnored: (topic, key) => {
+					log.write({event: 'record-ignored', topic, key});
+				},
+				reachChanged: (isReachable, reason) => {
+					log.write({event: 'store', isReachable, reason});
+				},
+			},
+			now,
+		);
+	}
+
+	/** Listens for peers, and joins them. */
+	async start(): Promise<void> {
+		await this.#mesh.listen();
+		this.#link();
+		setInterval(() => {
+			this.#tick();
+		}, tickMs);
+		this.#tick();
+	}
+
+	/** Whether new connections of callers should come here. */
+	get isReady(): boolean {
+		return (
+			!this.#isStopping &&
+			this.#state !== undefined &&
+			this.#leader !== undefined &&
+			this.#canReach(this.#leader)
+		);
+	}
+
+	/** Jobs without an answer. */
+	get pendingCountHere(): number {
+		return this.#pending.size;
+	}
+
+	/** Values for metrics. */
+	get gauges(): Readonly<Record<string, number>> {
+		return {
+			jobsReceivedWaiting: this.#pending.size,
+			jobsScheduled: this.#scheduler.jobCount,
+			zonesLed: this.#leadership.leads.size,
+			workersLed: this.#scheduler.pool.workers.length,
+			peersHeard: this.#leadership.livePeers(this.#now()).length,
+			desiredStateVersion: this.#state?.version ?? 0,
+			storeKnowledgeAgeMs: Math.round(
+				Math.min(1e9, this.#store.ageMs(this.#now())),
+			),
+			logLinesDropped: this.#log.droppedCount,
+		};
+	}
+
+	/** Gives up leading; jobs are still received and answered. */
+	beginStop(): void {
+		this.#isStopping = true;
+		this.#changed(this.#leadership.stop(this.#now()), 'stopping');
+		this.#beat(this.#now());
+	}
+
+	/** Ends all connections. */
+	close(): void {
+		this.#mesh.close();
+	}
+
+	desiredState(): DesiredState | undefined {
+		return this.#state;
+	}
+
+	isStopping(): boolean {
+		return this.#isStopping;
+	}
+
+	async submit(job: PoolJob): Promise<PoolAnswer> {
+		return new Promise((resolve) => {
+			const now = this.#now();
+			const {pending, isNew} = this.#pending.add(
+				job,
+				(answer) => {
+					this.#log.answered(job, answer, this.#now() - now);
+					resolve(answer);
+				},
+				now,
+			);
+			this.#log.write({
+				event: 'received',
+				id: job.id,
+				queue: job.queue,
+				tasks: job.tasks.length,
+				patienceMs: job.patienceMs,
+				isNew,
+				leader: this.#leader ?? 'none',
+			});
+			if (isNew) {
+				this.#sendToLeader(pending);
+			}
+		});
+	}
+
+	abandon(id: string, isReset: boolean): void {
+		const pending = this.#pending.get(id);
+		if (pending === undefined) {
+			return;
+		}
+
+		this.#log.write({event: 'caller-left', id, isReset});
+		if (isReset) {
+			// A caller whose connection broke sends the job again, and then gets what has run meanwhile.
+			return;
+		}
+
+		this.#pending.remove(id);
+		if (pending.sentTo === this.#settings.name) {
+			this.#scheduler.cancel(id, 'caller-left', this.#now());
+		} else if (pending.sentTo !== undefined) {
+			this.#mesh.send(pending.sentTo, {
+				type: 'cancel',
+				id,
+				reason: 'caller-left',
+			});
+		}
+	}
+
+	async cancel(id: string): Promise<boolean> {
+		const isKnown =
+			this.#leader === this.#settings.name
+				? this.#scheduler.cancel(id, 'cancelled', this.#now())
+				: await this.#ask((question) => ({
+						type: 'cancel',
+						id,
+						reason: 'cancelled',
+						question,
+					}));
+		return isKnown === true;
+	}
+
+	async stateOf(id: string): Promise<string | undefined> {
+		const state =
+			this.#leader === this.#settings.name
+				? stateText(this.#scheduler.stateOf(id))
+				: await this.#ask((question) => ({
+						type: 'ask',
+						question,
+						about: 'state',
+						name: id,
+					}));
+		return typeof state === 'string' ? state : undefined;
+	}
+
+	async pendingCount(queue: string): Promise<number | undefined> {
+		const count =
+			this.#leader === this.#settings.name
+				? this.#scheduler.pendingCount(queue)
+				: await this.#ask((question) => ({
+						type: 'ask',
+						question,
+						about: 'pending',
+						name: queue,
+					}));
+		return typeof count === 'number' ? count : undefined;
+	}
+
+	rejected(id: string, status: number, reason: string): void {
+		this.#log.write({event: 'rejected', id, status, reason});
+	}
+
+	async #ordered(
+		call: Promise<OrderOutcome>,
+		take: (outcome: OrderOutcome) => void,
+	): Promise<void> {
+		take(await call);
+	}
+
+	#tick(): void {
+		const now = this.#now();
+		this.#lead();
+		this.#store.setActive(this.#mayRead(now));
+		this.#store.tick(now);
+		if (this.#leadership.leads.size > 0) {
+			for (const {receiver} of this.#silentReceivers(now)) {
+				this.#scheduler.receiverLost(receiver, now);
+			}
+
+			this.#scheduler.tick(now);
+		}
+
+		this.#giveUpUnsent(now);
+		if (now - this.#lastBeatMs >= heartbeatMs) {
+			this.#beat(now);
+			this.#workers.closeUnused();
+		}
+	}
+
+	/** Entry VMs that are not heard; jobs of theirs start nothing until they are heard again. */
+	#silentReceivers(now: number): ReadonlyArray<{readonly receiver: string}> {
+		return [...this.#members.keys()]
+			.filter((name) => !this.#leadership.isHeard(name, now))
+			.map((receiver) => ({receiver}));
+	}
+
+	/** Whether to read the store: leaders do, and others while no leader can. */
+	#mayRead(now: number): boolean {
+		const isFirstFollower =
+			this.#needy.size > 0 &&
+			this.#leadership.leads.size === 0 &&
+			this.#leadership
+				.livePeers(now)
+				.every(
+					({name, leads}) =>
+						Object.keys(leads).length > 0 || name > this.#settings.name,
+				);
+		return (
+			this.#leadership.leads.size > 0 ||
+			this.#leader === undefined ||
+			isFirstFollower
+		);
+	}
+
+	#lead(): void {
+		const now = this.#now();
+		this.#changed(this.#leadership.tick(now), 'tick');
+		const hears = this.#settings.zones.filter(
+			(zone) => this.#leadership.leaderOf(zone, now) !== undefined,
+		);
+		const isChanged = hears.join(' ') !== this.#hears.join(' ');
+		this.#hears = hears;
+		if (isChanged) {
+			this.#beat(now);
+		}
+
+		const leader = this.#leadership.leaderOf(this.#settings.zone, now);
+		const key = leader?.name;
+		if (key !== this.#leader) {
+			this.#leader = key;
+			this.#log.write({
+				event: 'leader',
+				leader: key ?? 'none',
+				token: leader?.token ?? 0,
+				zone: this.#settings.zone,
+			});
+			this.#resubmitAll();
+		}
+	}
+
+	#changed(changes: readonly LeadershipChange[], cause: string): void {
+		const now = this.#now();
+		for (const change of changes) {
+			this.#log.write({event: 'leadership', ...change, cause});
+			if (change.kind === 'claimed') {
+				this.#scheduler.lead(change.zone, change.token, now);
+				if (this.#state !== undefined) {
+					this.#scheduler.configure(this.#state);
+				}
+
+				this.#scheduler.updateWorkers(this.#entries, now);
+			} else {
+				this.#scheduler.drop(change.zone, now);
+			}
+		}
+
+		if (changes.length > 0) {
+			this.#beat(now);
+		}
+	}
+
+	#heartbeat(): Heartbeat {
+		return {
+			name: this.#settings.name,
+			zone: this.#settings.zone,
+			address: this.#settings.peerAddress,
+			incarnation: this.#incarnation,
+			processorShare: this.#settings.processorShare,
+			isStopping: this.#isStopping,
+			leads: Object.fromEntries(this.#leadership.leads),
+			hears: this.#hears,
+			yields: Object.fromEntries(this.#leadership.yields),
+			members: [...this.#members.values()].map(({name, zone, address}) => ({
+				name,
+				zone,
+				address,
+			})),
+		};
+	}
+
+	#beat(now: number): void {
+		this.#lastBeatMs = now;
+		this.#mesh.beat(
+			{
+				type: 'heartbeat',
+				heartbeat: this.#heartbeat(),
+				needsKnowledge:
+					this.#leadership.leads.size > 0 &&
+					this.#store.ageMs(now) > staleKnowledgeMs,
+			},
+			now,
+		);
+	}
+
+	#received(from: string, message: PoolMessage): void {
+		const now = this.#now();
+		switch (message.type) {
+			case 'heartbeat': {
+				this.#heard(message.heartbeat, message.needsKnowledge, now);
+				break;
+			}
+
+			case 'submit': {
+				// What a cut has held up comes before the sender is heard again; the sender has given it to another by then.
+				if (this.#leadership.leads.size > 0 && this.#leadership.isHeard(from, now)) {
+					this.#scheduler.submit(
+						message.job,
+						from,
+						message.isResubmitted,
+						now,
+					);
+				}
+
+				break;
+			}
+
+			case 'answer': {
+				this.#pending.answer(message.id, message.answer);
+				break;
+			}
+
+			case 'cancel': {
+				const isKnown = this.#scheduler.cancel(message.id, message.reason, now);
+				if (message.question !== undefined) {
+					this.#mesh.send(from, {
+						type: 'reply',
+						question: message.question,
+						value: isKnown,
+					});
+				}
+
+				break;
+			}
+
+			case 'ask': {
+				this.#mesh.send(from, {
+					type: 'reply',
+					question: message.question,
+					value:
+						message.about === 'state'
+							? stateText(this.#scheduler.stateOf(message.name))
+							: this.#scheduler.pendingCount(message.name),
+				});
+				break;
+			}
+
+			case 'reply': {
+				this.#questions.get(message.question)?.(message.value);
+				this.#questions.delete(message.question);
+				break;
+			}
+
+			case 'knowledge': {
+				const {state, workers, ageMs} = message.knowledge;
+				if (state !== undefined) {
+					this.#takeState(state, from);
+				}
+
+				if (ageMs < this.#store.ageMs(now)) {
+					this.#takeWorkers(workers, from);
+				}
+
+				break;
+			}
+		}
+	}
+
+	#heard(heartbeat: Heartbeat, needsKnowledge: boolean, now: number): void {
+		const isNew = !this.#members.has(heartbeat.name);
+		for (const {name, zone, address} of [heartbeat, ...heartbeat.members]) {
+			const isFresh = name === heartbeat.name || !this.#members.has(name);
+			if (name !== this.#settings.name && isFresh) {
+				this.#members.set(name, {name, zone, address, heardOfMs: now});
+			}
+		}
+
+		this.#leadership.heard(heartbeat, now);
+		if (needsKnowledge) {
+			this.#needy.add(heartbeat.name);
+			if (this.#store.ageMs(now) < staleKnowledgeMs) {
+				this.#tell(heartbeat.name);
+			}
+		} else {
+			this.#needy.delete(heartbeat.name);
+		}
+
+		if (isNew || heartbeat.members.length + 1 !== this.#members.size) {
+			this.#link();
+		}
+
+		this.#lead();
+	}
+
+	#link(): void {
+		const now = this.#now();
+		for (const [name, {heardOfMs}] of this.#members) {
+			if (now - heardOfMs > memberKeptMs) {
+				this.#members.delete(name);
+			}
+		}
+
+		this.#mesh.linkTo([
+			...this.#settings.peerSeeds,
+			...[...this.#members.values()].map(({address}) => address),
+		]);
+	}
+
+	#tell(name: string): void {
+		this.#mesh.send(name, {
+			type: 'knowledge',
+			knowledge: {
+				state: this.#state,
+				workers: this.#entries,
+				ageMs: this.#store.ageMs(this.#now()),
+			},
+		});
+	}
+
+	#tellAll(): void {
+		for (const {name} of this.#leadership.livePeers(this.#now())) {
+			this.#tell(name);
+		}
+	}
+
+	#takeState(state: DesiredState, source: string): void {
+		if (this.#state !== undefined && state.version <= this.#state.version) {
+			return;
+		}
+
+		this.#state = state;
+		this.#log.write({
+			event: 'desired-state',
+			version: state.version,
+			queues: state.queues.length,
+			source,
+		});
+		this.#scheduler.configure(state);
+		if (source === 'store') {
+			this.#tellAll();
+		}
+	}
+
+	#takeWorkers(entries: readonly WorkerEntry[], source: string): void {
+		const isChanged = !isSameWorkers(entries, this.#entries);
+		this.#entries = entries;
+		if (!isChanged) {
+			return;
+		}
+
+		this.#log.write({
+			event: 'workers',
+			ready: entries.filter(({state}) => state === 'ready').length,
+			draining: entries.filter(({state}) => state === 'draining').length,
+			source,
+		});
+		if (this.#leadership.leads.size > 0) {
+			this.#scheduler.updateWorkers(entries, this.#now());
+		}
+
+		if (source === 'store') {
+			this.#tellAll();
+		}
+	}
+
+	#sendToLeader(pending: PendingJob): void {
+		const now = this.#now();
+		const leader = this.#leader;
+		if (leader === undefined || !this.#canReach(leader)) {
+			pending.unsentSinceMs ??= now;
+			return;
+		}
+
+		const isResubmitted = pending.sentTo !== undefined;
+		const job = {...pending.job, waitedMs: now - pending.receivedAtMs};
+		pending.sentTo = leader;
+		pending.unsentSinceMs = undefined;
+		if (leader === this.#settings.name) {
+			this.#scheduler.submit(job, leader, isResubmitted, now);
+		} else {
+			this.#mesh.send(leader, {type: 'submit', job, isResubmitted});
+		}
+	}
+
+	#resubmitAll(): void {
+		const now = this.#now();
+		for (const pending of this.#pending.all) {
+			pending.unsentSinceMs ??= now;
+			this.#sendToLeader(pending);
+		}
+	}
+
+	#giveUpUnsent(now: number): void {
+		for (const {job, sentTo, unsentSinceMs, receivedAtMs} of this.#pending.all) {
+			const patienceMs =
+				sentTo === undefined ? unsentPatienceMs : resentPatienceMs;
+			if (unsentSinceMs !== undefined && now - unsentSinceMs > patienceMs) {
+				this.#pending.answer(
+					job.id,
+					sentTo === undefined
+						? {kind: 'not-run', reason: 'not-ready', retryAfterMs: retryMs}
+						: {kind: 'may-have-run', reason: 'leader-lost'},
+				);
+			} else if (now - receivedAtMs > job.patienceMs + retryMs) {
+				this.#pending.answer(job.id, {
+					kind: 'may-have-run',
+					reason: 'deadline-exceeded',
+				});
+			}
+		}
+	}
+
+	#canReach(leader: string): boolean {
+		return leader === this.#settings.name || this.#mesh.isOpen(leader);
+	}
+
+	#deliver(receiver: string, id: string, answer: PoolAnswer): void {
+		if (receiver === this.#settings.name) {
+			this.#pending.answer(id, answer);
+		} else {
+			this.#mesh.send(receiver, {type: 'answer', id, answer});
+		}
+	}
+
+	async #ask(message: (question: number) => PoolMessage): Promise<unknown> {
+		const question = this.#nextQuestion;
+		this.#nextQuestion += 1;
+		return new Promise((resolve) => {
+			this.#questions.set(question, resolve);
+			setTimeout(() => {
+				this.#questions.delete(question);
+				resolve(undefined);
+			}, questionMs);
+			this.#mesh.send(this.#leader ?? '', message(question));
+		});
+	}
+}
+
+function stateText(
+	state: 'queued' | 'running' | PoolAnswer | undefined,
+): string | undefined {
+	return typeof state === 'object' ? state.kind : state;
+}
+
+function isSameWorkers(
+	left: readonly WorkerEntry[],
+	right: readonly WorkerEntry[],
+): boolean {
+	const known = new Map(right.map((entry) => [entry.id, entry]));
+	return (
+		left.length === right.length &&
+		left.every(({id, state, bornMs, address}) => {
+			const other = known.get(id);
+			return (
+				other?.state === state &&
+				other.bornMs === bornMs &&
+				other.address === address
+			);
+		})
+	);
+}
