Raise a fencing token only when the present one is refused

Cause: every order under an earlier token that came back as refused raised the token again, tenfold each time, so one hand-over caused 43,000 claims in 20 s; tokens were not whole numbers; a cut-off zone's leader claimed the other zones after 2.5 s and fought for them when the cut healed. Change: a refusal counts for the token that it names; steps of 10 s; heartbeats carry the highest token known; a zone without any entry VM in sight is not claimed. Ruled out: reading the worker's token from its refusal (it is not told); probing an empty zone's workers first (open).

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -18,6 +18,8 @@
 	readonly isStopping: boolean;
 	/** Fencing tokens by the zone that it leads. */
 	readonly leads: Readonly<Record<string, number>>;
+	/** Highest fencing token that it knows of. */
+	readonly highestToken: number;
 	/** Zones whose leader it hears at present. */
 	readonly hears: readonly string[];
 	/** Zones that it gives up, by the name of the entry VM that is to take them. */
@@ -46,8 +48,6 @@
 	readonly startGraceMs: number;
 	/** Extra delay of a process that has lost all of its peers, which is more likely cut off than the last one alive. */
 	readonly isolatedGraceMs: number;
-	/** Time for which all of a zone's entry VMs must be silent before others take its workers. */
-	readonly emptyZoneMs: number;
 	/** Time for which two leaders must hear each other before one yields its zones to the other. */
 	readonly mergeAfterMs: number;
 };
@@ -58,7 +58,6 @@
 	candidateGapMs: 120,
 	startGraceMs: 250,
 	isolatedGraceMs: 1500,
-	emptyZoneMs: 2500,
 	mergeAfterMs: 1500,
 };
 
@@ -84,9 +83,8 @@
 
 /** Tokens are times in milliseconds times this factor, so that later claims are higher without any agreement. */
 const tokensPerMs = 1000;
-/** First step by which a token is raised after a refusal; clocks may differ by seconds. */
+/** Step by which a token is raised after a refusal; clocks may differ by seconds. */
 const refusedStepMs = 10_000;
-const mostRefusedSteps = 4;
 
 /** Decides which zones one entry VM leads. */
 export class Leadership {
@@ -98,7 +96,6 @@
 	/** Zones that this entry VM has yielded, until their new leader is heard. */
 	readonly #yields = new Map<string, string>();
 	readonly #leaderlessSince = new Map<string, number>();
-	readonly #refusals = new Map<string, number>();
 	#scope: PoolScope = 'zone';
 	#startedAtMs: number | undefined;
 	#highestToken = 0;
@@ -123,6 +120,11 @@
 		return this.#leads;
 	}
 
+	/** Highest fencing token that is known here. */
+	get highestToken(): number {
+		return this.#highestToken;
+	}
+
 	/** Zones that are yielded, by the entry VM that is to take them. */
 	get yields(): ReadonlyMap<string, string> {
 		return this.#yields;
@@ -146,9 +148,10 @@
 			heardSinceMs: isContinued ? known.heardSinceMs : now,
 			isBroken: false,
 		});
-		for (const token of Object.values(heartbeat.leads)) {
-			this.#highestToken = Math.max(this.#highestToken, token);
-		}
+		this.#highestToken = Math.max(
+			this.#highestToken,
+			heartbeat.highestToken,
+		);
 	}
 
 	/** The connection from a peer broke; until its next heartbeat it counts as gone. */
@@ -195,28 +198,26 @@
 		);
 	}
 
-	/** A worker of a zone has seen a higher token than the one this entry VM uses. */
-	refused(zone: string, now: number): readonly LeadershipChange[] {
-		const token = this.#leads.get(zone);
-		if (token === undefined) {
+	/** A worker of a zone has refused a token since it has seen a higher one. */
+	refused(
+		zone: string,
+		token: number,
+		now: number,
+	): readonly LeadershipChange[] {
+		if (token !== this.#leads.get(zone)) {
 			return [];
 		}
 
-		const refusals = (this.#refusals.get(zone) ?? 0) + 1;
-		this.#refusals.set(zone, refusals);
-		const leader = this.leaderOf(zone, now);
-		if (
-			this.isIsolated(now) ||
-			(leader !== undefined && leader.name !== this.#self.name) ||
-			refusals > mostRefusedSteps
-		) {
-			this.#isBarred = this.isIsolated(now);
-			return this.#drop(zone, this.#isBarred ? 'isolated' : 'outranked');
+		if (this.isIsolated(now)) {
+			this.#isBarred = true;
+			return this.#drop(zone, 'isolated');
+		}
+
+		if (this.leaderOf(zone, now)?.name !== this.#self.name) {
+			return this.#drop(zone, 'outranked');
 		}
 
-		this.#highestToken =
-			Math.max(token, this.#highestToken) +
-			refusedStepMs * tokensPerMs * 10 ** (refusals - 1);
+		this.#highestToken += refusedStepMs * tokensPerMs;
 		return this.#claim(zone, now);
 	}
 
@@ -289,31 +290,31 @@
 		const position = this.#candidates(zone, now).findIndex(
 			({name}) => name === this.#self.name,
 		);
-		return position >= 0 && now >= this.#claimAtMs(zone, since, position, now)
+		return position >= 0 &&
+			this.#hasMember(zone, now) &&
+			now >= this.#claimAtMs(since, position, now)
 			? this.#claim(zone, now)
 			: [];
 	}
 
-	#claimAtMs(
-		zone: string,
-		since: number,
-		position: number,
-		now: number,
-	): number {
-		const {candidateGapMs, startGraceMs, isolatedGraceMs, emptyZoneMs} =
-			this.#settings;
-		const hasMember =
-			this.#self.zone === zone ||
-			this.livePeers(now).some((peer) => peer.zone === zone);
+	#claimAtMs(since: number, position: number, now: number): number {
+		const {candidateGapMs, startGraceMs, isolatedGraceMs} = this.#settings;
 		return Math.max(
 			(this.#startedAtMs ?? now) + startGraceMs,
 			since +
 				position * candidateGapMs +
-				(hasMember ? 0 : emptyZoneMs) +
 				(this.isIsolated(now) ? isolatedGraceMs : 0),
 		);
 	}
 
+	/** Whether an entry VM of a zone is heard. Without one, the zone is more likely cut off than empty. */
+	#hasMember(zone: string, now: number): boolean {
+		return (
+			this.#self.zone === zone ||
+			this.livePeers(now).some((peer) => peer.zone === zone)
+		);
+	}
+
 	/** Those that may lead a zone, the best first. */
 	#candidates(
 		zone: string,
@@ -371,7 +372,10 @@
 	}
 
 	#claim(zone: string, now: number): readonly LeadershipChange[] {
-		const token = Math.max(now * tokensPerMs, this.#highestToken + 1);
+		const token = Math.max(
+			Math.floor(now) * tokensPerMs,
+			this.#highestToken + 1,
+		);
 		this.#highestToken = token;
 		this.#leads.set(zone, token);
 		this.#yields.delete(zone);
@@ -384,7 +388,6 @@
 		reason: Extract<LeadershipChange, {kind: 'dropped'}>['reason'],
 	): readonly LeadershipChange[] {
 		this.#leads.delete(zone);
-		this.#refusals.delete(zone);
 		return [{kind: 'dropped', zone, reason}];
 	}
 
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -57,8 +57,8 @@
 export type SchedulerOutput = {
 	/** Sends an answer to the entry VM that waits for it. */
 	answer(receiver: string, id: string, answer: PoolAnswer): void;
-	/** A worker of a zone has seen a higher token. */
-	fenced(zone: string): void;
+	/** A worker of a zone has refused a token since it has seen a higher one. */
+	fenced(zone: string, token: number): void;
 	decided(decision: PoolDecision): void;
 };
 
@@ -349,8 +349,8 @@
 		return true;
 	}
 
-	fenced(zone: string): void {
-		this.#parts.output.fenced(zone);
+	fenced(zone: string, token: number): void {
+		this.#parts.output.fenced(zone, token);
 	}
 
 	workerChanged(worker: PoolWorker, belief: WorkerBelief): void {
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -95,6 +95,8 @@
 	/** Whether it has reported under the present token. */
 	isSynced = false;
 	isHoldPending = false;
+	/** Fencing token of the newest hold order. */
+	holdToken = 0;
 	nextHoldAtMs = 0;
 	/** When the last report came. */
 	reportedAtMs = Number.NEGATIVE_INFINITY;
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -24,8 +24,8 @@
 	runEnded(run: WorkerRun, outcome: RunOutcome, worker: PoolWorker): void;
 	/** A worker lists a run that the pool does not know; returns whether a job has taken it over. */
 	runFound(listed: ListedRun, worker: PoolWorker): boolean;
-	/** A worker has seen a higher token than the pool's. */
-	fenced(zone: string): void;
+	/** A worker of a zone has refused a token since it has seen a higher one. */
+	fenced(zone: string, token: number): void;
 	/** Something that the pool believes about a worker has changed. */
 	workerChanged(worker: PoolWorker, belief: WorkerBelief): void;
 };
@@ -270,9 +270,7 @@
 		}
 
 		const run = worker.runs.get(task);
-		if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
-			this.#listener.fenced(worker.entry.zone);
-		} else if (outcome.kind === 'done' && run?.state === 'stopping') {
+		if (outcome.kind === 'done' && run?.state === 'stopping') {
 			run.confirmedAtMs ??= now;
 			this.#holdSoon(worker, now);
 		}
@@ -296,7 +294,7 @@
 		} else if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
 			worker.isSynced = false;
 			worker.nextHoldAtMs = now + longestRetryMs;
-			this.#listener.fenced(worker.entry.zone);
+			this.#listener.fenced(worker.entry.zone, worker.holdToken);
 		} else {
 			this.#failed(worker, now);
 		}
@@ -396,8 +394,9 @@
 		now: number,
 	): void {
 		if (reason === 'fenced') {
+			// The order may be older than the present token; the next report tells whether that one is refused too.
 			worker.isSynced = false;
-			this.#listener.fenced(worker.entry.zone);
+			this.#holdSoon(worker, now);
 			this.#end(worker, run, run.sends === 1 ? 'not-started' : undefined, now);
 			return;
 		}
@@ -642,6 +641,7 @@
 		}
 
 		worker.isHoldPending = true;
+		worker.holdToken = token;
 		this.#orders.hold({
 			worker: worker.entry,
 			token,
--- a/packages/platform/src/caller-front.ts
+++ b/packages/platform/src/caller-front.ts
@@ -161,13 +161,9 @@
 		return;
 	}
 
-	let isReset = false;
-	request.socket.once('error', () => {
-		isReset = true;
-	});
 	response.on('close', () => {
 		if (!response.writableFinished) {
-			intake.abandon(id, isReset);
+			intake.abandon(id, request.socket.errored !== null);
 		}
 	});
 	void (async () => {
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -113,8 +113,8 @@
 				answer: (receiver, id, answer) => {
 					this.#deliver(receiver, id, answer);
 				},
-				fenced: (zone) => {
-					this.#changed(this.#leadership.refused(zone, now()), 'fenced');
+				fenced: (zone, token) => {
+					this.#changed(this.#leadership.refused(zone, token, now()), 'fenced');
 				},
 				decided: (decision) => {
 					log.write(decision);
@@ -435,6 +435,7 @@
 			processorShare: this.#settings.processorShare,
 			isStopping: this.#isStopping,
 			leads: Object.fromEntries(this.#leadership.leads),
+			highestToken: this.#leadership.highestToken,
 			hears: this.#hears,
 			yields: Object.fromEntries(this.#leadership.yields),
 			members: [...this.#members.values()].map(({name, zone, address}) => ({
