Elect one leader after all have started anew, and hand over workers that the store does not list

Cause: after all processes were killed, three entry VMs claimed in the same millisecond with equal tokens, and workers obeyed all of them; a receiver took "not run" from a leader that no longer had the job; a leader that took a zone back after a cut did not know workers whose entries had lapsed, took their runs for ended and started them again. Change: tokens hold an ordinal of the entry VM; a process that has heard nobody waits longer; only the leader that has a job now can refuse it; a yielding leader sends its workers along; heartbeats tell the tokens of leaders heard, so that a leader heard of through a third stands. Ruled out: one token for each zone (equal as well); waiting for the longest lease after every claim (costs 1.8 s of work).

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -20,8 +20,8 @@
 	readonly leads: Readonly<Record<string, number>>;
 	/** Highest fencing token that it knows of. */
 	readonly highestToken: number;
-	/** Zones whose leader it hears at present. */
-	readonly hears: readonly string[];
+	/** Fencing tokens of the leaders that it hears at present, its own among them, by zone. */
+	readonly hears: Readonly<Record<string, number>>;
 	/** Zones that it gives up, by the name of the entry VM that is to take them. */
 	readonly yields: Readonly<Record<string, string>>;
 	/** Names of entry VMs that it hears, with their addresses and zones. */
@@ -46,6 +46,8 @@
 	readonly candidateGapMs: number;
 	/** Time after the start in which a process only listens for leaders that exist. */
 	readonly startGraceMs: number;
+	/** The same for a process that has heard nobody yet; others are likely starting too. */
+	readonly aloneGraceMs: number;
 	/** Extra delay of a process that has lost all of its peers, which is more likely cut off than the last one alive. */
 	readonly isolatedGraceMs: number;
 	/** Time for which two leaders must hear each other before one yields its zones to the other. */
@@ -56,7 +58,8 @@
 export const defaultLeadershipSettings: LeadershipSettings = {
 	silenceMs: 380,
 	candidateGapMs: 120,
-	startGraceMs: 250,
+	startGraceMs: 200,
+	aloneGraceMs: 600,
 	isolatedGraceMs: 1500,
 	mergeAfterMs: 1500,
 };
@@ -81,8 +84,10 @@
 	readonly isBroken: boolean;
 };
 
-/** Tokens are times in milliseconds times this factor, so that later claims are higher without any agreement. */
-const tokensPerMs = 1000;
+/** Tokens count steps of time, so that later claims are higher without any agreement. */
+const tokenStepMs = 10;
+/** Each step has room for one token of each entry VM, so that two never claim with the same one. */
+const tokensPerStep = 40_000;
 /** Step by which a token is raised after a refusal; clocks may differ by seconds. */
 const refusedStepMs = 10_000;
 
@@ -213,11 +218,11 @@
 			return this.#drop(zone, 'isolated');
 		}
 
-		if (this.leaderOf(zone, now)?.name !== this.#self.name) {
+		if (this.#isOutranked(zone, now) || !this.#hasMember(zone, now)) {
 			return this.#drop(zone, 'outranked');
 		}
 
-		this.#highestToken += refusedStepMs * tokensPerMs;
+		this.#highestToken += (refusedStepMs / tokenStepMs) * tokensPerStep;
 		return this.#claim(zone, now);
 	}
 
@@ -258,7 +263,14 @@
 		this.#leaderlessSince.delete(zone);
 		if (leader.name !== this.#self.name) {
 			this.#yields.delete(zone);
-			return this.#leads.has(zone) ? this.#drop(zone, 'outranked') : [];
+		}
+
+		if (this.#leads.has(zone) && this.#isOutranked(zone, now)) {
+			return this.#drop(zone, 'outranked');
+		}
+
+		if (leader.name !== this.#self.name) {
+			return [];
 		}
 
 		const heir = this.#heirOf(zone, now);
@@ -282,7 +294,7 @@
 			return this.#claim(zone, now);
 		}
 
-		const isHeardByOthers = peers.some(({hears}) => hears.includes(zone));
+		const isHeardByOthers = peers.some(({hears}) => hears[zone] !== undefined);
 		if (isHeardByOthers) {
 			return [];
 		}
@@ -298,15 +310,26 @@
 	}
 
 	#claimAtMs(since: number, position: number, now: number): number {
-		const {candidateGapMs, startGraceMs, isolatedGraceMs} = this.#settings;
+		const {candidateGapMs, startGraceMs, aloneGraceMs, isolatedGraceMs} =
+			this.#settings;
 		return Math.max(
-			(this.#startedAtMs ?? now) + startGraceMs,
+			(this.#startedAtMs ?? now) +
+				(this.#peers.size === 0 ? aloneGraceMs : startGraceMs),
 			since +
 				position * candidateGapMs +
 				(this.isIsolated(now) ? isolatedGraceMs : 0),
 		);
 	}
 
+	/** Whether another leader of a zone is heard, or heard of, whose token is higher than the own one. */
+	#isOutranked(zone: string, now: number): boolean {
+		const own = this.#leads.get(zone) ?? 0;
+		return this.livePeers(now).some(
+			({leads, hears}) =>
+				(leads[zone] ?? 0) > own || (hears[zone] ?? 0) > own,
+		);
+	}
+
 	/** Whether an entry VM of a zone is heard. Without one, the zone is more likely cut off than empty. */
 	#hasMember(zone: string, now: number): boolean {
 		return (
@@ -372,10 +395,11 @@
 	}
 
 	#claim(zone: string, now: number): readonly LeadershipChange[] {
-		const token = Math.max(
-			Math.floor(now) * tokensPerMs,
-			this.#highestToken + 1,
+		const step = Math.max(
+			Math.floor(now / tokenStepMs),
+			Math.floor(this.#highestToken / tokensPerStep) + 1,
 		);
+		const token = step * tokensPerStep + ordinalOf(this.#self.name);
 		this.#highestToken = token;
 		this.#leads.set(zone, token);
 		this.#yields.delete(zone);
@@ -396,6 +420,15 @@
 	}
 }
 
+/** A number below `tokensPerStep` that differs between entry VMs, but for rare collisions. */
+function ordinalOf(name: string): number {
+	return [...name].reduce(
+		(hash, letter) =>
+			(hash * 31 + (letter.codePointAt(0) ?? 0)) % tokensPerStep,
+		0,
+	);
+}
+
 function compareText(left: string, right: string): number {
 	if (left === right) {
 		return 0;
--- a/packages/core/src/worker-directory.ts
+++ b/packages/core/src/worker-directory.ts
@@ -43,6 +43,14 @@
 		this.#known.set(entry.id, {entry, missingSinceMs: undefined});
 	}
 
+	/** Another entry VM has lately had contact with a worker that the store may not list at present. */
+	vouch(entry: WorkerEntry, now: number): void {
+		if (!this.#known.has(entry.id)) {
+			this.#keptUntilMs = Math.max(this.#keptUntilMs, now + registerAgainMs);
+			this.#known.set(entry.id, {entry, missingSinceMs: now});
+		}
+	}
+
 	/** The store no longer lists a worker. */
 	remove(id: string, now: number): void {
 		const known = this.#known.get(id);
--- a/packages/peer/src/pool-message.ts
+++ b/packages/peer/src/pool-message.ts
@@ -49,4 +49,6 @@
 			readonly question: number;
 			readonly value: string | number | boolean | undefined;
 	  }
-	| {readonly type: 'knowledge'; readonly knowledge: StoreKnowledge};
+	| {readonly type: 'knowledge'; readonly knowledge: StoreKnowledge}
+	/** Workers of zones that the sender gives up; the store may not list all of them at present. */
+	| {readonly type: 'hand-over'; readonly workers: readonly WorkerEntry[]};
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -38,6 +38,8 @@
 const staleKnowledgeMs = 900;
 /** Milliseconds for which an entry VM that is no longer heard is still dialled. */
 const memberKeptMs = 120_000;
+/** Milliseconds between two looks for workers that have not registered again in time. */
+const directoryLookMs = 500;
 const retryMs = 1000;
 /** Milliseconds for which a question to the leader waits for its reply. */
 const questionMs = 800;
@@ -64,7 +66,8 @@
 	#isStopping = false;
 	#nextQuestion = 1;
 	#lastBeatMs = 0;
-	#hears: readonly string[] = [];
+	#hears: Readonly<Record<string, number>> = {};
+	#lastDirectoryMs = 0;
 	readonly #needy = new Set<string>();
 
 	constructor(settings: EntrySettings, log: PoolLog, now: () => number) {
@@ -160,7 +163,7 @@
 					this.#takeState(state, 'store');
 				},
 				workersRead: () => {
-					this.#takeWorkers(this.#store.directory.entries(now()), 'store');
+					this.#takeWorkers('store');
 				},
 				recordIgnored: (topic, key) => {
 					log.write({event: 'record-ignored', topic, key});
@@ -273,14 +276,8 @@
 		}
 
 		this.#pending.remove(id);
-		if (pending.sentTo === this.#settings.name) {
-			this.#scheduler.cancel(id, 'caller-left', this.#now());
-		} else if (pending.sentTo !== undefined) {
-			this.#mesh.send(pending.sentTo, {
-				type: 'cancel',
-				id,
-				reason: 'caller-left',
-			});
+		if (pending.sentTo !== undefined) {
+			this.#withdraw(pending.sentTo, id);
 		}
 	}
 
@@ -348,6 +345,11 @@
 		}
 
 		this.#giveUpUnsent(now);
+		if (now - this.#lastDirectoryMs >= directoryLookMs) {
+			this.#lastDirectoryMs = now;
+			this.#takeWorkers('time');
+		}
+
 		if (now - this.#lastBeatMs >= heartbeatMs) {
 			this.#beat(now);
 			this.#workers.closeUnused();
@@ -382,10 +384,13 @@
 	#lead(): void {
 		const now = this.#now();
 		this.#changed(this.#leadership.tick(now), 'tick');
-		const hears = this.#settings.zones.filter(
-			(zone) => this.#leadership.leaderOf(zone, now) !== undefined,
+		const hears = Object.fromEntries(
+			this.#settings.zones.flatMap((zone) => {
+				const heard = this.#leadership.leaderOf(zone, now);
+				return heard === undefined ? [] : [[zone, heard.token]];
+			}),
 		);
-		const isChanged = hears.join(' ') !== this.#hears.join(' ');
+		const isChanged = JSON.stringify(hears) !== JSON.stringify(this.#hears);
 		this.#hears = hears;
 		if (isChanged) {
 			this.#beat(now);
@@ -409,6 +414,14 @@
 		const now = this.#now();
 		for (const change of changes) {
 			this.#log.write({event: 'leadership', ...change, cause});
+			const heir = this.#leadership.yields.get(change.zone);
+			if (change.kind === 'dropped' && heir !== undefined) {
+				this.#mesh.send(heir, {
+					type: 'hand-over',
+					workers: this.#entries.filter(({zone}) => zone === change.zone),
+				});
+			}
+
 			if (change.kind === 'claimed') {
 				this.#scheduler.lead(change.zone, change.token, now);
 				if (this.#state !== undefined) {
@@ -483,7 +496,7 @@
 			}
 
 			case 'answer': {
-				this.#pending.answer(message.id, message.answer);
+				this.#answered(from, message.id, message.answer);
 				break;
 			}
 
@@ -525,11 +538,21 @@
 				}
 
 				if (ageMs < this.#store.ageMs(now)) {
-					this.#takeWorkers(workers, from);
+					this.#store.adopt(workers, ageMs, now);
+					this.#takeWorkers(from);
 				}
 
 				break;
 			}
+
+			case 'hand-over': {
+				for (const worker of message.workers) {
+					this.#store.directory.vouch(worker, now);
+				}
+
+				this.#takeWorkers(from);
+				break;
+			}
 		}
 	}
 
@@ -608,7 +631,8 @@
 		}
 	}
 
-	#takeWorkers(entries: readonly WorkerEntry[], source: string): void {
+	#takeWorkers(source: string): void {
+		const entries = this.#store.directory.entries(this.#now());
 		const isChanged = !isSameWorkers(entries, this.#entries);
 		this.#entries = entries;
 		if (!isChanged) {
@@ -658,7 +682,8 @@
 	}
 
 	#giveUpUnsent(now: number): void {
-		for (const {job, sentTo, unsentSinceMs, receivedAtMs} of this.#pending.all) {
+		for (const pending of this.#pending.all) {
+			const {job, sentTo, unsentSinceMs, receivedAtMs} = pending;
 			const patienceMs =
 				sentTo === undefined ? unsentPatienceMs : resentPatienceMs;
 			if (unsentSinceMs !== undefined && now - unsentSinceMs > patienceMs) {
@@ -683,12 +708,34 @@
 
 	#deliver(receiver: string, id: string, answer: PoolAnswer): void {
 		if (receiver === this.#settings.name) {
-			this.#pending.answer(id, answer);
+			this.#answered(receiver, id, answer);
 		} else {
 			this.#mesh.send(receiver, {type: 'answer', id, answer});
 		}
 	}
 
+	/** A leader has answered a job. Only the one that has it now can say that it has not run. */
+	#answered(leader: string, id: string, answer: PoolAnswer): void {
+		const sentTo = this.#pending.get(id)?.sentTo;
+		if (leader === sentTo) {
+			this.#pending.answer(id, answer);
+		} else if (answer.kind === 'completed' || answer.kind === 'failed') {
+			this.#pending.answer(id, answer);
+			if (sentTo !== undefined) {
+				this.#withdraw(sentTo, id);
+			}
+		}
+	}
+
+	/** Tells a leader that nobody waits for a job any more. */
+	#withdraw(leader: string, id: string): void {
+		if (leader === this.#settings.name) {
+			this.#scheduler.cancel(id, 'caller-left', this.#now());
+		} else {
+			this.#mesh.send(leader, {type: 'cancel', id, reason: 'caller-left'});
+		}
+	}
+
 	async #ask(message: (question: number) => PoolMessage): Promise<unknown> {
 		const question = this.#nextQuestion;
 		this.#nextQuestion += 1;
--- a/packages/verbenarouter/src/pool/store-follower.ts
+++ b/packages/verbenarouter/src/pool/store-follower.ts
@@ -30,6 +30,8 @@
 const stateWaitMs = 500;
 /** Pause between two reads of the workers' records, which change several times a second. */
 const workersPauseMs = 400;
+/** Age of what is known from which entries may have lapsed and be missing for a while: a worker's entry lasts longer. */
+const longAwayMs = 2000;
 /** Pause after a failed read. */
 const failurePauseMs = 200;
 
@@ -70,6 +72,16 @@
 		return now - this.#lastReadMs;
 	}
 
+	/** Takes in what another entry VM has read of the store. */
+	adopt(workers: readonly WorkerEntry[], ageMs: number, now: number): void {
+		if (this.ageMs(now) > longAwayMs) {
+			this.directory.storeReturned(now);
+		}
+
+		this.directory.replace(workers, now);
+		this.#lastReadMs = now - ageMs;
+	}
+
 	/** Starts or stops following; what is known is kept. */
 	setActive(isActive: boolean): void {
 		if (isActive && !this.#isActive) {
