--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -13,6 +13,8 @@
 	readonly address: string;
 	/** Names one life of the process. */
 	readonly incarnation: string;
+	/** Milliseconds until the next heartbeat on the same stream. */
+	readonly intervalMs: number;
 	/** Share of a core that the process may use. */
 	readonly processorShare: number;
 	readonly isStopping: boolean;
@@ -40,8 +42,8 @@
 
 /** Settings of leadership. Times are in milliseconds. */
 export type LeadershipSettings = {
-	/** Three heartbeats and some delay: shorter ones take busy entry VMs for dead. */
-	readonly silenceMs: number;
+	/** Heartbeats that may be missing before an entry VM counts as silent; fewer take a busy one for dead. */
+	readonly silentIntervals: number;
 	/** Head start of each candidate over the next one. */
 	readonly candidateGapMs: number;
 	/** Time after the start in which a process only listens for leaders that exist. */
@@ -56,7 +58,7 @@
 
 /** Settings that suit heartbeats every 100 ms. */
 export const defaultLeadershipSettings: LeadershipSettings = {
-	silenceMs: 380,
+	silentIntervals: 3.8,
 	candidateGapMs: 120,
 	startGraceMs: 200,
 	aloneGraceMs: 600,
@@ -140,6 +142,20 @@
 		this.#scope = scope;
 	}
 
+	/** Whether a heartbeat tells more than that its sender is still there. */
+	isNews(heartbeat: Heartbeat, now: number): boolean {
+		const known = this.#peers.get(heartbeat.name);
+		return (
+			known === undefined ||
+			!this.#isLive(known, now) ||
+			known.heartbeat.incarnation !== heartbeat.incarnation ||
+			known.heartbeat.isStopping !== heartbeat.isStopping ||
+			!isSame(known.heartbeat.leads, heartbeat.leads) ||
+			!isSame(known.heartbeat.hears, heartbeat.hears) ||
+			!isSame(known.heartbeat.yields, heartbeat.yields)
+		);
+	}
+
 	/** Takes in a heartbeat. */
 	heard(heartbeat: Heartbeat, now: number): void {
 		const known = this.#peers.get(heartbeat.name);
@@ -415,11 +431,26 @@
 		return [{kind: 'dropped', zone, reason}];
 	}
 
-	#isLive({heardAtMs, isBroken}: Peer, now: number): boolean {
-		return !isBroken && now - heardAtMs <= this.#settings.silenceMs;
+	#isLive({heardAtMs, isBroken, heartbeat}: Peer, now: number): boolean {
+		return (
+			!isBroken &&
+			now - heardAtMs <=
+				this.#settings.silentIntervals * heartbeat.intervalMs
+		);
 	}
 }
 
+function isSame(
+	left: Readonly<Record<string, unknown>>,
+	right: Readonly<Record<string, unknown>>,
+): boolean {
+	const keys = Object.keys(left);
+	return (
+		keys.length === Object.keys(right).length &&
+		keys.every((key) => left[key] === right[key])
+	);
+}
+
 /** A number below `tokensPerStep` that differs between entry VMs, but for rare collisions. */
 function ordinalOf(name: string): number {
 	return [...name].reduce(
--- a/packages/peer/src/pool-link.ts
+++ b/packages/peer/src/pool-link.ts
@@ -56,7 +56,7 @@
 
 /** Settings of links. Times are in milliseconds. */
 export type PoolLinkSettings = {
-	/** Time without a receipt after which the stream is replaced: three heartbeats and some delay. */
+	/** Time without a receipt of a heartbeat after which the stream is replaced. */
 	readonly silenceMs: number;
 	/** First pause between two attempts to connect; it doubles up to the longest. */
 	readonly reconnectMs: number;
@@ -79,8 +79,8 @@
 	#stream: ClientDuplexStream<PoolBatch, PoolReceipt> | undefined;
 	#isOpen = false;
 	#batch: PoolMessage[] = [];
-	#lastReceiptMs = 0;
-	#openedAtMs = 0;
+	/** When the oldest heartbeat without a receipt was sent. */
+	#unansweredSinceMs: number | undefined;
 	#retryAtMs = 0;
 	#pauseMs: number;
 
@@ -113,11 +113,10 @@
 
 	/** Sends a heartbeat, on a stream that is not open yet too, and replaces a silent stream. */
 	beat(message: PoolMessage, now: number): void {
-		const lastSignMs = Math.max(this.#lastReceiptMs, this.#openedAtMs);
-		if (
-			this.#stream !== undefined &&
-			now - lastSignMs > this.#settings.silenceMs
-		) {
+		const isUnanswered =
+			this.#unansweredSinceMs !== undefined &&
+			now - this.#unansweredSinceMs > this.#settings.silenceMs;
+		if (this.#stream !== undefined && isUnanswered) {
 			this.#disconnect(now);
 		}
 
@@ -126,6 +125,7 @@
 		}
 
 		if (this.#stream !== undefined) {
+			this.#unansweredSinceMs ??= now;
 			this.#add(message);
 		}
 	}
@@ -163,13 +163,13 @@
 		);
 		this.#client = client;
 		this.#stream = stream;
-		this.#openedAtMs = now;
+		this.#unansweredSinceMs = now;
 		stream.on('data', () => {
 			if (stream !== this.#stream) {
 				return;
 			}
 
-			this.#lastReceiptMs = performance.timeOrigin + performance.now();
+			this.#unansweredSinceMs = undefined;
 			if (!this.#isOpen) {
 				this.#isOpen = true;
 				this.#pauseMs = this.#settings.reconnectMs;
--- a/packages/peer/src/pool-mesh.ts
+++ b/packages/peer/src/pool-mesh.ts
@@ -92,10 +92,16 @@
 		}
 	}
 
-	/** Sends a heartbeat on every link. */
-	beat(message: PoolMessage, now: number): void {
+	/** Sends a heartbeat on every link whose address is chosen. */
+	beat(
+		message: PoolMessage,
+		isChosen: (address: string) => boolean,
+		now: number,
+	): void {
 		for (const link of this.#links.values()) {
-			link.beat(message, now);
+			if (isChosen(link.address)) {
+				link.beat(message, now);
+			}
 		}
 	}
 
--- a/packages/platform/src/http-exchange.ts
+++ b/packages/platform/src/http-exchange.ts
@@ -1,4 +1,5 @@
 /** One HTTP/1.1 exchange with a time limit that destroys the connection: a silent one must not be used again. */
+import {EventEmitter} from 'node:events';
 import {Pool, errors} from 'undici';
 
 /** An answer, or why there is none. */
@@ -47,9 +48,12 @@
 
 	/** Sends a request and reads the whole answer. It never rejects. */
 	async exchange(request: ExchangeRequest): Promise<Exchange> {
-		const abort = new AbortController();
+		// An emitter is a signal too, and costs a tenth of an AbortController.
+		const abort = new EventEmitter();
+		let isTimedOut = false;
 		const timer = setTimeout(() => {
-			abort.abort();
+			isTimedOut = true;
+			abort.emit('abort');
 		}, request.timeoutMs);
 		try {
 			const response = await this.#pool.request({
@@ -57,12 +61,12 @@
 				path: request.path,
 				headers: request.headers ?? {},
 				body: request.body ?? null,
-				signal: abort.signal,
+				signal: abort,
 			});
 			const body = Buffer.from(await response.body.arrayBuffer());
 			return {kind: 'answered', status: response.statusCode, body};
 		} catch (error: unknown) {
-			const message = abort.signal.aborted
+			const message = isTimedOut
 				? `no answer within ${request.timeoutMs} ms`
 				: String(error);
 			return {kind: isNotSent(error) ? 'not-sent' : 'silent', message};
--- a/packages/verbenarouter/src/pool/daemon.ts
+++ b/packages/verbenarouter/src/pool/daemon.ts
@@ -1,5 +1,5 @@
 /** Runs an entry VM on the platform, with the settings file that an environment variable names. */
-import {readFileSync} from 'node:fs';
+import {readFileSync, statSync} from 'node:fs';
 import {createServer} from 'node:http';
 import process from 'node:process';
 import {createCallerFront, parseEntrySettings} from '@verbenarouter/platform';
@@ -12,6 +12,8 @@
 /** Milliseconds for which a stopping process still takes requests: the balancer needs two failed probes. */
 const leastStopMs = 2600;
 const stopLookMs = 50;
+/** Milliseconds between two looks whether the settings file has changed. */
+const settingsLookMs = 1000;
 const badSettingsCode = 2;
 
 function listenOn(address: string): {readonly host: string; readonly port: number} {
@@ -19,6 +21,32 @@
 	return {host, port: Number(port)};
 }
 
+/** Takes over the settings file after SIGHUP, and when it changes without a signal. */
+function watchSettings(path: string, node: PoolNode, log: PoolLog): void {
+	let modifiedMs = statSync(path).mtimeMs;
+	const reload = (cause: string) => {
+		const settings = parseEntrySettings(readFileSync(path, 'utf8'));
+		log.write(
+			settings.isErr()
+				? {event: 'reload-failed', cause, problems: settings.error}
+				: {event: 'reload', cause, atNextStart: node.reload(settings.value)},
+		);
+	};
+
+	process.on('SIGHUP', () => {
+		reload('signal');
+	});
+	setInterval(() => {
+		const {mtimeMs} = statSync(path, {throwIfNoEntry: false}) ?? {
+			mtimeMs: modifiedMs,
+		};
+		if (mtimeMs !== modifiedMs) {
+			modifiedMs = mtimeMs;
+			reload('file-changed');
+		}
+	}, settingsLookMs);
+}
+
 async function main(): Promise<void> {
 	const path = process.env['VERBENAROUTER_SETTINGS'] ?? '';
 	const settings = parseEntrySettings(readFileSync(path, 'utf8'));
@@ -48,6 +76,7 @@
 	metrics.listen(listenOn(value.metricsAddress));
 	log.write({event: 'started', tookMs: Math.round(performance.now())});
 
+	watchSettings(path, node, log);
 	process.once('SIGTERM', () => {
 		const stoppedAtMs = steadyNow();
 		log.write({event: 'stopping', pendingJobs: node.pendingCountHere});
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -26,8 +26,12 @@
 import {type PoolLog} from './pool-log.js';
 import {StoreFollower} from './store-follower.js';
 
-/** Milliseconds between two heartbeats. */
+/** Milliseconds between two heartbeats from or to a leader. */
 const heartbeatMs = 100;
+/** Milliseconds between two heartbeats among others, which only have to know who may lead next. */
+const slowHeartbeatMs = 400;
+/** Milliseconds between two heartbeats that tell whom else there is. */
+const introductionMs = 2000;
 /** Milliseconds between two looks at leases, stops and deadlines. */
 const tickMs = 20;
 /** Milliseconds for which a job that no leader has seen waits for one. */
@@ -44,11 +48,17 @@
 /** Milliseconds for which a question to the leader waits for its reply. */
 const questionMs = 800;
 
+/** Settings that take effect without a restart. */
+const reloadable: ReadonlySet<keyof EntrySettings> = new Set([
+	'peerSeeds',
+	'storeAddress',
+]);
+
 type KnownMember = MemberAddress & {readonly heardOfMs: number};
 
 /** One entry VM on the platform. */
 export class PoolNode implements JobIntake {
-	readonly #settings: EntrySettings;
+	#settings: EntrySettings;
 	readonly #log: PoolLog;
 	readonly #now: () => number;
 	readonly #leadership: Leadership;
@@ -66,6 +76,8 @@
 	#isStopping = false;
 	#nextQuestion = 1;
 	#lastBeatMs = 0;
+	#lastSlowBeatMs = 0;
+	#lastIntroductionMs = 0;
 	#hears: Readonly<Record<string, number>> = {};
 	#lastDirectoryMs = 0;
 	readonly #needy = new Set<string>();
@@ -221,7 +233,24 @@
 	beginStop(): void {
 		this.#isStopping = true;
 		this.#changed(this.#leadership.stop(this.#now()), 'stopping');
-		this.#beat(this.#now());
+		this.#beatAll(this.#now());
+	}
+
+	/** Takes over changed settings; returns the names of those that take effect only at the next start. */
+	reload(settings: EntrySettings): readonly string[] {
+		const names = Object.keys(settings) as ReadonlyArray<keyof EntrySettings>;
+		const changed = names.filter(
+			(name) =>
+				JSON.stringify(settings[name]) !== JSON.stringify(this.#settings[name]),
+		);
+		this.#settings = {...this.#settings, peerSeeds: settings.peerSeeds};
+		this.#link();
+		if (changed.includes('storeAddress')) {
+			this.#settings = {...this.#settings, storeAddress: settings.storeAddress};
+			this.#store.moveTo(new StoreClient(settings.storeAddress));
+		}
+
+		return changed.filter((name) => !reloadable.has(name));
 	}
 
 	/** Ends all connections. */
@@ -393,7 +422,7 @@
 		const isChanged = JSON.stringify(hears) !== JSON.stringify(this.#hears);
 		this.#hears = hears;
 		if (isChanged) {
-			this.#beat(now);
+			this.#beatAll(now);
 		}
 
 		const leader = this.#leadership.leaderOf(this.#settings.zone, now);
@@ -435,40 +464,75 @@
 		}
 
 		if (changes.length > 0) {
-			this.#beat(now);
+			this.#beatAll(now);
 		}
 	}
 
-	#heartbeat(): Heartbeat {
+	#heartbeat(withMembers: boolean, intervalMs: number): Heartbeat {
 		return {
 			name: this.#settings.name,
 			zone: this.#settings.zone,
 			address: this.#settings.peerAddress,
 			incarnation: this.#incarnation,
+			intervalMs,
 			processorShare: this.#settings.processorShare,
 			isStopping: this.#isStopping,
 			leads: Object.fromEntries(this.#leadership.leads),
 			highestToken: this.#leadership.highestToken,
 			hears: this.#hears,
 			yields: Object.fromEntries(this.#leadership.yields),
-			members: [...this.#members.values()].map(({name, zone, address}) => ({
-				name,
-				zone,
-				address,
-			})),
+			members: withMembers
+				? [...this.#members.values()].map(({name, zone, address}) => ({
+						name,
+						zone,
+						address,
+					}))
+				: [],
 		};
 	}
 
+	/** Sends a heartbeat to everybody, whatever their interval. */
+	#beatAll(now: number): void {
+		this.#lastSlowBeatMs = 0;
+		this.#beat(now);
+	}
+
 	#beat(now: number): void {
 		this.#lastBeatMs = now;
+		const leaders = new Set(
+			this.#leadership
+				.livePeers(now)
+				.filter(({leads}) => Object.keys(leads).length > 0)
+				.map(({address}) => address),
+		);
+		const isLeader = this.#leadership.leads.size > 0;
+		const isFast = (address: string) => isLeader || leaders.has(address);
+		this.#send(isFast, heartbeatMs, now);
+		if (now - this.#lastSlowBeatMs >= slowHeartbeatMs) {
+			this.#lastSlowBeatMs = now;
+			this.#send((address) => !isFast(address), slowHeartbeatMs, now);
+		}
+	}
+
+	#send(
+		isChosen: (address: string) => boolean,
+		intervalMs: number,
+		now: number,
+	): void {
+		const withMembers = now - this.#lastIntroductionMs >= introductionMs;
+		if (withMembers && intervalMs === slowHeartbeatMs) {
+			this.#lastIntroductionMs = now;
+		}
+
 		this.#mesh.beat(
 			{
 				type: 'heartbeat',
-				heartbeat: this.#heartbeat(),
+				heartbeat: this.#heartbeat(withMembers, intervalMs),
 				needsKnowledge:
 					this.#leadership.leads.size > 0 &&
 					this.#store.ageMs(now) > staleKnowledgeMs,
 			},
+			isChosen,
 			now,
 		);
 	}
@@ -557,7 +621,8 @@
 	}
 
 	#heard(heartbeat: Heartbeat, needsKnowledge: boolean, now: number): void {
-		const isNew = !this.#members.has(heartbeat.name);
+		const memberCount = this.#members.size;
+		const isNews = this.#leadership.isNews(heartbeat, now);
 		for (const {name, zone, address} of [heartbeat, ...heartbeat.members]) {
 			const isFresh = name === heartbeat.name || !this.#members.has(name);
 			if (name !== this.#settings.name && isFresh) {
@@ -575,11 +640,15 @@
 			this.#needy.delete(heartbeat.name);
 		}
 
-		if (isNew || heartbeat.members.length + 1 !== this.#members.size) {
+		if (this.#members.size !== memberCount) {
+			// Those who are linked to now are told at once whom else there is.
+			this.#lastIntroductionMs = 0;
 			this.#link();
 		}
 
-		this.#lead();
+		if (isNews) {
+			this.#lead();
+		}
 	}
 
 	#link(): void {
--- a/packages/verbenarouter/src/pool/store-follower.ts
+++ b/packages/verbenarouter/src/pool/store-follower.ts
@@ -45,7 +45,7 @@
 /** Follows the platform's store while it is asked to. */
 export class StoreFollower {
 	readonly directory = new WorkerDirectory();
-	readonly #client: StoreClient;
+	#client: StoreClient;
 	readonly #listener: StoreListener;
 	readonly #now: () => number;
 	readonly #topics: readonly Topic[] = [stateTopic, workersTopic].map(
@@ -72,6 +72,15 @@
 		return now - this.#lastReadMs;
 	}
 
+	/** Follows the store at another address from now on. */
+	moveTo(client: StoreClient): void {
+		this.#client.close();
+		this.#client = client;
+		for (const topic of this.#topics) {
+			topic.nextOffset = undefined;
+		}
+	}
+
 	/** Takes in what another entry VM has read of the store. */
 	adopt(workers: readonly WorkerEntry[], ageMs: number, now: number): void {
 		if (this.ageMs(now) > longAwayMs) {
