Project starts before admitting, ask for reports around expected ends, learn the pace of workers within seconds

Change: a report is asked for until shortly after the next expected end and repeated at once when it is lost; a job is admitted when a projection over what runs and waits starts its last task in time, and looked at once more after a fifth of its objective; each worker has a pace that forgets within seconds, and a task that cannot end in time on a slow worker does not start its job there. Ruled out: hedged second reports (twice the calls for the same gain).

--- a/packages/core/src/best-fit.ts
+++ b/packages/core/src/best-fit.ts
@@ -26,14 +26,16 @@
 	}
 }
 
-/** Leftover processors, in thousandths of a core, that a worker may leave and still be preferred over a slow one. */
-const slowPenaltyMillis = 200_000;
+/** Unused processors, in thousandths of a core, that are as bad as a worker's taking twice as long. */
+const slownessMillis = 20_000;
 /** The same for a worker on another rack than the task's data. */
-const otherRackPenaltyMillis = 100_000;
+const otherRackMillis = 100_000;
+/** Added for a worker that is slow beyond the spread of estimates, so that it is taken last. */
+const slowMillis = 200_000;
 
 /**
- * The worker on which the task leaves the least processor time unused, so that large tasks find room on the others.
- * Answers loads whose tasks take a third to a half of a worker.
+ * The worker on which the task leaves the least processor time unused, so that large tasks find room on the others, and
+ * a fast one among equals. Answers loads whose tasks take a third to a half of a worker.
  */
 export class BestFit implements FitPolicy {
 	readonly name = 'best-fit';
@@ -47,7 +49,7 @@
 		let leastCost = Number.POSITIVE_INFINITY;
 		for (const worker of candidates) {
 			if (canTake(worker, task, now)) {
-				const cost = costOf(worker, task);
+				const cost = costOf(worker, task, now);
 				if (cost < leastCost) {
 					best = worker;
 					leastCost = cost;
@@ -63,13 +65,14 @@
 	return worker.hasRoomFor(task.needs) && worker.isOpen(now);
 }
 
-function costOf(worker: PoolWorker, task: PoolTask): number {
+function costOf(worker: PoolWorker, task: PoolTask, now: number): number {
 	const leftover = worker.free.processorMillis - task.needs.processorMillis;
 	return (
 		leftover +
-		(worker.health.isSlow ? slowPenaltyMillis : 0) +
+		slownessMillis * (worker.pace.slowness(now) - 1) +
+		(worker.pace.isSlow(now) ? slowMillis : 0) +
 		(task.rack === undefined || worker.entry.labels.includes(task.rack)
 			? 0
-			: otherRackPenaltyMillis)
+			: otherRackMillis)
 	);
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -41,3 +41,5 @@
 export type * from './worker-order.js';
 export * from './worker-pool.js';
 export * from './worker-directory.js';
+export * from './projection.js';
+export * from './worker-pace.js';
--- a/packages/core/src/pool-queue.ts
+++ b/packages/core/src/pool-queue.ts
@@ -51,34 +51,6 @@
 	return now > startByMs;
 }
 
-/** What the pool can do now. */
-export type PoolLoad = {
-	/** Thousandths of a core of all workers that take work. */
-	readonly totalMillis: number;
-	/** Thousandths of a core that are free. */
-	readonly freeMillis: number;
-	/** Mean run time of a task in milliseconds. */
-	readonly meanRunMs: number;
-};
-
-/** Share of processors that tasks can fill; the rest is lost to tasks that do not fit beside each other. */
-const packableShare = 0.85;
-
-/** Expected wait in milliseconds until work behind other work has started. */
-export function expectedWaitMs(
-	load: PoolLoad,
-	workAhead: number,
-	ownWork: number,
-): number {
-	if (load.totalMillis === 0) {
-		return Number.POSITIVE_INFINITY;
-	}
-
-	const freeWork = (load.freeMillis / 1000) * load.meanRunMs;
-	const excess = Math.max(0, workAhead + ownWork - freeWork);
-	return excess / ((load.totalMillis / 1000) * packableShare);
-}
-
 /** Whether a job is admitted, or refused with the time after which it may come again. */
 export type PoolAdmission =
 	| {readonly kind: 'admitted'; readonly waitMs: number}
@@ -92,25 +64,22 @@
 const shortestRetryMs = 1000;
 
 /**
- * Refuses a job that is not expected to start in time for its objective, given the jobs that go before it. Answers
- * bursts: what waits longer than that would be late and make others late.
+ * Refuses a job whose last task is not expected to start in time for its objective. Answers bursts: what waits longer
+ * than that would be late and make others late.
  */
 export function admit(
 	job: QueuedJob,
-	queue: readonly QueuedJob[],
-	order: QueueOrder,
-	load: PoolLoad,
+	lastStartMs: number,
 	now: number,
 ): PoolAdmission {
-	const workAhead = queue
-		.filter((other) => order.compare(other, job, now) < 0)
-		.reduce((sum, {waitingWork}) => sum + waitingWork, 0);
-	const waitMs = expectedWaitMs(load, workAhead, job.waitingWork);
-	return now + waitMs <= job.startByMs
+	const waitMs = lastStartMs - now;
+	return lastStartMs <= job.startByMs
 		? {kind: 'admitted', waitMs}
 		: {
 				kind: 'refused',
 				waitMs,
-				retryAfterMs: Math.max(shortestRetryMs, Math.ceil(waitMs)),
+				retryAfterMs: Number.isFinite(waitMs)
+					? Math.max(shortestRetryMs, Math.ceil(waitMs))
+					: shortestRetryMs,
 			};
 }
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -11,7 +11,12 @@
 	type PoolAnswer,
 	type PoolJob,
 } from './pool-job.js';
-import {admit, type PoolLoad, type QueueOrder} from './pool-queue.js';
+import {admit, type QueueOrder} from './pool-queue.js';
+import {
+	projectLastStartMs,
+	type ProjectedTask,
+	type ProjectedWorker,
+} from './projection.js';
 import {
 	type ListedRun,
 	type PoolWorker,
@@ -98,7 +103,8 @@
 };
 
 const retryWithoutWorkersMs = 2000;
-const defaultRunMs = 200;
+/** Share of its objective after which a waiting job is looked at again; refusals until then cost callers little. */
+const reviewShare = 0.2;
 
 /** The scheduler of one pool of workers. */
 export class PoolScheduler implements RunListener {
@@ -113,7 +119,6 @@
 
 	#state: DesiredState | undefined;
 	#now = 0;
-	#meanRunMs = defaultRunMs;
 
 	constructor(parts: SchedulerParts) {
 		this.#parts = parts;
@@ -292,6 +297,12 @@
 	tick(now: number): void {
 		this.#now = now;
 		this.pool.tick(now);
+		for (const worker of this.pool.workers) {
+			for (const {orderedAtMs, expectedMs} of worker.runs.values()) {
+				worker.pace.goesOn((now - orderedAtMs) / Math.max(1, expectedMs), now);
+			}
+		}
+
 		for (const job of this.#jobs.values()) {
 			this.#tickJob(job, now);
 		}
@@ -396,20 +407,13 @@
 			return;
 		}
 
-		const load = this.#load(now);
-		const admission = admit(
-			scheduled,
-			[...this.#jobs.values()],
-			this.#parts.order,
-			load,
-			now,
-		);
+		const lastStartMs = this.#projectLastStartMs(scheduled, now);
+		const admission = admit(scheduled, lastStartMs, now);
 		if (admission.kind === 'refused' && scheduled.isUntouched) {
 			this.#refuse(job, receiver, false, 'overloaded', {
-				waitMs: Math.round(admission.waitMs),
+				waitMs: Math.round(Math.min(1e9, admission.waitMs)),
 				slackMs: Math.round(scheduled.startByMs - now),
-				freeMillis: load.freeMillis,
-				totalMillis: load.totalMillis,
+				waitingJobs: this.#jobs.size,
 				retryAfterMs: admission.retryAfterMs,
 			});
 			return;
@@ -497,22 +501,49 @@
 			: undefined;
 	}
 
-	#load(now: number): PoolLoad {
-		const open = this.pool.workers.filter(
-			(worker) => worker.runs.size > 0 || worker.isOpen(now),
+	/** When the last task of a job would start, behind the jobs that go before it. */
+	#projectLastStartMs(job: ScheduledJob, now: number): number {
+		const tasksOf = (other: ScheduledJob): readonly ProjectedTask[] =>
+			other.waiting.map(({task: {needs}, expectedMs}) => ({
+				millis: needs.processorMillis,
+				expectedMs,
+			}));
+		const ahead = [...this.#jobs.values()].filter(
+			(other) =>
+				other !== job &&
+				other.queue.service === job.queue.service &&
+				other.detachedAtMs === undefined &&
+				this.#parts.order.compare(other, job, now) < 0,
+		);
+		return projectLastStartMs(
+			ahead.flatMap((other) => tasksOf(other)),
+			tasksOf(job),
+			this.#projectedWorkers(job.queue.service, now),
+			now,
 		);
-		return {
-			totalMillis: open.reduce(
-				(sum, {entry}) => sum + entry.capacity.processorMillis,
-				0,
-			),
-			freeMillis: open.reduce(
-				(sum, worker) =>
-					sum + (worker.isOpen(now) ? worker.free.processorMillis : 0),
-				0,
-			),
-			meanRunMs: this.#meanRunMs,
-		};
+	}
+
+	#projectedWorkers(
+		service: string,
+		now: number,
+	): readonly ProjectedWorker[] {
+		return this.pool.workers
+			.filter(
+				(worker) => worker.entry.service === service && worker.isOpen(now),
+			)
+			.map((worker) => {
+				const slowness = worker.pace.slowness(now);
+				return {
+					slowness,
+					freeMillis: worker.free.processorMillis,
+					ends: [...worker.runs.values()].map(
+						({orderedAtMs, expectedMs, needs}) => ({
+							atMs: orderedAtMs + expectedMs * slowness,
+							millis: needs.processorMillis,
+						}),
+					),
+				};
+			});
 	}
 
 	#place(now: number): void {
@@ -549,11 +580,17 @@
 			(left, right) =>
 				right.task.needs.processorMillis - left.task.needs.processorMillis,
 		);
+		const endsByMs = job.arrivedAtMs + job.objectiveMs;
 		for (const task of largestFirst) {
-			const others = ofService.filter(({entry}) => entry.id !== task.avoid);
+			const others = ofService.filter(
+				(worker) =>
+					worker.entry.id !== task.avoid &&
+					(job.hasStarted ||
+						now + task.expectedMs * worker.pace.slowness(now) <= endsByMs),
+			);
 			const worker = this.#parts.fit.choose(
 				task.task,
-				others.length > 0 ? others : ofService,
+				others.length > 0 || !job.hasStarted ? others : ofService,
 				now,
 			);
 			if (worker !== undefined) {
@@ -653,7 +690,7 @@
 					now,
 				);
 			}
-		} else if (now > job.startByMs) {
+		} else if (now > job.startByMs || this.#isHopeless(job, now)) {
 			this.#giveUp(
 				job,
 				job.isInDoubt
@@ -668,6 +705,19 @@
 		}
 	}
 
+	/** Looks again whether a job can meet its objective, once it has waited for a part of it. */
+	#isHopeless(job: ScheduledJob, now: number): boolean {
+		if (
+			job.isReviewed ||
+			now - job.arrivedAtMs < reviewShare * job.objectiveMs
+		) {
+			return false;
+		}
+
+		job.isReviewed = true;
+		return this.#projectLastStartMs(job, now) > job.startByMs;
+	}
+
 	#giveUp(job: ScheduledJob, answer: PoolAnswer, now: number): void {
 		this.#decided(
 			'given-up',
@@ -738,7 +788,7 @@
 		job: ScheduledJob | undefined,
 	): void {
 		worker.health.completed(ranMs, run.expectedMs);
-		this.#meanRunMs += (ranMs - this.#meanRunMs) * 0.02;
+		worker.pace.ended(ranMs / Math.max(1, run.expectedMs), this.#now);
 		const task = job?.tasks.find(({task: {name}}) => name === run.task);
 		if (job !== undefined && task !== undefined) {
 			const {declaredMs} = task.task;
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -1,6 +1,7 @@
 /** What the leader of a pool knows of one worker: its runs, its lease, its clock and its health. */
 import {addResources, fits, type Resources} from './pool-job.js';
 import {TargetHealth} from './target-health.js';
+import {WorkerPace} from './worker-pace.js';
 
 /** A worker as the platform lists it. */
 export type WorkerEntry = {
@@ -92,6 +93,7 @@
 	readonly runs = new Map<string, WorkerRun>();
 	readonly orphans = new Map<string, OrphanRun>();
 	health = new TargetHealth();
+	pace = new WorkerPace();
 	/** Whether it has reported under the present token. */
 	isSynced = false;
 	isHoldPending = false;
@@ -142,6 +144,7 @@
 		if (isReborn) {
 			this.lastEndNumber = 0;
 			this.health = new TargetHealth();
+			this.pace = new WorkerPace();
 		}
 
 		return isReborn;
--- a/packages/core/src/scheduled-job.ts
+++ b/packages/core/src/scheduled-job.ts
@@ -33,6 +33,8 @@
 	detachedAtMs: number | undefined;
 	/** Whether an earlier leader may have started tasks of it that have not been found. */
 	isInDoubt: boolean;
+	/** Whether it has been looked at again while it waited. */
+	isReviewed = false;
 	/** Whether any run of it has been ordered or found. */
 	hasStarted = false;
 
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -46,6 +46,8 @@
 	readonly leaseMs: number;
 	/** Longest time for which a worker holds a report back; well below half the lease, so that one may be lost. */
 	readonly reportWaitMs: number;
+	/** Shortest time, and time beyond the next expected end: a lost report hides an end for that long. */
+	readonly shortReportWaitMs: number;
 	/** Time after which a run that no job has claimed is stopped. */
 	readonly orphanMs: number;
 	/** Time for which the end of a run that no job has claimed is remembered. */
@@ -60,6 +62,7 @@
 export const defaultWorkerPoolSettings: WorkerPoolSettings = {
 	leaseMs: 1000,
 	reportWaitMs: 400,
+	shortReportWaitMs: 40,
 	orphanMs: 700,
 	orphanEndMs: 4000,
 	stopAgainMs: 60,
@@ -70,7 +73,7 @@
 const mostStartSends = 3;
 /** Reports that must omit a confirmed run before it is stopped for good. */
 const mostAbsences = 2;
-const firstRetryMs = 20;
+const firstRetryMs = 10;
 const longestRetryMs = 250;
 /** Failed reports in a row after which the lease is no longer extended, so that it surely runs out. */
 const failuresBeforeLapse = 2;
@@ -456,7 +459,7 @@
 			this.#restarted(worker, now);
 		}
 
-		if (worker.holdFailures > 0) {
+		if (worker.holdFailures >= failuresBeforeLapse) {
 			this.#listener.workerChanged(worker, 'reachable');
 		}
 
@@ -567,10 +570,14 @@
 		worker.holdFailures += 1;
 		worker.nextHoldAtMs =
 			now +
-			Math.min(longestRetryMs, firstRetryMs * 2 ** (worker.holdFailures - 1));
-		if (worker.holdFailures === 1) {
+			(worker.holdFailures === 1
+				? 0
+				: Math.min(longestRetryMs, firstRetryMs * 2 ** worker.holdFailures));
+		if (worker.holdFailures === failuresBeforeLapse) {
 			this.#listener.workerChanged(worker, 'silent');
 		}
+
+		this.#sendHold(worker, now);
 	}
 
 	#lapse(worker: PoolWorker, now: number): void {
@@ -615,6 +622,28 @@
 		}
 	}
 
+	/** How long a report may be held back: until shortly after the next expected end. */
+	#reportWaitMs(worker: PoolWorker, now: number): number {
+		if (!worker.isSynced || worker.holdFailures > 0) {
+			return 0;
+		}
+
+		const {reportWaitMs, shortReportWaitMs} = this.#settings;
+		const slowness = worker.pace.slowness(now);
+		const endsInMs = [...worker.runs.values()]
+			.map(
+				({orderedAtMs, expectedMs}) =>
+					orderedAtMs + expectedMs * slowness - now,
+			)
+			.filter((inMs) => inMs > 0);
+		return Math.round(
+			Math.min(
+				reportWaitMs,
+				shortReportWaitMs + Math.max(shortReportWaitMs, ...endsInMs.toSorted((left, right) => left - right).slice(0, 1)),
+			),
+		);
+	}
+
 	#holdSoon(worker: PoolWorker, now: number): void {
 		worker.nextHoldAtMs = Math.min(worker.nextHoldAtMs, now);
 		this.#sendHold(worker, now);
@@ -646,10 +675,7 @@
 			worker: worker.entry,
 			token,
 			lastEndNumber: worker.lastEndNumber,
-			waitMs:
-				worker.isSynced && worker.holdFailures === 0
-					? this.#settings.reportWaitMs
-					: 0,
+			waitMs: this.#reportWaitMs(worker, now),
 			...(extendsLease
 				? {leaseUntilMs: clockMs + this.#settings.leaseMs}
 				: {}),
