Let a follower that can read the store read for a leader that cannot

Change: heartbeats tell who can read; followers take over in turn until one can, and go on while the leader cannot. Ruled out: all entry VMs reading all the time (calls are priced, and refused ones too).

--- a/packages/peer/src/pool-message.ts
+++ b/packages/peer/src/pool-message.ts
@@ -22,6 +22,8 @@
 			readonly heartbeat: Heartbeat;
 			/** Whether the sender cannot read the store and asks others for what they know. */
 			readonly needsKnowledge: boolean;
+			/** Whether the sender has lately read the store itself. */
+			readonly readsStore: boolean;
 	  }
 	| {
 			readonly type: 'submit';
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -39,7 +39,11 @@
 /** The same for a job that a lost leader may have started; a fail-over takes less. */
 const resentPatienceMs = 900;
 /** Age of what is known of the store, in milliseconds, from which a leader asks the others. */
-const staleKnowledgeMs = 900;
+const staleKnowledgeMs = 700;
+/** Head start in milliseconds of each follower over the next one when a leader cannot read the store. */
+const readerGapMs = 150;
+/** Milliseconds between two reports to a leader that cannot read the store, while nothing changes. */
+const tellAgainMs = 400;
 /** Milliseconds for which an entry VM that is no longer heard is still dialled. */
 const memberKeptMs = 120_000;
 /** Milliseconds between two looks for workers that have not registered again in time. */
@@ -80,7 +84,12 @@
 	#lastIntroductionMs = 0;
 	#hears: Readonly<Record<string, number>> = {};
 	#lastDirectoryMs = 0;
+	/** Leaders that cannot read the store. */
 	readonly #needy = new Set<string>();
+	#needySinceMs: number | undefined;
+	/** Entry VMs that have lately read the store themselves. */
+	readonly #readers = new Set<string>();
+	#lastTellMs = 0;
 
 	constructor(settings: EntrySettings, log: PoolLog, now: () => number) {
 		this.#settings = settings;
@@ -392,21 +401,33 @@
 			.map((receiver) => ({receiver}));
 	}
 
-	/** Whether to read the store: leaders do, and others while no leader can. */
+	/** Whether to read the store: leaders do, and a follower that can while a leader cannot. */
 	#mayRead(now: number): boolean {
-		const isFirstFollower =
-			this.#needy.size > 0 &&
-			this.#leadership.leads.size === 0 &&
-			this.#leadership
-				.livePeers(now)
-				.every(
-					({name, leads}) =>
-						Object.keys(leads).length > 0 || name > this.#settings.name,
-				);
+		if (this.#leadership.leads.size > 0 || this.#leader === undefined) {
+			return true;
+		}
+
+		if (this.#needy.size === 0) {
+			this.#needySinceMs = undefined;
+			return false;
+		}
+
+		this.#needySinceMs ??= now;
+		const followers = this.#leadership
+			.livePeers(now)
+			.filter(({leads}) => Object.keys(leads).length === 0)
+			.map(({name}) => name);
+		const readers = followers.filter((name) => this.#readers.has(name));
+		if (this.#store.ownAgeMs(now) < staleKnowledgeMs) {
+			return readers.every((name) => name > this.#settings.name);
+		}
+
+		const position = followers.filter(
+			(name) => name < this.#settings.name,
+		).length;
 		return (
-			this.#leadership.leads.size > 0 ||
-			this.#leader === undefined ||
-			isFirstFollower
+			readers.length === 0 &&
+			now - this.#needySinceMs >= position * readerGapMs
 		);
 	}
 
@@ -530,7 +551,8 @@
 				heartbeat: this.#heartbeat(withMembers, intervalMs),
 				needsKnowledge:
 					this.#leadership.leads.size > 0 &&
-					this.#store.ageMs(now) > staleKnowledgeMs,
+					this.#store.ownAgeMs(now) > staleKnowledgeMs,
+				readsStore: this.#store.ownAgeMs(now) < staleKnowledgeMs,
 			},
 			isChosen,
 			now,
@@ -541,7 +563,8 @@
 		const now = this.#now();
 		switch (message.type) {
 			case 'heartbeat': {
-				this.#heard(message.heartbeat, message.needsKnowledge, now);
+				this.#heard(message.heartbeat, now);
+				this.#heardOfStore(from, message, now);
 				break;
 			}
 
@@ -620,7 +643,7 @@
 		}
 	}
 
-	#heard(heartbeat: Heartbeat, needsKnowledge: boolean, now: number): void {
+	#heard(heartbeat: Heartbeat, now: number): void {
 		const memberCount = this.#members.size;
 		const isNews = this.#leadership.isNews(heartbeat, now);
 		for (const {name, zone, address} of [heartbeat, ...heartbeat.members]) {
@@ -631,15 +654,6 @@
 		}
 
 		this.#leadership.heard(heartbeat, now);
-		if (needsKnowledge) {
-			this.#needy.add(heartbeat.name);
-			if (this.#store.ageMs(now) < staleKnowledgeMs) {
-				this.#tell(heartbeat.name);
-			}
-		} else {
-			this.#needy.delete(heartbeat.name);
-		}
-
 		if (this.#members.size !== memberCount) {
 			// Those who are linked to now are told at once whom else there is.
 			this.#lastIntroductionMs = 0;
@@ -651,6 +665,33 @@
 		}
 	}
 
+	/** Takes in who can read the store, and tells a leader that cannot what is known here. */
+	#heardOfStore(
+		from: string,
+		{needsKnowledge, readsStore}: PoolMessage & {readonly type: 'heartbeat'},
+		now: number,
+	): void {
+		if (readsStore) {
+			this.#readers.add(from);
+		} else {
+			this.#readers.delete(from);
+		}
+
+		if (!needsKnowledge) {
+			this.#needy.delete(from);
+			return;
+		}
+
+		this.#needy.add(from);
+		if (
+			this.#store.ownAgeMs(now) < staleKnowledgeMs &&
+			now - this.#lastTellMs >= tellAgainMs
+		) {
+			this.#lastTellMs = now;
+			this.#tell(from);
+		}
+	}
+
 	#link(): void {
 		const now = this.#now();
 		for (const [name, {heardOfMs}] of this.#members) {
--- a/packages/verbenarouter/src/pool/store-follower.ts
+++ b/packages/verbenarouter/src/pool/store-follower.ts
@@ -60,6 +60,8 @@
 	#isActive = false;
 	#isReachable = true;
 	#lastReadMs = Number.NEGATIVE_INFINITY;
+	/** The same for reads of its own, without what others have told. */
+	#lastOwnReadMs = Number.NEGATIVE_INFINITY;
 
 	constructor(client: StoreClient, listener: StoreListener, now: () => number) {
 		this.#client = client;
@@ -72,6 +74,11 @@
 		return now - this.#lastReadMs;
 	}
 
+	/** Age in milliseconds of the last read of its own. */
+	ownAgeMs(now: number): number {
+		return now - this.#lastOwnReadMs;
+	}
+
 	/** Follows the store at another address from now on. */
 	moveTo(client: StoreClient): void {
 		this.#client.close();
@@ -159,6 +166,7 @@
 
 		this.#setReachable(true, topic.name, now);
 		this.#lastReadMs = now;
+		this.#lastOwnReadMs = now;
 		topic.nextOffset = result.value.nextOffset;
 		if (topic.name === stateTopic) {
 			this.#takeStates(result.value);
