Test the pool without a network and on stand-ins, and hand over which tasks are done

Cause: the mechanisms had no tests of their own. Change: tests of leadership, scheduler, workers' knowledge, records; process tests with kill, freeze, planned stop and store outage; a leader that gives up tells the receivers which tasks are done, and they tell the next one. Ruled out: acknowledging ends only when the job is answered (a report with ends left comes back at once, so the wait for the next end would be a busy loop).

--- a/packages/core/src/pool-job.ts
+++ b/packages/core/src/pool-job.ts
@@ -31,6 +31,8 @@
 	readonly waitedMs: number;
 	/** Milliseconds for which the caller waits in all. */
 	readonly patienceMs: number;
+	/** Names of tasks that an earlier leader has seen done. */
+	readonly doneTasks?: readonly string[];
 };
 
 /** How a job ended, or why it did not run. */
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -62,6 +62,8 @@
 export type SchedulerOutput = {
 	/** Sends an answer to the entry VM that waits for it. */
 	answer(receiver: string, id: string, answer: PoolAnswer): void;
+	/** A job is given up to the next leader, with some of its tasks done. */
+	progressed(receiver: string, id: string, doneTasks: readonly string[]): void;
 	/** A worker of a zone has refused a token since it has seen a higher one. */
 	fenced(zone: string, token: number): void;
 	decided(decision: PoolDecision): void;
@@ -169,6 +171,7 @@
 		this.#now = now;
 		const runs = this.pool.drop(zone);
 		if (this.pool.zones.length === 0) {
+			this.#handOver();
 			this.#jobs.clear();
 			return;
 		}
@@ -182,6 +185,18 @@
 		}
 	}
 
+	/** Tells the receivers of jobs which tasks are done, so that the next leader does not run them again. */
+	#handOver(): void {
+		for (const {id, receiver, tasks} of this.#jobs.values()) {
+			const done = tasks
+				.filter(({state}) => state === 'done')
+				.map(({task}) => task.name);
+			if (done.length > 0) {
+				this.#parts.output.progressed(receiver, id, done);
+			}
+		}
+	}
+
 	/** State of a job that is known here. */
 	stateOf(id: string): 'queued' | 'running' | PoolAnswer | undefined {
 		const job = this.#jobs.get(id);
@@ -399,7 +414,7 @@
 			now,
 		);
 		scheduled.isInDoubt = isResubmitted;
-		for (const task of scheduled.tasks) {
+		for (const task of scheduled.waiting) {
 			this.#adopt(scheduled, task, now);
 		}
 
--- a/packages/core/src/scheduled-job.ts
+++ b/packages/core/src/scheduled-job.ts
@@ -56,12 +56,13 @@
 		this.tasks = job.tasks.map((task) => ({
 			task,
 			expectedMs: expectedMs(task),
-			state: 'waiting',
+			state: job.doneTasks?.includes(task.name) === true ? 'done' : 'waiting',
 			worker: undefined,
 			run: 0,
 			failures: 0,
 			avoid: undefined,
 		}));
+		this.hasStarted = this.tasks.some(({state}) => state === 'done');
 		this.longestMs = Math.max(
 			0,
 			...this.tasks.map((task) => task.expectedMs),
--- a/packages/peer/src/pool-message.ts
+++ b/packages/peer/src/pool-message.ts
@@ -32,6 +32,11 @@
 			readonly isResubmitted: boolean;
 	  }
 	| {readonly type: 'answer'; readonly id: string; readonly answer: PoolAnswer}
+	| {
+			readonly type: 'progress';
+			readonly id: string;
+			readonly doneTasks: readonly string[];
+	  }
 	| {
 			readonly type: 'cancel';
 			readonly id: string;
--- /dev/null
+++ b/packages/platform/src/tests/site-records.test.ts
@@ -0,0 +1,170 @@
+import {describe, expect, it} from 'vitest';
+import {type QueueSetting} from '@verbenarouter/core';
+import {decodeDesiredState} from '../desired-state-record.js';
+import {parseEntrySettings} from '../entry-settings.js';
+import {decodeJob, encodeAnswer} from '../job-record.js';
+import {decodeWorker} from '../worker-record.js';
+
+const settings = {
+	name: 'edge-1',
+	zone: 'a',
+	zones: ['a', 'b'],
+	callerAddress: '127.0.0.1:1',
+	readinessAddress: '127.0.0.1:2',
+	peerAddress: '127.0.0.1:3',
+	peerSeeds: [],
+	metricsAddress: '127.0.0.1:4',
+	processorShare: 0.675,
+	storeAddress: '127.0.0.1:5',
+	workerLeaseMs: 1000,
+	workerStopMs: 50,
+	stopGraceMs: 6000,
+};
+
+const queue: QueueSetting = {
+	name: 'r-1',
+	host: 'a.example',
+	pathPrefix: '/q/',
+	service: 's',
+	priority: 0,
+	mostAttempts: 2,
+	stretch: 1.6,
+	latencyMs: 60,
+};
+
+const worker = {
+	service: 's',
+	address: '127.0.0.1:80',
+	zone: 'a',
+	state: 'ready',
+	capacity: {cpu: 64_000, memMb: 131_072},
+	labels: ['a', 'r1-1'],
+	born: 5,
+};
+
+describe('settings', () => {
+	it('are read from JSON with comments, with fields that are not known left out', () => {
+		const text = `// comment\n${JSON.stringify({...settings, later: 1})}`;
+		expect(parseEntrySettings(text)._unsafeUnwrap()).toEqual(settings);
+	});
+
+	it('name each wrong field', () => {
+		const text = JSON.stringify({...settings, zone: 7, storeAddress: 'x'});
+		expect(parseEntrySettings(text)._unsafeUnwrapErr()).toEqual([
+			'zone: must be a text that is not empty',
+			'storeAddress: must be host:port',
+		]);
+	});
+
+	it('say where the text is no JSON', () => {
+		expect(parseEntrySettings('{"name": }')._unsafeUnwrapErr()[0]).toMatch(
+			/^not JSON with comments: \w+ at character 9$/v,
+		);
+	});
+});
+
+describe('worker records', () => {
+	it('are decoded with fields left out that are 0', () => {
+		expect(decodeWorker('w', JSON.stringify(worker))).toMatchObject({
+			id: 'w',
+			capacity: {processorMillis: 64_000, accelerators: 0},
+			bornMs: 5,
+		});
+	});
+
+	it.each([
+		['no JSON', 'bytes \u0000'],
+		['a list', '[]'],
+		['no service', JSON.stringify({...worker, service: undefined})],
+		['an unknown state', JSON.stringify({...worker, state: 'odd'})],
+		['an address of another type', JSON.stringify({...worker, address: 9})],
+		['a capacity of another type', JSON.stringify({...worker, capacity: '9'})],
+		['a negative capacity', JSON.stringify({...worker, capacity: {cpu: -1}})],
+	])('with %s name no worker', (_, text) => {
+		expect(decodeWorker('w', text)).toBeUndefined();
+	});
+});
+
+describe('desired states', () => {
+	it('leave out queues that are not whole, and keep the others', () => {
+		const text = JSON.stringify({
+			version: 7,
+			routes: [{name: 'r-1', service: 's', pathPrefix: '/q/'}, {name: 3}, 4],
+			services: [{name: 's'}],
+		});
+		expect(decodeDesiredState(text)).toMatchObject({
+			version: 7,
+			queues: [{name: 'r-1', stretch: 1, mostAttempts: 1}],
+			services: ['s'],
+		});
+	});
+
+	it('without a version are none', () => {
+		expect(decodeDesiredState('{"routes":[]}')).toBeUndefined();
+		expect(decodeDesiredState('no')).toBeUndefined();
+	});
+});
+
+describe('jobs', () => {
+	const decode = (body: unknown) =>
+		decodeJob('00000000000000aa', queue, JSON.stringify(body), 1500);
+
+	it('are decoded into tasks with the names that workers know', () => {
+		const job = decode({
+			spec: 'x',
+			bestEffort: true,
+			steps: [{count: 2, cpu: 27_000, memMb: 64, estimatedMs: 60}],
+		})._unsafeUnwrap();
+		expect(job.tasks.map(({name}) => name)).toEqual([
+			'00000000000000aa.0.0.0',
+			'00000000000000aa.0.0.1',
+		]);
+		expect(job).toMatchObject({queue: 'r-1', spec: 'x', patienceMs: 1500});
+	});
+
+	it.each([
+		['text', 'malformed', 'the body is not a JSON object'],
+		[{bestEffort: true}, 'malformed', 'steps: must be a list of objects'],
+		[{steps: [{}]}, 'unsupported', 'bestEffort: only true is supported'],
+		[
+			{bestEffort: true, steps: [{dependsOn: [0]}]},
+			'unsupported',
+			'steps[0].dependsOn: not supported',
+		],
+		[
+			{bestEffort: true, steps: [{gang: true}]},
+			'unsupported',
+			'steps[0].gang: not supported',
+		],
+		[
+			{bestEffort: true, steps: [{count: -1}]},
+			'malformed',
+			'steps[0]: count, cpu, memMb, gpu and estimatedMs must be numbers of at least 0',
+		],
+	])('%j are refused by the name of the field', (body, kind, message) => {
+		expect(decode(body)._unsafeUnwrapErr()).toEqual({kind, message});
+	});
+});
+
+describe('answers', () => {
+	it('say "not run" only with statuses after which nothing runs', () => {
+		expect(
+			encodeAnswer({kind: 'not-run', reason: 'overloaded', retryAfterMs: 1200}),
+		).toMatchObject({status: 429, retryAfterMs: 1200});
+		expect(
+			encodeAnswer({kind: 'not-run', reason: 'queue-unknown'}).status,
+		).toBe(404);
+		expect(encodeAnswer({kind: 'not-run', reason: 'no-workers'}).status).toBe(
+			503,
+		);
+	});
+
+	it('ask for another copy when a job may have run', () => {
+		expect(
+			encodeAnswer({kind: 'may-have-run', reason: 'leader-lost'}).status,
+		).toBe(502);
+		expect(
+			encodeAnswer({kind: 'may-have-run', reason: 'deadline-exceeded'}).status,
+		).toBe(504);
+	});
+});
--- a/packages/verbenarouter/src/pool/pending-jobs.ts
+++ b/packages/verbenarouter/src/pool/pending-jobs.ts
@@ -9,6 +9,8 @@
 	sentTo: string | undefined;
 	/** Since when no leader has it. */
 	unsentSinceMs: number | undefined;
+	/** Names of tasks that an earlier leader has seen done. */
+	doneTasks: readonly string[];
 	readonly waiting: Array<(answer: PoolAnswer) => void>;
 };
 
@@ -45,6 +47,7 @@
 			receivedAtMs: now,
 			sentTo: undefined,
 			unsentSinceMs: now,
+			doneTasks: [],
 			waiting: [resolve],
 		};
 		this.#jobs.set(job.id, pending);
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -142,6 +142,13 @@
 				answer: (receiver, id, answer) => {
 					this.#deliver(receiver, id, answer);
 				},
+				progressed: (receiver, id, doneTasks) => {
+					if (receiver === settings.name) {
+						this.#progressed(id, doneTasks);
+					} else {
+						this.#mesh.send(receiver, {type: 'progress', id, doneTasks});
+					}
+				},
 				fenced: (zone, token) => {
 					this.#changed(this.#leadership.refused(zone, token, now()), 'fenced');
 				},
@@ -606,6 +613,11 @@
 				break;
 			}
 
+			case 'progress': {
+				this.#progressed(message.id, message.doneTasks);
+				break;
+			}
+
 			case 'cancel': {
 				const isKnown = this.#scheduler.cancel(message.id, message.reason, now);
 				if (message.question !== undefined) {
@@ -792,6 +804,13 @@
 		}
 	}
 
+	#progressed(id: string, doneTasks: readonly string[]): void {
+		const pending = this.#pending.get(id);
+		if (pending !== undefined) {
+			pending.doneTasks = [...new Set([...pending.doneTasks, ...doneTasks])];
+		}
+	}
+
 	#sendToLeader(pending: PendingJob): void {
 		const now = this.#now();
 		const leader = this.#leader;
@@ -801,7 +820,12 @@
 		}
 
 		const isResubmitted = pending.sentTo !== undefined;
-		const job = {...pending.job, waitedMs: now - pending.receivedAtMs};
+		const {doneTasks} = pending;
+		const job = {
+			...pending.job,
+			waitedMs: now - pending.receivedAtMs,
+			...(doneTasks.length > 0 ? {doneTasks} : {}),
+		};
 		pending.sentTo = leader;
 		pending.unsentSinceMs = undefined;
 		if (leader === this.#settings.name) {
--- /dev/null
+++ b/testing/src/tests/site.test.ts
@@ -0,0 +1,198 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {afterEach, describe, expect, it} from 'vitest';
+import {
+	SiteInstallation,
+	call,
+	siteQueue,
+	type SiteAnswer,
+	type SiteEntryVm,
+} from '../site/site-installation.js';
+import {type RecordedRun} from '../site/worker-stand-in.js';
+
+let site: SiteInstallation | undefined;
+
+afterEach(() => {
+	site?.close();
+});
+
+async function startSite(entryVmsPerZone = 2): Promise<SiteInstallation> {
+	site = new SiteInstallation({
+		zones: ['a', 'b'],
+		entryVmsPerZone,
+		workersPerZone: 4,
+		processorMillis: 64_000,
+	});
+	await site.start();
+	return site;
+}
+
+const job = {count: 2, runMs: 60, needsMillis: 27_000};
+
+/** Sends jobs one after the other through given entry VMs; a copy follows each that may have run, as callers do. */
+async function load(
+	{submit, newId}: Pick<SiteInstallation, 'submit' | 'newId'>,
+	entryVms: readonly SiteEntryVm[],
+	count: number,
+): Promise<readonly SiteAnswer[]> {
+	const answers: Array<Promise<SiteAnswer>> = [];
+	for (let index = 0; index < count; index += 1) {
+		const first = entryVms[index % entryVms.length]!;
+		const second = entryVms[(index + 1) % entryVms.length]!;
+		const id = newId();
+		answers.push(
+			(async () => {
+				const answer = await submit(first, id, job);
+				if (![0, 502, 504].includes(answer.status)) {
+					return answer;
+				}
+
+				await sleep(1300);
+				return submit(second, id, job);
+			})(),
+		);
+		// eslint-disable-next-line no-await-in-loop -- paces the load
+		await sleep(15);
+	}
+
+	return Promise.all(answers);
+}
+
+/** Pairs of runs of one task that overlapped. */
+function overlaps(runs: readonly RecordedRun[]): readonly string[] {
+	const byTask = new Map<string, readonly RecordedRun[]>();
+	for (const run of runs) {
+		byTask.set(run.task, [...(byTask.get(run.task) ?? []), run]);
+	}
+
+	return [...byTask].flatMap(([task, list]) =>
+		list
+			.toSorted((left, right) => left.startedAtMs - right.startedAtMs)
+			.some(
+				(run, index, sorted) =>
+					index > 0 &&
+					run.startedAtMs <
+						(sorted[index - 1]!.endedAtMs ?? Number.POSITIVE_INFINITY),
+			)
+			? [task]
+			: [],
+	);
+}
+
+function allRuns({workers}: SiteInstallation): readonly RecordedRun[] {
+	return workers.flatMap(({runs}) => runs);
+}
+
+function leaderOf({entryVms}: SiteInstallation): SiteEntryVm {
+	return entryVms.find(({lines}) =>
+		lines.some((line) => line.includes('"kind":"claimed"')),
+	)!;
+}
+
+function bound(own: SiteInstallation) {
+	return {
+		submit: own.submit.bind(own),
+		newId: own.newId.bind(own),
+	};
+}
+
+describe('an installation on the platform', () => {
+	it('answers jobs that any entry VM receives, each task run once', async () => {
+		const own = await startSite();
+		const answers = await load(bound(own), own.entryVms, 40);
+		expect(answers.map(({status}) => status)).toEqual(
+			Array.from({length: 40}, () => 200),
+		);
+		expect(allRuns(own)).toHaveLength(80);
+	});
+
+	it('answers what cannot be served at once, naming the cause', async () => {
+		const own = await startSite(1);
+		const [entryVm] = own.entryVms;
+		const port = entryVm!.callerPort;
+		const post = async (path: string, body: string) =>
+			call(port, 'POST', path, body);
+		const path = siteQueue.prefix + own.newId();
+		expect((await post(path, 'no JSON')).status).toBe(400);
+		expect((await post('/unknown/00', '{}')).status).toBe(404);
+		expect((await post(`${siteQueue.prefix}short`, '{}')).status).toBe(400);
+		const stored = await post(path, '{"steps":[{"count":1}]}');
+		expect(stored.status).toBe(503);
+		expect(stored.body).toContain('bestEffort');
+		const large = await own.submit(entryVm!, own.newId(), {
+			...job,
+			needsMillis: 65_000,
+		});
+		expect(large.status).toBe(503);
+		expect(large.body).toContain('cannot-fit');
+		expect((await call(port, 'GET', path, '')).status).toBe(410);
+		expect((await call(port, 'DELETE', path, '')).status).toBe(410);
+		expect((await call(port, 'GET', siteQueue.prefix, '')).body).toBe(
+			'{"pending":0}',
+		);
+		expect(allRuns(own)).toEqual([]);
+	});
+
+	it('never runs a task twice at a time when its leader is killed, and serves on', async () => {
+		const own = await startSite();
+		const leader = leaderOf(own);
+		const others = own.entryVms.filter((entryVm) => entryVm !== leader);
+		const loaded = load(bound(own), others, 120);
+		await sleep(600);
+		leader.child.kill('SIGKILL');
+		const answers = await loaded;
+		expect(overlaps(allRuns(own))).toEqual([]);
+		expect(answers.at(-1)?.status).toBe(200);
+		expect(
+			answers.filter(({status}) => status === 200).length,
+		).toBeGreaterThan(60);
+	});
+
+	it('never runs a task twice at a time when its leader freezes and wakes', async () => {
+		const own = await startSite();
+		const leader = leaderOf(own);
+		const others = own.entryVms.filter((entryVm) => entryVm !== leader);
+		const loaded = load(bound(own), others, 160);
+		await sleep(400);
+		leader.child.kill('SIGSTOP');
+		await sleep(1500);
+		leader.child.kill('SIGCONT');
+		const answers = await loaded;
+		expect(overlaps(allRuns(own))).toEqual([]);
+		expect(answers.at(-1)?.status).toBe(200);
+	});
+
+	it('cuts off nothing at a planned stop of its leader', async () => {
+		const own = await startSite();
+		const leader = leaderOf(own);
+		const loaded = load(bound(own), own.entryVms, 60);
+		await sleep(300);
+		leader.child.kill('SIGTERM');
+		const answers = await loaded;
+		expect(answers.map(({status}) => status)).toEqual(
+			Array.from({length: 60}, () => 200),
+		);
+		expect(allRuns(own)).toHaveLength(120);
+	});
+
+	it('gives a new process the desired state while the store is away, and never an older one', async () => {
+		const own = await startSite();
+		own.writeDesiredState(5, '/moved/');
+		await sleep(800);
+		own.store.isDown = true;
+		const leader = leaderOf(own);
+		const follower = own.entryVms.find((entryVm) => entryVm !== leader)!;
+		follower.child.kill('SIGKILL');
+		await sleep(100);
+		own.restart(follower);
+		await own.untilReady(follower);
+		const old = await own.submit(follower, own.newId(), job);
+		expect(old.status).toBe(404);
+		const moved = await call(
+			follower.callerPort,
+			'POST',
+			`/moved/${own.newId()}`,
+			'{"spec":"20 100","bestEffort":true,"steps":[{"count":1,"cpu":100}]}',
+		);
+		expect(moved.status).toBe(200);
+	});
+});
