Bring the new code in line with the linter, and split the scheduler's door and decisions off

Change: parameter properties, getters, no reduce, typed bytes; pool-decision.ts and job-door.ts hold the log vocabulary and the question whether a job can be taken. Ruled out: turning rules off.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -9,7 +9,7 @@
 	platform: 'node',
 	mainFields: ['module', 'main'],
 	target: 'node20',
-	format: "esm",
+	format: 'esm',
 	// Some libraries in the bundle are CommonJS and ask for built-in modules with `require`.
 	banner: {
 		js: "import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);",
--- a/packages/core/src/best-fit.ts
+++ b/packages/core/src/best-fit.ts
@@ -15,7 +15,9 @@
 
 /** The baseline: the first worker that has room. */
 export class FirstFit implements FitPolicy {
-	readonly name = 'first-fit';
+	get name(): string {
+		return 'first-fit';
+	}
 
 	choose(
 		task: PoolTask,
@@ -38,7 +40,9 @@
  * a fast one among equals. Answers loads whose tasks take a third to a half of a worker.
  */
 export class BestFit implements FitPolicy {
-	readonly name = 'best-fit';
+	get name(): string {
+		return 'best-fit';
+	}
 
 	choose(
 		task: PoolTask,
--- a/packages/core/src/desired-state.ts
+++ b/packages/core/src/desired-state.ts
@@ -42,17 +42,14 @@
 	path: string,
 ): QueueSetting | undefined {
 	const [hostName] = host.split(':');
-	return state.queues
+	const [longest] = state.queues
 		.filter(
 			(queue) =>
 				(queue.host === '' || queue.host === hostName) &&
 				path.startsWith(queue.pathPrefix),
 		)
-		.reduce<QueueSetting | undefined>(
-			(best, queue) =>
-				best === undefined || queue.pathPrefix.length > best.pathPrefix.length
-					? queue
-					: best,
-			undefined,
+		.toSorted(
+			(left, right) => right.pathPrefix.length - left.pathPrefix.length,
 		);
+	return longest;
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -43,3 +43,5 @@
 export * from './worker-directory.js';
 export * from './projection.js';
 export * from './worker-pace.js';
+export type * from './pool-decision.js';
+export * from './job-door.js';
--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -76,11 +76,7 @@
 			readonly kind: 'dropped';
 			readonly zone: string;
 			readonly reason:
-				| 'outranked'
-				| 'yielded'
-				| 'stopping'
-				| 'isolated'
-				| 'unreachable';
+				'outranked' | 'yielded' | 'stopping' | 'isolated' | 'unreachable';
 	  };
 
 /** The entry VM that leads a zone, as far as is known. */
@@ -177,10 +173,7 @@
 			heardSinceMs: isContinued ? known.heardSinceMs : now,
 			isBroken: false,
 		});
-		this.#highestToken = Math.max(
-			this.#highestToken,
-			heartbeat.highestToken,
-		);
+		this.#highestToken = Math.max(this.#highestToken, heartbeat.highestToken);
 	}
 
 	/** The connection from a peer broke; until its next heartbeat it counts as gone. */
@@ -207,16 +200,15 @@
 	/** The live leader of a zone with the highest token. */
 	leaderOf(zone: string, now: number): ZoneLeader | undefined {
 		const own = this.#leads.get(zone);
-		return this.livePeers(now)
-			.flatMap(({name, leads}) => {
-				const token = leads[zone];
-				return token === undefined ? [] : [{name, token}];
-			})
-			.reduce<ZoneLeader | undefined>(
-				(best, leader) =>
-					best === undefined || leader.token > best.token ? leader : best,
-				own === undefined ? undefined : {name: this.#self.name, token: own},
-			);
+		const heard = this.livePeers(now).flatMap(({name, leads}) => {
+			const token = leads[zone];
+			return token === undefined ? [] : [{name, token}];
+		});
+		const [highest] = [
+			...heard,
+			...(own === undefined ? [] : [{name: this.#self.name, token: own}]),
+		].toSorted((left, right) => right.token - left.token);
+		return highest;
 	}
 
 	/** Whether this entry VM once had company and now hears nobody. */
@@ -254,7 +246,7 @@
 	stop(now: number): readonly LeadershipChange[] {
 		this.#isStopping = true;
 		return [...this.#leads.keys()].flatMap((zone) => {
-			const [successor] = this.#candidates(zone, now).filter(
+			const successor = this.#candidates(zone, now).find(
 				({name}) => name !== this.#self.name,
 			);
 			if (successor === undefined) {
@@ -266,6 +258,17 @@
 		});
 	}
 
+	/** Gives up a zone none of whose entry VMs is heard; `hasWorkers` tells whether its workers still answer. */
+	release(
+		zone: string,
+		hasWorkers: boolean,
+		now: number,
+	): readonly LeadershipChange[] {
+		return this.#leads.has(zone) && !hasWorkers && !this.#hasMember(zone, now)
+			? this.#drop(zone, 'unreachable')
+			: [];
+	}
+
 	/** Looks at what has changed with time. */
 	tick(now: number): readonly LeadershipChange[] {
 		this.#startedAtMs ??= now;
@@ -334,7 +337,7 @@
 			now,
 			since - this.#settings.candidateGapMs,
 		).findIndex(({name}) => name === this.#self.name);
-		return position >= 0 &&
+		return position !== -1 &&
 			this.#hasMember(zone, now, since - this.#settings.candidateGapMs) &&
 			now >= this.#claimAtMs(since, position, now)
 			? this.#claim(zone, now)
@@ -342,13 +345,8 @@
 	}
 
 	#claimAtMs(since: number, position: number, now: number): number {
-		const {
-			askMs,
-			candidateGapMs,
-			startGraceMs,
-			aloneGraceMs,
-			isolatedGraceMs,
-		} = this.#settings;
+		const {askMs, candidateGapMs, startGraceMs, aloneGraceMs, isolatedGraceMs} =
+			this.#settings;
 		return Math.max(
 			(this.#startedAtMs ?? now) +
 				(this.#peers.size === 0 ? aloneGraceMs : startGraceMs),
@@ -363,8 +361,7 @@
 	#isOutranked(zone: string, now: number): boolean {
 		const own = this.#leads.get(zone) ?? 0;
 		return this.livePeers(now).some(
-			({leads, hears}) =>
-				(leads[zone] ?? 0) > own || (hears[zone] ?? 0) > own,
+			({leads, hears}) => (leads[zone] ?? 0) > own || (hears[zone] ?? 0) > own,
 		);
 	}
 
@@ -385,17 +382,6 @@
 		);
 	}
 
-	/** Gives up a zone none of whose entry VMs is heard; `hasWorkers` tells whether its workers still answer. */
-	release(
-		zone: string,
-		hasWorkers: boolean,
-		now: number,
-	): readonly LeadershipChange[] {
-		return this.#leads.has(zone) && !hasWorkers && !this.#hasMember(zone, now)
-			? this.#drop(zone, 'unreachable')
-			: [];
-	}
-
 	/** Those that may lead a zone and have been heard since a time, the best first. */
 	#candidates(
 		zone: string,
@@ -484,8 +470,7 @@
 	#isLive({heardAtMs, isBroken, heartbeat}: Peer, now: number): boolean {
 		return (
 			!isBroken &&
-			now - heardAtMs <=
-				this.#settings.silentIntervals * heartbeat.intervalMs
+			now - heardAtMs <= this.#settings.silentIntervals * heartbeat.intervalMs
 		);
 	}
 }
--- /dev/null
+++ b/packages/core/src/pool-decision.ts
@@ -0,0 +1,27 @@
+/** Decisions of a pool's scheduler as its logs show them, with the inputs that decided. */
+import {type WorkerBelief} from './worker-pool.js';
+
+/** What the scheduler decides, for logs; each is one line. */
+export type PoolDecision =
+	| {
+			readonly event:
+				'admitted' | 'refused' | 'joined' | 'adopted' | 'given-up';
+			readonly id: string;
+			readonly reason: string;
+			readonly inputs: Readonly<Record<string, number | string>>;
+	  }
+	| {
+			readonly event: 'placed' | 'run-ended';
+			readonly id: string;
+			readonly task: string;
+			readonly run: number;
+			readonly worker: string;
+			readonly reason: string;
+			readonly inputs: Readonly<Record<string, number | string>>;
+	  }
+	| {
+			readonly event: 'worker';
+			readonly worker: string;
+			readonly reason: WorkerBelief;
+			readonly inputs: Readonly<Record<string, number | string>>;
+	  };
--- a/packages/core/src/pool-job.ts
+++ b/packages/core/src/pool-job.ts
@@ -63,10 +63,7 @@
 
 /** Why a job was given up although a task of it may have started. */
 export type MayHaveRunReason =
-	| 'deadline-exceeded'
-	| 'worker-lost'
-	| 'leader-lost'
-	| 'caller-left';
+	'deadline-exceeded' | 'worker-lost' | 'leader-lost' | 'caller-left';
 
 /** Adds what two tasks need. */
 export function addResources(left: Resources, right: Resources): Resources {
--- a/packages/core/src/pool-queue.ts
+++ b/packages/core/src/pool-queue.ts
@@ -22,7 +22,9 @@
 
 /** The baseline: first come, first served. */
 export class ArrivalOrder implements QueueOrder {
-	readonly name = 'arrival';
+	get name(): string {
+		return 'arrival';
+	}
 
 	compare(left: QueuedJob, right: QueuedJob): number {
 		return left.arrivedAtMs - right.arrivedAtMs;
@@ -34,7 +36,9 @@
  * objective, by priority and latest start. Answers loads above the capacity of the pool.
  */
 export class ObjectiveOrder implements QueueOrder {
-	readonly name = 'objective';
+	get name(): string {
+		return 'objective';
+	}
 
 	compare(left: QueuedJob, right: QueuedJob, now: number): number {
 		return (
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -5,18 +5,10 @@
 import {type FitPolicy} from './best-fit.js';
 import {type DesiredState, type QueueSetting} from './desired-state.js';
 import {type RunTimeEstimates} from './estimate.js';
-import {
-	fits,
-	type NotRunReason,
-	type PoolAnswer,
-	type PoolJob,
-} from './pool-job.js';
+import {misfitOf, projectJobStartMs} from './job-door.js';
+import {type PoolDecision} from './pool-decision.js';
+import {type NotRunReason, type PoolAnswer, type PoolJob} from './pool-job.js';
 import {admit, type QueueOrder} from './pool-queue.js';
-import {
-	projectLastStartMs,
-	type ProjectedTask,
-	type ProjectedWorker,
-} from './projection.js';
 import {
 	type ListedRun,
 	type PoolWorker,
@@ -34,30 +26,6 @@
 	type WorkerPoolSettings,
 } from './worker-pool.js';
 
-/** What the scheduler decides, for logs; each is one line. */
-export type PoolDecision =
-	| {
-			readonly event: 'admitted' | 'refused' | 'joined' | 'adopted' | 'given-up';
-			readonly id: string;
-			readonly reason: string;
-			readonly inputs: Readonly<Record<string, number | string>>;
-	  }
-	| {
-			readonly event: 'placed' | 'run-ended';
-			readonly id: string;
-			readonly task: string;
-			readonly run: number;
-			readonly worker: string;
-			readonly reason: string;
-			readonly inputs: Readonly<Record<string, number | string>>;
-	  }
-	| {
-			readonly event: 'worker';
-			readonly worker: string;
-			readonly reason: WorkerBelief;
-			readonly inputs: Readonly<Record<string, number | string>>;
-	  };
-
 /** Where the scheduler's decisions go. */
 export type SchedulerOutput = {
 	/** Sends an answer to the entry VM that waits for it. */
@@ -185,18 +153,6 @@
 		}
 	}
 
-	/** Tells the receivers of jobs which tasks are done, so that the next leader does not run them again. */
-	#handOver(): void {
-		for (const {id, receiver, tasks} of this.#jobs.values()) {
-			const done = tasks
-				.filter(({state}) => state === 'done')
-				.map(({task}) => task.name);
-			if (done.length > 0) {
-				this.#parts.output.progressed(receiver, id, done);
-			}
-		}
-	}
-
 	/** State of a job that is known here. */
 	stateOf(id: string): 'queued' | 'running' | PoolAnswer | undefined {
 		const job = this.#jobs.get(id);
@@ -350,7 +306,10 @@
 			run: run.run,
 			worker: worker.entry.id,
 			reason: outcome,
-			inputs: {ranMs: Math.round(ranMs), expectedMs: Math.round(run.expectedMs)},
+			inputs: {
+				ranMs: Math.round(ranMs),
+				expectedMs: Math.round(run.expectedMs),
+			},
 		});
 		if (outcome === 'done') {
 			this.#learn(run, worker, ranMs, job);
@@ -388,13 +347,23 @@
 			reason: belief,
 			inputs: {
 				runs: worker.runs.size,
-				reportAgeMs: Math.round(
-					Math.min(1e9, this.#now - worker.reportedAtMs),
-				),
+				reportAgeMs: Math.round(Math.min(1e9, this.#now - worker.reportedAtMs)),
 			},
 		});
 	}
 
+	/** Tells the receivers of jobs which tasks are done, so that the next leader does not run them again. */
+	#handOver(): void {
+		for (const {id, receiver, tasks} of this.#jobs.values()) {
+			const done = tasks
+				.filter(({state}) => state === 'done')
+				.map(({task}) => task.name);
+			if (done.length > 0) {
+				this.#parts.output.progressed(receiver, id, done);
+			}
+		}
+	}
+
 	#take(
 		job: PoolJob,
 		queue: QueueSetting,
@@ -418,7 +387,7 @@
 			this.#adopt(scheduled, task, now);
 		}
 
-		const misfit = this.#misfit(scheduled, now);
+		const misfit = misfitOf(scheduled, this.pool.workers, now);
 		if (misfit !== undefined && scheduled.isUntouched) {
 			this.#refuse(job, receiver, false, misfit.reason, misfit);
 			return;
@@ -495,72 +464,13 @@
 		});
 	}
 
-	#misfit(
-		job: ScheduledJob,
-		now: number,
-	): {readonly reason: NotRunReason; readonly workers: number} | undefined {
-		const workers = this.pool.workers.filter(
-			(worker) => worker.isListed && worker.entry.service === job.queue.service,
-		);
-		if (workers.length === 0) {
-			return {reason: 'no-workers', workers: 0};
-		}
-
-		const isPossible = job.tasks.every(({task: {needs}}) =>
-			workers.some(({entry}) => fits(needs, entry.capacity)),
-		);
-		if (!isPossible) {
-			return {reason: 'cannot-fit', workers: workers.length};
-		}
-
-		return now > job.lastStartMs
-			? {reason: 'deadline-impossible', workers: workers.length}
-			: undefined;
-	}
-
 	/** When the last task of a job would start, behind the jobs that go before it. */
 	#projectLastStartMs(job: ScheduledJob, now: number): number {
-		const tasksOf = (other: ScheduledJob): readonly ProjectedTask[] =>
-			other.waiting.map(({task: {needs}, expectedMs}) => ({
-				millis: needs.processorMillis,
-				expectedMs,
-			}));
 		const ahead = [...this.#jobs.values()].filter(
 			(other) =>
-				other !== job &&
-				other.queue.service === job.queue.service &&
-				other.detachedAtMs === undefined &&
-				this.#parts.order.compare(other, job, now) < 0,
-		);
-		return projectLastStartMs(
-			ahead.flatMap((other) => tasksOf(other)),
-			tasksOf(job),
-			this.#projectedWorkers(job.queue.service, now),
-			now,
+				other !== job && this.#parts.order.compare(other, job, now) < 0,
 		);
-	}
-
-	#projectedWorkers(
-		service: string,
-		now: number,
-	): readonly ProjectedWorker[] {
-		return this.pool.workers
-			.filter(
-				(worker) => worker.entry.service === service && worker.isOpen(now),
-			)
-			.map((worker) => {
-				const slowness = worker.pace.slowness(now);
-				return {
-					slowness,
-					freeMillis: worker.free.processorMillis,
-					ends: [...worker.runs.values()].map(
-						({orderedAtMs, expectedMs, needs}) => ({
-							atMs: orderedAtMs + expectedMs * slowness,
-							millis: needs.processorMillis,
-						}),
-					),
-				};
-			});
+		return projectJobStartMs(job, ahead, this.pool.workers, now);
 	}
 
 	#place(now: number): void {
@@ -593,11 +503,7 @@
 		);
 	}
 
-	#placeJob(
-		job: ScheduledJob,
-		open: readonly PoolWorker[],
-		now: number,
-	): void {
+	#placeJob(job: ScheduledJob, open: readonly PoolWorker[], now: number): void {
 		const ofService = open.filter(
 			({entry}) => entry.service === job.queue.service,
 		);
@@ -798,8 +704,8 @@
 							? {}
 							: {
 									retryAfterMs:
-										typeof inputs['retryAfterMs'] === 'number'
-											? inputs['retryAfterMs']
+										typeof inputs.retryAfterMs === 'number'
+											? inputs.retryAfterMs
 											: retryWithoutWorkersMs,
 								}),
 					},
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -87,7 +87,6 @@
 
 /** One worker in the pool of a leader. */
 export class PoolWorker {
-	entry: WorkerEntry;
 	/** False when the platform no longer lists it. */
 	isListed = true;
 	readonly runs = new Map<string, WorkerRun>();
@@ -115,9 +114,7 @@
 	#bornMs: number | undefined;
 	#used: Resources = {processorMillis: 0, memoryMb: 0, accelerators: 0};
 
-	constructor(entry: WorkerEntry) {
-		this.entry = entry;
-	}
+	constructor(public entry: WorkerEntry) {}
 
 	get bornMs(): number | undefined {
 		return this.#bornMs;
@@ -213,9 +210,11 @@
 	}
 
 	#count(): void {
-		this.#used = [...this.runs.values(), ...this.orphans.values()].reduce(
-			(sum, {needs}) => addResources(sum, needs),
-			{processorMillis: 0, memoryMb: 0, accelerators: 0},
-		);
+		let used: Resources = {processorMillis: 0, memoryMb: 0, accelerators: 0};
+		for (const {needs} of [...this.runs.values(), ...this.orphans.values()]) {
+			used = addResources(used, needs);
+		}
+
+		this.#used = used;
 	}
 }
--- a/packages/core/src/projection.ts
+++ b/packages/core/src/projection.ts
@@ -4,7 +4,10 @@
 export type ProjectedWorker = {
 	readonly freeMillis: number;
 	/** Expected ends of what runs there, in any order. */
-	readonly ends: ReadonlyArray<{readonly atMs: number; readonly millis: number}>;
+	readonly ends: ReadonlyArray<{
+		readonly atMs: number;
+		readonly millis: number;
+	}>;
 	/** How many times as long as expected tasks take there. */
 	readonly slowness: number;
 };
@@ -42,9 +45,9 @@
 		startOn(timelines, task, now);
 	}
 
-	return ownTasks.reduce(
-		(last, task) => Math.max(last, startOn(timelines, task, now)),
+	return Math.max(
 		now,
+		...ownTasks.map((task) => startOn(timelines, task, now)),
 	);
 }
 
--- a/packages/core/src/scheduled-job.ts
+++ b/packages/core/src/scheduled-job.ts
@@ -22,15 +22,11 @@
 
 /** One job in the scheduler. */
 export class ScheduledJob implements QueuedJob {
-	readonly job: PoolJob;
-	readonly queue: QueueSetting;
 	readonly arrivedAtMs: number;
 	/** When this leader got it. */
 	readonly takenAtMs: number;
 	readonly tasks: readonly ScheduledTask[];
 	readonly longestMs: number;
-	/** Entry VM that waits for the answer. */
-	receiver: string;
 	/** Since when its receiver is out of reach. */
 	detachedAtMs: number | undefined;
 	/** Whether an earlier leader may have started tasks of it that have not been found. */
@@ -41,15 +37,13 @@
 	hasStarted = false;
 
 	constructor(
-		job: PoolJob,
-		queue: QueueSetting,
-		receiver: string,
+		readonly job: PoolJob,
+		readonly queue: QueueSetting,
+		/** Entry VM that waits for the answer. */
+		public receiver: string,
 		expectedMs: (task: PoolTask) => number,
 		now: number,
 	) {
-		this.job = job;
-		this.queue = queue;
-		this.receiver = receiver;
 		this.isInDoubt = false;
 		this.arrivedAtMs = now - job.waitedMs;
 		this.takenAtMs = now;
@@ -63,10 +57,7 @@
 			avoid: undefined,
 		}));
 		this.hasStarted = this.tasks.some(({state}) => state === 'done');
-		this.longestMs = Math.max(
-			0,
-			...this.tasks.map((task) => task.expectedMs),
-		);
+		this.longestMs = Math.max(0, ...this.tasks.map((task) => task.expectedMs));
 	}
 
 	get id(): string {
--- a/packages/core/src/tests/pool-fixtures.ts
+++ b/packages/core/src/tests/pool-fixtures.ts
@@ -4,7 +4,8 @@
 import {DeclaredEstimates} from '../estimate.js';
 import {type PoolAnswer, type PoolJob} from '../pool-job.js';
 import {ObjectiveOrder, type QueueOrder} from '../pool-queue.js';
-import {PoolScheduler, type PoolDecision} from '../pool-scheduler.js';
+import {type PoolDecision} from '../pool-decision.js';
+import {PoolScheduler} from '../pool-scheduler.js';
 import {
 	type ListedEnd,
 	type ListedRun,
@@ -183,12 +184,13 @@
 	}
 
 	/** A worker answers a start order. */
-	started(
-		start: StartOrder,
-		now: number,
-		outcome: OrderOutcome = {kind: 'done', clockMs: now},
-	): void {
-		this.scheduler.startAnswered(start.worker.id, start.task, outcome, now);
+	started(start: StartOrder, now: number, outcome?: OrderOutcome): void {
+		this.scheduler.startAnswered(
+			start.worker.id,
+			start.task,
+			outcome ?? {kind: 'done', clockMs: now},
+			now,
+		);
 	}
 
 	/** Lets time pass in ticks of 20 ms. */
--- a/packages/core/src/tests/pool-scheduler.test.ts
+++ b/packages/core/src/tests/pool-scheduler.test.ts
@@ -200,7 +200,9 @@
 
 	it('is stopped when its caller has left', () => {
 		const fixture = running();
-		expect(fixture.scheduler.cancel('j1', 'caller-left', start + 50)).toBe(true);
+		expect(fixture.scheduler.cancel('j1', 'caller-left', start + 50)).toBe(
+			true,
+		);
 		expect(fixture.stops).toHaveLength(1);
 		expect(fixture.answers[0]?.answer).toEqual({
 			kind: 'may-have-run',
@@ -378,13 +380,21 @@
 
 describe('overload', () => {
 	/** Plays 2 s of a load of 1.5 times the pool's capacity on ideal workers, and counts the jobs in time by queue. */
-	function playOverload(order?: ArrivalOrder): Readonly<Record<string, number>> {
+	function playOverload(
+		order?: ArrivalOrder,
+	): Readonly<Record<string, number>> {
 		const fixture = new SchedulerFixture(['zone-a'], order);
 		const workers = ['w1', 'w2', 'w3', 'w4'].map((id) => workerFixture(id));
 		fixture.lead(workers, start);
 		const inTime: Record<string, number> = {};
-		const arrivals = new Map<string, {readonly queue: string; readonly atMs: number}>();
-		const live = new Map<string, {readonly endMs: number; readonly worker: string}>();
+		const arrivals = new Map<
+			string,
+			{readonly queue: string; readonly atMs: number}
+		>();
+		const live = new Map<
+			string,
+			{readonly endMs: number; readonly worker: string}
+		>();
 		const endNumbers = new Map<string, number>();
 		let seenStarts = 0;
 		let seenAnswers = 0;
@@ -469,7 +479,7 @@
 			id: 'short',
 			answer: {kind: 'not-run', reason: 'overloaded'},
 		});
-		const answer = fixture.answers[0]!.answer;
+		const {answer} = fixture.answers[0]!;
 		expect('retryAfterMs' in answer && answer.retryAfterMs).toBe(2999);
 	});
 });
--- a/packages/core/src/tests/worker-knowledge.test.ts
+++ b/packages/core/src/tests/worker-knowledge.test.ts
@@ -74,9 +74,9 @@
 	});
 
 	it('is infinite for a task that fits nowhere', () => {
-		expect(
-			projectLastStartMs([], [{millis: 99, expectedMs: 1}], [], 0),
-		).toBe(Number.POSITIVE_INFINITY);
+		expect(projectLastStartMs([], [{millis: 99, expectedMs: 1}], [], 0)).toBe(
+			Number.POSITIVE_INFINITY,
+		);
 	});
 
 	it('counts on longer runs on a slow worker', () => {
--- a/packages/core/src/worker-directory.ts
+++ b/packages/core/src/worker-directory.ts
@@ -59,7 +59,10 @@
 		}
 
 		if (now < this.#keptUntilMs) {
-			this.#known.set(id, {...known, missingSinceMs: known.missingSinceMs ?? now});
+			this.#known.set(id, {
+				...known,
+				missingSinceMs: known.missingSinceMs ?? now,
+			});
 		} else {
 			this.#known.delete(id);
 		}
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -232,7 +232,12 @@
 
 			case 'not-sent': {
 				this.#failed(worker, now);
-				this.#end(worker, run, run.sends === 1 ? 'not-started' : undefined, now);
+				this.#end(
+					worker,
+					run,
+					run.sends === 1 ? 'not-started' : undefined,
+					now,
+				);
 				break;
 			}
 
@@ -311,10 +316,12 @@
 	}
 
 	/** Claims a run or the end of a run that was found on a worker. */
-	adopt(
-		task: string,
-	):
-		| {readonly kind: 'running'; readonly run: number; readonly worker: PoolWorker}
+	adopt(task: string):
+		| {
+				readonly kind: 'running';
+				readonly run: number;
+				readonly worker: PoolWorker;
+		  }
 		| {readonly kind: 'ended'; readonly end: OrphanEnd}
 		| undefined {
 		const end = this.#orphanEnds.get(task);
@@ -646,7 +653,11 @@
 		return Math.round(
 			Math.min(
 				reportWaitMs,
-				shortReportWaitMs + Math.max(shortReportWaitMs, ...endsInMs.toSorted((left, right) => left - right).slice(0, 1)),
+				shortReportWaitMs +
+					Math.max(
+						shortReportWaitMs,
+						...endsInMs.toSorted((left, right) => left - right).slice(0, 1),
+					),
 			),
 		);
 	}
@@ -670,8 +681,7 @@
 
 		const clockMs = worker.clockMs(now);
 		const extendsLease =
-			clockMs !== undefined &&
-			worker.holdFailures < failuresBeforeLapse;
+			clockMs !== undefined && worker.holdFailures < failuresBeforeLapse;
 		if (extendsLease) {
 			worker.extended(now, this.#settings.leaseMs);
 		}
@@ -683,9 +693,7 @@
 			token,
 			lastEndNumber: worker.lastEndNumber,
 			waitMs: this.#reportWaitMs(worker, now),
-			...(extendsLease
-				? {leaseUntilMs: clockMs + this.#settings.leaseMs}
-				: {}),
+			...(extendsLease ? {leaseUntilMs: clockMs + this.#settings.leaseMs} : {}),
 		});
 	}
 }
--- a/packages/peer/src/pool-link.ts
+++ b/packages/peer/src/pool-link.ts
@@ -72,7 +72,6 @@
 
 /** A stream of messages to one entry VM. */
 export class PoolLink {
-	readonly address: string;
 	readonly #settings: PoolLinkSettings;
 	readonly #onOpen: () => void;
 	#client: Client | undefined;
@@ -86,11 +85,10 @@
 
 	/** `onOpen` is called when the first receipt of a new stream comes. */
 	constructor(
-		address: string,
+		readonly address: string,
 		onOpen: () => void,
 		settings: PoolLinkSettings = defaultPoolLinkSettings,
 	) {
-		this.address = address;
 		this.#onOpen = onOpen;
 		this.#settings = settings;
 		this.#pauseMs = settings.reconnectMs;
--- a/packages/platform/src/caller-front.ts
+++ b/packages/platform/src/caller-front.ts
@@ -43,32 +43,41 @@
 
 /** Creates the server; the caller listens. */
 export function createCallerFront(intake: JobIntake): Server {
-	return createServer({keepAliveTimeout: 0, requestTimeout: 0}, (request, response) => {
-		const state = intake.desiredState();
-		if (state === undefined) {
-			request.resume();
-			send(intake, response, {
-				status: 503,
-				body: '{"error":"not run: no desired state is known yet"}',
-				retryAfterMs: defaultRetryMs,
-			});
-			return;
-		}
+	return createServer(
+		{keepAliveTimeout: 0, requestTimeout: 0},
+		(request, response) => {
+			const state = intake.desiredState();
+			if (state === undefined) {
+				request.resume();
+				send(intake, response, {
+					status: 503,
+					body: '{"error":"not run: no desired state is known yet"}',
+					retryAfterMs: defaultRetryMs,
+				});
+				return;
+			}
 
-		const path = request.url ?? '/';
-		const queue = queueFor(state, request.headers.host ?? '', path);
-		if (queue === undefined) {
-			request.resume();
-			intake.rejected(path, 404, 'queue-unknown');
-			send(intake, response, {
-				status: 404,
-				body: '{"error":"not run: no queue has this host and path"}',
-			});
-			return;
-		}
+			const path = request.url ?? '/';
+			const queue = queueFor(state, request.headers.host ?? '', path);
+			if (queue === undefined) {
+				request.resume();
+				intake.rejected(path, 404, 'queue-unknown');
+				send(intake, response, {
+					status: 404,
+					body: '{"error":"not run: no queue has this host and path"}',
+				});
+				return;
+			}
 
-		route(intake, request, response, queue, path.slice(queue.pathPrefix.length));
-	});
+			route(
+				intake,
+				request,
+				response,
+				queue,
+				path.slice(queue.pathPrefix.length),
+			);
+		},
+	);
 }
 
 function route(
@@ -78,7 +87,7 @@
 	queue: QueueSetting,
 	id: string,
 ): void {
-	switch (request.method) {
+	switch (request.method ?? 'GET') {
 		case 'POST': {
 			readBody(intake, request, response, (text) => {
 				submit(intake, request, response, {queue, id, text});
@@ -100,7 +109,6 @@
 			break;
 		}
 
-		case undefined:
 		default: {
 			request.resume();
 			send(intake, response, {status: 405, body: '{"error":"unknown method"}'});
@@ -114,11 +122,10 @@
 	response: ServerResponse,
 	onText: (text: string) => void,
 ): void {
-	const mostBytes =
-		intake.desiredState()?.limits.bodyBytes ?? defaultBodyBytes;
-	const chunks: Buffer[] = [];
+	const mostBytes = intake.desiredState()?.limits.bodyBytes ?? defaultBodyBytes;
+	const chunks: Uint8Array[] = [];
 	let length = 0;
-	request.on('data', (chunk: Buffer) => {
+	request.on('data', (chunk: Uint8Array) => {
 		length += chunk.length;
 		if (length <= mostBytes) {
 			chunks.push(chunk);
@@ -141,7 +148,11 @@
 	intake: JobIntake,
 	request: IncomingMessage,
 	response: ServerResponse,
-	{queue, id, text}: {readonly queue: QueueSetting; readonly id: string; readonly text: string},
+	{
+		queue,
+		id,
+		text,
+	}: {readonly queue: QueueSetting; readonly id: string; readonly text: string},
 ): void {
 	const decoded = identifierForm.test(id)
 		? decodeJob(id, queue, text, patienceOf(request))
@@ -151,8 +162,7 @@
 			decoded === undefined
 				? 'the path must end with 16 hexadecimal digits'
 				: decoded.error.message;
-		const status =
-			decoded !== undefined && decoded.error.kind === 'unsupported' ? 503 : 400;
+		const status = decoded?.error.kind === 'unsupported' ? 503 : 400;
 		intake.rejected(id, status, message);
 		send(intake, response, {
 			status,
@@ -191,7 +201,11 @@
 		intake,
 		response,
 		pending === undefined
-			? {status: 503, body: '{"error":"no leader is known"}', retryAfterMs: defaultRetryMs}
+			? {
+					status: 503,
+					body: '{"error":"no leader is known"}',
+					retryAfterMs: defaultRetryMs,
+				}
 			: {status: 200, body: JSON.stringify({pending})},
 	);
 }
@@ -235,7 +249,7 @@
 	}
 
 	if (intake.isStopping()) {
-		headers['connection'] = 'close';
+		headers.connection = 'close';
 	}
 
 	response.writeHead(status, headers);
--- a/packages/platform/src/decode.ts
+++ b/packages/platform/src/decode.ts
@@ -1,4 +1,12 @@
 /** Reading of values that come from outside. */
+import {Buffer} from 'node:buffer';
+
+/** Bytes as UTF-8 text. */
+export function textOf(bytes: Uint8Array): string {
+	return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString(
+		'utf8',
+	);
+}
 
 /** A value that is an object, as a record of unknown values. */
 export function asRecord(
--- a/packages/platform/src/desired-state-record.ts
+++ b/packages/platform/src/desired-state-record.ts
@@ -24,7 +24,7 @@
 		return undefined;
 	}
 
-	const limits = asRecord(record['limits']) ?? {};
+	const limits = asRecord(record.limits) ?? {};
 	return {
 		version,
 		queues: listField(record, 'routes').flatMap((route) =>
--- a/packages/platform/src/entry-settings.ts
+++ b/packages/platform/src/entry-settings.ts
@@ -65,11 +65,14 @@
 	texts: {
 		expected: 'a list of texts with at least one entry',
 		accepts: (value) =>
-			Array.isArray(value) && value.length > 0 && value.every(isText),
+			Array.isArray(value) &&
+			value.length > 0 &&
+			value.every((entry) => isText(entry)),
 	},
 	addresses: {
 		expected: 'a list of host:port',
-		accepts: (value) => Array.isArray(value) && value.every(isAddress),
+		accepts: (value) =>
+			Array.isArray(value) && value.every((entry) => isAddress(entry)),
 	},
 };
 
--- a/packages/platform/src/http-exchange.ts
+++ b/packages/platform/src/http-exchange.ts
@@ -1,9 +1,14 @@
 /** One HTTP/1.1 exchange with a time limit that destroys the connection: a silent one must not be used again. */
+import {Buffer} from 'node:buffer';
 import {Pool, errors, type Dispatcher} from 'undici';
 
 /** An answer, or why there is none. */
 export type Exchange =
-	| {readonly kind: 'answered'; readonly status: number; readonly body: Buffer}
+	| {
+			readonly kind: 'answered';
+			readonly status: number;
+			readonly body: Uint8Array;
+	  }
 	/** No connection could be opened, so nothing was sent. */
 	| {readonly kind: 'not-sent'; readonly message: string}
 	/** The request may have been carried out, or may still be. */
@@ -14,7 +19,7 @@
 	readonly method: 'GET' | 'POST';
 	readonly path: string;
 	readonly headers?: Readonly<Record<string, string>>;
-	readonly body?: string | Buffer;
+	readonly body?: string | Uint8Array;
 	/** Milliseconds after which the request is given up and its connection closed. */
 	readonly timeoutMs: number;
 };
@@ -72,7 +77,7 @@
 	readonly #resolve: (exchange: Exchange) => void;
 	readonly #timeoutMs: number;
 	readonly #timer: NodeJS.Timeout;
-	readonly #chunks: Buffer[] = [];
+	readonly #chunks: Uint8Array[] = [];
 	#controller: Dispatcher.DispatchController | undefined;
 	#status = 0;
 	#isSettled = false;
@@ -106,7 +111,7 @@
 
 	onResponseData(
 		_controller: Dispatcher.DispatchController,
-		chunk: Buffer,
+		chunk: Uint8Array,
 	): void {
 		this.#chunks.push(chunk);
 	}
--- a/packages/platform/src/job-record.ts
+++ b/packages/platform/src/job-record.ts
@@ -56,7 +56,7 @@
 	}
 
 	// `bestEffort` means that the job is kept in memory only and answered when it has ended.
-	if (record['bestEffort'] !== true) {
+	if (record.bestEffort !== true) {
 		return problem('unsupported', 'bestEffort: only true is supported');
 	}
 
--- a/packages/platform/src/store-client.ts
+++ b/packages/platform/src/store-client.ts
@@ -1,7 +1,14 @@
 /** The platform's store, as a log of records with keys. */
 import {Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'neverthrow';
-import {listField, parseRecord, numberField, textField, asRecord} from './decode.js';
+import {
+	textOf,
+	listField,
+	parseRecord,
+	numberField,
+	textField,
+	asRecord,
+} from './decode.js';
 import {HttpHost} from './http-exchange.js';
 
 /** The newest record of a key; without a value the key has been dropped. */
@@ -78,7 +85,10 @@
 		}
 
 		if (exchange.status === 410) {
-			return err({code: 'expired', message: `${topic}: offset ${from} is gone`});
+			return err({
+				code: 'expired',
+				message: `${topic}: offset ${from} is gone`,
+			});
 		}
 
 		return exchange.status === 200
@@ -110,7 +120,7 @@
 			return err({code: 'refused', message: `status ${exchange.status}`});
 		}
 
-		const record = parseRecord(exchange.body.toString('utf8'));
+		const record = parseRecord(textOf(exchange.body));
 		const nextOffset =
 			record === undefined ? undefined : numberField(record, 'endOffset');
 		if (record === undefined || nextOffset === undefined) {
@@ -121,7 +131,7 @@
 			// `items` are records here.
 			records: listField(record, 'items').flatMap((item) => decodeItem(item)),
 			nextOffset,
-			hasMore: record['hasMore'] === true,
+			hasMore: record.hasMore === true,
 		});
 	}
 }
@@ -137,9 +147,10 @@
 
 /** The end and the first offset, 8 bytes each, then records: a length, and within it a key's length, key and value. */
 function decodeRecords(
-	body: Buffer,
+	bytes: Uint8Array,
 	from: number,
 ): Result<KeyedPage, StoreFailure> {
+	const body = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
 	const records: KeyedRecord[] = [];
 	let position = headBytes;
 	while (position + lengthBytes <= body.length) {
@@ -158,11 +169,11 @@
 		: ok({records, nextOffset: from + records.length});
 }
 
-function decodeKeyed(bytes: Buffer): KeyedRecord {
+function decodeKeyed(bytes: Uint8Array): KeyedRecord {
 	const keyLength = bytes[0] ?? 0;
 	const value = bytes.subarray(1 + keyLength);
 	return {
-		key: bytes.subarray(1, 1 + keyLength).toString('utf8'),
-		value: value.length === 0 ? undefined : value.toString('utf8'),
+		key: textOf(bytes.subarray(1, 1 + keyLength)),
+		value: value.length === 0 ? undefined : textOf(value),
 	};
 }
--- a/packages/platform/src/worker-client.ts
+++ b/packages/platform/src/worker-client.ts
@@ -12,7 +12,7 @@
 	type WorkerEntry,
 	type WorkerReport,
 } from '@verbenarouter/core';
-import {listField, numberField, parseRecord} from './decode.js';
+import {listField, numberField, parseRecord, textOf} from './decode.js';
 import {HttpHost, type Exchange} from './http-exchange.js';
 
 /** Connections to one worker: one for reports, the others for orders. */
@@ -140,7 +140,7 @@
 		return {kind: exchange.kind};
 	}
 
-	const record = parseRecord(exchange.body.toString('utf8')) ?? {};
+	const record = parseRecord(textOf(exchange.body)) ?? {};
 	const clockMs = numberField(record, 'clockMs');
 	switch (exchange.status) {
 		case 200: {
@@ -158,7 +158,7 @@
 		case 409: {
 			return {
 				kind: 'refused',
-				reason: refusals[String(record['reason'])] ?? 'malformed',
+				reason: refusals[String(record.reason)] ?? 'malformed',
 				...(clockMs === undefined ? {} : {clockMs}),
 			};
 		}
@@ -196,13 +196,17 @@
 	};
 }
 
+/** Column of a run's rough processor use. */
+const processorColumn = 4;
+
 /** A row of task, run, checkpoint, percent and, from some workers, the processor use. */
 function decodeRun(row: unknown): readonly ListedRun[] {
 	if (!Array.isArray(row)) {
 		return [];
 	}
 
-	const [task, run, , , processorMillis] = row as readonly unknown[];
+	const [task, run] = row as readonly unknown[];
+	const processorMillis: unknown = row[processorColumn];
 	return typeof task === 'string' && typeof run === 'number'
 		? [
 				{
--- a/packages/platform/src/worker-record.ts
+++ b/packages/platform/src/worker-record.ts
@@ -22,7 +22,7 @@
 	const address = textField(record, 'address');
 	const zone = textField(record, 'zone');
 	const state = textField(record, 'state');
-	const capacity = decodeResources(asRecord(record['capacity']));
+	const capacity = decodeResources(asRecord(record.capacity));
 	const bornMs = numberField(record, 'born', 0);
 	if (
 		service === undefined ||
--- a/packages/verbenarouter/src/pool/daemon.ts
+++ b/packages/verbenarouter/src/pool/daemon.ts
@@ -18,7 +18,10 @@
 const settingsLookMs = 1000;
 const badSettingsCode = 2;
 
-function listenOn(address: string): {readonly host: string; readonly port: number} {
+function listenOn(address: string): {
+	readonly host: string;
+	readonly port: number;
+} {
 	const [host = '', port = ''] = address.split(':');
 	return {host, port: Number(port)};
 }
@@ -50,7 +53,7 @@
 }
 
 async function main(): Promise<void> {
-	const path = process.env['VERBENAROUTER_SETTINGS'] ?? '';
+	const path = process.env.VERBENAROUTER_SETTINGS ?? '';
 	const settings = parseEntrySettings(readFileSync(path, 'utf8'));
 	if (settings.isErr()) {
 		console.error(`${path}: ${settings.error.join('; ')}`);
@@ -96,7 +99,6 @@
 				log.write({event: 'stopped', pendingJobs: node.pendingCountHere});
 				node.close();
 				setImmediate(() => {
-					// eslint-disable-next-line unicorn/no-process-exit -- open connections of callers would keep the process alive
 					process.exit(0);
 				});
 			}
--- a/packages/verbenarouter/src/pool/pool-log.ts
+++ b/packages/verbenarouter/src/pool/pool-log.ts
@@ -39,7 +39,7 @@
 		this.#count((metrics) => {
 			metrics.count('events_total', {
 				event: fields.event,
-				reason: typeof fields['reason'] === 'string' ? fields['reason'] : '',
+				reason: typeof fields.reason === 'string' ? fields.reason : '',
 			});
 		});
 	}
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -152,7 +152,7 @@
 				fenced: (zone, token) => {
 					this.#changed(this.#leadership.refused(zone, token, now()), 'fenced');
 				},
-				decided: (decision) => {
+				decided(decision) {
 					log.write(decision);
 				},
 			},
@@ -198,10 +198,10 @@
 				workersRead: () => {
 					this.#takeWorkers('store');
 				},
-				recordIgnored: (topic, key) => {
+				recordIgnored(topic, key) {
 					log.write({event: 'record-ignored', topic, key});
 				},
-				reachChanged: (isReachable, reason) => {
+				reachChanged(isReachable, reason) {
 					log.write({event: 'store', isReachable, reason});
 				},
 			},
@@ -448,8 +448,7 @@
 			(name) => name < this.#settings.name,
 		).length;
 		return (
-			readers.length === 0 &&
-			now - this.#needySinceMs >= position * readerGapMs
+			readers.length === 0 && now - this.#needySinceMs >= position * readerGapMs
 		);
 	}
 
@@ -551,7 +550,8 @@
 				.map(({address}) => address),
 		);
 		const isLeader = this.#leadership.leads.size > 0;
-		const isElecting = Object.keys(this.#hears).length < this.#settings.zones.length;
+		const isElecting =
+			Object.keys(this.#hears).length < this.#settings.zones.length;
 		const isFast = (address: string) =>
 			isLeader || isElecting || leaders.has(address);
 		this.#send(isFast, heartbeatMs, now);
@@ -596,13 +596,11 @@
 
 			case 'submit': {
 				// What a cut has held up comes before the sender is heard again; the sender has given it to another by then.
-				if (this.#leadership.leads.size > 0 && this.#leadership.isHeard(from, now)) {
-					this.#scheduler.submit(
-						message.job,
-						from,
-						message.isResubmitted,
-						now,
-					);
+				if (
+					this.#leadership.leads.size > 0 &&
+					this.#leadership.isHeard(from, now)
+				) {
+					this.#scheduler.submit(message.job, from, message.isResubmitted, now);
 				}
 
 				break;
--- a/testing/src/site/profile-load.ts
+++ b/testing/src/site/profile-load.ts
@@ -19,17 +19,25 @@
 const statuses = new Map<number, number>();
 const startedAtMs = performance.now();
 let sent = 0;
+
+async function submitNext(index: number): Promise<void> {
+	const isWide = index % 4 === 0;
+	const {status} = await site.submit(
+		site.entryVms[index % site.entryVms.length]!,
+		site.newId(),
+		{
+			count: isWide ? 8 : 2,
+			runMs: isWide ? 60 : 200,
+			needsMillis: 27_000,
+		},
+	);
+	statuses.set(status, (statuses.get(status) ?? 0) + 1);
+}
+
 while (performance.now() - startedAtMs < durationMs) {
-	const entryVm = site.entryVms[sent % site.entryVms.length]!;
 	sent += 1;
-	void (async () => {
-		const {status} = await site.submit(entryVm, site.newId(), {
-			count: sent % 4 === 0 ? 8 : 2,
-			runMs: sent % 4 === 0 ? 60 : 200,
-			needsMillis: 27_000,
-		});
-		statuses.set(status, (statuses.get(status) ?? 0) + 1);
-	})();
+	// eslint-disable-next-line unicorn/prefer-top-level-await -- the next job does not wait for this one
+	void submitNext(sent);
 	// eslint-disable-next-line no-await-in-loop -- paces the load
 	await sleep(1000 / jobsPerSecond);
 }
@@ -45,4 +53,5 @@
 
 await sleep(4500);
 site.close();
+// eslint-disable-next-line unicorn/no-process-exit -- the load tool ends here
 process.exit(0);
--- a/testing/src/site/site-installation.ts
+++ b/testing/src/site/site-installation.ts
@@ -143,7 +143,8 @@
 	async untilReady({readinessPort, name}: SiteEntryVm): Promise<void> {
 		for (let attempt = 0; attempt < 500; attempt += 1) {
 			// eslint-disable-next-line no-await-in-loop -- one look after the other
-			if ((await call(readinessPort, 'GET', '/', '')).status === 200) {
+			const {status} = await call(readinessPort, 'GET', '/', '');
+			if (status === 200) {
 				return;
 			}
 
@@ -245,6 +246,7 @@
 			process.execPath,
 			[...(this.#options.nodeArguments ?? []), program],
 			{
+				// eslint-disable-next-line @typescript-eslint/naming-convention -- the variable's name
 				env: {...process.env, VERBENAROUTER_SETTINGS: settingsPath},
 				stdio: ['ignore', 'pipe', 'inherit'],
 			},
--- a/testing/src/site/store-stand-in.ts
+++ b/testing/src/site/store-stand-in.ts
@@ -5,7 +5,10 @@
 
 type Topic = {
 	readonly records: Array<{readonly key: string; readonly value: string}>;
-	readonly newest: Map<string, {readonly value: string; readonly offset: number}>;
+	readonly newest: Map<
+		string,
+		{readonly value: string; readonly offset: number}
+	>;
 	readonly waiting: Set<() => void>;
 };
 
@@ -115,7 +118,7 @@
 	}
 }
 
-function encodeRecord(key: string, value: string): Buffer {
+function encodeRecord(key: string, value: string): Uint8Array {
 	const keyBytes = Buffer.from(key);
 	const valueBytes = Buffer.from(value);
 	const head = Buffer.alloc(5);
--- a/testing/src/site/worker-stand-in.ts
+++ b/testing/src/site/worker-stand-in.ts
@@ -1,4 +1,5 @@
 /** Workers of the users' platform: run tasks under leases and fencing tokens, as its pages describe. */
+import {text} from 'node:stream/consumers';
 import {
 	createServer,
 	type IncomingMessage,
@@ -42,7 +43,6 @@
 
 /** One worker. */
 export class WorkerStandIn {
-	readonly options: WorkerStandInOptions;
 	readonly runs: RecordedRun[] = [];
 	state: 'ready' | 'draining' = 'ready';
 	readonly bornMs = Date.now();
@@ -56,8 +56,7 @@
 	#leaseTimer: NodeJS.Timeout | undefined;
 	readonly #waiting = new Set<() => void>();
 
-	constructor(options: WorkerStandInOptions) {
-		this.options = options;
+	constructor(readonly options: WorkerStandInOptions) {
 		this.#server = createServer((request, response) => {
 			void this.#serve(request, response);
 		});
@@ -108,23 +107,15 @@
 		request: IncomingMessage,
 		response: ServerResponse,
 	): Promise<void> {
-		const chunks: Buffer[] = [];
-		for await (const chunk of request) {
-			chunks.push(chunk as Buffer);
-		}
-
-		const body = JSON.parse(Buffer.concat(chunks).toString()) as Record<
-			string,
-			unknown
-		>;
-		const token = Number(body['fencingToken'] ?? 0);
+		const body = JSON.parse(await text(request)) as Record<string, unknown>;
+		const token = Number(body.fencingToken ?? 0);
 		if (token < this.#token) {
 			this.#answer(response, 409, {reason: 'fence'});
 			return;
 		}
 
 		this.#token = token;
-		switch (request.url) {
+		switch (request.url ?? '') {
 			case '/api/hold': {
 				this.#hold(body, response);
 				break;
@@ -136,8 +127,8 @@
 			}
 
 			case '/api/run-stop': {
-				const task = String(body['task']);
-				this.#tombstones.set(task, Number(body['run']));
+				const task = String(body.task);
+				this.#tombstones.set(task, Number(body.run));
 				setTimeout(() => {
 					this.#end(task, 'stopped');
 				}, stopMs);
@@ -145,7 +136,6 @@
 				break;
 			}
 
-			case undefined:
 			default: {
 				this.#answer(response, 400, {});
 			}
@@ -153,8 +143,8 @@
 	}
 
 	#hold(body: Readonly<Record<string, unknown>>, response: ServerResponse) {
-		this.#extend(Number(body['deadlineMs'] ?? 0));
-		const lastSeen = Number(body['lastSeen'] ?? 0);
+		this.#extend(Number(body.deadlineMs ?? 0));
+		const lastSeen = Number(body.lastSeen ?? 0);
 		this.#ends = this.#ends.filter(([number]) => number > lastSeen);
 		const report = () => {
 			clearTimeout(timer);
@@ -170,7 +160,7 @@
 			});
 		};
 
-		const timer = setTimeout(report, Number(body['waitMs'] ?? 0));
+		const timer = setTimeout(report, Number(body.waitMs ?? 0));
 		if (this.#ends.length > 0) {
 			report();
 		} else {
@@ -179,9 +169,9 @@
 	}
 
 	#start(body: Readonly<Record<string, unknown>>, response: ServerResponse) {
-		const task = String(body['task']);
-		const run = Number(body['run']);
-		const deadlineMs = Number(body['deadlineMs']);
+		const task = String(body.task);
+		const run = Number(body.run);
+		const deadlineMs = Number(body.deadlineMs);
 		if (deadlineMs <= this.#clockMs) {
 			this.#answer(response, 409, {reason: 'late'});
 			return;
@@ -198,7 +188,7 @@
 			return;
 		}
 
-		const {runMs, needsMillis} = this.options.taskOf(String(body['spec']));
+		const {runMs, needsMillis} = this.options.taskOf(String(body.spec));
 		const used = [...this.#live.values()].reduce(
 			(sum, live) => sum + live.needsMillis,
 			0,
--- a/testing/src/tests/site.test.ts
+++ b/testing/src/tests/site.test.ts
@@ -112,9 +112,11 @@
 		const post = async (path: string, body: string) =>
 			call(port, 'POST', path, body);
 		const path = siteQueue.prefix + own.newId();
-		expect((await post(path, 'no JSON')).status).toBe(400);
-		expect((await post('/unknown/00', '{}')).status).toBe(404);
-		expect((await post(`${siteQueue.prefix}short`, '{}')).status).toBe(400);
+		expect(await post(path, 'no JSON')).toMatchObject({status: 400});
+		expect(await post('/unknown/00', '{}')).toMatchObject({status: 404});
+		expect(await post(`${siteQueue.prefix}short`, '{}')).toMatchObject({
+			status: 400,
+		});
 		const stored = await post(path, '{"steps":[{"count":1}]}');
 		expect(stored.status).toBe(503);
 		expect(stored.body).toContain('bestEffort');
@@ -124,11 +126,11 @@
 		});
 		expect(large.status).toBe(503);
 		expect(large.body).toContain('cannot-fit');
-		expect((await call(port, 'GET', path, '')).status).toBe(410);
-		expect((await call(port, 'DELETE', path, '')).status).toBe(410);
-		expect((await call(port, 'GET', siteQueue.prefix, '')).body).toBe(
-			'{"pending":0}',
-		);
+		expect(await call(port, 'GET', path, '')).toMatchObject({status: 410});
+		expect(await call(port, 'DELETE', path, '')).toMatchObject({status: 410});
+		expect(await call(port, 'GET', siteQueue.prefix, '')).toMatchObject({
+			body: '{"pending":0}',
+		});
 		expect(allRuns(own)).toEqual([]);
 	});
 
@@ -142,9 +144,9 @@
 		const answers = await loaded;
 		expect(overlaps(allRuns(own))).toEqual([]);
 		expect(answers.at(-1)?.status).toBe(200);
-		expect(
-			answers.filter(({status}) => status === 200).length,
-		).toBeGreaterThan(60);
+		expect(answers.filter(({status}) => status === 200).length).toBeGreaterThan(
+			60,
+		);
 	});
 
 	it('never runs a task twice at a time when its leader freezes and wakes', async () => {
