Remember refused attempts and the workers of zones that are cut off

Change: workers that lapse while nobody of their zone is heard are recalled when the zone is led again, and jobs in doubt wait for their reports; each arrival of a request is an attempt with a name, and a refused attempt stays refused. Ruled out: a hand-over message alone (its stream may open later than those of the receivers); remembering refusals by job (a caller that comes back as told would be refused again).

--- a/packages/core/src/pool-job.ts
+++ b/packages/core/src/pool-job.ts
@@ -31,6 +31,11 @@
 	readonly waitedMs: number;
 	/** Milliseconds for which the caller waits in all. */
 	readonly patienceMs: number;
+	/**
+	 * Names one arrival of the request at an entry VM. A caller that comes back after a refusal makes a new attempt; a
+	 * message that is delivered late belongs to an old one.
+	 */
+	readonly attempt: string;
 	/** Names of tasks that an earlier leader has seen done. */
 	readonly doneTasks?: readonly string[];
 };
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -84,6 +84,8 @@
 	readonly #parts: SchedulerParts;
 	readonly #settings: SchedulerSettings;
 	readonly #jobs = new Map<string, ScheduledJob>();
+	/** Attempts that were told that the job has not run, with the times. */
+	readonly #refusedAttempts = new Map<string, number>();
 	readonly #answers = new Map<
 		string,
 		{readonly answer: PoolAnswer; readonly atMs: number}
@@ -174,6 +176,11 @@
 		now: number,
 	): void {
 		this.#now = now;
+		if (this.#refusedAttempts.has(job.attempt)) {
+			this.#refuse(job, receiver, false, 'overloaded', {late: 1});
+			return;
+		}
+
 		const answered = this.#answers.get(job.id);
 		if (answered !== undefined) {
 			this.#decided('joined', job.id, 'answered', {});
@@ -280,17 +287,7 @@
 			this.#tickJob(job, now);
 		}
 
-		for (const [id, {atMs}] of this.#answers) {
-			if (
-				now - atMs <= this.#settings.answerKeptMs &&
-				this.#answers.size <= this.#settings.mostAnswers
-			) {
-				break;
-			}
-
-			this.#answers.delete(id);
-		}
-
+		this.#forgetOld(now);
 		this.#place(now);
 	}
 
@@ -352,6 +349,29 @@
 		});
 	}
 
+	/** Drops answers and refused attempts of which no copy can come any more. */
+	#forgetOld(now: number): void {
+		const {answerKeptMs, mostAnswers} = this.#settings;
+		for (const [id, {atMs}] of this.#answers) {
+			if (now - atMs <= answerKeptMs && this.#answers.size <= mostAnswers) {
+				break;
+			}
+
+			this.#answers.delete(id);
+		}
+
+		for (const [attempt, atMs] of this.#refusedAttempts) {
+			if (
+				now - atMs <= answerKeptMs &&
+				this.#refusedAttempts.size <= mostAnswers
+			) {
+				break;
+			}
+
+			this.#refusedAttempts.delete(attempt);
+		}
+	}
+
 	/** Tells the receivers of jobs which tasks are done, so that the next leader does not run them again. */
 	#handOver(): void {
 		for (const {id, receiver, tasks} of this.#jobs.values()) {
@@ -677,7 +697,9 @@
 
 	#finish(job: ScheduledJob, answer: PoolAnswer, now: number): void {
 		this.#jobs.delete(job.id);
-		if (answer.kind !== 'may-have-run') {
+		if (answer.kind === 'not-run') {
+			this.#refusedAttempts.set(job.job.attempt, now);
+		} else if (answer.kind !== 'may-have-run') {
 			this.#answers.set(job.id, {answer, atMs: now});
 		}
 
@@ -692,6 +714,10 @@
 		inputs: Readonly<Record<string, number | string>>,
 	): void {
 		this.#decided('refused', job.id, reason, {...inputs, queue: job.queue});
+		if (!isInDoubt) {
+			this.#refusedAttempts.set(job.attempt, this.#now);
+		}
+
 		this.#parts.output.answer(
 			receiver,
 			job.id,
--- a/packages/core/src/tests/pool-fixtures.ts
+++ b/packages/core/src/tests/pool-fixtures.ts
@@ -50,6 +50,7 @@
 		id,
 		queue: 'macro-check',
 		spec: 'text',
+		attempt: `entry/${id}`,
 		waitedMs: 0,
 		patienceMs: 5000,
 		tasks: Array.from({length: taskCount}, (_, index) => ({
--- a/packages/core/src/tests/pool-scheduler.test.ts
+++ b/packages/core/src/tests/pool-scheduler.test.ts
@@ -378,6 +378,34 @@
 	});
 });
 
+describe('a refused attempt', () => {
+	it('starts nothing when its message is delivered once more, but the caller may come back', () => {
+		const fixture = new SchedulerFixture();
+		fixture.lead([workerFixture('w1')], start);
+		const long = poolJobFixture('long', 2, {runMs: 300});
+		fixture.scheduler.submit(long, 'r1', false, start);
+		fixture.scheduler.submit(poolJobFixture('j1'), 'r1', false, start + 1);
+		expect(fixture.answers).toMatchObject([{answer: {kind: 'not-run'}}]);
+		fixture.scheduler.cancel('long', 'cancelled', start + 2);
+		const ended = [1, 2].map((number) => ({
+			number,
+			task: `long.0.0.${number - 1}`,
+			run: 1,
+			how: 'stopped' as const,
+		}));
+		fixture.report('w1', start + 20, {ended});
+		fixture.scheduler.submit(poolJobFixture('j1'), 'r1', true, start + 30);
+		expect(fixture.starts).toHaveLength(2);
+		fixture.scheduler.submit(
+			poolJobFixture('j1', 1, {attempt: 'entry/again'}),
+			'r1',
+			false,
+			start + 1000,
+		);
+		expect(fixture.starts).toHaveLength(3);
+	});
+});
+
 describe('overload', () => {
 	/** Plays 2 s of a load of 1.5 times the pool's capacity on ideal workers, and counts the jobs in time by queue. */
 	function playOverload(
--- a/packages/platform/src/caller-front.ts
+++ b/packages/platform/src/caller-front.ts
@@ -20,7 +20,7 @@
 	/** The desired state in force; `undefined` before the first. */
 	desiredState(): DesiredState | undefined;
 	/** Runs a job; resolves with its answer, and never rejects. */
-	submit(job: PoolJob): Promise<PoolAnswer>;
+	submit(job: Omit<PoolJob, 'attempt'>): Promise<PoolAnswer>;
 	/** The caller's connection has ended before the answer. */
 	abandon(id: string, isReset: boolean): void;
 	/** Cancels a job; resolves with whether it was known. */
--- a/packages/platform/src/job-record.ts
+++ b/packages/platform/src/job-record.ts
@@ -44,7 +44,7 @@
 	queue: QueueSetting,
 	text: string,
 	patienceMs: number,
-): Result<PoolJob, JobProblem> {
+): Result<Omit<PoolJob, 'attempt'>, JobProblem> {
 	const record = parseRecord(text);
 	if (record === undefined) {
 		return problem('malformed', 'the body is not a JSON object');
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -84,11 +84,14 @@
 	#leader: string | undefined;
 	#isStopping = false;
 	#nextQuestion = 1;
+	#attempts = 0;
 	#lastBeatMs = 0;
 	#lastSlowBeatMs = 0;
 	#lastIntroductionMs = 0;
 	#hears: Readonly<Record<string, number>> = {};
 	#lastDirectoryMs = 0;
+	/** Workers of zones that are cut off whose entries have lapsed; their runs may go on. */
+	readonly #cutOffWorkers = new Map<string, WorkerEntry>();
 	/** Leaders that cannot read the store. */
 	readonly #needy = new Set<string>();
 	#needySinceMs: number | undefined;
@@ -287,8 +290,13 @@
 		return this.#isStopping;
 	}
 
-	async submit(job: PoolJob): Promise<PoolAnswer> {
+	async submit(submitted: Omit<PoolJob, 'attempt'>): Promise<PoolAnswer> {
 		return new Promise((resolve) => {
+			this.#attempts += 1;
+			const job = {
+				...submitted,
+				attempt: `${this.#incarnation}/${this.#attempts}`,
+			};
 			const now = this.#now();
 			const {pending, isNew} = this.#pending.add(
 				job,
@@ -496,6 +504,7 @@
 			}
 
 			if (change.kind === 'claimed') {
+				this.#recallCutOff(change.zone, now);
 				this.#scheduler.lead(change.zone, change.token, now);
 				if (this.#state !== undefined) {
 					this.#scheduler.configure(this.#state);
@@ -782,6 +791,7 @@
 	#takeWorkers(source: string): void {
 		const entries = this.#store.directory.entries(this.#now());
 		const isChanged = !isSameWorkers(entries, this.#entries);
+		this.#rememberCutOff(entries);
 		this.#entries = entries;
 		if (!isChanged) {
 			return;
@@ -802,6 +812,32 @@
 		}
 	}
 
+	/** Remembers workers that lapse while no entry VM of their zone is heard: another leader may keep their runs alive. */
+	#rememberCutOff(entries: readonly WorkerEntry[]): void {
+		const listed = new Set(entries.map(({id}) => id));
+		const heardZones = new Set([
+			this.#settings.zone,
+			...this.#leadership.livePeers(this.#now()).map(({zone}) => zone),
+		]);
+		for (const entry of this.#entries) {
+			if (!listed.has(entry.id) && !heardZones.has(entry.zone)) {
+				this.#cutOffWorkers.set(entry.id, entry);
+			}
+		}
+	}
+
+	/** Takes the workers of a zone that were forgotten during a cut for alive until they must have registered again. */
+	#recallCutOff(zone: string, now: number): void {
+		for (const [id, entry] of this.#cutOffWorkers) {
+			if (entry.zone === zone) {
+				this.#store.directory.vouch(entry, now);
+				this.#cutOffWorkers.delete(id);
+			}
+		}
+
+		this.#entries = this.#store.directory.entries(now);
+	}
+
 	#progressed(id: string, doneTasks: readonly string[]): void {
 		const pending = this.#pending.get(id);
 		if (pending !== undefined) {
