Look for room only after a change, and keep refused attempts in doubt

Change: placing runs after an end, an arrival or a tick only, and skips jobs that no worker has room for; a refused attempt that comes back as resubmitted is answered "may have run"; an entry VM counts as silent after four heartbeats.

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -60,7 +60,7 @@
 
 /** Settings that suit heartbeats every 100 ms. */
 export const defaultLeadershipSettings: LeadershipSettings = {
-	silentIntervals: 3.3,
+	silentIntervals: 4,
 	askMs: 50,
 	candidateGapMs: 120,
 	startGraceMs: 200,
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -93,6 +93,8 @@
 
 	#state: DesiredState | undefined;
 	#now = 0;
+	/** Whether anything has changed since the last look for tasks that can start. */
+	#mayPlace = true;
 
 	constructor(parts: SchedulerParts) {
 		this.#parts = parts;
@@ -177,7 +179,8 @@
 	): void {
 		this.#now = now;
 		if (this.#refusedAttempts.has(job.attempt)) {
-			this.#refuse(job, receiver, false, 'overloaded', {late: 1});
+			// A resubmitted job may have run under another leader since.
+			this.#refuse(job, receiver, isResubmitted, 'overloaded', {late: 1});
 			return;
 		}
 
@@ -202,6 +205,7 @@
 			return;
 		}
 
+		this.#mayPlace = true;
 		this.#take(job, queue, receiver, isResubmitted, now);
 		this.#place(now);
 	}
@@ -275,6 +279,7 @@
 
 	/** Looks at what has changed with time. */
 	tick(now: number): void {
+		this.#mayPlace = true;
 		this.#now = now;
 		this.pool.tick(now);
 		for (const worker of this.pool.workers) {
@@ -292,6 +297,7 @@
 	}
 
 	runEnded(run: WorkerRun, outcome: RunOutcome, worker: PoolWorker): void {
+		this.#mayPlace = true;
 		const now = this.#now;
 		const job = this.#jobs.get(run.jobId);
 		const task = job?.tasks.find(({task: {name}}) => name === run.task);
@@ -338,6 +344,7 @@
 	}
 
 	workerChanged(worker: PoolWorker, belief: WorkerBelief): void {
+		this.#mayPlace = true;
 		this.#parts.output.decided({
 			event: 'worker',
 			worker: worker.entry.id,
@@ -494,6 +501,11 @@
 	}
 
 	#place(now: number): void {
+		if (!this.#mayPlace) {
+			return;
+		}
+
+		this.#mayPlace = false;
 		const waiting = [...this.#jobs.values()]
 			.filter(
 				(job) =>
@@ -507,6 +519,18 @@
 
 		const open = this.pool.workers.filter((worker) => worker.isOpen(now));
 		for (const job of waiting) {
+			const largestFree = Math.max(
+				0,
+				...open.map(({free}) => free.processorMillis),
+			);
+			const hasRoom = job.tasks.some(
+				({state, task: {needs}}) =>
+					state === 'waiting' && needs.processorMillis <= largestFree,
+			);
+			if (!hasRoom) {
+				continue;
+			}
+
 			if (job.isInDoubt && now < this.#settledAtMs(job, now)) {
 				continue;
 			}
--- a/packages/core/src/tests/pool-scheduler.test.ts
+++ b/packages/core/src/tests/pool-scheduler.test.ts
@@ -396,6 +396,7 @@
 		fixture.report('w1', start + 20, {ended});
 		fixture.scheduler.submit(poolJobFixture('j1'), 'r1', true, start + 30);
 		expect(fixture.starts).toHaveLength(2);
+		expect(fixture.answers.at(-1)?.answer.kind).toBe('may-have-run');
 		fixture.scheduler.submit(
 			poolJobFixture('j1', 1, {attempt: 'entry/again'}),
 			'r1',
