--- a/packages/verbenarouter/src/command.ts
+++ b/packages/verbenarouter/src/command.ts
@@ -6,6 +6,7 @@
 import {catalogueCommand} from './commands/catalogue.js';
 import {checkSettingsCommand} from './commands/check-settings.js';
 import {entryCommand} from './commands/entry.js';
+import {explainCommand} from './commands/explain.js';
 import {
 	cancelCommand,
 	statusCommand,
@@ -16,6 +17,7 @@
 	.scriptName('verbenarouter')
 	.command(entryCommand)
 	.command(checkSettingsCommand)
+	.command(explainCommand)
 	.command(submitCommand)
 	.command(statusCommand)
 	.command(cancelCommand)
