--- a/packages/verbenarouter/src/tests/job-story.test.ts
+++ b/packages/verbenarouter/src/tests/job-story.test.ts
@@ -55,7 +55,7 @@
 	});
 
 	it('counts lines that are cut off, and says so when nothing is known', () => {
-		const cut = line(1, 'received').slice(0, -5);
+		const cut = line(1, 'received', {queue: 'plans'}).slice(0, -5);
 		expect(storyOf(id, cut)).toMatchObject({lines: [], unreadableCount: 1});
 		expect(storyOf('unknown', cut).cause).toContain('no line names this job');
 		expect(storyOf(id, line(1, 'received')).cause).toContain(
