Say plainly how long a report is held back

Cause: the expression and two comments needed explaining. Change: names for the steps; the same values (tests unchanged). Conclusion: done.

--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -46,7 +46,7 @@
 	readonly leaseMs: number;
 	/** Longest time for which a worker holds a report back; well below half the lease, so that one may be lost. */
 	readonly reportWaitMs: number;
-	/** Shortest time, and time beyond the next expected end: a lost report hides an end for that long. */
+	/** Time beyond the next expected end for which a report is held back, and its least part. A lost report hides an end for longer. */
 	readonly shortReportWaitMs: number;
 	/** Time after which a run that no job has claimed is stopped. */
 	readonly orphanMs: number;
@@ -650,16 +650,11 @@
 					orderedAtMs + expectedMs * slowness - now,
 			)
 			.filter((inMs) => inMs > 0);
-		return Math.round(
-			Math.min(
-				reportWaitMs,
-				shortReportWaitMs +
-					Math.max(
-						shortReportWaitMs,
-						...endsInMs.toSorted((left, right) => left - right).slice(0, 1),
-					),
-			),
-		);
+		const nextEndInMs =
+			endsInMs.length === 0
+				? shortReportWaitMs
+				: Math.max(shortReportWaitMs, Math.min(...endsInMs));
+		return Math.round(Math.min(reportWaitMs, nextEndInMs + shortReportWaitMs));
 	}
 
 	#holdSoon(worker: PoolWorker, now: number): void {
--- a/packages/peer/src/pool-message.ts
+++ b/packages/peer/src/pool-message.ts
@@ -11,7 +11,7 @@
 export type StoreKnowledge = {
 	readonly state: DesiredState | undefined;
 	readonly workers: readonly WorkerEntry[];
-	/** When the store was last read, on the sender's clock. Absent when the sender has it from another. */
+	/** Milliseconds since the store was last read, by the sender or by the one it has this from. */
 	readonly ageMs: number;
 };
 
