Never pass on "not run" for a job that two leaders had

Change: a job that comes back resubmitted is in doubt; receivers know whether more than one leader had a job and then pass a refusal on as "may have run". Ruled out: a late message (attempts are remembered); a refusal after a start at one leader (a started job is never not run).

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -195,6 +195,8 @@
 		if (known !== undefined) {
 			known.receiver = receiver;
 			known.detachedAtMs = undefined;
+			// Another leader may have had it since this one got it first.
+			known.isInDoubt ||= isResubmitted;
 			this.#decided('joined', job.id, 'in-progress', {});
 			return;
 		}
--- a/packages/core/src/tests/pool-scheduler.test.ts
+++ b/packages/core/src/tests/pool-scheduler.test.ts
@@ -241,6 +241,19 @@
 		expect(fixture.starts).toHaveLength(1);
 	});
 
+	it('does not call a job not run that went to another leader and came back', () => {
+		const fixture = new SchedulerFixture();
+		fixture.lead([workerFixture('w1')], start);
+		const wide = poolJobFixture('wide', 2, {runMs: 90, patienceMs: 9000});
+		fixture.scheduler.submit(wide, 'r1', false, start);
+		fixture.scheduler.submit(poolJobFixture('j1'), 'r1', false, start);
+		fixture.scheduler.submit(poolJobFixture('j1'), 'r1', true, start + 50);
+		fixture.tickUntil(start + 60, start + 160);
+		expect(fixture.answers).toMatchObject([
+			{id: 'j1', answer: {kind: 'may-have-run'}},
+		]);
+	});
+
 	it('does not call a job in doubt not run', () => {
 		const fixture = new SchedulerFixture();
 		fixture.lead([workerFixture('w1')], start);
--- a/packages/verbenarouter/src/pool/pending-jobs.ts
+++ b/packages/verbenarouter/src/pool/pending-jobs.ts
@@ -7,6 +7,8 @@
 	readonly receivedAtMs: number;
 	/** Leader that it was given to last. */
 	sentTo: string | undefined;
+	/** Whether it was given to more than one leader. */
+	isShared: boolean;
 	/** Since when no leader has it. */
 	unsentSinceMs: number | undefined;
 	/** Names of tasks that an earlier leader has seen done. */
@@ -46,6 +48,7 @@
 			job,
 			receivedAtMs: now,
 			sentTo: undefined,
+			isShared: false,
 			unsentSinceMs: now,
 			doneTasks: [],
 			waiting: [resolve],
@@ -65,6 +68,39 @@
 		return pending;
 	}
 
+	/** A job is given to a leader; returns whether one had it before. */
+	send(pending: PendingJob, leader: string): boolean {
+		const hadLeader = pending.sentTo !== undefined;
+		pending.isShared ||= hadLeader && pending.sentTo !== leader;
+		pending.sentTo = leader;
+		pending.unsentSinceMs = undefined;
+		return hadLeader;
+	}
+
+	/**
+	 * The answer of a leader, as far as it may be passed on: only the leader that has a job now can say that it has not
+	 * run, and only if no other ever had it.
+	 */
+	acceptable(
+		id: string,
+		leader: string,
+		answer: PoolAnswer,
+	): PoolAnswer | undefined {
+		const pending = this.#jobs.get(id);
+		if (
+			pending === undefined ||
+			(pending.sentTo !== leader &&
+				answer.kind !== 'completed' &&
+				answer.kind !== 'failed')
+		) {
+			return undefined;
+		}
+
+		return answer.kind === 'not-run' && pending.isShared
+			? {kind: 'may-have-run', reason: 'leader-lost'}
+			: answer;
+	}
+
 	/** Takes a job off without an answer. */
 	remove(id: string): PendingJob | undefined {
 		const pending = this.#jobs.get(id);
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -853,15 +853,13 @@
 			return;
 		}
 
-		const isResubmitted = pending.sentTo !== undefined;
+		const isResubmitted = this.#pending.send(pending, leader);
 		const {doneTasks} = pending;
 		const job = {
 			...pending.job,
 			waitedMs: now - pending.receivedAtMs,
 			...(doneTasks.length > 0 ? {doneTasks} : {}),
 		};
-		pending.sentTo = leader;
-		pending.unsentSinceMs = undefined;
 		if (leader === this.#settings.name) {
 			this.#scheduler.submit(job, leader, isResubmitted, now);
 		} else {
@@ -924,16 +922,17 @@
 		}
 	}
 
-	/** A leader has answered a job. Only the one that has it now can say that it has not run. */
+	/** A leader has answered a job. */
 	#answered(leader: string, id: string, answer: PoolAnswer): void {
 		const sentTo = this.#pending.get(id)?.sentTo;
-		if (leader === sentTo) {
-			this.#pending.answer(id, answer);
-		} else if (answer.kind === 'completed' || answer.kind === 'failed') {
-			this.#pending.answer(id, answer);
-			if (sentTo !== undefined) {
-				this.#withdraw(sentTo, id);
-			}
+		const acceptable = this.#pending.acceptable(id, leader, answer);
+		if (acceptable === undefined) {
+			return;
+		}
+
+		this.#pending.answer(id, acceptable);
+		if (sentTo !== undefined && sentTo !== leader) {
+			this.#withdraw(sentTo, id);
 		}
 	}
 
