Hand over all zones of a leader at once at a planned stop

The process test missed it, since its callers sent such jobs again. Change: zones are dropped together; jobs are given up only by a leader that leads on without some of its workers. A test without a network, and the process test now takes the first answer of each caller. Ruled out: the readiness and the exit of the stopping process (its own requests were answered).

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -138,10 +138,10 @@
 		this.pool.lead(zone, token, now);
 	}
 
-	/** Stops ordering the workers of a zone; without any zone left, all jobs are forgotten unanswered. */
-	drop(zone: string, now: number): void {
+	/** Stops ordering the workers of zones; without any zone left, all jobs are forgotten unanswered. */
+	drop(zones: readonly string[], now: number): void {
 		this.#now = now;
-		const runs = this.pool.drop(zone);
+		const runs = zones.flatMap((zone) => this.pool.drop(zone));
 		if (this.pool.zones.length === 0) {
 			this.#handOver();
 			this.#jobs.clear();
--- a/packages/core/src/tests/pool-scheduler.test.ts
+++ b/packages/core/src/tests/pool-scheduler.test.ts
@@ -281,12 +281,23 @@
 		const fixture = new SchedulerFixture();
 		fixture.lead([workerFixture('w1')], start);
 		fixture.scheduler.submit(poolJobFixture('j1'), 'r1', false, start);
-		fixture.scheduler.drop('zone-a', start + 10);
+		fixture.scheduler.drop(['zone-a'], start + 10);
 		fixture.tickUntil(start + 20, start + 3000);
 		expect(fixture.answers).toEqual([]);
 		expect(fixture.scheduler.jobCount).toBe(0);
 	});
 
+	it('gets the jobs of an earlier one that gives up all zones at once, none of them answered', () => {
+		const fixture = new SchedulerFixture(['zone-a', 'zone-b']);
+		fixture.lead([workerFixture('w1')], start);
+		fixture.scheduler.lead('zone-b', 7, start);
+		fixture.scheduler.submit(poolJobFixture('j1'), 'r1', false, start);
+		expect(fixture.starts).toHaveLength(1);
+		fixture.scheduler.drop(['zone-a', 'zone-b'], start + 10);
+		expect(fixture.answers).toEqual([]);
+		expect(fixture.stops).toEqual([]);
+	});
+
 	it('is told through the receivers which tasks are done', () => {
 		const earlier = new SchedulerFixture();
 		earlier.lead([workerFixture('w1')], start);
@@ -295,7 +306,7 @@
 			running: [{task: 'j1.0.0.1', run: 1}],
 			ended: [{number: 1, task: 'j1.0.0.0', run: 1, how: 'done'}],
 		});
-		earlier.scheduler.drop('zone-a', start + 101);
+		earlier.scheduler.drop(['zone-a'], start + 101);
 		expect(earlier.progress).toEqual([
 			{receiver: 'r1', id: 'j1', doneTasks: ['j1.0.0.0']},
 		]);
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -511,11 +511,18 @@
 				}
 
 				this.#scheduler.updateWorkers(this.#entries, now);
-			} else {
-				this.#scheduler.drop(change.zone, now);
 			}
 		}
 
+		// All at once: a job is given up only if this entry VM leads on without some of its workers.
+		const dropped = changes.filter(({kind}) => kind === 'dropped');
+		if (dropped.length > 0) {
+			this.#scheduler.drop(
+				dropped.map(({zone}) => zone),
+				now,
+			);
+		}
+
 		if (changes.length > 0) {
 			this.#beatAll(now);
 		}
--- a/testing/src/tests/site.test.ts
+++ b/testing/src/tests/site.test.ts
@@ -166,11 +166,20 @@
 	it('cuts off nothing at a planned stop of its leader', async () => {
 		const own = await startSite();
 		const leader = leaderOf(own);
-		const loaded = load(bound(own), own.entryVms, 60);
-		await sleep(300);
-		leader.child.kill('SIGTERM');
-		const answers = await loaded;
-		expect(answers.map(({status}) => status)).toEqual(
+		const answers: Array<Promise<SiteAnswer>> = [];
+		for (let index = 0; index < 60; index += 1) {
+			if (index === 20) {
+				leader.child.kill('SIGTERM');
+			}
+
+			const entryVm = own.entryVms[index % own.entryVms.length]!;
+			answers.push(own.submit(entryVm, own.newId(), job));
+			// eslint-disable-next-line no-await-in-loop -- paces the load
+			await sleep(15);
+		}
+
+		const answered = await Promise.all(answers);
+		expect(answered.map(({status}) => status)).toEqual(
 			Array.from({length: 60}, () => 200),
 		);
 		expect(allRuns(own)).toHaveLength(120);
