Keep jobs while no leader is known or workers have not reported, instead of refusing them

Change: admission waits for the first reports after a claim (250 ms at most); a job that was held up without a leader may start as long as a late answer still counts, after those that are in time; a job in doubt is kept while its caller waits if the doubt can end by then, and is answered at once if it cannot. Tests of the three without a network; two failed before. The test of a job that went to another leader and came back now gives its caller 250 ms, since such a job is no longer given up at its objective; what it checks is the same. Ruled out: admitting late jobs in general (they would make others late under overload).

--- a/packages/core/src/pool-queue.ts
+++ b/packages/core/src/pool-queue.ts
@@ -9,6 +9,8 @@
 	readonly startByMs: number;
 	/** Latest start with which the job is answered before its caller leaves. */
 	readonly lastStartMs: number;
+	/** Latest first start for which the job waits: later than its objective allows only when a missing leader held it up. */
+	readonly keptUntilMs: number;
 	/** Processor time in core-milliseconds of the tasks that have not started. */
 	readonly waitingWork: number;
 	readonly hasStarted: boolean;
@@ -69,7 +71,8 @@
 
 /**
  * Refuses a job whose last task is not expected to start in time for its objective. Answers bursts: what waits longer
- * than that would be late and make others late.
+ * than that would be late and make others late. After a loss of the leader the workers are idle, and a late answer is
+ * worth more to a caller than none; jobs that were held up by it are taken as long as their callers wait.
  */
 export function admit(
 	job: QueuedJob,
@@ -77,7 +80,7 @@
 	now: number,
 ): PoolAdmission {
 	const waitMs = lastStartMs - now;
-	return lastStartMs <= job.startByMs
+	return lastStartMs <= job.keptUntilMs
 		? {kind: 'admitted', waitMs}
 		: {
 				kind: 'refused',
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -416,18 +416,22 @@
 			this.#adopt(scheduled, task, now);
 		}
 
+		const isLearning = this.pool.isLearning(now);
 		const misfit = misfitOf(scheduled, this.pool.workers, now);
-		if (misfit !== undefined && scheduled.isUntouched) {
+		if (!isLearning && misfit !== undefined && scheduled.isUntouched) {
 			this.#refuse(job, receiver, false, misfit.reason, misfit);
 			return;
 		}
 
-		const lastStartMs = this.#projectLastStartMs(scheduled, now);
+		const lastStartMs = isLearning
+			? now
+			: this.#projectLastStartMs(scheduled, now);
+		scheduled.isHeldUp ||= isLearning;
 		const admission = admit(scheduled, lastStartMs, now);
 		if (admission.kind === 'refused' && scheduled.isUntouched) {
 			this.#refuse(job, receiver, false, 'overloaded', {
 				waitMs: Math.round(Math.min(1e9, admission.waitMs)),
-				slackMs: Math.round(scheduled.startByMs - now),
+				slackMs: Math.round(scheduled.keptUntilMs - now),
 				waitingJobs: this.#jobs.size,
 				retryAfterMs: admission.retryAfterMs,
 			});
@@ -440,6 +444,8 @@
 			stateVersion: this.#state?.version ?? 0,
 			tasks: job.tasks.length,
 			waitMs: Math.round(Math.min(1e9, admission.waitMs)),
+			waitedMs: Math.round(job.waitedMs),
+			isLearning: isLearning ? 1 : 0,
 			longestMs: Math.round(scheduled.longestMs),
 		});
 		if (scheduled.isDone) {
@@ -557,7 +563,7 @@
 			(left, right) =>
 				right.task.needs.processorMillis - left.task.needs.processorMillis,
 		);
-		const endsByMs = job.arrivedAtMs + job.objectiveMs;
+		const endsByMs = job.keptUntilMs + job.longestMs;
 		for (const task of largestFirst) {
 			const others = ofService.filter(
 				(worker) =>
@@ -660,14 +666,23 @@
 		}
 
 		if (job.hasStarted) {
-			if (now > job.endsByMs) {
+			const isStuck =
+				job.isInDoubt &&
+				job.waiting.length > 0 &&
+				this.pool.settlesAtMs(this.#parts.zones, now) > job.endsByMs;
+			if (now > job.endsByMs || isStuck) {
 				this.#giveUp(
 					job,
 					{kind: 'may-have-run', reason: 'deadline-exceeded'},
 					now,
 				);
 			}
-		} else if (now > job.startByMs || this.#isHopeless(job, now)) {
+		} else if (
+			now > job.keptUntilMs ||
+			(job.isInDoubt &&
+				this.pool.settlesAtMs(this.#parts.zones, now) > job.keptUntilMs) ||
+			this.#isHopeless(job, now)
+		) {
 			this.#giveUp(
 				job,
 				job.isInDoubt
@@ -686,13 +701,14 @@
 	#isHopeless(job: ScheduledJob, now: number): boolean {
 		if (
 			job.isReviewed ||
-			now - job.arrivedAtMs < reviewShare * job.objectiveMs
+			now - job.arrivedAtMs < reviewShare * job.objectiveMs ||
+			this.pool.isLearning(now)
 		) {
 			return false;
 		}
 
 		job.isReviewed = true;
-		return this.#projectLastStartMs(job, now) > job.startByMs;
+		return this.#projectLastStartMs(job, now) > job.keptUntilMs;
 	}
 
 	#giveUp(job: ScheduledJob, answer: PoolAnswer, now: number): void {
--- a/packages/core/src/scheduled-job.ts
+++ b/packages/core/src/scheduled-job.ts
@@ -20,6 +20,18 @@
 /** How far beyond its objective a job is still worth answering, as a multiple of the objective. */
 const lateFactor = 3;
 
+/** Time in milliseconds in which a job reaches its leader; one that took longer was held up while there was no leader. */
+const handInMs = 40;
+
+/** Time in milliseconds from a job's arrival within which an answer is still of use to its caller. */
+export function answeredWithinMs(
+	{stretch, latencyMs}: Pick<QueueSetting, 'stretch' | 'latencyMs'>,
+	longestMs: number,
+	patienceMs: number,
+): number {
+	return Math.min(patienceMs, lateFactor * (stretch * longestMs + latencyMs));
+}
+
 /** One job in the scheduler. */
 export class ScheduledJob implements QueuedJob {
 	readonly arrivedAtMs: number;
@@ -31,6 +43,8 @@
 	detachedAtMs: number | undefined;
 	/** Whether an earlier leader may have started tasks of it that have not been found. */
 	isInDoubt: boolean;
+	/** Whether it lost time because nobody led the workers, or nothing was known of them yet. */
+	isHeldUp: boolean;
 	/** Whether it has been looked at again while it waited. */
 	isReviewed = false;
 	/** Whether any run of it has been ordered or found. */
@@ -45,6 +59,7 @@
 		now: number,
 	) {
 		this.isInDoubt = false;
+		this.isHeldUp = job.waitedMs > handInMs;
 		this.arrivedAtMs = now - job.waitedMs;
 		this.takenAtMs = now;
 		this.tasks = job.tasks.map((task) => ({
@@ -79,11 +94,22 @@
 	get lastStartMs(): number {
 		return (
 			this.arrivedAtMs +
-			Math.min(this.job.patienceMs, lateFactor * this.objectiveMs) -
+			answeredWithinMs(this.queue, this.longestMs, this.job.patienceMs) -
 			this.longestMs
 		);
 	}
 
+	get keptUntilMs(): number {
+		if (this.isInDoubt) {
+			// It cannot be called not run, so any answer before its caller leaves is better than none.
+			return this.endsByMs - this.longestMs - handInMs;
+		}
+
+		return this.isHeldUp
+			? Math.max(this.startByMs, this.lastStartMs)
+			: this.startByMs;
+	}
+
 	/** When the caller leaves. */
 	get endsByMs(): number {
 		return this.arrivedAtMs + this.job.patienceMs;
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -48,6 +48,8 @@
 	readonly reportWaitMs: number;
 	/** Time beyond the next expected end for which a report is held back, and its least part. A lost report hides an end for longer. */
 	readonly shortReportWaitMs: number;
+	/** Time after a claim in which workers that have not reported yet are expected to; twice what a cold process takes. */
+	readonly learnMs: number;
 	/** Time after which a run that no job has claimed is stopped. */
 	readonly orphanMs: number;
 	/** Time for which the end of a run that no job has claimed is remembered. */
@@ -63,6 +65,7 @@
 	leaseMs: 1000,
 	reportWaitMs: 400,
 	shortReportWaitMs: 40,
+	learnMs: 250,
 	orphanMs: 700,
 	orphanEndMs: 4000,
 	stopAgainMs: 60,
@@ -78,6 +81,9 @@
 /** Failed reports in a row after which the lease is no longer extended, so that it surely runs out. */
 const failuresBeforeLapse = 2;
 
+/** Time in milliseconds for orders of an earlier leader that were under way at the claim, and for slow clocks of workers. */
+const lapseMarginMs = 150;
+
 type ZoneHolding = {readonly token: number; readonly claimedAtMs: number};
 
 /** The end of a run that no job has claimed. */
@@ -147,18 +153,36 @@
 		);
 	}
 
+	/** Whether a zone was claimed so lately that some of its workers have not reported. */
+	isLearning(now: number): boolean {
+		const recent = new Set(
+			[...this.#zones]
+				.filter(
+					([, {claimedAtMs}]) => now - claimedAtMs < this.#settings.learnMs,
+				)
+				.map(([zone]) => zone),
+		);
+		return (
+			recent.size > 0 &&
+			(this.#workers.size === 0 ||
+				this.workers.some(
+					({entry, isSynced}) => !isSynced && recent.has(entry.zone),
+				))
+		);
+	}
+
 	/** Time from which every run of an earlier leader that has not been found has surely ended, given its zones. */
 	settledAtMs(allZones: readonly string[], now: number): number {
-		const {leaseMs, orphanMs} = this.#settings;
-		const settleMs = leaseMs + orphanMs + 150;
-		const newestClaimMs = Math.max(
-			Number.NEGATIVE_INFINITY,
-			...[...this.#zones.values()].map(({claimedAtMs}) => claimedAtMs),
-		);
 		const isWhole =
-			allZones.every((zone) => this.#zones.has(zone)) &&
-			this.workers.every(({isSynced}) => isSynced);
-		return isWhole ? now : newestClaimMs + settleMs;
+			this.#leadsAll(allZones) && this.workers.every(({isSynced}) => isSynced);
+		return isWhole ? now : this.#lapsedAtMs;
+	}
+
+	/** The same as far as can be hoped: workers that were just claimed may report at once. */
+	settlesAtMs(allZones: readonly string[], now: number): number {
+		return this.#leadsAll(allZones) && this.isLearning(now)
+			? now
+			: this.settledAtMs(allZones, now);
 	}
 
 	/** Takes in the platform's list of workers. */
@@ -355,6 +379,24 @@
 		}
 	}
 
+	#leadsAll(zones: readonly string[]): boolean {
+		return zones.every((zone) => this.#zones.has(zone));
+	}
+
+	/** When the runs of earlier leaders have ended at the latest, since nobody extends their leases. */
+	get #lapsedAtMs(): number {
+		const {leaseMs, orphanMs} = this.#settings;
+		return (
+			Math.max(
+				Number.NEGATIVE_INFINITY,
+				...[...this.#zones.values()].map(({claimedAtMs}) => claimedAtMs),
+			) +
+			leaseMs +
+			orphanMs +
+			lapseMarginMs
+		);
+	}
+
 	#updateEntry(worker: PoolWorker, entry: WorkerEntry, now: number): void {
 		const isReborn =
 			worker.bornMs !== undefined && entry.bornMs > worker.bornMs;
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -5,6 +5,7 @@
 	LearnedEstimates,
 	ObjectiveOrder,
 	PoolScheduler,
+	answeredWithinMs,
 	defaultWorkerPoolSettings,
 	type DesiredState,
 	type Heartbeat,
@@ -905,8 +906,8 @@
 		}
 	}
 
-	/** Time in milliseconds for which a job may wait and still meet its objective, by its caller's own estimates. */
-	#slackMs({queue: name, tasks}: PoolJob): number {
+	/** Time in milliseconds for which a job may wait for a leader and still be answered, by its caller's own estimates. */
+	#slackMs({queue: name, tasks, patienceMs}: PoolJob): number {
 		const queue = this.#state?.queues.find((other) => other.name === name);
 		const longestMs = Math.max(
 			...tasks.map(({declaredMs}) => declaredMs),
@@ -914,7 +915,7 @@
 		);
 		return queue === undefined
 			? 0
-			: (queue.stretch - 1) * longestMs + queue.latencyMs;
+			: answeredWithinMs(queue, longestMs, patienceMs) - longestMs;
 	}
 
 	#canReach(leader: string): boolean {
