Find each other through the store, and take in ends that come after the job

Change: a keyed topic of our own holds the addresses of entry VMs, read and written once at a start; the leader is looked up anew with every change of leadership; ends go to the job that waits for them. Ruled out: claiming earlier without hearing anybody (workers would change hands with each start).

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -10,6 +10,7 @@
 import {type NotRunReason, type PoolAnswer, type PoolJob} from './pool-job.js';
 import {admit, type QueueOrder} from './pool-queue.js';
 import {
+	type ListedEnd,
 	type ListedRun,
 	type PoolWorker,
 	type WorkerEntry,
@@ -341,6 +342,21 @@
 		return true;
 	}
 
+	endFound(end: ListedEnd): boolean {
+		const job = this.#jobs.get(jobIdOf(end.task));
+		const task = job?.tasks.find(({task: {name}}) => name === end.task);
+		if (job === undefined || task?.state !== 'waiting' || end.run <= task.run) {
+			return false;
+		}
+
+		this.#adoptEnd(job, task, end);
+		if (job.isDone) {
+			this.#finish(job, {kind: 'completed'}, this.#now);
+		}
+
+		return true;
+	}
+
 	fenced(zone: string, token: number): void {
 		this.#parts.output.fenced(zone, token);
 	}
@@ -458,16 +474,21 @@
 		if (found?.kind === 'running') {
 			this.#adoptRunning(job, task, found.run, found.worker, now);
 		} else if (found?.kind === 'ended') {
-			job.hasStarted = true;
-			task.run = found.end.run;
-			task.state = found.end.how === 'done' ? 'done' : 'waiting';
-			this.#decided('adopted', job.id, found.end.how, {
-				task: task.task.name,
-				run: found.end.run,
-			});
+			this.#adoptEnd(job, task, found.end);
 		}
 	}
 
+	#adoptEnd(
+		job: ScheduledJob,
+		task: ScheduledTask,
+		{run, how}: Pick<ListedEnd, 'run' | 'how'>,
+	): void {
+		job.hasStarted = true;
+		task.run = run;
+		task.state = how === 'done' ? 'done' : 'waiting';
+		this.#decided('adopted', job.id, how, {task: task.task.name, run});
+	}
+
 	#adoptRunning(
 		job: ScheduledJob,
 		task: ScheduledTask,
--- a/packages/core/src/tests/pool-scheduler.test.ts
+++ b/packages/core/src/tests/pool-scheduler.test.ts
@@ -225,6 +225,30 @@
 		expect(fixture.starts.map(({task}) => task)).toEqual(['j1.0.0.2']);
 	});
 
+	it('takes ends that workers list after it got the job, and starts nothing again', () => {
+		const fixture = new SchedulerFixture();
+		fixture.scheduler.updateWorkers(
+			[workerFixture('w1'), workerFixture('w2')],
+			start,
+		);
+		fixture.scheduler.lead('zone-a', 7, start);
+		fixture.scheduler.submit(poolJobFixture('j1', 2), 'r1', true, start + 5);
+		fixture.report('w1', start + 20, {
+			ended: [{number: 3, task: 'j1.0.0.0', run: 1, how: 'done'}],
+		});
+		fixture.report('w2', start + 25, {
+			running: [{task: 'j1.0.0.1', run: 1}],
+		});
+		fixture.tickUntil(start + 40, start + 60);
+		fixture.report('w2', start + 70, {
+			ended: [{number: 1, task: 'j1.0.0.1', run: 1, how: 'done'}],
+		});
+		expect(fixture.starts).toEqual([]);
+		expect(fixture.answers).toMatchObject([
+			{id: 'j1', answer: {kind: 'completed'}},
+		]);
+	});
+
 	it('starts a job in doubt only when all workers have reported, or every earlier lease has run out', () => {
 		const fixture = new SchedulerFixture();
 		fixture.scheduler.updateWorkers(
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -24,6 +24,8 @@
 	runEnded(run: WorkerRun, outcome: RunOutcome, worker: PoolWorker): void;
 	/** A worker lists a run that the pool does not know; returns whether a job has taken it over. */
 	runFound(listed: ListedRun, worker: PoolWorker): boolean;
+	/** A worker lists the end of a run that the pool does not know; returns whether a job has taken it in. */
+	endFound(end: ListedEnd): boolean;
 	/** A worker of a zone has refused a token since it has seen a higher one. */
 	fenced(zone: string, token: number): void;
 	/** Something that the pool believes about a worker has changed. */
@@ -545,7 +547,7 @@
 		worker.removeOrphan(end.task);
 		if (run?.run === end.run) {
 			this.#end(worker, run, end.how, now);
-		} else if (run === undefined) {
+		} else if (run === undefined && !this.#listener.endFound(end)) {
 			this.#orphanEnds.set(end.task, {
 				task: end.task,
 				run: end.run,
--- a/packages/platform/src/store-client.ts
+++ b/packages/platform/src/store-client.ts
@@ -37,7 +37,7 @@
 /** Pages are of 500 keys at most; a store with more than this many pages answers nonsense. */
 const mostPages = 100;
 
-/** Reads the platform's store. */
+/** Reads the platform's store, and writes records of our own topics. */
 export class StoreClient {
 	readonly #host: HttpHost;
 
@@ -96,6 +96,28 @@
 			: err({code: 'refused', message: `status ${exchange.status}`});
 	}
 
+	/** Writes the newest record of a key. Without an answer it may have been written, or may be later. */
+	async append(
+		topic: string,
+		key: string,
+		value: string,
+	): Promise<Result<void, StoreFailure>> {
+		const exchange = await this.#host.exchange({
+			method: 'POST',
+			path: `/api/log-append?topic=${topic}&part=0`,
+			headers: {'content-type': 'application/octet-stream'},
+			body: encodeKeyed(key, value),
+			timeoutMs: callTimeoutMs,
+		});
+		if (exchange.kind !== 'answered') {
+			return err({code: 'unreachable', message: exchange.message});
+		}
+
+		return exchange.status === 200
+			? ok(undefined)
+			: err({code: 'refused', message: `status ${exchange.status}`});
+	}
+
 	close(): void {
 		this.#host.close();
 	}
@@ -169,6 +191,16 @@
 		: ok({records, nextOffset: from + records.length});
 }
 
+/** One record as the store takes it: its length, and within it a key's length, key and value. */
+function encodeKeyed(key: string, value: string): Uint8Array {
+	const keyBytes = Buffer.from(key);
+	const valueBytes = Buffer.from(value);
+	const head = Buffer.alloc(lengthBytes + 1);
+	head.writeUInt32BE(1 + keyBytes.length + valueBytes.length);
+	head.writeUInt8(keyBytes.length, lengthBytes);
+	return Buffer.concat([head, keyBytes, valueBytes]);
+}
+
 function decodeKeyed(bytes: Uint8Array): KeyedRecord {
 	const keyLength = bytes[0] ?? 0;
 	const value = bytes.subarray(1 + keyLength);
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -24,6 +24,7 @@
 	type JobIntake,
 } from '@verbenarouter/platform';
 import {droppedLines} from '../logger.js';
+import {MemberRegistry} from './member-registry.js';
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {type PoolLog} from './pool-log.js';
 import {StoreFollower} from './store-follower.js';
@@ -64,7 +65,15 @@
 	'storeAddress',
 ]);
 
-type KnownMember = MemberAddress & {readonly heardOfMs: number};
+/** Milliseconds for which an entry VM is dialled of which only the store knows; one that lives answers at once. */
+const recordedKeptMs = 3000;
+
+type KnownMember = MemberAddress & {
+	/** Until when it is dialled if it is not heard of again. */
+	readonly keptUntilMs: number;
+	/** Whether only the store knows of it. */
+	readonly isRecorded: boolean;
+};
 
 /** One entry VM on the platform. */
 export class PoolNode implements JobIntake {
@@ -76,6 +85,7 @@
 	readonly #mesh: PoolMesh;
 	readonly #workers: WorkerClient;
 	readonly #store: StoreFollower;
+	readonly #registry: MemberRegistry;
 	readonly #pending = new PendingJobs();
 	readonly #members = new Map<string, KnownMember>();
 	readonly #questions = new Map<number, (value: unknown) => void>();
@@ -193,8 +203,25 @@
 				}
 			},
 		});
+		const client = new StoreClient(settings.storeAddress);
+		this.#registry = new MemberRegistry(
+			{
+				name: settings.name,
+				zone: settings.zone,
+				address: settings.peerAddress,
+			},
+			client,
+			{
+				membersRead: (members) => {
+					this.#recorded(members);
+				},
+				failed(message) {
+					log.write({event: 'registry-failed', reason: message});
+				},
+			},
+		);
 		this.#store = new StoreFollower(
-			new StoreClient(settings.storeAddress),
+			client,
 			{
 				stateRead: (state) => {
 					this.#takeState(state, 'store');
@@ -217,6 +244,7 @@
 	async start(): Promise<void> {
 		await this.#mesh.listen();
 		this.#link();
+		void this.#registry.join();
 		setInterval(() => {
 			this.#tick();
 		}, tickMs);
@@ -272,7 +300,9 @@
 		this.#link();
 		if (changed.includes('storeAddress')) {
 			this.#settings = {...this.#settings, storeAddress: settings.storeAddress};
-			this.#store.moveTo(new StoreClient(settings.storeAddress));
+			const client = new StoreClient(settings.storeAddress);
+			this.#store.moveTo(client);
+			this.#registry.moveTo(client);
 		}
 
 		return changed.filter((name) => !reloadable.has(name));
@@ -476,6 +506,11 @@
 			this.#beatAll(now);
 		}
 
+		this.#followLeader(now);
+	}
+
+	/** Gives all jobs to the leader of the own zone when it is another one than before. */
+	#followLeader(now: number): void {
 		const leader = this.#leadership.leaderOf(this.#settings.zone, now);
 		const key = leader?.name;
 		if (key !== this.#leader) {
@@ -525,6 +560,7 @@
 		}
 
 		if (changes.length > 0) {
+			this.#followLeader(now);
 			this.#beatAll(now);
 		}
 	}
@@ -543,11 +579,9 @@
 			hears: this.#hears,
 			yields: Object.fromEntries(this.#leadership.yields),
 			members: withMembers
-				? [...this.#members.values()].map(({name, zone, address}) => ({
-						name,
-						zone,
-						address,
-					}))
+				? [...this.#members.values()]
+						.filter(({isRecorded}) => !isRecorded)
+						.map(({name, zone, address}) => ({name, zone, address}))
 				: [],
 		};
 	}
@@ -693,9 +727,17 @@
 		const memberCount = this.#members.size;
 		const isNews = this.#leadership.isNews(heartbeat, now);
 		for (const {name, zone, address} of [heartbeat, ...heartbeat.members]) {
-			const isFresh = name === heartbeat.name || !this.#members.has(name);
+			const isFresh =
+				name === heartbeat.name ||
+				this.#members.get(name)?.isRecorded !== false;
 			if (name !== this.#settings.name && isFresh) {
-				this.#members.set(name, {name, zone, address, heardOfMs: now});
+				this.#members.set(name, {
+					name,
+					zone,
+					address,
+					keptUntilMs: now + memberKeptMs,
+					isRecorded: false,
+				});
 			}
 		}
 
@@ -720,6 +762,24 @@
 		}
 	}
 
+	/** Dials entry VMs that the store knows of. */
+	#recorded(members: readonly MemberAddress[]): void {
+		const now = this.#now();
+		for (const member of members) {
+			if (!this.#members.has(member.name)) {
+				this.#members.set(member.name, {
+					...member,
+					keptUntilMs: now + recordedKeptMs,
+					isRecorded: true,
+				});
+			}
+		}
+
+		this.#log.write({event: 'registry', members: members.length});
+		this.#link();
+		this.#beatAll(now);
+	}
+
 	/** Takes in who can read the store, and tells a leader that cannot what is known here. */
 	#heardOfStore(
 		from: string,
@@ -749,8 +809,8 @@
 
 	#link(): void {
 		const now = this.#now();
-		for (const [name, {heardOfMs}] of this.#members) {
-			if (now - heardOfMs > memberKeptMs) {
+		for (const [name, {keptUntilMs}] of this.#members) {
+			if (now > keptUntilMs) {
 				this.#members.delete(name);
 			}
 		}
--- a/testing/src/site/site-installation.ts
+++ b/testing/src/site/site-installation.ts
@@ -16,6 +16,8 @@
 	readonly entryVmsPerZone: number;
 	readonly workersPerZone: number;
 	readonly processorMillis: number;
+	/** Whether the settings name entry VMs that run; true by default. */
+	readonly hasLiveSeeds?: boolean;
 	/** Arguments of Node before the program. */
 	readonly nodeArguments?: readonly string[];
 };
@@ -97,10 +99,13 @@
 				name: `entry-${zone}-${index + 1}`,
 			})),
 		);
-		const ports = await freePorts(places.length * 4);
-		this.#seeds = places
-			.slice(0, 3)
-			.map((_, index) => `127.0.0.1:${ports[index * 4 + 2]}`);
+		const ports = await freePorts(places.length * 4 + 1);
+		this.#seeds =
+			this.#options.hasLiveSeeds === false
+				? [`127.0.0.1:${ports.at(-1)}`]
+				: places
+						.slice(0, 3)
+						.map((_, index) => `127.0.0.1:${ports[index * 4 + 2]}`);
 		for (const [index, {zone, name}] of places.entries()) {
 			const [callerPort, readinessPort, peerPort, metricsPort] = ports.slice(
 				index * 4,
--- a/testing/src/site/store-stand-in.ts
+++ b/testing/src/site/store-stand-in.ts
@@ -1,6 +1,11 @@
 /** The store of the users' platform: topics of keyed records that can be read from an offset on. */
 import {Buffer} from 'node:buffer';
-import {createServer, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
 import {type AddressInfo} from 'node:net';
 
 type Topic = {
@@ -20,8 +25,13 @@
 
 	constructor() {
 		this.#server = createServer((request, response) => {
-			request.resume();
 			const url = new URL(request.url ?? '/', 'http://store');
+			if (url.pathname === '/api/log-append' && !this.isDown) {
+				this.#append(url.searchParams, request, response);
+				return;
+			}
+
+			request.resume();
 			if (this.isDown) {
 				response.writeHead(503).end();
 			} else if (url.pathname === '/api/log-newest') {
@@ -90,6 +100,25 @@
 		);
 	}
 
+	#append(
+		parameters: URLSearchParams,
+		request: IncomingMessage,
+		response: ServerResponse,
+	): void {
+		const chunks: Uint8Array[] = [];
+		request.on('data', (chunk: Uint8Array) => {
+			chunks.push(chunk);
+		});
+		request.on('end', () => {
+			const topic = parameters.get('topic') ?? '';
+			const offset = this.#topic(topic).records.length;
+			const {key, value} = decodeRecord(Buffer.concat(chunks));
+			this.put(topic, key, value);
+			response.writeHead(200, {'content-type': 'application/json'});
+			response.end(JSON.stringify({offset, endOffset: offset + 1}));
+		});
+	}
+
 	#read(parameters: URLSearchParams, response: ServerResponse): void {
 		const topic = this.#topic(parameters.get('topic') ?? '');
 		const from = Number(parameters.get('from'));
@@ -126,3 +155,16 @@
 	head.writeUInt8(keyBytes.length, 4);
 	return Buffer.concat([head, keyBytes, valueBytes]);
 }
+
+/** The one record of an append. */
+function decodeRecord(bytes: Uint8Array): {
+	readonly key: string;
+	readonly value: string;
+} {
+	const record = Buffer.from(bytes).subarray(4);
+	const keyLength = record.readUInt8(0);
+	return {
+		key: record.toString('utf8', 1, 1 + keyLength),
+		value: record.toString('utf8', 1 + keyLength),
+	};
+}
--- a/testing/src/tests/site.test.ts
+++ b/testing/src/tests/site.test.ts
@@ -6,6 +6,7 @@
 	siteQueue,
 	type SiteAnswer,
 	type SiteEntryVm,
+	type SiteOptions,
 } from '../site/site-installation.js';
 import {type RecordedRun} from '../site/worker-stand-in.js';
 
@@ -15,12 +16,16 @@
 	site?.close();
 });
 
-async function startSite(entryVmsPerZone = 2): Promise<SiteInstallation> {
+async function startSite(
+	entryVmsPerZone = 2,
+	change: Partial<SiteOptions> = {},
+): Promise<SiteInstallation> {
 	site = new SiteInstallation({
 		zones: ['a', 'b'],
 		entryVmsPerZone,
 		workersPerZone: 4,
 		processorMillis: 64_000,
+		...change,
 	});
 	await site.start();
 	return site;
@@ -88,6 +93,16 @@
 	)!;
 }
 
+/** The leaders that the entry VMs know at present. */
+function leadersOf({entryVms}: SiteInstallation): ReadonlySet<unknown> {
+	return new Set(
+		entryVms.map(({lines}) => {
+			const line = lines.findLast((other) => other.includes('"event":"leader"'));
+			return /"leader":"(?<name>[^"]+)"/v.exec(line ?? '')?.groups?.name;
+		}),
+	);
+}
+
 function bound(own: SiteInstallation) {
 	return {
 		submit: own.submit.bind(own),
@@ -185,6 +200,20 @@
 		expect(allRuns(own)).toHaveLength(120);
 	});
 
+	it('finds one leader through the store when no seed runs', async () => {
+		const own = await startSite(2, {hasLiveSeeds: false});
+		const answers = await load(bound(own), own.entryVms, 20);
+		expect(answers.map(({status}) => status)).toEqual(
+			Array.from({length: 20}, () => 200),
+		);
+		for (let look = 0; look < 100 && leadersOf(own).size > 1; look += 1) {
+			// eslint-disable-next-line no-await-in-loop -- one look after the other
+			await sleep(50);
+		}
+
+		expect(leadersOf(own).size).toBe(1);
+	});
+
 	it('gives a new process the desired state while the store is away, and never an older one', async () => {
 		const own = await startSite();
 		own.writeDesiredState(5, '/moved/');
