Rehearse leading at the first start, and start nothing again that another leader may keep alive

(b) What comes on a stream after 0.8 s of silence is dropped with the stream; attempts that were answered stay closed whatever the answer; doubt is timed from the last change of zones and from the job's arrival. The wiring of orders is in a file of its own.

--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -13,8 +13,8 @@
 
 const bundle = path.join(__dirname, 'entry-vm.cjs');
 const kept = path.join(__dirname, 'entry-vm.compiled');
-/** Milliseconds for which the two entry VMs run; links between them are open well before. */
-const keepAfterMs = 2500;
+/** Milliseconds for which the two entry VMs run; their rehearsals have ended well before. */
+const keepAfterMs = 6000;
 /** Ports that are used while the code is compiled: twenty for each of two thousand builds at a time. */
 const firstPort = 20_000 + (process.pid % 2000) * 20;
 
@@ -56,6 +56,7 @@
 			metricsAddress: address(3),
 			storeAddress: address(4),
 			peerSeeds: [`127.0.0.1:${seed + 2}`],
+			isFirstStart: true,
 			processorShare: 1,
 			workerLeaseMs: 1000,
 			workerStopMs: 50,
--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -18,7 +18,7 @@
 	/** Share of a core that the process may use. */
 	readonly processorShare: number;
 	readonly isStopping: boolean;
-	/** Whether it has run for long enough that its code is compiled; a cold process cannot lead a whole region. */
+	/** Whether its code for leading has run, and so is compiled; a cold process cannot keep up with a whole region. */
 	readonly isWarm: boolean;
 	/** Fencing tokens by the zone that it leads. */
 	readonly leads: Readonly<Record<string, number>>;
@@ -56,7 +56,7 @@
 	readonly aloneGraceMs: number;
 	/** Extra delay of a process that has lost all of its peers, which is more likely cut off than the last one alive. */
 	readonly isolatedGraceMs: number;
-	/** Time after the start from which a process counts as warm. Until then it leads its own zone at most, if others live there. */
+	/** Time of leading after which a process counts as warm. While none is, each zone is led on its own. */
 	readonly warmMs: number;
 	/** Time for which two leaders must hear each other before one yields its zones to the other. */
 	readonly mergeAfterMs: number;
@@ -118,6 +118,9 @@
 	#startedAtMs: number | undefined;
 	#highestToken = 0;
 	#isStopping = false;
+	#isWarm = false;
+	/** Since when this entry VM has led any zone. */
+	#leadsSinceMs: number | undefined;
 	/** Whether a refusal has shown that this entry VM is cut off from those that lead; it claims nothing until it hears one. */
 	#isBarred = false;
 	/** When at least two peers were last heard. */
@@ -219,12 +222,14 @@
 		return highest;
 	}
 
-	/** Whether this process has run for long enough to lead a region. */
-	isWarm(now: number): boolean {
-		return (
-			this.#startedAtMs !== undefined &&
-			now - this.#startedAtMs >= this.#settings.warmMs
-		);
+	/** Whether this process can lead a region. */
+	get isWarm(): boolean {
+		return this.#isWarm;
+	}
+
+	/** The code for leading has run in this process. */
+	setWarm(): void {
+		this.#isWarm = true;
 	}
 
 	/** Whether this entry VM once had company and now hears nobody. */
@@ -290,6 +295,11 @@
 		this.#startedAtMs ??= now;
 		const peerCount = this.livePeers(now).length;
 		this.#isBarred &&= peerCount === 0;
+		this.#leadsSinceMs =
+			this.#leads.size === 0 ? undefined : (this.#leadsSinceMs ?? now);
+		this.#isWarm ||=
+			this.#leadsSinceMs !== undefined &&
+			now - this.#leadsSinceMs >= this.#settings.warmMs;
 		if (peerCount > 1) {
 			this.#lastCompanyMs = now;
 		}
@@ -405,7 +415,7 @@
 		heardSinceMs = Number.NEGATIVE_INFINITY,
 	): readonly Candidate[] {
 		const all: readonly Candidate[] = [
-			...(this.#isStopping ? [] : [{...this.#self, isWarm: this.isWarm(now)}]),
+			...(this.#isStopping ? [] : [{...this.#self, isWarm: this.#isWarm}]),
 			...[...this.#peers.values()]
 				.filter(
 					(peer) =>
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -85,8 +85,12 @@
 	readonly #parts: SchedulerParts;
 	readonly #settings: SchedulerSettings;
 	readonly #jobs = new Map<string, ScheduledJob>();
-	/** Attempts that were told that the job has not run, with the times. */
-	readonly #refusedAttempts = new Map<string, number>();
+	/** Attempts that were answered without a result: whether the job may have run, and when. */
+	readonly #closedAttempts = new Map<
+		string,
+		{readonly mayHaveRun: boolean; readonly atMs: number}
+	>();
+
 	readonly #answers = new Map<
 		string,
 		{readonly answer: PoolAnswer; readonly atMs: number}
@@ -142,7 +146,7 @@
 	/** Stops ordering the workers of zones; without any zone left, all jobs are forgotten unanswered. */
 	drop(zones: readonly string[], now: number): void {
 		this.#now = now;
-		const runs = zones.flatMap((zone) => this.pool.drop(zone));
+		const runs = zones.flatMap((zone) => this.pool.drop(zone, now));
 		if (this.pool.zones.length === 0) {
 			this.#handOver();
 			this.#jobs.clear();
@@ -179,9 +183,16 @@
 		now: number,
 	): void {
 		this.#now = now;
-		if (this.#refusedAttempts.has(job.attempt)) {
-			// A resubmitted job may have run under another leader since.
-			this.#refuse(job, receiver, isResubmitted, 'overloaded', {late: 1});
+		const closed = this.#closedAttempts.get(job.attempt);
+		if (closed !== undefined) {
+			// The answer is on its way. A resubmitted job may have run under another leader since.
+			this.#refuse(
+				job,
+				receiver,
+				isResubmitted || closed.mayHaveRun,
+				'overloaded',
+				{late: 1},
+			);
 			return;
 		}
 
@@ -374,7 +385,7 @@
 		});
 	}
 
-	/** Drops answers and refused attempts of which no copy can come any more. */
+	/** Drops answers and closed attempts of which no copy can come any more. */
 	#forgetOld(now: number): void {
 		const {answerKeptMs, mostAnswers} = this.#settings;
 		for (const [id, {atMs}] of this.#answers) {
@@ -385,15 +396,15 @@
 			this.#answers.delete(id);
 		}
 
-		for (const [attempt, atMs] of this.#refusedAttempts) {
+		for (const [attempt, {atMs}] of this.#closedAttempts) {
 			if (
 				now - atMs <= answerKeptMs &&
-				this.#refusedAttempts.size <= mostAnswers
+				this.#closedAttempts.size <= mostAnswers
 			) {
 				break;
 			}
 
-			this.#refusedAttempts.delete(attempt);
+			this.#closedAttempts.delete(attempt);
 		}
 	}
 
@@ -572,10 +583,14 @@
 	#settledAtMs(job: ScheduledJob, now: number): number {
 		return Math.max(
 			job.takenAtMs + handOverMs,
-			this.pool.settledAtMs(this.#parts.zones, now),
+			this.pool.settledAtMs(this.#parts.zones, job.takenAtMs, now),
 		);
 	}
 
+	#settlesAtMs(job: ScheduledJob, now: number): number {
+		return this.pool.settlesAtMs(this.#parts.zones, job.takenAtMs, now);
+	}
+
 	#placeJob(job: ScheduledJob, open: readonly PoolWorker[], now: number): void {
 		const ofService = open.filter(
 			({entry}) => entry.service === job.queue.service,
@@ -690,7 +705,7 @@
 			const isStuck =
 				job.isInDoubt &&
 				job.waiting.length > 0 &&
-				this.pool.settlesAtMs(this.#parts.zones, now) > job.endsByMs;
+				this.#settlesAtMs(job, now) > job.endsByMs;
 			if (now > job.endsByMs || isStuck) {
 				this.#giveUp(
 					job,
@@ -700,8 +715,7 @@
 			}
 		} else if (
 			now > job.keptUntilMs ||
-			(job.isInDoubt &&
-				this.pool.settlesAtMs(this.#parts.zones, now) > job.keptUntilMs) ||
+			(job.isInDoubt && this.#settlesAtMs(job, now) > job.keptUntilMs) ||
 			this.#isHopeless(job, now)
 		) {
 			this.#giveUp(
@@ -760,9 +774,12 @@
 
 	#finish(job: ScheduledJob, answer: PoolAnswer, now: number): void {
 		this.#jobs.delete(job.id);
-		if (answer.kind === 'not-run') {
-			this.#refusedAttempts.set(job.job.attempt, now);
-		} else if (answer.kind !== 'may-have-run') {
+		if (answer.kind === 'not-run' || answer.kind === 'may-have-run') {
+			this.#closedAttempts.set(job.job.attempt, {
+				mayHaveRun: answer.kind === 'may-have-run',
+				atMs: now,
+			});
+		} else {
 			this.#answers.set(job.id, {answer, atMs: now});
 		}
 
@@ -778,7 +795,10 @@
 	): void {
 		this.#decided('refused', job.id, reason, {...inputs, queue: job.queue});
 		if (!isInDoubt) {
-			this.#refusedAttempts.set(job.attempt, this.#now);
+			this.#closedAttempts.set(job.attempt, {
+				mayHaveRun: false,
+				atMs: this.#now,
+			});
 		}
 
 		this.#parts.output.answer(
--- a/packages/core/src/tests/pool-scheduler.test.ts
+++ b/packages/core/src/tests/pool-scheduler.test.ts
@@ -313,6 +313,37 @@
 		]);
 	});
 
+	it('starts no run again that may go on in a zone that it has given up', () => {
+		const fixture = new SchedulerFixture(['zone-a', 'zone-b']);
+		const workers = [
+			workerFixture('w1', {zone: 'zone-b'}),
+			workerFixture('w2', {
+				capacity: {processorMillis: 96_000, memoryMb: 64, accelerators: 0},
+			}),
+		];
+		fixture.lead(workers, start);
+		fixture.scheduler.lead('zone-b', 8, start);
+		fixture.report('w1', start);
+		const job = poolJobFixture('j1', 1, {
+			processorMillis: 64_000,
+			runMs: 5000,
+			patienceMs: 60_000,
+		});
+		const later = start + 5000;
+		fixture.scheduler.submit(job, 'r1', false, later);
+		fixture.scheduler.drop(['zone-b'], later + 20);
+		fixture.scheduler.submit(job, 'r1', true, later + 40);
+		fixture.scheduler.submit({...job, attempt: 'next'}, 'r1', true, later + 50);
+		fixture.tickUntil(later + 60, later + 1840);
+		expect(fixture.starts).toHaveLength(1);
+		expect(fixture.answers.map(({answer}) => answer.kind)).toEqual([
+			'may-have-run',
+			'may-have-run',
+		]);
+		fixture.tickUntil(later + 1900, later + 1940);
+		expect(fixture.starts).toHaveLength(2);
+	});
+
 	it('says at once that a job may have run when the doubt cannot end before its caller leaves', () => {
 		const fixture = new SchedulerFixture(['zone-a', 'zone-b']);
 		fixture.lead([workerFixture('w1')], start);
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -105,6 +105,8 @@
 	readonly #workers = new Map<string, PoolWorker>();
 	readonly #orphanEnds = new Map<string, OrphanEnd>();
 	#entries: readonly WorkerEntry[] = [];
+	/** When a zone was claimed or dropped last. */
+	#changedAtMs = Number.NEGATIVE_INFINITY;
 
 	constructor(
 		orders: WorkerOrders,
@@ -127,6 +129,7 @@
 	/** Takes the workers of a zone under a fencing token; what runs there is kept. */
 	lead(zone: string, token: number, now: number): void {
 		this.#zones.set(zone, {token, claimedAtMs: now});
+		this.#changedAtMs = now;
 		for (const worker of this.#workers.values()) {
 			if (worker.entry.zone === zone) {
 				worker.isSynced = false;
@@ -138,8 +141,9 @@
 	}
 
 	/** Gives up the workers of a zone; returns the runs that were there. */
-	drop(zone: string): readonly WorkerRun[] {
+	drop(zone: string, now: number): readonly WorkerRun[] {
 		this.#zones.delete(zone);
+		this.#changedAtMs = now;
 		const dropped = this.workers.filter(({entry}) => entry.zone === zone);
 		for (const {entry} of dropped) {
 			this.#workers.delete(entry.id);
@@ -173,18 +177,35 @@
 		);
 	}
 
-	/** Time from which every run of an earlier leader that has not been found has surely ended, given its zones. */
-	settledAtMs(allZones: readonly string[], now: number): number {
+	/**
+	 * Time from which every run that was ordered before a job was taken over, and has not been found, has surely ended.
+	 * Workers that are not led here may be kept alive by their leader until it finds that no job claims the run.
+	 */
+	settledAtMs(
+		allZones: readonly string[],
+		takenAtMs: number,
+		now: number,
+	): number {
 		const isWhole =
 			this.#leadsAll(allZones) && this.workers.every(({isSynced}) => isSynced);
-		return isWhole ? now : this.#lapsedAtMs;
+		const {leaseMs, orphanMs} = this.#settings;
+		return isWhole
+			? now
+			: Math.max(takenAtMs, this.#changedAtMs) +
+					leaseMs +
+					orphanMs +
+					lapseMarginMs;
 	}
 
 	/** The same as far as can be hoped: workers that were just claimed may report at once. */
-	settlesAtMs(allZones: readonly string[], now: number): number {
+	settlesAtMs(
+		allZones: readonly string[],
+		takenAtMs: number,
+		now: number,
+	): number {
 		return this.#leadsAll(allZones) && this.isLearning(now)
 			? now
-			: this.settledAtMs(allZones, now);
+			: this.settledAtMs(allZones, takenAtMs, now);
 	}
 
 	/** Takes in the platform's list of workers. */
@@ -385,20 +406,6 @@
 		return zones.every((zone) => this.#zones.has(zone));
 	}
 
-	/** When the runs of earlier leaders have ended at the latest, since nobody extends their leases. */
-	get #lapsedAtMs(): number {
-		const {leaseMs, orphanMs} = this.#settings;
-		return (
-			Math.max(
-				Number.NEGATIVE_INFINITY,
-				...[...this.#zones.values()].map(({claimedAtMs}) => claimedAtMs),
-			) +
-			leaseMs +
-			orphanMs +
-			lapseMarginMs
-		);
-	}
-
 	#updateEntry(worker: PoolWorker, entry: WorkerEntry, now: number): void {
 		const isReborn =
 			worker.bornMs !== undefined && entry.bornMs > worker.bornMs;
--- a/packages/peer/src/pool-link.ts
+++ b/packages/peer/src/pool-link.ts
@@ -74,6 +74,7 @@
 export class PoolLink {
 	readonly #settings: PoolLinkSettings;
 	readonly #onOpen: () => void;
+	readonly #now: () => number;
 	#client: Client | undefined;
 	#stream: ClientDuplexStream<PoolBatch, PoolReceipt> | undefined;
 	#isOpen = false;
@@ -83,12 +84,14 @@
 	#retryAtMs = 0;
 	#pauseMs: number;
 
-	/** `onOpen` is called when the first receipt of a new stream comes. */
+	/** `onOpen` is called when the first receipt of a new stream comes; `now` reads a clock that never jumps, in milliseconds. */
 	constructor(
 		readonly address: string,
 		onOpen: () => void,
+		now: () => number,
 		settings: PoolLinkSettings = defaultPoolLinkSettings,
 	) {
+		this.#now = now;
 		this.#onOpen = onOpen;
 		this.#settings = settings;
 		this.#pauseMs = settings.reconnectMs;
@@ -176,7 +179,7 @@
 		});
 		const lost = () => {
 			if (stream === this.#stream) {
-				this.#disconnect(performance.timeOrigin + performance.now());
+				this.#disconnect(this.#now());
 			}
 		};
 
--- a/packages/peer/src/pool-mesh.ts
+++ b/packages/peer/src/pool-mesh.ts
@@ -18,6 +18,8 @@
 	readonly name: string;
 	/** `host:port` to listen on. */
 	readonly address: string;
+	/** Reads a clock that never jumps, in milliseconds. */
+	readonly now: () => number;
 	/** A message of an entry VM that has said its name. */
 	readonly onMessage: (from: string, message: PoolMessage) => void;
 	/** The newest stream of an entry VM has broken. */
@@ -26,6 +28,12 @@
 	readonly onOpen: (name: string) => void;
 };
 
+/**
+ * Milliseconds without a message after which what comes on a stream is out of date: a cut, or a freeze of this process, has
+ * held it up. Twice the longest pause between heartbeats; the other end has opened a new stream by then.
+ */
+const staleMs = 800;
+
 type Inbound = ServerDuplexStream<PoolBatch, PoolReceipt>;
 
 /** All streams of one entry VM. */
@@ -79,14 +87,13 @@
 			if (!this.#links.has(address)) {
 				this.#links.set(
 					address,
-					new PoolLink(address, () => {
-						const name = [...this.#addresses].find(
-							([, other]) => other === address,
-						)?.[0];
-						if (name !== undefined) {
-							this.#options.onOpen(name);
-						}
-					}),
+					new PoolLink(
+						address,
+						() => {
+							this.#opened(address);
+						},
+						this.#options.now,
+					),
 				);
 			}
 		}
@@ -124,6 +131,15 @@
 		this.#server.forceShutdown();
 	}
 
+	#opened(address: string): void {
+		const name = [...this.#addresses].find(
+			([, other]) => other === address,
+		)?.[0];
+		if (name !== undefined) {
+			this.#options.onOpen(name);
+		}
+	}
+
 	#linkTo(name: string): PoolLink | undefined {
 		const address = this.#addresses.get(name);
 		return address === undefined ? undefined : this.#links.get(address);
@@ -131,7 +147,16 @@
 
 	#serve(stream: Inbound): void {
 		let name: string | undefined;
+		let heardAtMs = this.#options.now();
 		stream.on('data', (batch: PoolBatch) => {
+			const now = this.#options.now();
+			if (now - heardAtMs > staleMs) {
+				ended();
+				stream.end();
+				return;
+			}
+
+			heardAtMs = now;
 			for (const message of batch) {
 				if (message.type === 'heartbeat') {
 					name = message.heartbeat.name;
--- a/packages/platform/src/entry-settings.ts
+++ b/packages/platform/src/entry-settings.ts
@@ -18,6 +18,8 @@
 	readonly peerSeeds: readonly string[];
 	/** `host:port` for metrics. */
 	readonly metricsAddress: string;
+	/** Whether the whole installation starts for the first time, so that no callers come yet. */
+	readonly isFirstStart: boolean;
 	/** Share of a core that the process may use. */
 	readonly processorShare: number;
 	/** `host:port` of the platform's store. */
@@ -30,7 +32,7 @@
 	readonly stopGraceMs: number;
 };
 
-type Kind = 'text' | 'address' | 'positive' | 'texts' | 'addresses';
+type Kind = 'flag' | 'text' | 'address' | 'positive' | 'texts' | 'addresses';
 
 const kinds: Readonly<Record<keyof EntrySettings, Kind>> = {
 	name: 'text',
@@ -41,6 +43,7 @@
 	peerAddress: 'address',
 	peerSeeds: 'addresses',
 	metricsAddress: 'address',
+	isFirstStart: 'flag',
 	processorShare: 'positive',
 	storeAddress: 'address',
 	workerLeaseMs: 'positive',
@@ -56,6 +59,10 @@
 const checks: Readonly<
 	Record<Kind, {readonly expected: string; accepts(value: unknown): boolean}>
 > = {
+	flag: {
+		expected: 'true or false',
+		accepts: (value) => typeof value === 'boolean',
+	},
 	text: {expected: 'a text that is not empty', accepts: isText},
 	address: {expected: 'host:port', accepts: isAddress},
 	positive: {
--- a/packages/platform/src/tests/site-records.test.ts
+++ b/packages/platform/src/tests/site-records.test.ts
@@ -14,6 +14,7 @@
 	peerAddress: '127.0.0.1:3',
 	peerSeeds: [],
 	metricsAddress: '127.0.0.1:4',
+	isFirstStart: true,
 	processorShare: 0.675,
 	storeAddress: '127.0.0.1:5',
 	workerLeaseMs: 1000,
--- a/packages/platform/src/worker-client.ts
+++ b/packages/platform/src/worker-client.ts
@@ -110,6 +110,15 @@
 		}
 	}
 
+	/** Closes all connections. */
+	closeAll(): void {
+		for (const {host} of this.#hosts.values()) {
+			host.close();
+		}
+
+		this.#hosts.clear();
+	}
+
 	async #post(
 		worker: WorkerEntry,
 		path: string,
--- a/packages/verbenarouter/src/pool/daemon.ts
+++ b/packages/verbenarouter/src/pool/daemon.ts
@@ -5,6 +5,7 @@
 import {createCallerFront, parseEntrySettings} from '@verbenarouter/platform';
 import {PoolLog} from './pool-log.js';
 import {PoolNode} from './pool-node.js';
+import {earlyPace, rehearse} from './rehearsal.js';
 import {steadyNow} from './steady-clock.js';
 
 /** Milliseconds that are left of the stop's grace when the process ends at the latest. */
@@ -26,6 +27,21 @@
 	return {host, port: Number(port)};
 }
 
+/** Rehearses leading before the first callers come, so that this process can lead the region. */
+async function warmUp(node: PoolNode, log: PoolLog): Promise<void> {
+	const startedAtMs = steadyNow();
+	try {
+		await rehearse(earlyPace);
+		node.setWarm();
+		log.write({
+			event: 'rehearsed',
+			tookMs: Math.round(steadyNow() - startedAtMs),
+		});
+	} catch (error: unknown) {
+		log.write({event: 'rehearsal-failed', reason: String(error)});
+	}
+}
+
 /** Takes over the settings file after SIGHUP, and when it changes without a signal. */
 function watchSettings(path: string, node: PoolNode, log: PoolLog): void {
 	let modifiedMs = statSync(path).mtimeMs;
@@ -83,6 +99,9 @@
 	readiness.listen(listenOn(value.readinessAddress));
 	metrics.listen(listenOn(value.metricsAddress));
 	log.write({event: 'started', tookMs: Math.round(performance.now())});
+	if (value.isFirstStart) {
+		void warmUp(node, log);
+	}
 
 	setTimeout(() => {
 		void log.loadMetrics();
--- a/packages/verbenarouter/src/pool/member-registry.ts
+++ b/packages/verbenarouter/src/pool/member-registry.ts
@@ -41,7 +41,7 @@
 	}
 
 	/** Reads and records; goes on trying until both have worked. */
-	async join(): Promise<void> {
+	async register(): Promise<void> {
 		const read = await this.#client.newest(topic);
 		if (read.isErr()) {
 			this.#retry(read.error.message);
@@ -74,13 +74,13 @@
 		}
 
 		// Of two that start at once, the one that is written later sees the other.
-		await this.join();
+		await this.register();
 	}
 
 	#retry(message: string): void {
 		this.#listener.failed(message);
 		setTimeout(() => {
-			void this.join();
+			void this.register();
 		}, retryMs);
 	}
 }
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -11,7 +11,6 @@
 	type Heartbeat,
 	type LeadershipChange,
 	type MemberAddress,
-	type OrderOutcome,
 	type PoolAnswer,
 	type PoolJob,
 	type WorkerEntry,
@@ -28,6 +27,7 @@
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {type PoolLog} from './pool-log.js';
 import {StoreFollower} from './store-follower.js';
+import {ordersOver} from './worker-orders.js';
 
 /** Milliseconds between two heartbeats from or to a leader. */
 const heartbeatMs = 100;
@@ -119,39 +119,7 @@
 		this.#leadership.setScope('region');
 		this.#workers = new WorkerClient(now);
 		this.#scheduler = new PoolScheduler({
-			orders: {
-				hold: (order) => {
-					const sentAtMs = now();
-					void this.#ordered(this.#workers.hold(order), (outcome) => {
-						this.#scheduler.holdAnswered(
-							order.worker.id,
-							sentAtMs,
-							outcome,
-							now(),
-						);
-					});
-				},
-				start: (order) => {
-					void this.#ordered(this.#workers.start(order), (outcome) => {
-						this.#scheduler.startAnswered(
-							order.worker.id,
-							order.task,
-							outcome,
-							now(),
-						);
-					});
-				},
-				stop: (order) => {
-					void this.#ordered(this.#workers.stop(order), (outcome) => {
-						this.#scheduler.stopAnswered(
-							order.worker.id,
-							order.task,
-							outcome,
-							now(),
-						);
-					});
-				},
-			},
+			orders: ordersOver(this.#workers, () => this.#scheduler, now),
 			output: {
 				answer: (receiver, id, answer) => {
 					this.#deliver(receiver, id, answer);
@@ -183,6 +151,7 @@
 		this.#mesh = new PoolMesh({
 			name: settings.name,
 			address: settings.peerAddress,
+			now,
 			onMessage: (from, message) => {
 				this.#received(from, message);
 			},
@@ -244,7 +213,7 @@
 	async start(): Promise<void> {
 		await this.#mesh.listen();
 		this.#link();
-		void this.#registry.join();
+		void this.#registry.register();
 		setInterval(() => {
 			this.#tick();
 		}, tickMs);
@@ -282,6 +251,11 @@
 		};
 	}
 
+	/** The code for leading has run in this process, so that it may lead the region. */
+	setWarm(): void {
+		this.#leadership.setWarm();
+	}
+
 	/** Gives up leading; jobs are still received and answered. */
 	beginStop(): void {
 		this.#isStopping = true;
@@ -413,13 +387,6 @@
 		this.#log.write({event: 'rejected', id, status, reason});
 	}
 
-	async #ordered(
-		call: Promise<OrderOutcome>,
-		take: (outcome: OrderOutcome) => void,
-	): Promise<void> {
-		take(await call);
-	}
-
 	#tick(): void {
 		const now = this.#now();
 		this.#lead();
@@ -574,7 +541,7 @@
 			intervalMs,
 			processorShare: this.#settings.processorShare,
 			isStopping: this.#isStopping,
-			isWarm: this.#leadership.isWarm(this.#now()),
+			isWarm: this.#leadership.isWarm,
 			leads: Object.fromEntries(this.#leadership.leads),
 			highestToken: this.#leadership.highestToken,
 			hears: this.#hears,
--- a/testing/src/site/site-installation.ts
+++ b/testing/src/site/site-installation.ts
@@ -123,6 +123,7 @@
 					peerAddress: `127.0.0.1:${peerPort}`,
 					peerSeeds: this.#seeds,
 					metricsAddress: `127.0.0.1:${metricsPort}`,
+					isFirstStart: false,
 					processorShare: 1,
 					storeAddress: this.store.address,
 					workerLeaseMs: 1000,
