--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -546,6 +546,11 @@
 		}
 
 		this.#mayPlace = false;
+		const open = this.pool.workers.filter((worker) => worker.isOpen(now));
+		if (open.length === 0) {
+			return;
+		}
+
 		const waiting = [...this.#jobs.values()]
 			.filter(
 				(job) =>
@@ -557,25 +562,13 @@
 			return;
 		}
 
-		const open = this.pool.workers.filter((worker) => worker.isOpen(now));
+		let largestFree = largestFreeOf(open);
 		for (const job of waiting) {
-			const largestFree = Math.max(
-				0,
-				...open.map(({free}) => free.processorMillis),
-			);
-			const hasRoom = job.tasks.some(
-				({state, task: {needs}}) =>
-					state === 'waiting' && needs.processorMillis <= largestFree,
-			);
-			if (!hasRoom) {
-				continue;
-			}
-
-			if (job.isInDoubt && now < this.#settledAtMs(job, now)) {
-				continue;
+			const hasRoom = smallestWaitingOf(job) <= largestFree;
+			const isInDoubt = job.isInDoubt && now < this.#settledAtMs(job, now);
+			if (hasRoom && !isInDoubt && this.#placeJob(job, open, now)) {
+				largestFree = largestFreeOf(open);
 			}
-
-			this.#placeJob(job, open, now);
 		}
 	}
 
@@ -591,7 +584,12 @@
 		return this.pool.settlesAtMs(this.#parts.zones, job.takenAtMs, now);
 	}
 
-	#placeJob(job: ScheduledJob, open: readonly PoolWorker[], now: number): void {
+	/** Starts what fits of a job; returns whether anything did. */
+	#placeJob(
+		job: ScheduledJob,
+		open: readonly PoolWorker[],
+		now: number,
+	): boolean {
 		const ofService = open.filter(
 			({entry}) => entry.service === job.queue.service,
 		);
@@ -600,6 +598,7 @@
 				right.task.needs.processorMillis - left.task.needs.processorMillis,
 		);
 		const endsByMs = job.keptUntilMs + job.longestMs;
+		let isPlaced = false;
 		for (const task of largestFirst) {
 			const others = ofService.filter(
 				(worker) =>
@@ -614,8 +613,11 @@
 			);
 			if (worker !== undefined) {
 				this.#startTask(job, task, worker, now);
+				isPlaced = true;
 			}
 		}
+
+		return isPlaced;
 	}
 
 	#startTask(
@@ -852,6 +854,14 @@
 	}
 }
 
+function smallestWaitingOf({waiting}: ScheduledJob): number {
+	return Math.min(...waiting.map(({task: {needs}}) => needs.processorMillis));
+}
+
+function largestFreeOf(workers: readonly PoolWorker[]): number {
+	return Math.max(0, ...workers.map(({free}) => free.processorMillis));
+}
+
 /** The identifier of the job that a task belongs to; names of tasks begin with it. */
 export function jobIdOf(task: string): string {
 	return task.slice(0, task.indexOf('.'));
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -113,6 +113,9 @@
 	#clockOffsetMs: number | undefined;
 	#bornMs: number | undefined;
 	#used: Resources = {processorMillis: 0, memoryMb: 0, accelerators: 0};
+	/** What is free of `#freeOf`; asked for far more often than it changes. */
+	#free: Resources | undefined;
+	#freeOf: Resources | undefined;
 
 	constructor(public entry: WorkerEntry) {}
 
@@ -154,12 +157,17 @@
 
 	/** Resources that neither runs nor orphans use. */
 	get free(): Resources {
-		const {processorMillis, memoryMb, accelerators} = this.entry.capacity;
-		return {
-			processorMillis: processorMillis - this.#used.processorMillis,
-			memoryMb: memoryMb - this.#used.memoryMb,
-			accelerators: accelerators - this.#used.accelerators,
-		};
+		const {capacity} = this.entry;
+		if (this.#free === undefined || this.#freeOf !== capacity) {
+			this.#freeOf = capacity;
+			this.#free = {
+				processorMillis: capacity.processorMillis - this.#used.processorMillis,
+				memoryMb: capacity.memoryMb - this.#used.memoryMb,
+				accelerators: capacity.accelerators - this.#used.accelerators,
+			};
+		}
+
+		return this.#free;
 	}
 
 	/** Whether a task may be started here now. */
@@ -216,5 +224,6 @@
 		}
 
 		this.#used = used;
+		this.#free = undefined;
 	}
 }
--- a/testing/src/tests/site.test.ts
+++ b/testing/src/tests/site.test.ts
@@ -97,7 +97,9 @@
 function leadersOf({entryVms}: SiteInstallation): ReadonlySet<unknown> {
 	return new Set(
 		entryVms.map(({lines}) => {
-			const line = lines.findLast((other) => other.includes('"event":"leader"'));
+			const line = lines.findLast((other) =>
+				other.includes('"event":"leader"'),
+			);
 			return /"leader":"(?<name>[^"]+)"/v.exec(line ?? '')?.groups?.name;
 		}),
 	);
