Hold requests until the first desired state, and name the inputs of a decision in explain

Change: a request that comes before the first desired state waits for it, 400 ms at most, and its refusal is logged; explain prints the inputs of the refusal or the giving up, the last start and longest run of a late job, and the new start of an entry VM that ended before it answered. Tests for each. Ruled out: listening later (the balancer's connections would be refused, and callers come back 1.3 s later).

--- a/packages/platform/src/caller-front.ts
+++ b/packages/platform/src/caller-front.ts
@@ -19,6 +19,8 @@
 export type JobIntake = {
 	/** The desired state in force; `undefined` before the first. */
 	desiredState(): DesiredState | undefined;
+	/** The first desired state; `undefined` when it does not come in time. */
+	firstDesiredState(): Promise<DesiredState | undefined>;
 	/** Runs a job; resolves with its answer, and never rejects. */
 	submit(job: Omit<PoolJob, 'attempt'>): Promise<PoolAnswer>;
 	/** The caller's connection has ended before the answer. */
@@ -47,39 +49,59 @@
 		{keepAliveTimeout: 0, requestTimeout: 0},
 		(request, response) => {
 			const state = intake.desiredState();
-			if (state === undefined) {
-				request.resume();
-				send(intake, response, {
-					status: 503,
-					body: '{"error":"not run: no desired state is known yet"}',
-					retryAfterMs: defaultRetryMs,
-				});
-				return;
-			}
-
-			const path = request.url ?? '/';
-			const queue = queueFor(state, request.headers.host ?? '', path);
-			if (queue === undefined) {
-				request.resume();
-				intake.rejected(path, 404, 'queue-unknown');
-				send(intake, response, {
-					status: 404,
-					body: '{"error":"not run: no queue has this host and path"}',
-				});
+			if (state !== undefined) {
+				dispatch(intake, request, response, state);
 				return;
 			}
 
-			route(
-				intake,
-				request,
-				response,
-				queue,
-				path.slice(queue.pathPrefix.length),
-			);
+			void (async () => {
+				// A new process knows it within milliseconds, and a caller that is refused may not come back.
+				const first = await intake.firstDesiredState();
+				if (first === undefined) {
+					refuseWithoutState(intake, request, response);
+				} else {
+					dispatch(intake, request, response, first);
+				}
+			})();
 		},
 	);
 }
 
+function refuseWithoutState(
+	intake: JobIntake,
+	request: IncomingMessage,
+	response: ServerResponse,
+): void {
+	request.resume();
+	intake.rejected(request.url ?? '/', 503, 'no-desired-state');
+	send(intake, response, {
+		status: 503,
+		body: '{"error":"not run: no desired state is known yet"}',
+		retryAfterMs: defaultRetryMs,
+	});
+}
+
+function dispatch(
+	intake: JobIntake,
+	request: IncomingMessage,
+	response: ServerResponse,
+	state: DesiredState,
+): void {
+	const path = request.url ?? '/';
+	const queue = queueFor(state, request.headers.host ?? '', path);
+	if (queue === undefined) {
+		request.resume();
+		intake.rejected(path, 404, 'queue-unknown');
+		send(intake, response, {
+			status: 404,
+			body: '{"error":"not run: no queue has this host and path"}',
+		});
+		return;
+	}
+
+	route(intake, request, response, queue, path.slice(queue.pathPrefix.length));
+}
+
 function route(
 	intake: JobIntake,
 	request: IncomingMessage,
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -54,6 +54,8 @@
 /** Milliseconds without a report after which a zone's workers count as out of reach. */
 const emptyZoneMs = 1500;
 const retryMs = 1000;
+/** Milliseconds for which a request waits for the first desired state; a new process reads it in a tenth of that. */
+const firstStateMs = 400;
 /** Run time in milliseconds of tasks without an estimate. */
 const defaultRunMs = 50;
 /** Milliseconds for which a question to the leader waits for its reply. */
@@ -90,6 +92,8 @@
 	readonly #members = new Map<string, KnownMember>();
 	readonly #questions = new Map<number, (value: unknown) => void>();
 	readonly #incarnation: string;
+	/** Requests that came before the first desired state. */
+	readonly #stateWaiters = new Set<(state: DesiredState) => void>();
 	#state: DesiredState | undefined;
 	#entries: readonly WorkerEntry[] = [];
 	#leader: string | undefined;
@@ -291,6 +295,16 @@
 		return this.#state;
 	}
 
+	async firstDesiredState(): Promise<DesiredState | undefined> {
+		return new Promise((resolve) => {
+			this.#stateWaiters.add(resolve);
+			setTimeout(() => {
+				this.#stateWaiters.delete(resolve);
+				resolve(this.#state);
+			}, firstStateMs);
+		});
+	}
+
 	isStopping(): boolean {
 		return this.#isStopping;
 	}
@@ -819,6 +833,11 @@
 			source,
 		});
 		this.#scheduler.configure(state);
+		for (const resolve of this.#stateWaiters) {
+			resolve(state);
+		}
+
+		this.#stateWaiters.clear();
 		if (source === 'store') {
 			this.#tellAll();
 		}
--- a/packages/verbenarouter/src/pool/rehearsal.ts
+++ b/packages/verbenarouter/src/pool/rehearsal.ts
@@ -162,6 +162,7 @@
 	}, tickMs);
 	const front = createCallerFront({
 		desiredState: () => state,
+		firstDesiredState: async () => state,
 		submit: async (job) =>
 			new Promise((resolve) => {
 				waiting.set(job.id, resolve);
--- a/packages/verbenarouter/src/tests/job-story.test.ts
+++ b/packages/verbenarouter/src/tests/job-story.test.ts
@@ -54,6 +54,55 @@
 		);
 	});
 
+	it('names the inputs of a refusal, and the slowest run of a late job', () => {
+		const refused = storyOf(
+			id,
+			[
+				line(1, 'refused', {
+					reason: 'overloaded',
+					inputs: {waitMs: 180, slackMs: 177, waitingJobs: 71},
+				}),
+				line(2, 'answered', {
+					answer: 'not-run',
+					reason: 'overloaded',
+					tookMs: 2,
+				}),
+			].join('\n'),
+		);
+		expect(refused.cause).toBe(
+			'not-run after 2 ms: overloaded; its last task would have started in 180 ms, 177 ms were left, 71 jobs waited',
+		);
+		const late = storyOf(
+			id,
+			[
+				line(1, 'placed', {inputs: {waitedMs: 40}}),
+				line(2, 'run-ended', {
+					reason: 'done',
+					worker: 'w1',
+					inputs: {ranMs: 806, expectedMs: 219},
+				}),
+				line(3, 'answered', {answer: 'completed', reason: '', tookMs: 850}),
+			].join('\n'),
+		);
+		expect(late.cause).toBe(
+			'completed after 850 ms; last task started after 40 ms, longest run 806 ms where 219 ms were expected, on w1',
+		);
+	});
+
+	it('says that the entry VM started anew before it answered', () => {
+		const story = storyOf(
+			id,
+			[
+				line(1, 'starting', {id: undefined}),
+				line(2, 'received'),
+				line(4, 'starting', {id: undefined}),
+			].join('\n'),
+		);
+		expect(story.cause).toBe(
+			'no answer was given: entry-1 ended without a stop, and started anew at 2026-09-06T22:51:04.000Z',
+		);
+	});
+
 	it('counts lines that are cut off, and says so when nothing is known', () => {
 		const cut = line(1, 'received', {queue: 'plans'}).slice(0, -5);
 		expect(storyOf(id, cut)).toMatchObject({lines: [], unreadableCount: 1});
