Answer what is left at the end of a planned stop

Change: at the end of its time a stopping entry VM withdraws the jobs that are left and answers their callers: not run if no leader had them, else may have run. A process test (a long job on a follower that stops). Ruled out: refusing requests from a point of time on (their run time is not known well enough; most end in time).

--- a/packages/core/src/pool-job.ts
+++ b/packages/core/src/pool-job.ts
@@ -68,7 +68,12 @@
 
 /** Why a job was given up although a task of it may have started. */
 export type MayHaveRunReason =
-	'deadline-exceeded' | 'worker-lost' | 'leader-lost' | 'caller-left';
+	| 'deadline-exceeded'
+	| 'worker-lost'
+	| 'leader-lost'
+	| 'caller-left'
+	/** The entry VM that received it stops, and its time is up. */
+	| 'stopping';
 
 /** Adds what two tasks need. */
 export function addResources(left: Resources, right: Resources): Resources {
--- a/packages/verbenarouter/src/pool/daemon.ts
+++ b/packages/verbenarouter/src/pool/daemon.ts
@@ -13,6 +13,8 @@
 /** Milliseconds for which a stopping process still takes requests: the balancer needs two failed probes. */
 const leastStopMs = 2600;
 const stopLookMs = 50;
+/** Milliseconds for the last answers to leave the process. */
+const lastAnswersMs = 100;
 /** Milliseconds after the start before the metrics are loaded, so that they do not delay the first answers. */
 const metricsDelayMs = 4000;
 /** Milliseconds between two looks whether the settings file has changed. */
@@ -108,23 +110,37 @@
 	}, metricsDelayMs);
 	watchSettings(path, node, log);
 	process.once('SIGTERM', () => {
-		const stoppedAtMs = steadyNow();
-		log.write({event: 'stopping', pendingJobs: node.pendingCountHere});
-		node.beginStop();
-		setInterval(() => {
-			const sinceMs = steadyNow() - stoppedAtMs;
-			const isIdle = node.pendingCountHere === 0 && sinceMs >= leastStopMs;
-			if (isIdle || sinceMs >= value.stopGraceMs - exitMarginMs) {
-				log.write({event: 'stopped', pendingJobs: node.pendingCountHere});
-				node.close();
-				setImmediate(() => {
-					process.exit(0);
-				});
-			}
-		}, stopLookMs);
+		stop(node, log, value.stopGraceMs, () => {
+			process.exit(0);
+		});
 	});
 }
 
+/** Ends the process when all callers are answered, and before the platform ends it. */
+function stop(
+	node: PoolNode,
+	log: PoolLog,
+	graceMs: number,
+	end: () => void,
+): void {
+	const stoppedAtMs = steadyNow();
+	log.write({event: 'stopping', pendingJobs: node.pendingCountHere});
+	node.beginStop();
+	const looks = setInterval(() => {
+		const sinceMs = steadyNow() - stoppedAtMs;
+		const isIdle = node.pendingCountHere === 0 && sinceMs >= leastStopMs;
+		if (isIdle || sinceMs >= graceMs - exitMarginMs) {
+			clearInterval(looks);
+			log.write({event: 'stopped', pendingJobs: node.pendingCountHere});
+			node.giveUpAll();
+			setTimeout(() => {
+				node.close();
+				setImmediate(end);
+			}, lastAnswersMs);
+		}
+	}, stopLookMs);
+}
+
 // The bundle is CommonJS, which has no await here; a rejection ends the process with its cause.
 // eslint-disable-next-line unicorn/prefer-top-level-await
 void main();
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -267,6 +267,22 @@
 		this.#beatAll(this.#now());
 	}
 
+	/** Answers all jobs that are left at the end of a stop, since a connection that breaks tells their callers less. */
+	giveUpAll(): void {
+		for (const {job, sentTo} of this.#pending.all) {
+			if (sentTo !== undefined) {
+				this.#withdraw(sentTo, job.id);
+			}
+
+			this.#pending.answer(
+				job.id,
+				sentTo === undefined
+					? {kind: 'not-run', reason: 'not-ready', retryAfterMs: retryMs}
+					: {kind: 'may-have-run', reason: 'stopping'},
+			);
+		}
+	}
+
 	/** Takes over changed settings; returns the names of those that take effect only at the next start. */
 	reload(settings: EntrySettings): readonly string[] {
 		const names = Object.keys(settings) as ReadonlyArray<keyof EntrySettings>;
--- a/testing/src/site/site-installation.ts
+++ b/testing/src/site/site-installation.ts
@@ -273,6 +273,7 @@
 	method: string,
 	target: string,
 	body: string,
+	patienceMs = 5000,
 ): Promise<SiteAnswer> {
 	const startedAtMs = performance.now();
 	return new Promise((resolve) => {
@@ -295,7 +296,7 @@
 				headers: {
 					host: siteQueue.host,
 					'content-type': 'application/json',
-					'x-deadline-ms': '5000',
+					'x-deadline-ms': String(patienceMs),
 				},
 			},
 			(response) => {
--- a/testing/src/tests/site.test.ts
+++ b/testing/src/tests/site.test.ts
@@ -202,6 +202,30 @@
 		expect(allRuns(own)).toHaveLength(120);
 	});
 
+	it('answers what is left at the end of a stop, and breaks no connection', async () => {
+		const own = await startSite();
+		const leader = leaderOf(own);
+		const stopping = own.entryVms.find((entryVm) => entryVm !== leader)!;
+		const answers = [
+			call(
+				stopping.callerPort,
+				'POST',
+				`${siteQueue.prefix}${own.newId()}`,
+				'{"spec":"20000 100","bestEffort":true,"steps":[{"count":1,"cpu":100}]}',
+				30_000,
+			),
+			own.submit(stopping, own.newId(), job),
+		];
+		await sleep(200);
+		stopping.child.kill('SIGTERM');
+		const [unfinished, finished] = await Promise.all(answers);
+		expect([unfinished?.status, finished?.status]).toEqual([502, 200]);
+		await sleep(300);
+		expect(allRuns(own).every(({endedAtMs}) => endedAtMs !== undefined)).toBe(
+			true,
+		);
+	}, 15_000);
+
 	it('finds one leader through the store when no seed runs', async () => {
 		const own = await startSite(2, {hasLiveSeeds: false});
 		const answers = await load(bound(own), own.entryVms, 20);
