Move a rehearsal's messages into platform/, and write twice-written parts once

Cause: the rehearsal spoke the platform's wire names (hold, deadline, steps) outside packages/platform; a run was made in two places of the scheduler, and binding a gRPC server stood in both meshes. Change: rehearsal-wire.ts in platform/ has the workers and the requests of a rehearsal; newRun in the scheduler; bind-server.ts in peer. No behaviour is meant to change, and no test was changed.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -512,17 +512,10 @@
 		task.worker = worker.entry.id;
 		task.run = run;
 		worker.add({
-			task: task.task.name,
-			run,
-			jobId: job.id,
-			needs: task.task.needs,
-			expectedMs: task.expectedMs,
+			...newRun(job, task, now),
 			state: 'running',
-			orderedAtMs: now,
 			confirmedAtMs: now,
-			absences: 0,
 			sends: 1,
-			lastSentAtMs: now,
 		});
 		this.#decided('adopted', job.id, 'running', {
 			task: task.task.name,
@@ -645,24 +638,7 @@
 				reportAgeMs: Math.round(now - worker.reportedAtMs),
 			},
 		});
-		this.pool.start(
-			{
-				task: task.task.name,
-				run: task.run,
-				jobId: job.id,
-				needs: task.task.needs,
-				expectedMs: task.expectedMs,
-				state: 'ordered',
-				orderedAtMs: now,
-				confirmedAtMs: undefined,
-				absences: 0,
-				sends: 0,
-				lastSentAtMs: now,
-			},
-			job.job.spec,
-			worker,
-			now,
-		);
+		this.pool.start(newRun(job, task, now), job.job.spec, worker, now);
 	}
 
 	#taskEnded(
@@ -854,6 +830,27 @@
 	}
 }
 
+/** The present run of a task, not ordered yet. */
+function newRun(
+	{id: jobId}: ScheduledJob,
+	{task: {name, needs}, run, expectedMs}: ScheduledTask,
+	now: number,
+): WorkerRun {
+	return {
+		task: name,
+		run,
+		jobId,
+		needs,
+		expectedMs,
+		state: 'ordered',
+		orderedAtMs: now,
+		confirmedAtMs: undefined,
+		absences: 0,
+		sends: 0,
+		lastSentAtMs: now,
+	};
+}
+
 function smallestWaitingOf({waiting}: ScheduledJob): number {
 	return Math.min(...waiting.map(({task: {needs}}) => needs.processorMillis));
 }
--- /dev/null
+++ b/packages/peer/src/bind-server.ts
@@ -0,0 +1,18 @@
+/** Binds a gRPC server to an address. */
+import {ServerCredentials, type Server} from '@grpc/grpc-js';
+
+/** Listens at `host:port` without encryption. Rejects when the address cannot be bound. */
+export async function bindServer(
+	server: Server,
+	address: string,
+): Promise<void> {
+	await new Promise<void>((resolve, reject) => {
+		server.bindAsync(address, ServerCredentials.createInsecure(), (error) => {
+			if (error === null) {
+				resolve();
+			} else {
+				reject(error);
+			}
+		});
+	});
+}
--- a/packages/peer/src/peer-mesh.ts
+++ b/packages/peer/src/peer-mesh.ts
@@ -1,12 +1,9 @@
 /** All links of one entry VM: a server for the requests of its peers, and one link to each of them. */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {
-	Server,
-	ServerCredentials,
-	type ServerDuplexStream,
-} from '@grpc/grpc-js';
+import {Server, type ServerDuplexStream} from '@grpc/grpc-js';
 import {type EntryVm, type LedgerMessage} from '@verbenarouter/core';
 import {ResultAsync, err} from 'neverthrow';
+import {bindServer} from './bind-server.js';
 import {FrameBatch} from './frame-batch.js';
 import {
 	type Frame,
@@ -67,19 +64,7 @@
 
 	/** Listens for peers. Rejects when the address cannot be bound. */
 	async listen(): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.#server.bindAsync(
-				this.#options.listenAddress,
-				ServerCredentials.createInsecure(),
-				(error) => {
-					if (error === null) {
-						resolve();
-					} else {
-						reject(error);
-					}
-				},
-			);
-		});
+		await bindServer(this.#server, this.#options.listenAddress);
 	}
 
 	/** What each connected peer said of itself, by the name of its entry VM. */
--- a/packages/peer/src/pool-mesh.ts
+++ b/packages/peer/src/pool-mesh.ts
@@ -1,9 +1,6 @@
 /** All streams of one entry VM to and from the others. */
-import {
-	Server,
-	ServerCredentials,
-	type ServerDuplexStream,
-} from '@grpc/grpc-js';
+import {Server, type ServerDuplexStream} from '@grpc/grpc-js';
+import {bindServer} from './bind-server.js';
 import {
 	PoolLink,
 	poolChannelOptions,
@@ -57,19 +54,7 @@
 
 	/** Listens. Rejects when the address cannot be bound. */
 	async listen(): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.#server.bindAsync(
-				this.#options.address,
-				ServerCredentials.createInsecure(),
-				(error) => {
-					if (error === null) {
-						resolve();
-					} else {
-						reject(error);
-					}
-				},
-			);
-		});
+		await bindServer(this.#server, this.#options.address);
 	}
 
 	/** Links to exactly these addresses, the own one left out. */
--- a/packages/verbenarouter/src/pool/rehearsal.ts
+++ b/packages/verbenarouter/src/pool/rehearsal.ts
@@ -2,7 +2,7 @@
  * Runs made-up jobs through the code of a receiver and of a leader, from request to answer, over loopback. Code that has
  * never run takes about ten times as long, so that a new leader could not keep up in its first seconds.
  */
-import {createServer, type Server, type ServerResponse} from 'node:http';
+import {type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
@@ -11,16 +11,16 @@
 	ObjectiveOrder,
 	PoolScheduler,
 	type DesiredState,
-	type ListedEnd,
 	type PoolAnswer,
 	type WorkerEntry,
 } from '@verbenarouter/core';
 import {
 	HttpHost,
+	RehearsalWorkers,
 	WorkerClient,
 	createCallerFront,
-	parseRecord,
-	textOf,
+	rehearsalNeedsMillis,
+	rehearsalRequest,
 } from '@verbenarouter/platform';
 import {ordersOver} from './worker-orders.js';
 
@@ -40,11 +40,10 @@
 const prefix = '/jobs/';
 const zone = 'rehearsal';
 const workerCount = 6;
-const runMs = 8;
 const tickMs = 20;
 const requestMs = 5000;
-const needsMillis = 27_000;
-const workerMillis = 64_000;
+/** Room for two tasks on each worker, in thousandths of a core. */
+const workerMillis = 2 * rehearsalNeedsMillis;
 
 const state: DesiredState = {
 	version: 1,
@@ -69,59 +68,6 @@
 	],
 };
 
-/** Workers of a rehearsal: every run ends after a few milliseconds. */
-class RehearsalWorkers {
-	readonly server: Server;
-	readonly #ended = new Map<string, ListedEnd[]>();
-	readonly #waiting = new Map<string, () => void>();
-
-	constructor() {
-		this.server = createServer((request, response) => {
-			const worker = String(request.headers['x-expect-instance']);
-			const chunks: Uint8Array[] = [];
-			request.on('data', (chunk: Uint8Array) => {
-				chunks.push(chunk);
-			});
-			request.on('end', () => {
-				const body = parseRecord(chunks.map((chunk) => textOf(chunk)).join(''));
-				if (request.url === '/api/hold') {
-					this.#hold(worker, Number(body?.waitMs), response);
-				} else {
-					this.#start(worker, String(body?.task));
-					send(response, {clockMs: Math.floor(performance.now())});
-				}
-			});
-		});
-	}
-
-	#start(worker: string, task: string): void {
-		setTimeout(() => {
-			const ended = this.#ended.get(worker) ?? [];
-			ended.push({number: ended.length + 1, task, run: 1, how: 'done'});
-			this.#ended.set(worker, ended);
-			this.#waiting.get(worker)?.();
-		}, runMs);
-	}
-
-	#hold(worker: string, waitMs: number, response: ServerResponse): void {
-		const answer = () => {
-			clearTimeout(timer);
-			this.#waiting.delete(worker);
-			send(response, {
-				clockMs: Math.floor(performance.now()),
-				born: 1,
-				running: [],
-				finished: (this.#ended.get(worker) ?? [])
-					.slice(-workerCount)
-					.map(({number, task, run, how}) => [number, task, run, how, '']),
-			});
-		};
-
-		const timer = setTimeout(answer, waitMs);
-		this.#waiting.set(worker, answer);
-	}
-}
-
 /** Plays a rehearsal; resolves when it has ended, and rejects when loopback cannot be used. */
 export async function rehearse({
 	jobs,
@@ -180,7 +126,7 @@
 		Array.from({length: atOnce}, async (_, index) => {
 			for (let job = index; job < jobs; job += atOnce) {
 				// eslint-disable-next-line no-await-in-loop -- one job after the other
-				await caller.exchange(submission(job));
+				await caller.exchange(rehearsalRequest(host, prefix, job, requestMs));
 				// eslint-disable-next-line no-await-in-loop
 				await sleep(pauseMs);
 			}
@@ -212,27 +158,6 @@
 	};
 }
 
-function submission(job: number) {
-	return {
-		method: 'POST',
-		path: prefix + job.toString(16).padStart(16, '0'),
-		headers: {host, 'x-deadline-ms': String(requestMs)},
-		body: JSON.stringify({
-			spec: '',
-			bestEffort: true,
-			steps: [
-				{
-					count: job % 3 === 0 ? 8 : 2,
-					cpu: needsMillis,
-					memMb: 64,
-					estimatedMs: runMs,
-				},
-			],
-		}),
-		timeoutMs: requestMs,
-	} as const;
-}
-
 async function listen(server: Server): Promise<string> {
 	return new Promise((resolve, reject) => {
 		server.once('error', reject);
@@ -241,8 +166,3 @@
 		});
 	});
 }
-
-function send(response: ServerResponse, body: unknown): void {
-	response.writeHead(200, {'content-type': 'application/json'});
-	response.end(JSON.stringify(body));
-}
