Give each zone a leader of its own where many workers are listed

The scope of leaders now follows from the number of listed workers: one leader for the region up to 80 workers that have been listed for 2.5 s, one for each zone from 120, the present scope between them. Until a list is known each zone is led on its own, so that a start of all does not merge the zones first and split them under load. 80 is what a zone has at the stated size of 245 workers in 3 zones; entries that were lost are back after two seconds.

With leaders of zones, the entry VMs of a zone are ranked by warmth, strength and name. The number of zones led no longer counts in favour of a candidate. A foreign zone goes back to its best entry VM instead of the first found; within its zone it moves only to a stronger machine that is warm, and never back.

Ruled out: a setting of the deployment, since it would have to be changed as the deployment grows; a successor that is merely warm, since an entry VM that has started again is warm only after it has led.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -36,6 +36,7 @@
 export * from './pool-job.js';
 export * from './pool-queue.js';
 export * from './pool-scheduler.js';
+export * from './pool-scope.js';
 export * from './pool-worker.js';
 export * from './scheduled-job.js';
 export type * from './worker-command.js';
--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -491,15 +491,21 @@
 		const inZone = allCandidates.filter((candidate) => candidate.zone === zone);
 		const isRegional =
 			this.#scope === 'region' && allCandidates.some(({isWarm}) => isWarm);
+		if (this.#scope === 'zone' && inZone.length > 0) {
+			return inZone.toSorted((left, right) => compareCandidates(left, right));
+		}
+
+		// One leader should lead the whole region, while leaders of zones should share the zones without entry VMs.
+		const direction = this.#scope === 'region' ? 1 : -1;
 		return (
 			isRegional || inZone.length === 0 ? allCandidates : inZone
 		).toSorted(
 			(left, right) =>
 				Number(right.isWarm) - Number(left.isWarm) ||
-				Object.keys(this.#tokensLedBy(right.name)).length -
-					Object.keys(this.#tokensLedBy(left.name)).length ||
-				right.processorShare - left.processorShare ||
-				compareStrings(left.name, right.name),
+				direction *
+					(Object.keys(this.#tokensLedBy(right.name)).length -
+						Object.keys(this.#tokensLedBy(left.name)).length) ||
+				compareCandidates(left, right),
 		);
 	}
 
@@ -518,10 +524,17 @@
 				now - peer.liveSinceMs >= this.#settings.mergeDelayMs,
 		);
 		if (this.#scope === 'zone') {
-			return this.#self.zone === zone
-				? undefined
-				: eligiblePeers.find(({heartbeat}) => heartbeat.zone === zone)
-						?.heartbeat.name;
+			const [best] = eligiblePeers
+				.map(({heartbeat}) => heartbeat)
+				.filter((heartbeat) => heartbeat.zone === zone)
+				.toSorted((left, right) => compareCandidates(left, right));
+			// A zone returns to its own entry VMs. Within the zone it moves only to a stronger machine that is warm: both
+			// are lasting properties, so that it never moves back.
+			const isBetter =
+				this.#self.zone !== zone ||
+				(best?.isWarm === true &&
+					best.processorShare > this.#self.processorShare);
+			return isBetter ? best?.name : undefined;
 		}
 
 		const ownCount = this.#ledZones.size;
@@ -593,6 +606,15 @@
 	);
 }
 
+/** Orders candidates for a zone: the warm first, then the strongest machine, then by name. */
+function compareCandidates(left: Candidate, right: Candidate): number {
+	return (
+		Number(right.isWarm) - Number(left.isWarm) ||
+		right.processorShare - left.processorShare ||
+		compareStrings(left.name, right.name)
+	);
+}
+
 function compareStrings(left: string, right: string): number {
 	if (left === right) {
 		return 0;
--- /dev/null
+++ b/packages/core/src/pool-scope.ts
@@ -0,0 +1,55 @@
+import {type PoolScope} from './leadership.js';
+
+/** Numbers of listed workers between which the scope of leaders changes. */
+export type ScopeSettings = {
+	/** Largest number of workers that one leader of the whole region takes over from leaders of zones. */
+	readonly maxRegionalWorkers: number;
+	/** Number of workers from which each zone has its own leader; well above the other bound, so that the scope does not alternate. */
+	readonly minZonalWorkers: number;
+	/**
+	 * Time for which few workers must have been listed before one leader leads them all. Workers whose entries were lost
+	 * register again in about two seconds.
+	 */
+	readonly settleMs: number;
+};
+
+/** Default settings: one leader leads no more workers than a zone has in a deployment of 245 workers in 3 zones. */
+export const defaultScopeSettings: ScopeSettings = {
+	maxRegionalWorkers: 80,
+	minZonalWorkers: 120,
+	settleMs: 2500,
+};
+
+/**
+ * Decides from the number of listed workers whether one leader leads the whole region or each zone has its own. Until a
+ * list is known the scope is `zone`, because zones that were merged too early would have to be split under load.
+ */
+export class ScopeBySize {
+	readonly #settings: ScopeSettings;
+	#scope: PoolScope = 'zone';
+	/** Time since which few enough workers for one leader have been listed; `undefined` while there are more or none. */
+	#smallSinceMs: number | undefined;
+
+	constructor(settings: ScopeSettings = defaultScopeSettings) {
+		this.#settings = settings;
+	}
+
+	/** Returns the scope for the number of workers that are listed now; 0 if no list is known. */
+	update(workerCount: number, now: number): PoolScope {
+		const {maxRegionalWorkers, minZonalWorkers, settleMs} = this.#settings;
+		if (workerCount >= minZonalWorkers) {
+			this.#scope = 'zone';
+		}
+
+		const isSmall = workerCount > 0 && workerCount <= maxRegionalWorkers;
+		this.#smallSinceMs = isSmall ? (this.#smallSinceMs ?? now) : undefined;
+		if (
+			this.#smallSinceMs !== undefined &&
+			now - this.#smallSinceMs >= settleMs
+		) {
+			this.#scope = 'region';
+		}
+
+		return this.#scope;
+	}
+}
--- a/packages/core/src/tests/leadership.test.ts
+++ b/packages/core/src/tests/leadership.test.ts
@@ -42,6 +42,14 @@
 	return created;
 }
 
+function createZonalLeadership(
+	name: string,
+	zone = 'zone-a',
+	processorShare = 1,
+): Leadership {
+	return new Leadership({name, zone, processorShare}, zones);
+}
+
 /** Returns the heartbeat of an entry VM with the state of its leadership. */
 function createLeadershipHeartbeat(
 	name: string,
@@ -266,3 +274,136 @@
 		);
 	});
 });
+
+describe('leaders of zones', () => {
+	it('claims its zone and no other, warm or not', () => {
+		const peers = [heartbeatFixture('b', {zone: 'zone-b'})];
+		const cold = createZonalLeadership('a');
+		expect(simulate(cold, 0, 6000, peers)).toEqual(['zone-a']);
+		const warm = createZonalLeadership('c');
+		warm.setWarm();
+		expect(simulate(warm, 0, 6000, peers)).toEqual(['zone-a']);
+	});
+
+	it('does not merge leaders of zones once they are warm', () => {
+		const a = createZonalLeadership('a');
+		const b = createZonalLeadership('b', 'zone-b', 2);
+		for (let now = 0; now <= 10_000; now += 20) {
+			a.receiveHeartbeat(createLeadershipHeartbeat('b', 'zone-b', b), now);
+			b.receiveHeartbeat(createLeadershipHeartbeat('a', 'zone-a', a), now);
+			a.tick(now);
+			b.tick(now);
+		}
+
+		expect([[...a.ledZones.keys()], [...b.ledZones.keys()]]).toEqual([
+			['zone-a'],
+			['zone-b'],
+		]);
+	});
+
+	it('lets the warm candidate claim first, and of equals the strongest machine', () => {
+		const leader = heartbeatFixture('l', {leads: {'zone-a': 5}});
+		const stronger = heartbeatFixture('z', {processorShare: 2, isWarm: false});
+		const claimsAfterLoss = (leadership: Leadership, untilMs: number) => {
+			simulate(leadership, 0, 2000, [leader, stronger]);
+			leadership.markDisconnected('l');
+			return simulate(leadership, 2020, 2020 + untilMs, [stronger]);
+		};
+
+		const warm = createZonalLeadership('m');
+		warm.setWarm();
+		expect(claimsAfterLoss(warm, leaderCheckMs + 20)).toEqual(['zone-a']);
+		const untilTurnMs = leaderCheckMs + candidateStaggerMs;
+		expect(
+			claimsAfterLoss(createZonalLeadership('m'), untilTurnMs - 20),
+		).toEqual([]);
+		expect(
+			claimsAfterLoss(createZonalLeadership('m'), untilTurnMs + 20),
+		).toEqual(['zone-a']);
+	});
+
+	it('ranks the leader of many zones no higher than others of the zone', () => {
+		const leadership = createZonalLeadership('a');
+		leadership.setWarm();
+		const peers = [heartbeatFixture('b', {leads: {'zone-b': 5, 'zone-c': 5}})];
+		expect(
+			simulate(leadership, 0, startGraceMs + leaderCheckMs + 40, peers),
+		).toEqual(['zone-a']);
+	});
+
+	it('hands a foreign zone back to the best candidate of the zone, and only after the merge delay', () => {
+		const leadership = createZonalLeadership('a');
+		const leaving = heartbeatFixture('b', {
+			zone: 'zone-b',
+			isStopping: true,
+			yields: {'zone-b': 'a'},
+		});
+		simulate(leadership, 0, 1000, [leaving]);
+		expect([...leadership.ledZones.keys()].toSorted()).toEqual(zones);
+		const returned = [
+			heartbeatFixture('c', {zone: 'zone-b', isWarm: false, processorShare: 4}),
+			heartbeatFixture('d', {zone: 'zone-b', processorShare: 1}),
+			heartbeatFixture('e', {zone: 'zone-b', processorShare: 2}),
+			heartbeatFixture('f', {
+				zone: 'zone-b',
+				processorShare: 3,
+				isStopping: true,
+			}),
+		];
+		simulate(leadership, 3000, 3000 + mergeDelayMs - 20, returned);
+		expect(leadership.ledZones.size).toBe(2);
+		simulate(
+			leadership,
+			3000 + mergeDelayMs,
+			3000 + mergeDelayMs + 20,
+			returned,
+		);
+		expect([...leadership.ledZones.keys()]).toEqual(['zone-a']);
+		expect(leadership.successors.get('zone-b')).toBe('e');
+	});
+
+	it('moves a zone within it only to a stronger warm machine', () => {
+		const leadsAfter = (peer: Heartbeat) => {
+			const leadership = createZonalLeadership('m');
+			simulate(leadership, 0, 1000);
+			simulate(leadership, 1020, 1100 + mergeDelayMs, [peer]);
+			return [...leadership.ledZones.keys()];
+		};
+
+		expect(leadsAfter(heartbeatFixture('a'))).toEqual(['zone-a']);
+		expect(
+			leadsAfter(heartbeatFixture('a', {processorShare: 2, isWarm: false})),
+		).toEqual(['zone-a']);
+		expect(leadsAfter(heartbeatFixture('a', {processorShare: 2}))).toEqual([]);
+	});
+
+	it('splits the region when the scope changes, each zone to its own entry VM', () => {
+		const leadership = createLeadership('a');
+		leadership.setWarm();
+		const peers = [heartbeatFixture('b', {zone: 'zone-b'})];
+		simulate(leadership, 0, 3000, peers);
+		expect(leadership.ledZones.size).toBe(2);
+		leadership.setScope('zone');
+		simulate(leadership, 3020, 3040, peers);
+		expect([...leadership.ledZones.keys()]).toEqual(['zone-a']);
+		expect(leadership.successors.get('zone-b')).toBe('b');
+	});
+
+	it('hands its zone over on a planned stop to an entry VM of the zone, and to another one only if there is none', () => {
+		const successorAmong = (peers: readonly Heartbeat[]) => {
+			const leadership = createZonalLeadership('m');
+			simulate(leadership, 0, 1000, peers);
+			leadership.stop(1000);
+			return leadership.successors.get('zone-a');
+		};
+
+		const foreign = heartbeatFixture('f', {zone: 'zone-b', processorShare: 9});
+		expect(successorAmong([foreign, heartbeatFixture('n')])).toBe('n');
+		expect(
+			successorAmong([
+				heartbeatFixture('e', {zone: 'zone-b', leads: {'zone-b': 1}}),
+				heartbeatFixture('f', {zone: 'zone-b', processorShare: 0.5}),
+			]),
+		).toBe('f');
+	});
+});
--- /dev/null
+++ b/packages/core/src/tests/pool-scope.test.ts
@@ -0,0 +1,58 @@
+import {describe, expect, it} from 'vitest';
+import {ScopeBySize, defaultScopeSettings} from '../pool-scope.js';
+
+const {maxRegionalWorkers, minZonalWorkers, settleMs} = defaultScopeSettings;
+
+/** Returns the scope after the same number of workers was listed every 100 ms from one time to another. */
+function updateUntil(
+	scope: ScopeBySize,
+	workerCount: number,
+	fromMs: number,
+	toMs: number,
+): string {
+	let latest = '';
+	for (let now = fromMs; now <= toMs; now += 100) {
+		latest = scope.update(workerCount, now);
+	}
+
+	return latest;
+}
+
+describe('ScopeBySize', () => {
+	it('keeps leaders of zones while no list is known', () => {
+		expect(updateUntil(new ScopeBySize(), 0, 0, 60_000)).toBe('zone');
+	});
+
+	it('keeps leaders of zones for 245 workers, and has one leader of the region for 33', () => {
+		expect(updateUntil(new ScopeBySize(), 245, 0, 60_000)).toBe('zone');
+		expect(updateUntil(new ScopeBySize(), 33, 0, settleMs)).toBe('region');
+	});
+
+	it('does not merge while workers register after a start of all', () => {
+		const scope = new ScopeBySize();
+		expect(updateUntil(scope, 20, 0, settleMs - 100)).toBe('zone');
+		expect(updateUntil(scope, 245, settleMs, settleMs + 5000)).toBe('zone');
+	});
+
+	it('keeps the present scope between the bounds and while the list is empty', () => {
+		const scope = new ScopeBySize();
+		const between = (maxRegionalWorkers + minZonalWorkers) / 2;
+		expect(updateUntil(scope, between, 0, 10_000)).toBe('zone');
+		expect(updateUntil(scope, maxRegionalWorkers, 10_100, 20_000)).toBe(
+			'region',
+		);
+		expect(updateUntil(scope, between, 20_100, 30_000)).toBe('region');
+		expect(updateUntil(scope, 0, 30_100, 40_000)).toBe('region');
+		expect(scope.update(minZonalWorkers, 40_100)).toBe('zone');
+	});
+
+	it('takes its bounds from the settings', () => {
+		const scope = new ScopeBySize({
+			maxRegionalWorkers: 2,
+			minZonalWorkers: 4,
+			settleMs: 100,
+		});
+		expect(updateUntil(scope, 2, 0, 100)).toBe('region');
+		expect(scope.update(4, 200)).toBe('zone');
+	});
+});
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -4,6 +4,7 @@
 	LearnedTimeEstimator,
 	ObjectiveOrder,
 	PoolScheduler,
+	ScopeBySize,
 	computeAnswerWindowMs,
 	defaultWorkerPoolSettings,
 	type DesiredState,
@@ -12,6 +13,7 @@
 	type MemberAddress,
 	type PoolAnswer,
 	type PoolJob,
+	type PoolScope,
 	type WorkerEntry,
 } from '@verbenarouter/core';
 import {PoolMesh, type PoolMessage} from '@verbenarouter/peer';
@@ -90,6 +92,7 @@
 	readonly #log: PoolLog;
 	readonly #now: () => number;
 	readonly #leadership: Leadership;
+	readonly #scopeBySize = new ScopeBySize();
 	readonly #scheduler: PoolScheduler;
 	readonly #mesh: PoolMesh;
 	readonly #workerClient: WorkerClient;
@@ -106,6 +109,8 @@
 	#desiredState: DesiredState | undefined;
 	/** The workers that may be alive, as last read from the directory. */
 	#workerEntries: readonly WorkerEntry[] = [];
+	/** Whether one leader leads the whole region or each zone has its own, by the number of workers. */
+	#scope: PoolScope = 'zone';
 	/** Name of the live leader of this entry VM's zone. */
 	#leader: string | undefined;
 	#isStopping = false;
@@ -133,7 +138,6 @@
 		this.#now = now;
 		this.#incarnation = `${settings.name}-${Math.floor(now())}`;
 		this.#leadership = new Leadership(settings, settings.zones);
-		this.#leadership.setScope('region');
 		this.#workerClient = new WorkerClient(now);
 		this.#scheduler = new PoolScheduler({
 			commandSender: createWorkerCommandSender(
@@ -524,6 +528,7 @@
 	/** Evaluates the election, and sends heartbeats at once if the live leaders have changed. */
 	#updateLeadership(): void {
 		const now = this.#now();
+		this.#updateScope(now);
 		this.#applyLeadershipChanges(this.#leadership.tick(now), 'tick');
 		const liveLeaderTokens = Object.fromEntries(
 			this.#settings.zones.flatMap((zone) => {
@@ -542,6 +547,20 @@
 		this.#updateOwnLeader(now);
 	}
 
+	/** Sets the scope of leaders for the number of workers that are listed now. */
+	#updateScope(now: number): void {
+		const scope = this.#scopeBySize.update(this.#workerEntries.length, now);
+		if (scope !== this.#scope) {
+			this.#scope = scope;
+			this.#leadership.setScope(scope);
+			this.#log.write({
+				event: 'scope',
+				scope,
+				workers: this.#workerEntries.length,
+			});
+		}
+	}
+
 	/** Resubmits all pending jobs if the leader of this entry VM's zone has changed. */
 	#updateOwnLeader(now: number): void {
 		const leader = this.#leadership.findLeader(this.#settings.zone, now);
