Keep the runs of a job within the zones that its receiver names

With a leader for each zone, a job that a lost leader had was indeterminate until the workers of all zones had reported or 1.85 s had passed, because its runs could be anywhere.

The receiver now names the zones whose workers may run the job: its own under leaders of zones, all of them otherwise. Leaders place tasks in these zones only, and settle an indeterminate job once the workers of its zones have reported. If the job goes to another leader, the zones are those of all leaders that had it. The scope in heartbeats shows that a leader heeds the zones; one of the last build does not, and its jobs may have run anywhere. A process that starts anew takes the scope of its leader until the number of workers decides.

A leader that keeps other zones drops the jobs of the zones that it loses: it must not start them when it claims the zone again, because the next leader has them. The receiver cancels a job at a previous leader that still leads zones. That leader could extend the leases of runs there for longer than the next one waits.

Ruled out: telling the next leader only the zones of the present scope, since runs of a leader for the region may be in any zone after it has split.

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -27,6 +27,11 @@
 	readonly hears: Readonly<Record<string, number>>;
 	/** Zones that the sender hands over, with the name of the successor of each. */
 	readonly yields: Readonly<Record<string, string>>;
+	/**
+	 * Scope of leaders that the sender has decided on; absent from the last build, which has one leader for the region
+	 * and ignores the zones of jobs.
+	 */
+	readonly scope?: PoolScope;
 	/** Entry VMs that appear in heartbeats, without those that only the store lists; empty in most heartbeats. */
 	readonly members: readonly MemberAddress[];
 };
--- a/packages/core/src/pool-job.ts
+++ b/packages/core/src/pool-job.ts
@@ -35,6 +35,11 @@
 	readonly attempt: string;
 	/** Names of tasks that an earlier leader has reported done. */
 	readonly doneTasks?: readonly string[];
+	/**
+	 * Zones whose workers may run the job, and outside which no earlier leader has run it; absent for all zones. Leaders of
+	 * the last build ignore it.
+	 */
+	readonly zones?: readonly string[];
 };
 
 /** How a job ended, or why it did not run. */
@@ -72,6 +77,16 @@
 	/** The entry VM that received the job is shutting down and its grace period has ended. */
 	| 'stopping';
 
+/** Returns the zones of both sets; `undefined` stands for all zones. */
+export function unionZones(
+	left: readonly string[] | undefined,
+	right: readonly string[] | undefined,
+): readonly string[] | undefined {
+	return left === undefined || right === undefined
+		? undefined
+		: [...new Set([...left, ...right])];
+}
+
 /** Adds two amounts of resources. */
 export function addResources(left: Resources, right: Resources): Resources {
 	return {
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -3,7 +3,12 @@
 import {type RunTimeEstimator} from './run-time-estimator.js';
 import {findInfeasibility, projectJobLastStartMs} from './pool-admission.js';
 import {type PoolDecision} from './pool-decision.js';
-import {type NotRunReason, type PoolAnswer, type PoolJob} from './pool-job.js';
+import {
+	unionZones,
+	type NotRunReason,
+	type PoolAnswer,
+	type PoolJob,
+} from './pool-job.js';
 import {decidePoolAdmission, type QueueOrder} from './pool-queue.js';
 import {
 	type ReportedEnd,
@@ -163,18 +168,27 @@
 	}
 
 	/**
-	 * Stops leading the workers of zones. Jobs with runs there are answered `may-have-run`; if no zone is left, all jobs are
-	 * dropped without an answer, for the next leader to take over.
+	 * Stops leading the workers of zones. Jobs that may run in none of the remaining zones are dropped without an answer,
+	 * for the next leader to take over; all others with runs in the dropped zones are answered `may-have-run`.
 	 */
 	stopLeadingZones(zones: readonly string[], now: number): void {
 		this.#now = now;
 		const runs = zones.flatMap((zone) => this.pool.dropZone(zone, now));
 		if (this.pool.zones.length === 0) {
-			this.#sendCompletedTasks();
+			this.#sendCompletedTasks(this.#jobs.values());
 			this.#jobs.clear();
 			return;
 		}
 
+		const leaving = [...this.#jobs.values()].filter(
+			(job) => !this.pool.zones.some((zone) => job.mayRunIn(zone)),
+		);
+		this.#sendCompletedTasks(leaving);
+		for (const job of leaving) {
+			this.#stopRuns(job, now);
+			this.#jobs.delete(job.id);
+		}
+
 		for (const run of runs) {
 			const job = this.#jobs.get(run.jobId);
 			if (job !== undefined) {
@@ -235,6 +249,10 @@
 			knownJob.receiverLostAtMs = undefined;
 			// Another leader may have started the job after this leader received it first.
 			knownJob.isIndeterminate ||= isResubmitted;
+			if (isResubmitted) {
+				knownJob.zones = unionZones(knownJob.zones, job.zones);
+			}
+
 			this.#logJobDecision('joined', job.id, 'in-progress', {});
 			return;
 		}
@@ -455,8 +473,8 @@
 	}
 
 	/** Sends the done tasks of each job to its receiver, so that the next leader does not run them again. */
-	#sendCompletedTasks(): void {
-		for (const {id, receiver, tasks} of this.#jobs.values()) {
+	#sendCompletedTasks(jobs: Iterable<ScheduledJob>): void {
+		for (const {id, receiver, tasks} of jobs) {
 			const doneTasks = tasks
 				.filter(({state}) => state === 'done')
 				.map(({task}) => task.name);
@@ -493,7 +511,7 @@
 		const isSyncing = this.pool.isSyncing(now);
 		const infeasibility = findInfeasibility(
 			scheduledJob,
-			this.pool.workers,
+			this.#workersForJob(scheduledJob),
 			now,
 		);
 		if (
@@ -601,9 +619,18 @@
 	#projectLastStartMs(job: ScheduledJob, now: number): number {
 		const ahead = [...this.#jobs.values()].filter(
 			(other) =>
-				other !== job && this.#options.queueOrder.compare(other, job, now) < 0,
+				other !== job &&
+				haveCommonZone(other, job) &&
+				this.#options.queueOrder.compare(other, job, now) < 0,
 		);
-		return projectJobLastStartMs(job, ahead, this.pool.workers, now);
+		return projectJobLastStartMs(job, ahead, this.#workersForJob(job), now);
+	}
+
+	/** Returns the led workers in the zones where a job may run. */
+	#workersForJob(job: ScheduledJob): readonly PoolWorker[] {
+		return job.zones === undefined
+			? this.pool.workers
+			: this.pool.workers.filter(({entry}) => job.mayRunIn(entry.zone));
 	}
 
 	/** Starts the waiting tasks that fit on available workers, in queue order, if anything has changed since the last attempt. */
@@ -656,7 +683,7 @@
 		return Math.max(
 			job.receivedAtMs + workerListDelayMs,
 			this.pool.priorRunsSettledAtMs(
-				this.#options.zones,
+				job.zones ?? this.#options.zones,
 				job.receivedAtMs,
 				now,
 			),
@@ -666,7 +693,7 @@
 	/** Returns the earliest time that {@link #priorRunsSettledAtMs} can become, if workers of newly led zones report at once. */
 	#earliestPriorRunsSettledAtMs(job: ScheduledJob, now: number): number {
 		return this.pool.earliestPriorRunsSettledAtMs(
-			this.#options.zones,
+			job.zones ?? this.#options.zones,
 			job.receivedAtMs,
 			now,
 		);
@@ -679,7 +706,8 @@
 		now: number,
 	): boolean {
 		const serviceWorkers = availableWorkers.filter(
-			({entry}) => entry.service === job.queue.service,
+			({entry}) =>
+				entry.service === job.queue.service && job.mayRunIn(entry.zone),
 		);
 		const largestFirst = job.waitingTasks.toSorted(
 			(left, right) =>
@@ -960,6 +988,13 @@
 	};
 }
 
+/** Whether two jobs may run on workers of the same zone. */
+function haveCommonZone(left: ScheduledJob, right: ScheduledJob): boolean {
+	return (
+		left.zones === undefined || left.zones.some((zone) => right.mayRunIn(zone))
+	);
+}
+
 function smallestWaitingProcessorMillis({waitingTasks}: ScheduledJob): number {
 	return Math.min(
 		...waitingTasks.map(({task: {needs}}) => needs.processorMillis),
--- a/packages/core/src/pool-scope.ts
+++ b/packages/core/src/pool-scope.ts
@@ -27,6 +27,8 @@
 export class ScopeBySize {
 	readonly #settings: ScopeSettings;
 	#scope: PoolScope = 'zone';
+	/** Whether the number of workers has decided the scope; until then it is that of the leader. */
+	#isDecided = false;
 	/** Time since which few enough workers for one leader have been listed; `undefined` while there are more or none. */
 	#smallSinceMs: number | undefined;
 
@@ -34,11 +36,23 @@
 		this.#settings = settings;
 	}
 
-	/** Returns the scope for the number of workers that are listed now; 0 if no list is known. */
-	update(workerCount: number, now: number): PoolScope {
+	/**
+	 * Returns the scope for the number of workers that are listed now; 0 if no list is known. `leaderScope` is the scope
+	 * that another entry VM which leads at present has decided on, if any: a process that starts anew follows it.
+	 */
+	update(
+		workerCount: number,
+		leaderScope: PoolScope | undefined,
+		now: number,
+	): PoolScope {
 		const {maxRegionalWorkers, minZonalWorkers, settleMs} = this.#settings;
+		if (!this.#isDecided) {
+			this.#scope = leaderScope ?? this.#scope;
+		}
+
 		if (workerCount >= minZonalWorkers) {
 			this.#scope = 'zone';
+			this.#isDecided = true;
 		}
 
 		const isSmall = workerCount > 0 && workerCount <= maxRegionalWorkers;
@@ -48,6 +62,7 @@
 			now - this.#smallSinceMs >= settleMs
 		) {
 			this.#scope = 'region';
+			this.#isDecided = true;
 		}
 
 		return this.#scope;
--- a/packages/core/src/scheduled-job.ts
+++ b/packages/core/src/scheduled-job.ts
@@ -51,6 +51,8 @@
 	isDelayedByFailover: boolean;
 	/** Whether the scheduler has projected the start again since it admitted the job. */
 	isReassessed = false;
+	/** Zones whose workers may run the job, or may have run it for an earlier leader; `undefined` for all zones. */
+	zones: readonly string[] | undefined;
 	/** Whether any run of the job has been placed, or found on a worker, or any task was done when the job arrived. */
 	hasStarted = false;
 
@@ -63,6 +65,7 @@
 		now: number,
 	) {
 		this.isIndeterminate = false;
+		this.zones = job.zones;
 		this.isDelayedByFailover = job.waitedMs > submissionDelayMs;
 		this.arrivedAtMs = now - job.waitedMs;
 		this.receivedAtMs = now;
@@ -90,6 +93,11 @@
 		return this.queue.priority;
 	}
 
+	/** Whether a task of the job may be placed on workers of a zone. */
+	mayRunIn(zone: string): boolean {
+		return this.zones === undefined || this.zones.includes(zone);
+	}
+
 	/** Latency objective: the time from arrival within which the job should be answered. */
 	get objectiveMs(): number {
 		return this.queue.stretch * this.longestTaskMs + this.queue.latencyMs;
--- a/packages/core/src/tests/pool-scope.test.ts
+++ b/packages/core/src/tests/pool-scope.test.ts
@@ -12,7 +12,7 @@
 ): string {
 	let latest = '';
 	for (let now = fromMs; now <= toMs; now += 100) {
-		latest = scope.update(workerCount, now);
+		latest = scope.update(workerCount, undefined, now);
 	}
 
 	return latest;
@@ -43,7 +43,15 @@
 		);
 		expect(updateUntil(scope, between, 20_100, 30_000)).toBe('region');
 		expect(updateUntil(scope, 0, 30_100, 40_000)).toBe('region');
-		expect(scope.update(minZonalWorkers, 40_100)).toBe('zone');
+		expect(scope.update(minZonalWorkers, undefined, 40_100)).toBe('zone');
+	});
+
+	it('follows the leader until the number of workers has decided, also after the leader is lost', () => {
+		const scope = new ScopeBySize();
+		expect(scope.update(33, 'region', 0)).toBe('region');
+		expect(scope.update(33, undefined, 20)).toBe('region');
+		expect(scope.update(245, 'region', 40)).toBe('zone');
+		expect(scope.update(245, 'region', 60)).toBe('zone');
 	});
 
 	it('takes its bounds from the settings', () => {
@@ -53,6 +61,6 @@
 			settleMs: 100,
 		});
 		expect(updateUntil(scope, 2, 0, 100)).toBe('region');
-		expect(scope.update(4, 200)).toBe('zone');
+		expect(scope.update(4, undefined, 200)).toBe('zone');
 	});
 });
--- a/packages/core/src/tests/scheduler-failover.test.ts
+++ b/packages/core/src/tests/scheduler-failover.test.ts
@@ -276,3 +276,146 @@
 		expect(fixture.fencedZones).toEqual([{zone: 'zone-a', token: 7}]);
 	});
 });
+
+describe('scheduler with the zones of jobs', () => {
+	const zones = ['zone-a', 'zone-b', 'zone-c'];
+	const workers = zones.map((zone) => workerFixture(`w-${zone}`, {zone}));
+
+	/** Leads the first zones of three; their workers have reported that nothing runs. */
+	function leadZones(...led: readonly string[]): SchedulerFixture {
+		const fixture = new SchedulerFixture(zones);
+		fixture.scheduler.updateWorkers(workers, startMs);
+		for (const zone of led) {
+			fixture.scheduler.startLeadingZone(zone, 7, startMs);
+			fixture.receiveReport(`w-${zone}`, startMs);
+		}
+
+		return fixture;
+	}
+
+	it('places tasks only on workers in the zones of their job, even if others are idle', () => {
+		const fixture = leadZones('zone-a', 'zone-b');
+		fixture.scheduler.submit(
+			poolJobFixture('j1', 2, {zones: ['zone-b']}),
+			'r1',
+			false,
+			startMs + 300,
+		);
+		fixture.scheduler.submit(
+			poolJobFixture('j2', 1, {zones: ['zone-b']}),
+			'r1',
+			false,
+			startMs + 300,
+		);
+		fixture.tickUntil(startMs + 320, startMs + 340);
+		expect(fixture.starts.map(({worker}) => worker.id)).toEqual([
+			'w-zone-b',
+			'w-zone-b',
+		]);
+	});
+
+	it('refuses a job for whose zones it leads no workers', () => {
+		const fixture = leadZones('zone-a');
+		fixture.scheduler.submit(
+			poolJobFixture('j1', 1, {zones: ['zone-b']}),
+			'r1',
+			false,
+			startMs + 300,
+		);
+		expect(fixture.answers).toMatchObject([
+			{answer: {kind: 'not-run', reason: 'no-workers'}},
+		]);
+	});
+
+	it('starts an indeterminate job as soon as the workers of its zones have reported', () => {
+		const fixture = leadZones('zone-a');
+		const job = poolJobFixture('j1', 1, {zones: ['zone-a']});
+		fixture.scheduler.submit(job, 'r1', true, startMs + 10);
+		fixture.tickUntil(startMs + 20, startMs + 100);
+		expect(fixture.starts).toHaveLength(1);
+	});
+
+	it('waits for the leases of an indeterminate job that may have run in zones led by others', () => {
+		for (const jobZones of [undefined, ['zone-a', 'zone-b']]) {
+			const fixture = leadZones('zone-a');
+			const job = poolJobFixture('j1', 1, {
+				patienceMs: 60_000,
+				...(jobZones === undefined ? {} : {zones: jobZones}),
+			});
+			fixture.scheduler.submit(job, 'r1', true, startMs + 10);
+			fixture.tickUntil(startMs + 20, startMs + 1840);
+			expect(fixture.starts).toEqual([]);
+			fixture.tickUntil(startMs + 1860, startMs + 1900);
+			expect(fixture.starts).toHaveLength(1);
+		}
+	});
+
+	it('does not wait for workers outside the zones of an indeterminate job', () => {
+		const fixture = leadZones('zone-a');
+		fixture.scheduler.startLeadingZone('zone-b', 8, startMs);
+		fixture.scheduler.submit(
+			poolJobFixture('j1', 1, {zones: ['zone-a']}),
+			'r1',
+			true,
+			startMs + 10,
+		);
+		fixture.scheduler.submit(
+			poolJobFixture('j2', 1, {zones: ['zone-a', 'zone-b']}),
+			'r1',
+			true,
+			startMs + 10,
+		);
+		fixture.tickUntil(startMs + 20, startMs + 200);
+		expect(fixture.starts.map(({task}) => task)).toEqual(['j1.0.0.0']);
+	});
+
+	it('unites the zones of a job that returns after it went to a leader in another scope', () => {
+		const fixture = leadZones('zone-a');
+		const busy = poolJobFixture('busy', 2, {runMs: 300, patienceMs: 9000});
+		fixture.scheduler.submit(busy, 'r1', false, startMs + 300);
+		const job = poolJobFixture('j1', 1, {
+			runMs: 5000,
+			patienceMs: 60_000,
+			zones: ['zone-a'],
+		});
+		fixture.scheduler.submit(job, 'r1', false, startMs + 300);
+		fixture.scheduler.submit(
+			{...job, zones: ['zone-b']},
+			'r1',
+			true,
+			startMs + 310,
+		);
+		fixture.receiveReport('w-zone-a', startMs + 600, {
+			ended: [0, 1].map((index) => ({
+				number: index + 1,
+				task: `busy.0.0.${index}`,
+				run: 1,
+				how: 'done',
+			})),
+		});
+		fixture.tickUntil(startMs + 620, startMs + 1000);
+		expect(fixture.starts).toHaveLength(2);
+	});
+
+	it('leaves the jobs of a dropped zone to its next leader, and continues those of the zones that it keeps', () => {
+		const fixture = leadZones('zone-a', 'zone-b');
+		for (const zone of ['zone-a', 'zone-b']) {
+			fixture.scheduler.submit(
+				poolJobFixture(`j-${zone}`, 1, {zones: [zone]}),
+				'r1',
+				false,
+				startMs + 300,
+			);
+		}
+
+		fixture.scheduler.stopLeadingZones(['zone-b'], startMs + 320);
+		expect(fixture.answers).toEqual([]);
+		expect(fixture.stops).toEqual([]);
+		expect(fixture.scheduler.jobCount).toBe(1);
+		// The next leader has the job by now; a claim of the zone must not start it here.
+		fixture.scheduler.startLeadingZone('zone-b', 9, startMs + 340);
+		fixture.receiveReport('w-zone-b', startMs + 345);
+		fixture.tickUntil(startMs + 360, startMs + 500);
+		expect(fixture.starts).toHaveLength(2);
+	});
+});
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -216,16 +216,19 @@
 	/**
 	 * Returns the time from which every run of a job that an earlier leader sent a start command for, and that no report
 	 * lists, is certain to have ended or never to start. The leader of another zone may keep such a run alive until it
-	 * stops the run as an orphan. `takenAtMs` is the time at which this entry VM received the job.
+	 * stops the run as an orphan. `jobZones` are the zones in which the job may have run, and `takenAtMs` is the time at
+	 * which this entry VM received the job.
 	 */
 	priorRunsSettledAtMs(
-		allZones: readonly string[],
+		jobZones: readonly string[],
 		takenAtMs: number,
 		now: number,
 	): number {
 		const isFullySynced =
-			this.#leadsAllZones(allZones) &&
-			this.workers.every(({isSynced}) => isSynced);
+			this.#leadsAllZones(jobZones) &&
+			this.workers.every(
+				({isSynced, entry}) => isSynced || !jobZones.includes(entry.zone),
+			);
 		const {leaseMs, orphanStopDelayMs} = this.#settings;
 		return isFullySynced
 			? now
@@ -237,13 +240,13 @@
 
 	/** Like `priorRunsSettledAtMs`, but assumes that the workers of a zone claimed recently report at once. */
 	earliestPriorRunsSettledAtMs(
-		allZones: readonly string[],
+		jobZones: readonly string[],
 		takenAtMs: number,
 		now: number,
 	): number {
-		return this.#leadsAllZones(allZones) && this.isSyncing(now)
+		return this.#leadsAllZones(jobZones) && this.isSyncing(now)
 			? now
-			: this.priorRunsSettledAtMs(allZones, takenAtMs, now);
+			: this.priorRunsSettledAtMs(jobZones, takenAtMs, now);
 	}
 
 	/** Updates the workers from the platform's list. */
--- a/packages/verbenarouter/src/pool/pending-jobs.ts
+++ b/packages/verbenarouter/src/pool/pending-jobs.ts
@@ -1,4 +1,4 @@
-import {type PoolAnswer, type PoolJob} from '@verbenarouter/core';
+import {unionZones, type PoolAnswer, type PoolJob} from '@verbenarouter/core';
 
 /** A job without an answer, with the callers that wait for it. */
 export type PendingJob = {
@@ -7,8 +7,10 @@
 	readonly receivedAtMs: number;
 	/** Leader to which the job was last sent; `undefined` before the first. */
 	sentTo: string | undefined;
-	/** Whether the job was sent to more than one leader. */
-	wasSentToSeveralLeaders: boolean;
+	/** Leaders to which the job was sent; each may have started it. */
+	readonly leaders: Set<string>;
+	/** Zones whose workers may have run the job for these leaders; `undefined` for all zones. */
+	zones: readonly string[] | undefined;
 	/** Time since which the job has waited to be sent to a leader; `undefined` once it is sent. */
 	withoutLeaderSinceMs: number | undefined;
 	/** Names of the tasks that leaders have reported as completed. */
@@ -52,7 +54,8 @@
 			job,
 			receivedAtMs: now,
 			sentTo: undefined,
-			wasSentToSeveralLeaders: false,
+			leaders: new Set(),
+			zones: [],
 			withoutLeaderSinceMs: now,
 			doneTasks: [],
 			resolvers: [resolve],
@@ -72,19 +75,27 @@
 		return pending;
 	}
 
-	/** Records that a job is sent to a leader; returns whether it was sent to one before. */
-	markSent(pending: PendingJob, leader: string): boolean {
-		const hadLeader = pending.sentTo !== undefined;
-		pending.wasSentToSeveralLeaders ||= hadLeader && pending.sentTo !== leader;
+	/**
+	 * Records that a job is sent to a leader that places it in `zones` only, or anywhere without them. Returns whether a
+	 * leader may have started it before.
+	 */
+	markSent(
+		pending: PendingJob,
+		leader: string,
+		zones?: readonly string[],
+	): boolean {
+		const isResubmitted = pending.leaders.size > 0;
+		pending.leaders.add(leader);
+		pending.zones = unionZones(pending.zones, zones);
 		pending.sentTo = leader;
 		pending.withoutLeaderSinceMs = undefined;
-		return hadLeader;
+		return isResubmitted;
 	}
 
 	/**
 	 * Returns the answer that callers may receive for a leader's answer, or `undefined` to ignore it. `completed` and
 	 * `failed` are accepted from any leader, all else only from the leader that has the job now. `not-run` becomes
-	 * `may-have-run` if the job was sent to several leaders, since another one may have started it.
+	 * `may-have-run` if the job was sent to another leader too, since that one may have started it.
 	 */
 	filterAnswer(
 		id: string,
@@ -101,7 +112,8 @@
 			return undefined;
 		}
 
-		return answer.kind === 'not-run' && pending.wasSentToSeveralLeaders
+		return answer.kind === 'not-run' &&
+			[...pending.leaders].some((other) => other !== leader)
 			? {kind: 'may-have-run', reason: 'leader-lost'}
 			: answer;
 	}
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -549,7 +549,14 @@
 
 	/** Sets the scope of leaders for the number of workers that are listed now. */
 	#updateScope(now: number): void {
-		const scope = this.#scopeBySize.update(this.#workerEntries.length, now);
+		const leaderScope = this.#leadership
+			.livePeers(now)
+			.find(({name}) => name === this.#leader)?.scope;
+		const scope = this.#scopeBySize.update(
+			this.#workerEntries.length,
+			leaderScope,
+			now,
+		);
 		if (scope !== this.#scope) {
 			this.#scope = scope;
 			this.#leadership.setScope(scope);
@@ -637,6 +644,7 @@
 			highestToken: this.#leadership.highestToken,
 			hears: this.#liveLeaderTokens,
 			yields: Object.fromEntries(this.#leadership.successors),
+			scope: this.#scope,
 			members: hasMemberList
 				? [...this.#members.values()]
 						.filter(({isOnlyInRegistry}) => !isOnlyInRegistry)
@@ -1008,18 +1016,59 @@
 			return;
 		}
 
-		const isResubmitted = this.#pendingJobs.markSent(pending, leader);
-		const {doneTasks} = pending;
+		const previous = pending.sentTo;
+		const isResubmitted = this.#pendingJobs.markSent(
+			pending,
+			leader,
+			this.#findZonesForJobs(leader, now),
+		);
+		const {doneTasks, zones} = pending;
 		const job = {
 			...pending.job,
 			waitedMs: now - pending.receivedAtMs,
 			...(doneTasks.length > 0 ? {doneTasks} : {}),
+			...(zones === undefined ? {} : {zones}),
 		};
 		if (leader === this.#settings.name) {
 			this.#scheduler.submit(job, leader, isResubmitted, now);
 		} else {
 			this.#mesh.send(leader, {type: 'submit', job, isResubmitted});
 		}
+
+		if (
+			previous !== undefined &&
+			previous !== leader &&
+			this.#leadsAnyZone(previous, now)
+		) {
+			// The previous leader may still run the job in the zones that it keeps, also longer than the next one waits.
+			this.#cancelAtLeader(previous, pending.job.id);
+		}
+	}
+
+	/** Returns the zones in which a leader is to place the jobs of this entry VM; `undefined` for all zones. */
+	#findZonesForJobs(
+		leader: string,
+		now: number,
+	): readonly string[] | undefined {
+		const placesByZone =
+			leader === this.#settings.name ||
+			this.#leadership
+				.livePeers(now)
+				.some(({name, scope}) => name === leader && scope !== undefined);
+		return this.#scope === 'zone' && placesByZone
+			? [this.#settings.zone]
+			: undefined;
+	}
+
+	/** Whether an entry VM is live and leads a zone. */
+	#leadsAnyZone(name: string, now: number): boolean {
+		return name === this.#settings.name
+			? this.#leadership.ledZones.size > 0
+			: this.#leadership
+					.livePeers(now)
+					.some(
+						(peer) => peer.name === name && Object.keys(peer.leads).length > 0,
+					);
 	}
 
 	/** Submits all pending jobs again, to the present leader. */
--- a/packages/verbenarouter/src/tests/pending-jobs.test.ts
+++ b/packages/verbenarouter/src/tests/pending-jobs.test.ts
@@ -56,3 +56,26 @@
 		).toEqual(completed);
 	});
 });
+
+describe('PendingJobs.markSent', () => {
+	it('returns whether a leader may have started the job before', () => {
+		const jobs = new PendingJobs();
+		const {pending} = jobs.add(job, () => undefined, 0);
+		expect(jobs.markSent(pending, 'a', ['zone-a'])).toBe(false);
+		expect(jobs.markSent(pending, 'a', ['zone-a'])).toBe(true);
+		expect(jobs.markSent(pending, 'b', ['zone-a'])).toBe(true);
+		expect(pending.sentTo).toBe('b');
+	});
+
+	it('unites the zones of all leaders that had the job, and keeps all zones after a leader that ignores them', () => {
+		const jobs = new PendingJobs();
+		const {pending} = jobs.add(job, () => undefined, 0);
+		jobs.markSent(pending, 'a', ['zone-a']);
+		expect(pending.zones).toEqual(['zone-a']);
+		jobs.markSent(pending, 'b', ['zone-b']);
+		expect(pending.zones).toEqual(['zone-a', 'zone-b']);
+		jobs.markSent(pending, 'c');
+		jobs.markSent(pending, 'a', ['zone-a']);
+		expect(pending.zones).toBeUndefined();
+	});
+});
