Send a job that its zone refuses to a zone with room

With a leader for each zone, callers were refused while the workers of other zones were idle: a leader places only on the workers of its own zone, and callers and busy workers are not spread evenly over the zones.

The leaders of zones now report their spare capacity in heartbeats: what their workers have free, and nothing while a task waits for them. A receiver whose leader has refused a job as overloaded or without workers submits it to the leader with the most spare capacity, if that is enough for the whole job, to two other zones at most. It subtracts what it has sent there until the next report. Under general overload no zone has any, so that no work is added.

The refused attempt is closed, and the job's zones become the other zone alone. Only a refusal of a job that was sent once counts as certain. The job's next leader is that of the other zone. "Not run" becomes "may have run" only if a leader that has not refused the job had it. A copy of the request, which comes 1.3 s after the first at the earliest, goes to the leader of its own zone, which does not know the runs elsewhere. So a job in another zone is given up after 1.2 s, and when the connection of its only caller breaks; one whose caller is lost is not sent elsewhere. State, cancelling and the number of waiting jobs are asked of the leaders of all zones.

Ruled out: sending every refused job on, which doubles the leaders' work when all are overloaded; free capacity without regard to waiting tasks, which is too little on each worker while something waits.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -44,5 +44,6 @@
 export * from './worker-directory.js';
 export * from './start-projection.js';
 export * from './worker-pace.js';
+export * from './zone-overflow.js';
 export type * from './pool-decision.js';
 export * from './pool-admission.js';
--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -32,6 +32,8 @@
 	 * and ignores the zones of jobs.
 	 */
 	readonly scope?: PoolScope;
+	/** Free thousandths of a core of each zone that the sender leads, for jobs that other zones have refused. */
+	readonly spareMillis?: Readonly<Record<string, number>>;
 	/** Entry VMs that appear in heartbeats, without those that only the store lists; empty in most heartbeats. */
 	readonly members: readonly MemberAddress[];
 };
--- a/packages/core/src/pool-job.ts
+++ b/packages/core/src/pool-job.ts
@@ -40,6 +40,8 @@
 	 * the last build ignore it.
 	 */
 	readonly zones?: readonly string[];
+	/** Number of zones whose leaders have refused this attempt; absent if there is none. */
+	readonly refusingZones?: number;
 };
 
 /** How a job ended, or why it did not run. */
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -144,6 +144,32 @@
 		).length;
 	}
 
+	/**
+	 * Computes the free thousandths of a core on the workers of each led zone. A zone in which tasks wait has none: what
+	 * is free on each of its workers is too little for them.
+	 */
+	computeSpareMillis(now: number): Readonly<Record<string, number>> {
+		const waitingJobs = [...this.#jobs.values()].filter(({tasks}) =>
+			tasks.some(({state}) => state === 'waiting'),
+		);
+		return Object.fromEntries(
+			this.pool.zones.map((zone) => [
+				zone,
+				waitingJobs.some((job) => job.mayRunIn(zone))
+					? 0
+					: this.pool.workers
+							.filter(
+								(worker) =>
+									worker.entry.zone === zone && worker.canStartTask(now),
+							)
+							.reduce(
+								(sum, {free}) => sum + Math.max(0, free.processorMillis),
+								0,
+							),
+			]),
+		);
+	}
+
 	/** Applies a desired state unless its version is older than, or the same as, the current one. */
 	applyDesiredState(state: DesiredState): void {
 		if (
--- a/packages/core/src/scheduled-job.ts
+++ b/packages/core/src/scheduled-job.ts
@@ -66,7 +66,8 @@
 	) {
 		this.isIndeterminate = false;
 		this.zones = job.zones;
-		this.isDelayedByFailover = job.waitedMs > submissionDelayMs;
+		this.isDelayedByFailover =
+			job.waitedMs > submissionDelayMs && job.refusingZones === undefined;
 		this.arrivedAtMs = now - job.waitedMs;
 		this.receivedAtMs = now;
 		this.tasks = job.tasks.map((task) => ({
--- a/packages/core/src/tests/pool-overload.test.ts
+++ b/packages/core/src/tests/pool-overload.test.ts
@@ -120,3 +120,59 @@
 		expect('retryAfterMs' in answer && answer.retryAfterMs).toBe(2999);
 	});
 });
+
+describe('spare capacity of zones', () => {
+	it('is what is free on the workers of each zone, and nothing while a task waits for them', () => {
+		const fixture = new SchedulerFixture(['zone-a', 'zone-b']);
+		fixture.leadIdleWorkers(
+			[workerFixture('w1'), workerFixture('w2', {zone: 'zone-b'})],
+			startMs,
+		);
+		fixture.scheduler.startLeadingZone('zone-b', 7, startMs);
+		expect(fixture.scheduler.computeSpareMillis(startMs)).toEqual({
+			'zone-a': 64_000,
+			'zone-b': 0,
+		});
+		fixture.receiveReport('w2', startMs + 1);
+		const inZoneA = {zones: ['zone-a'], runMs: 1000};
+		fixture.scheduler.submit(
+			poolJobFixture('j1', 1, inZoneA),
+			'r1',
+			false,
+			startMs + 300,
+		);
+		expect(fixture.scheduler.computeSpareMillis(startMs + 300)).toEqual({
+			'zone-a': 37_000,
+			'zone-b': 64_000,
+		});
+		fixture.scheduler.submit(
+			poolJobFixture('j2', 2, {...inZoneA, runMs: 3000}),
+			'r1',
+			false,
+			startMs + 310,
+		);
+		expect(fixture.scheduler.computeSpareMillis(startMs + 310)).toEqual({
+			'zone-a': 0,
+			'zone-b': 64_000,
+		});
+	});
+
+	it('does not allow a late start for a job that another zone has refused, as after the loss of a leader', () => {
+		const admits = (change: {readonly refusingZones?: number}) => {
+			const fixture = new SchedulerFixture();
+			fixture.leadIdleWorkers([workerFixture('w1')], startMs);
+			const busy = poolJobFixture('busy', 2, {runMs: 100, patienceMs: 9000});
+			fixture.scheduler.submit(busy, 'r1', false, startMs + 300);
+			fixture.scheduler.submit(
+				poolJobFixture('j1', 1, {waitedMs: 60, ...change}),
+				'r1',
+				false,
+				startMs + 310,
+			);
+			return fixture.answers.length === 0;
+		};
+
+		expect(admits({})).toBe(true);
+		expect(admits({refusingZones: 1})).toBe(false);
+	});
+});
--- a/packages/verbenarouter/src/pool/pending-jobs.ts
+++ b/packages/verbenarouter/src/pool/pending-jobs.ts
@@ -5,9 +5,17 @@
 	readonly job: PoolJob;
 	/** Time at which the first caller submitted the job. */
 	readonly receivedAtMs: number;
+	/** Zone whose leader gets the job after that of the receiver's own zone has refused it; `undefined` before. */
+	overflowZone: string | undefined;
+	/** Leaders that have refused the job and will never start it. */
+	refusedBy: readonly string[];
+	/** Number of times that the job was sent to `leaders`. */
+	sendCount: number;
+	/** Whether the connection of the only caller broke; the caller may send the job to another entry VM. */
+	hasLostCaller: boolean;
 	/** Leader to which the job was last sent; `undefined` before the first. */
 	sentTo: string | undefined;
-	/** Leaders to which the job was sent; each may have started it. */
+	/** Leaders to which the job was sent, without those in `refusedBy`; each may have started it. */
 	readonly leaders: Set<string>;
 	/** Zones whose workers may have run the job for these leaders; `undefined` for all zones. */
 	zones: readonly string[] | undefined;
@@ -47,12 +55,17 @@
 		const known = this.#jobs.get(job.id);
 		if (known !== undefined) {
 			known.resolvers.push(resolve);
+			known.hasLostCaller = false;
 			return {pending: known, isNew: false};
 		}
 
 		const pending: PendingJob = {
 			job,
 			receivedAtMs: now,
+			overflowZone: undefined,
+			refusedBy: [],
+			sendCount: 0,
+			hasLostCaller: false,
 			sentTo: undefined,
 			leaders: new Set(),
 			zones: [],
@@ -86,6 +99,7 @@
 	): boolean {
 		const isResubmitted = pending.leaders.size > 0;
 		pending.leaders.add(leader);
+		pending.sendCount += 1;
 		pending.zones = unionZones(pending.zones, zones);
 		pending.sentTo = leader;
 		pending.withoutLeaderSinceMs = undefined;
@@ -118,6 +132,28 @@
 			: answer;
 	}
 
+	/**
+	 * Whether no leader has a job after one has answered `not-run`. A job that was sent twice is excluded: the leader may
+	 * have started anew between the two messages, and would not know that it has refused the first.
+	 */
+	isRefusedForCertain(pending: PendingJob, leader: string): boolean {
+		return (
+			pending.sendCount === 1 &&
+			pending.leaders.size === 1 &&
+			pending.leaders.has(leader)
+		);
+	}
+
+	/** Directs a job that a leader has refused for certain to the leader of another zone. */
+	redirect(pending: PendingJob, leader: string, zone: string): void {
+		pending.refusedBy = [...pending.refusedBy, leader];
+		pending.overflowZone = zone;
+		pending.leaders.clear();
+		pending.zones = [];
+		pending.sendCount = 0;
+		pending.sentTo = undefined;
+	}
+
 	/** Removes a job without an answer. */
 	remove(id: string): PendingJob | undefined {
 		const pending = this.#jobs.get(id);
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -5,8 +5,11 @@
 	ObjectiveOrder,
 	PoolScheduler,
 	ScopeBySize,
+	ZoneOverflow,
 	computeAnswerWindowMs,
 	defaultWorkerPoolSettings,
+	isRefusedForLackOfRoom,
+	maxOverflowPatienceMs,
 	type DesiredState,
 	type Heartbeat,
 	type LeadershipChange,
@@ -15,6 +18,7 @@
 	type PoolJob,
 	type PoolScope,
 	type WorkerEntry,
+	type ZoneRoom,
 } from '@verbenarouter/core';
 import {PoolMesh, type PoolMessage} from '@verbenarouter/peer';
 import {
@@ -93,6 +97,7 @@
 	readonly #now: () => number;
 	readonly #leadership: Leadership;
 	readonly #scopeBySize = new ScopeBySize();
+	readonly #overflow = new ZoneOverflow();
 	readonly #scheduler: PoolScheduler;
 	readonly #mesh: PoolMesh;
 	readonly #workerClient: WorkerClient;
@@ -195,9 +200,9 @@
 					this.#sendKnowledge(name);
 				}
 
-				if (name === this.#leader) {
-					this.#resubmitPendingJobs();
-				}
+				this.#resubmitPendingJobs(
+					(pending) => this.#findLeaderFor(pending, now()) === name,
+				);
 			},
 		});
 		const client = new StoreClient(settings.storeAddress);
@@ -390,8 +395,13 @@
 		}
 
 		this.#log.write({event: 'caller-left', id, isReset});
-		if (isReset) {
-			// A caller whose connection broke submits the job again and then receives the result of the first submission.
+		// A caller whose connection broke submits the job again and then receives the result of the first submission. The
+		// leader that gets it then does not know of runs in another zone, so a job there is cancelled.
+		const isContinued =
+			isReset &&
+			(pending.overflowZone === undefined || pending.resolvers.length > 1);
+		if (isContinued) {
+			pending.hasLostCaller = true;
 			return;
 		}
 
@@ -402,42 +412,30 @@
 	}
 
 	async cancel(id: string): Promise<boolean> {
-		const isKnown =
-			this.#leader === this.#settings.name
-				? this.#scheduler.cancel(id, 'cancelled', this.#now())
-				: await this.#requestFromLeader((question) => ({
-						type: 'cancel',
-						id,
-						reason: 'cancelled',
-						question,
-					}));
-		return isKnown === true;
+		const replies = await this.#requestFromLeaders(
+			() => this.#scheduler.cancel(id, 'cancelled', this.#now()),
+			(question) => ({type: 'cancel', id, reason: 'cancelled', question}),
+		);
+		return replies.includes(true);
 	}
 
 	async getJobState(id: string): Promise<string | undefined> {
-		const state =
-			this.#leader === this.#settings.name
-				? toStateText(this.#scheduler.getJobState(id))
-				: await this.#requestFromLeader((question) => ({
-						type: 'ask',
-						question,
-						about: 'state',
-						name: id,
-					}));
-		return typeof state === 'string' ? state : undefined;
+		const replies = await this.#requestFromLeaders(
+			() => toStateText(this.#scheduler.getJobState(id)),
+			(question) => ({type: 'ask', question, about: 'state', name: id}),
+		);
+		return replies.find((state) => typeof state === 'string');
 	}
 
 	async countPendingJobs(queue: string): Promise<number | undefined> {
-		const count =
-			this.#leader === this.#settings.name
-				? this.#scheduler.countPendingJobs(queue)
-				: await this.#requestFromLeader((question) => ({
-						type: 'ask',
-						question,
-						about: 'pending',
-						name: queue,
-					}));
-		return typeof count === 'number' ? count : undefined;
+		const replies = await this.#requestFromLeaders(
+			() => this.#scheduler.countPendingJobs(queue),
+			(question) => ({type: 'ask', question, about: 'pending', name: queue}),
+		);
+		const counts = replies.filter((count) => typeof count === 'number');
+		return counts.length === 0
+			? undefined
+			: counts.reduce((sum, count) => sum + count, 0);
 	}
 
 	handleRejectedRequest(id: string, status: number, reason: string): void {
@@ -580,8 +578,22 @@
 				token: leader?.token ?? 0,
 				zone: this.#settings.zone,
 			});
-			this.#resubmitPendingJobs();
+			this.#resubmitPendingJobs(({overflowZone}) => overflowZone === undefined);
 		}
+
+		this.#resubmitPendingJobs(
+			(pending) =>
+				pending.overflowZone !== undefined &&
+				(pending.withoutLeaderSinceMs !== undefined ||
+					this.#findLeaderFor(pending, now) !== pending.sentTo),
+		);
+	}
+
+	/** Returns the leader that gets a job: that of the zone that it overflows to, or of this entry VM's zone. */
+	#findLeaderFor({overflowZone}: PendingJob, now: number): string | undefined {
+		return overflowZone === undefined
+			? this.#leader
+			: this.#leadership.findLeader(overflowZone, now)?.name;
 	}
 
 	/** Applies changes of leadership to the scheduler, and sends the workers of dropped zones to their new leaders. */
@@ -645,6 +657,9 @@
 			hears: this.#liveLeaderTokens,
 			yields: Object.fromEntries(this.#leadership.successors),
 			scope: this.#scope,
+			...(this.#scope === 'zone' && this.#leadership.ledZones.size > 0
+				? {spareMillis: this.#scheduler.computeSpareMillis(this.#now())}
+				: {}),
 			members: hasMemberList
 				? [...this.#members.values()]
 						.filter(({isOnlyInRegistry}) => !isOnlyInRegistry)
@@ -1010,7 +1025,7 @@
 	/** Submits a job to the leader, or marks it as unsent while none is reachable. */
 	#sendToLeader(pending: PendingJob): void {
 		const now = this.#now();
-		const leader = this.#leader;
+		const leader = this.#findLeaderFor(pending, now);
 		if (leader === undefined || !this.#canReach(leader)) {
 			pending.withoutLeaderSinceMs ??= now;
 			return;
@@ -1020,14 +1035,20 @@
 		const isResubmitted = this.#pendingJobs.markSent(
 			pending,
 			leader,
-			this.#findZonesForJobs(leader, now),
+			this.#findZonesForJob(pending, leader, now),
 		);
-		const {doneTasks, zones} = pending;
+		const {doneTasks, zones, refusedBy} = pending;
 		const job = {
 			...pending.job,
 			waitedMs: now - pending.receivedAtMs,
 			...(doneTasks.length > 0 ? {doneTasks} : {}),
 			...(zones === undefined ? {} : {zones}),
+			...(refusedBy.length > 0
+				? {
+						refusingZones: refusedBy.length,
+						patienceMs: Math.min(pending.job.patienceMs, maxOverflowPatienceMs),
+					}
+				: {}),
 		};
 		if (leader === this.#settings.name) {
 			this.#scheduler.submit(job, leader, isResubmitted, now);
@@ -1045,8 +1066,9 @@
 		}
 	}
 
-	/** Returns the zones in which a leader is to place the jobs of this entry VM; `undefined` for all zones. */
-	#findZonesForJobs(
+	/** Returns the zones in which a leader is to place a job; `undefined` for all zones. */
+	#findZonesForJob(
+		{overflowZone}: PendingJob,
 		leader: string,
 		now: number,
 	): readonly string[] | undefined {
@@ -1056,7 +1078,7 @@
 				.livePeers(now)
 				.some(({name, scope}) => name === leader && scope !== undefined);
 		return this.#scope === 'zone' && placesByZone
-			? [this.#settings.zone]
+			? [overflowZone ?? this.#settings.zone]
 			: undefined;
 	}
 
@@ -1071,10 +1093,12 @@
 					);
 	}
 
-	/** Submits all pending jobs again, to the present leader. */
-	#resubmitPendingJobs(): void {
+	/** Submits the selected pending jobs again, to their present leaders. */
+	#resubmitPendingJobs(isSelected: (pending: PendingJob) => boolean): void {
 		const now = this.#now();
-		for (const pending of this.#pendingJobs.all) {
+		for (const pending of this.#pendingJobs.all.filter((other) =>
+			isSelected(other),
+		)) {
 			pending.withoutLeaderSinceMs ??= now;
 			this.#sendToLeader(pending);
 		}
@@ -1136,9 +1160,14 @@
 
 	/** Passes a leader's answer on to the callers, and cancels the job at another leader that has it now. */
 	#receiveAnswer(leader: string, id: string, answer: PoolAnswer): void {
-		const sentTo = this.#pendingJobs.get(id)?.sentTo;
+		const pending = this.#pendingJobs.get(id);
+		const sentTo = pending?.sentTo;
 		const acceptedAnswer = this.#pendingJobs.filterAnswer(id, leader, answer);
-		if (acceptedAnswer === undefined) {
+		if (
+			pending === undefined ||
+			acceptedAnswer === undefined ||
+			this.#sendToOtherZone(pending, leader, acceptedAnswer)
+		) {
 			return;
 		}
 
@@ -1148,6 +1177,63 @@
 		}
 	}
 
+	/**
+	 * Submits a job that its leader has refused for lack of room to the leader of a zone that has room; returns whether
+	 * there is one.
+	 */
+	#sendToOtherZone(
+		pending: PendingJob,
+		leader: string,
+		answer: PoolAnswer,
+	): boolean {
+		const now = this.#now();
+		if (
+			this.#scope !== 'zone' ||
+			pending.hasLostCaller ||
+			!isRefusedForLackOfRoom(answer) ||
+			!this.#pendingJobs.isRefusedForCertain(pending, leader)
+		) {
+			return false;
+		}
+
+		const room = this.#overflow.choose(
+			pending.job,
+			[...pending.refusedBy, leader],
+			this.#findZoneRooms(now),
+			now,
+		);
+		if (room === undefined) {
+			return false;
+		}
+
+		this.#log.write({
+			event: 'overflow',
+			id: pending.job.id,
+			refusedBy: leader,
+			...room,
+			waitedMs: Math.round(now - pending.receivedAtMs),
+		});
+		this.#pendingJobs.redirect(pending, leader, room.zone);
+		this.#sendToLeader(pending);
+		return true;
+	}
+
+	/** Returns the room of the zones with another leader that heeds the zones of jobs and is reachable. */
+	#findZoneRooms(now: number): readonly ZoneRoom[] {
+		return this.#leadership
+			.livePeers(now)
+			.filter(({name}) => this.#mesh.isOpen(name))
+			.flatMap(({name: leader, spareMillis = {}}) =>
+				Object.entries(spareMillis)
+					.filter(
+						([zone]) =>
+							zone !== this.#settings.zone &&
+							this.#leadership.findLeader(zone, now)?.name === leader,
+					)
+					.map(([zone, millis]) => ({zone, leader, spareMillis: millis})),
+			);
+	}
+
 	/** Cancels a job at a leader because no caller waits for it any more. */
 	#cancelAtLeader(leader: string, id: string): void {
 		if (leader === this.#settings.name) {
@@ -1157,8 +1243,33 @@
 		}
 	}
 
-	/** Sends a request to the leader; resolves with its reply, or with `undefined` if there is none in time. */
+	/**
+	 * Gets the replies of all leaders to a request, of this entry VM itself from `answer`: a job may be with the leader of
+	 * any zone. A reply that does not arrive in time is `undefined`.
+	 */
+	async #requestFromLeaders<Reply>(
+		answer: () => Reply,
+		createMessage: (requestNumber: number) => PoolMessage,
+	): Promise<readonly unknown[]> {
+		const now = this.#now();
+		const leaders = new Set(
+			this.#settings.zones.flatMap((zone) => {
+				const leader = this.#leadership.findLeader(zone, now)?.name;
+				return leader === undefined ? [] : [leader];
+			}),
+		);
+		return Promise.all(
+			[...leaders].map(async (leader) =>
+				leader === this.#settings.name
+					? answer()
+					: this.#requestFromLeader(leader, createMessage),
+			),
+		);
+	}
+
+	/** Sends a request to a leader; resolves with its reply, or with `undefined` if there is none in time. */
 	async #requestFromLeader(
+		leader: string,
 		createMessage: (requestNumber: number) => PoolMessage,
 	): Promise<unknown> {
 		const requestNumber = this.#nextRequestNumber;
@@ -1169,7 +1280,7 @@
 				this.#replyHandlers.delete(requestNumber);
 				resolve(undefined);
 			}, requestTimeoutMs);
-			this.#mesh.send(this.#leader ?? '', createMessage(requestNumber));
+			this.#mesh.send(leader, createMessage(requestNumber));
 		});
 	}
 }
--- a/packages/verbenarouter/src/tests/pending-jobs.test.ts
+++ b/packages/verbenarouter/src/tests/pending-jobs.test.ts
@@ -79,3 +79,57 @@
 		expect(pending.zones).toBeUndefined();
 	});
 });
+
+describe('PendingJobs.redirect', () => {
+	it('forgets a leader that has refused the job for certain', () => {
+		const jobs = createPendingJobs('a');
+		const pending = jobs.get('j1')!;
+		expect(jobs.isRefusedForCertain(pending, 'a')).toBe(true);
+		jobs.redirect(pending, 'a', 'zone-b');
+		expect(pending).toMatchObject({
+			overflowZone: 'zone-b',
+			refusedBy: ['a'],
+			sentTo: undefined,
+		});
+		expect(jobs.markSent(pending, 'b', ['zone-b'])).toBe(false);
+		expect(pending.zones).toEqual(['zone-b']);
+		expect(jobs.filterAnswer('j1', 'b', notRun)).toEqual(notRun);
+	});
+
+	it('keeps `may-have-run` if the leader of the other zone was lost and the next one refuses', () => {
+		const jobs = createPendingJobs('a');
+		const pending = jobs.get('j1')!;
+		jobs.redirect(pending, 'a', 'zone-b');
+		jobs.markSent(pending, 'b', ['zone-b']);
+		expect(jobs.markSent(pending, 'c', ['zone-b'])).toBe(true);
+		expect(pending.zones).toEqual(['zone-b']);
+		expect(jobs.filterAnswer('j1', 'c', notRun)?.kind).toBe('may-have-run');
+		expect(jobs.isRefusedForCertain(pending, 'c')).toBe(false);
+	});
+
+	it('ignores late answers without a result of the leader that refused the job', () => {
+		const jobs = createPendingJobs('a');
+		const pending = jobs.get('j1')!;
+		jobs.redirect(pending, 'a', 'zone-b');
+		jobs.markSent(pending, 'b', ['zone-b']);
+		expect(jobs.filterAnswer('j1', 'a', notRun)).toBeUndefined();
+	});
+
+	it('does not count a refusal as certain if the job was sent twice, even to the same leader', () => {
+		for (const leaders of [
+			['a', 'a'],
+			['b', 'a'],
+		]) {
+			const jobs = createPendingJobs(...leaders);
+			expect(jobs.isRefusedForCertain(jobs.get('j1')!, 'a')).toBe(false);
+		}
+	});
+
+	it('notes that the only caller has lost its connection until another one waits for the job', () => {
+		const jobs = createPendingJobs('a');
+		const pending = jobs.get('j1')!;
+		pending.hasLostCaller = true;
+		jobs.add(job, () => undefined, 10);
+		expect(pending.hasLostCaller).toBe(false);
+	});
+});
--- a/testing/src/tests/zone-leaders.test.ts
+++ b/testing/src/tests/zone-leaders.test.ts
@@ -1,5 +1,19 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, describe, expect, it} from 'vitest';
-import {PoolInstallation, type PoolEntryVm} from '../pool/pool-installation.js';
+import {
+	PoolInstallation,
+	formatTaskSpec,
+	sendRequest,
+	testQueue,
+	type PoolEntryVm,
+	type PoolHttpResponse,
+} from '../pool/pool-installation.js';
+import {collectRuns, findOverlappingTasks} from '../pool/recorded-runs.js';
+
+/** Two zones have more than the workers from which each zone has its own leader. */
+const workersPerZone = 65;
+/** Longer than a job of the queue may wait and still meet its objective. */
+const blockingMs = 20_000;
 
 let runningInstallation: PoolInstallation | undefined;
 
@@ -14,7 +28,7 @@
 	runningInstallation = new PoolInstallation({
 		zones: ['a', 'b'],
 		entryVmsPerZone,
-		workersPerZone: 65,
+		workersPerZone,
 		processorMillis: 1000,
 	});
 	await runningInstallation.start();
@@ -30,6 +44,84 @@
 		);
 }
 
+/** Returns the entry VM that leads a zone: the one that has claimed it and not dropped it since. */
+function findLeader({entryVms}: PoolInstallation, zone: string): PoolEntryVm {
+	return entryVms.find(({lines}) =>
+		lines
+			.findLast(
+				(line) =>
+					line.includes('"event":"leadership"') &&
+					line.includes(`"zone":"${zone}"`),
+			)
+			?.includes('"kind":"claimed"'),
+	)!;
+}
+
+/** Fills all workers of a zone with one long job, whose caller waits for it. */
+function fillZone(installation: PoolInstallation, zone: string): void {
+	const receiver = installation.entryVms.find(
+		(entryVm) => entryVm.zone === zone,
+	)!;
+	void sendRequest(
+		receiver.callerPort,
+		'POST',
+		testQueue.prefix + installation.newId(),
+		JSON.stringify({
+			spec: formatTaskSpec(blockingMs, 1000),
+			bestEffort: true,
+			steps: [
+				{count: workersPerZone, cpu: 1000, memMb: 64, estimatedMs: blockingMs},
+			],
+		}),
+		30_000,
+	);
+}
+
+/** Returns the zones of the workers that have run tasks of a job. */
+function zonesOfRuns(
+	{workers}: PoolInstallation,
+	id: string,
+): ReadonlySet<string> {
+	return new Set(
+		workers
+			.filter(({runs}) => runs.some(({task}) => task.startsWith(`${id}.`)))
+			.map(({options}) => options.zone),
+	);
+}
+
+/**
+ * Submits a job every 15 ms, to the given entry VMs in turn. As callers do, it submits a job that may have run again
+ * after 1300 ms, to the next entry VM.
+ */
+async function submitPaced(
+	installation: PoolInstallation,
+	receivers: readonly PoolEntryVm[],
+	count: number,
+): Promise<readonly PoolHttpResponse[]> {
+	const answers: Array<Promise<PoolHttpResponse>> = [];
+	for (let index = 0; index < count; index += 1) {
+		const [receiver, nextReceiver] = [index, index + 1].map(
+			(position) => receivers[position % receivers.length]!,
+		);
+		const id = installation.newId();
+		answers.push(
+			(async () => {
+				const answer = await installation.submit(receiver!, id, job);
+				if (![0, 502, 504].includes(answer.status)) {
+					return answer;
+				}
+
+				await sleep(1300);
+				return installation.submit(nextReceiver!, id, job);
+			})(),
+		);
+		// eslint-disable-next-line no-await-in-loop -- paces the load
+		await sleep(15);
+	}
+
+	return Promise.all(answers);
+}
+
 const job = {count: 2, runMs: 60, needsMillis: 600};
 
 describe('an installation with a leader for each zone', () => {
@@ -55,4 +147,59 @@
 		);
 		expect(claims.filter(([own, claimed]) => own !== claimed)).toEqual([]);
 	});
+
+	it('runs jobs in the other zone while the workers of their own are busy, and refuses them while all are', async () => {
+		const installation = await startLargeInstallation(1);
+		const [inZoneA] = installation.entryVms;
+		fillZone(installation, 'a');
+		await sleep(500);
+		const ids = Array.from({length: 10}, () => installation.newId());
+		const answers = await Promise.all(
+			ids.map(async (id) => installation.submit(inZoneA!, id, job)),
+		);
+		expect(answers.map(({status}) => status)).toEqual(ids.map(() => 200));
+		expect(ids.map((id) => [...zonesOfRuns(installation, id)])).toEqual(
+			ids.map(() => ['b']),
+		);
+		fillZone(installation, 'b');
+		await sleep(500);
+		const id = installation.newId();
+		const refusal = await installation.submit(inZoneA!, id, job);
+		expect(refusal.status).toBe(429);
+		expect(zonesOfRuns(installation, id).size).toBe(0);
+	});
+
+	it('never runs a task twice at the same time when the leader of a zone is killed, and continues to complete jobs', async () => {
+		const installation = await startLargeInstallation(2);
+		const leader = findLeader(installation, 'a');
+		const others = installation.entryVms.filter(
+			(entryVm) => entryVm !== leader,
+		);
+		const pendingAnswers = submitPaced(installation, others, 160);
+		await sleep(600);
+		leader.child.kill('SIGKILL');
+		const answers = await pendingAnswers;
+		expect(findOverlappingTasks(collectRuns(installation))).toEqual([]);
+		expect(answers.at(-1)?.status).toBe(200);
+		expect(answers.filter(({status}) => status === 200).length).toBeGreaterThan(
+			80,
+		);
+	});
+
+	it('never runs a task twice at the same time when the leader of a zone that jobs overflow to is killed', async () => {
+		const installation = await startLargeInstallation(2);
+		fillZone(installation, 'a');
+		await sleep(500);
+		const leader = findLeader(installation, 'b');
+		const receivers = installation.entryVms.filter(({zone}) => zone === 'a');
+		const pendingAnswers = submitPaced(installation, receivers, 160);
+		await sleep(600);
+		leader.child.kill('SIGKILL');
+		const answers = await pendingAnswers;
+		expect(findOverlappingTasks(collectRuns(installation))).toEqual([]);
+		expect(answers.at(-1)?.status).toBe(200);
+		expect(answers.filter(({status}) => status === 200).length).toBeGreaterThan(
+			80,
+		);
+	});
 });
