Show how late the event loop runs, and the callers' connections, also when a process stops

Nothing told whether the process was late. Change: EventLoopDelay tracks the largest delay of the last 4 s, one that is not over included; gauges event_loop_delay_ms and open_connections, both also in the lines stopping and stopped, which has the time since SIGTERM too. Ruled out: monitorEventLoopDelay of Node, whose time cannot be injected and which shows a delay only after its end.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -45,3 +45,4 @@
 export * from './worker-pace.js';
 export type * from './pool-decision.js';
 export * from './pool-admission.js';
+export * from './event-loop-delay.js';
--- /dev/null
+++ b/packages/core/src/tests/event-loop-delay.test.ts
@@ -0,0 +1,34 @@
+import {describe, expect, it} from 'vitest';
+import {EventLoopDelay} from '../event-loop-delay.js';
+
+/** Creates a tracker whose check is scheduled every 50 ms and has run at the given times. */
+function createDelay(checkTimesMs: readonly number[]): EventLoopDelay {
+	const delay = new EventLoopDelay(50);
+	for (const timeMs of checkTimesMs) {
+		delay.recordCheck(timeMs);
+	}
+
+	return delay;
+}
+
+describe('EventLoopDelay', () => {
+	it('is 0 before the first check and while checks run in time', () => {
+		expect(createDelay([]).largestMs(10_000)).toBe(0);
+		expect(createDelay([1000, 1050, 1100]).largestMs(1120)).toBe(0);
+	});
+
+	it('returns the largest delay of the last 4 s', () => {
+		const delay = createDelay([0, 750, 800, 1150, 1200]);
+		expect(delay.largestMs(1200)).toBe(700);
+		for (let timeMs = 1250; timeMs <= 4750; timeMs += 50) {
+			delay.recordCheck(timeMs);
+		}
+
+		expect(delay.largestMs(4750)).toBe(700);
+		expect(delay.largestMs(4800)).toBe(300);
+	});
+
+	it('includes a check that is overdue', () => {
+		expect(createDelay([0, 50]).largestMs(1000)).toBe(900);
+	});
+});
--- a/packages/verbenarouter/src/pool/daemon.ts
+++ b/packages/verbenarouter/src/pool/daemon.ts
@@ -1,6 +1,8 @@
 import {readFileSync, statSync} from 'node:fs';
 import {createServer} from 'node:http';
+import {type Socket} from 'node:net';
 import process from 'node:process';
+import {EventLoopDelay} from '@verbenarouter/core';
 import {createCallerServer, parseEntrySettings} from '@verbenarouter/platform';
 import {PoolLog} from './pool-log.js';
 import {PoolNode} from './pool-node.js';
@@ -19,6 +21,8 @@
 const metricsDelayMs = 4000;
 /** Interval at which the modification time of the settings file is checked. */
 const settingsCheckIntervalMs = 1000;
+/** Interval at which the delay of the event loop is measured. */
+const delayCheckIntervalMs = 50;
 /** Exit code of a process whose settings are invalid. */
 const badSettingsExitCode = 2;
 
@@ -85,9 +89,27 @@
 	}
 
 	const {value} = settings;
-	const log: PoolLog = new PoolLog(value.name, () => node.gauges);
+	const delay = new EventLoopDelay(delayCheckIntervalMs);
+	setInterval(() => {
+		delay.recordCheck(monotonicNowMs());
+	}, delayCheckIntervalMs);
+	const connections = new Set<Socket>();
+	const log: PoolLog = new PoolLog(value.name, () => ({
+		...node.gauges,
+		...readProcessGauges(),
+	}));
 	const node: PoolNode = new PoolNode(value, log, monotonicNowMs);
 	const callerServer = createCallerServer(node);
+	callerServer.on('connection', (socket) => {
+		connections.add(socket);
+		socket.once('close', () => {
+			connections.delete(socket);
+		});
+	});
+	const readProcessGauges = () => ({
+		eventLoopDelayMs: Math.round(delay.largestMs(monotonicNowMs())),
+		openConnections: connections.size,
+	});
 	const readiness = createServer((request, response) => {
 		request.resume();
 		response.writeHead(node.isReady ? 200 : 503).end();
@@ -115,7 +137,7 @@
 	}, metricsDelayMs);
 	watchSettings(path, node, log);
 	process.once('SIGTERM', () => {
-		stop(node, log, value.stopGraceMs, () => {
+		stop({node, log, readProcessGauges}, value.stopGraceMs, () => {
 			process.exit(0);
 		});
 	});
@@ -126,20 +148,36 @@
  * the process.
  */
 function stop(
-	node: PoolNode,
-	log: PoolLog,
+	{
+		node,
+		log,
+		readProcessGauges,
+	}: {
+		readonly node: PoolNode;
+		readonly log: PoolLog;
+		readonly readProcessGauges: () => Readonly<Record<string, number>>;
+	},
 	graceMs: number,
 	exit: () => void,
 ): void {
 	const stoppedAtMs = monotonicNowMs();
-	log.write({event: 'stopping', pendingJobs: node.pendingJobCount});
+	log.write({
+		event: 'stopping',
+		pendingJobs: node.pendingJobCount,
+		...readProcessGauges(),
+	});
 	node.beginStop();
 	const checkTimer = setInterval(() => {
 		const sinceMs = monotonicNowMs() - stoppedAtMs;
 		const isIdle = node.pendingJobCount === 0 && sinceMs >= minStopMs;
 		if (isIdle || sinceMs >= graceMs - graceMarginMs) {
 			clearInterval(checkTimer);
-			log.write({event: 'stopped', pendingJobs: node.pendingJobCount});
+			log.write({
+				event: 'stopped',
+				pendingJobs: node.pendingJobCount,
+				sinceStopMs: Math.round(sinceMs),
+				...readProcessGauges(),
+			});
 			node.answerRemainingJobs();
 			setTimeout(() => {
 				node.close();
