--- a/testing/src/pool/pool-installation.ts
+++ b/testing/src/pool/pool-installation.ts
@@ -1,6 +1,6 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
-import {request} from 'node:http';
+import {request, type Agent} from 'node:http';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -276,13 +276,19 @@
 	}
 }
 
-/** Sends a request as a caller, with its deadline in `x-deadline-ms`; resolves with status 0 when the connection fails. */
+/**
+ * Sends a request as a caller, with its deadline in `x-deadline-ms`; resolves with status 0 when the connection fails. An
+ * agent reuses its open connections; without one, the request has a connection of its own.
+ */
 export async function sendRequest(
 	port: number,
 	method: string,
 	target: string,
 	body: string,
-	deadlineMs = 5000,
+	{
+		deadlineMs = 5000,
+		agent = false,
+	}: {readonly deadlineMs?: number; readonly agent?: Agent | false} = {},
 ): Promise<PoolHttpResponse> {
 	const startedAtMs = performance.now();
 	return new Promise((resolve) => {
@@ -301,7 +307,7 @@
 				port,
 				method,
 				path: target,
-				agent: false,
+				agent,
 				headers: {
 					host: testQueue.host,
 					'content-type': 'application/json',
--- a/testing/src/tests/site.test.ts
+++ b/testing/src/tests/site.test.ts
@@ -244,7 +244,7 @@
 				'POST',
 				`${testQueue.prefix}${installation.newId()}`,
 				'{"spec":"20000 100","bestEffort":true,"steps":[{"count":1,"cpu":100}]}',
-				30_000,
+				{deadlineMs: 30_000},
 			),
 			installation.submit(stopping, installation.newId(), job),
 		];
