Answer every request that a stopping entry VM has read, also if its event loop is late

Cause: a stopping process accepted requests on open connections until its very end, and its end was decided by timers alone: a check every 50 ms, last answers at the grace period's end less 0.6 s, exit 100 ms later. A late event loop was killed before; a process in time lost what it read in the last 100 ms. The grace period was counted from when the signal was handled, which a late event loop does late too. Change: StopPlan in core decides, with the time as an argument, when a request is read: accepted for 3 s if its estimate and the delay of the event loop fit before the last answers, else refused at once (503, not run, retry-after, connection: close), whatever its method. The last answers come 0.6 s and two observed delays before the end, counted from the earliest time at which the signal can have been sent. From 2.6 s on the listener and idle connections are closed. ProcessStop exits when all that was read has been passed to the operating system, and closes connections only after a turn of the event loop under 50 ms, so that nothing waits in them unread. A copy of a pending job still gets that job's answer. Requests that wait for the leader or for the first desired state are refused with the last answers. Ruled out: a shorter interval of the check or a larger fixed margin, which move the moment and keep the cause.

--- a/packages/core/src/event-loop-delay.ts
+++ b/packages/core/src/event-loop-delay.ts
@@ -5,6 +5,7 @@
 export class EventLoopDelay {
 	readonly #intervalMs: number;
 	#lastCheckMs: number | undefined;
+	#checkBeforeLastMs: number | undefined;
 	/** Delays within the window that no later one exceeds, the largest first. */
 	#peaks: ReadonlyArray<{readonly atMs: number; readonly delayMs: number}> = [];
 
@@ -16,6 +17,7 @@
 	/** Records that the check runs now. */
 	recordCheck(now: number): void {
 		const delayMs = this.#computeOverdueMs(now);
+		this.#checkBeforeLastMs = this.#lastCheckMs;
 		this.#lastCheckMs = now;
 		this.#peaks = [
 			...this.#peaks.filter(
@@ -31,6 +33,14 @@
 		return Math.max(peak?.delayMs ?? 0, this.#computeOverdueMs(now));
 	}
 
+	/**
+	 * Returns the earliest time at which something that is handled now can have arrived: that of the check before the
+	 * last one, since the last one may have run in the present turn of the event loop.
+	 */
+	earliestArrivalMs(now: number): number {
+		return this.#checkBeforeLastMs ?? now;
+	}
+
 	#computeOverdueMs(now: number): number {
 		return this.#lastCheckMs === undefined
 			? 0
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -46,3 +46,4 @@
 export type * from './pool-decision.js';
 export * from './pool-admission.js';
 export * from './event-loop-delay.js';
+export * from './stop-plan.js';
--- a/packages/core/src/tests/event-loop-delay.test.ts
+++ b/packages/core/src/tests/event-loop-delay.test.ts
@@ -31,4 +31,9 @@
 	it('includes a check that is overdue', () => {
 		expect(createDelay([0, 50]).largestMs(1000)).toBe(900);
 	});
+
+	it('takes what is handled after a late check for as old as the check before', () => {
+		expect(createDelay([0, 50, 900]).earliestArrivalMs(901)).toBe(50);
+		expect(createDelay([]).earliestArrivalMs(901)).toBe(901);
+	});
 });
--- a/packages/platform/src/caller-server.ts
+++ b/packages/platform/src/caller-server.ts
@@ -13,6 +13,7 @@
 	type QueueSetting,
 } from '@verbenarouter/core';
 import {decodeJob, encodeAnswer, type EncodedResponse} from './job-record.js';
+import {OpenRequests} from './open-requests.js';
 
 /** The dispatcher as used by the server for callers. */
 export type JobDispatcher = {
@@ -32,6 +33,11 @@
 	countPendingJobs(queue: string): Promise<number | undefined>;
 	/** Whether the process is shutting down, so that each connection closes after its current response. */
 	isStopping(): boolean;
+	/**
+	 * Whether a request that has just been read is handled. `id` is the job's identifier or the request's path, `needsMs` the
+	 * time until its response as far as known.
+	 */
+	acceptsRequest(id: string, needsMs: number): boolean;
 	/** Handles that a request was refused before a job was created. `id` is the job's identifier or the request's path. */
 	handleRejectedRequest(id: string, status: number, reason: string): void;
 };
@@ -42,25 +48,40 @@
 const defaultMaxBodyBytes = 262_144;
 /** Delay after which a caller retries if the dispatcher has no desired state or no leader. */
 const defaultRetryAfterMs = 1000;
+/** Time for which a request without a desired state waits for the first one. */
+const firstStateWaitMs = 400;
 const jobIdPattern = /^[\da-f]{16}$/v;
 
 /**
  * Creates the server of the platform's interface for callers, which submits and cancels jobs and returns their state. The
- * calling code binds it to an address.
+ * calling code binds it to an address. `openRequests` receives the requests without a complete response.
  */
-export function createCallerServer(dispatcher: JobDispatcher): Server {
+export function createCallerServer(
+	dispatcher: JobDispatcher,
+	openRequests = new OpenRequests(),
+): Server {
 	return createServer(
 		{keepAliveTimeout: 0, requestTimeout: 0},
 		(request, response) => {
+			openRequests.add(request, response);
 			const state = dispatcher.desiredState();
 			if (state !== undefined) {
 				handleRequest(dispatcher, request, response, state);
 				return;
 			}
 
+			if (!dispatcher.acceptsRequest(request.url ?? '/', firstStateWaitMs)) {
+				refuseAtStop(dispatcher, request, response);
+				return;
+			}
+
 			void (async () => {
 				// A new process receives its desired state within milliseconds, and callers may not retry after a refusal.
 				const firstState = await dispatcher.waitForDesiredState();
+				if (response.headersSent) {
+					return;
+				}
+
 				if (firstState === undefined) {
 					refuseWithoutDesiredState(dispatcher, request, response);
 				} else {
@@ -71,6 +92,30 @@
 	);
 }
 
+/** Refuses the requests that have no response when the process is about to end. */
+export function refuseOpenRequests(
+	dispatcher: JobDispatcher,
+	openRequests: OpenRequests,
+): void {
+	for (const {request, response} of openRequests.withoutResponse) {
+		refuseAtStop(dispatcher, request, response);
+	}
+}
+
+function refuseAtStop(
+	dispatcher: JobDispatcher,
+	request: IncomingMessage,
+	response: ServerResponse,
+): void {
+	request.resume();
+	dispatcher.handleRejectedRequest(request.url ?? '/', 503, 'stopping');
+	sendResponse(dispatcher, response, {
+		status: 503,
+		body: '{"error":"not run: this entry VM is stopping"}',
+		retryAfterMs: defaultRetryAfterMs,
+	});
+}
+
 function refuseWithoutDesiredState(
 	dispatcher: JobDispatcher,
 	request: IncomingMessage,
@@ -119,7 +164,13 @@
 	queue: QueueSetting,
 	id: string,
 ): void {
-	switch (request.method ?? 'GET') {
+	const {method = 'GET'} = request;
+	if (method !== 'POST' && !dispatcher.acceptsRequest(request.url ?? '/', 0)) {
+		refuseAtStop(dispatcher, request, response);
+		return;
+	}
+
+	switch (method) {
 		case 'POST': {
 			readBody(dispatcher, request, response, (text) => {
 				submitJob(dispatcher, request, response, {queue, id, text});
@@ -168,6 +219,10 @@
 		}
 	});
 	request.on('end', () => {
+		if (response.headersSent) {
+			return;
+		}
+
 		if (receivedBytes > maxBytes) {
 			dispatcher.handleRejectedRequest(
 				request.url ?? '',
@@ -211,6 +266,14 @@
 		return;
 	}
 
+	const longestMs = Math.max(
+		...decoded.value.tasks.map(({declaredMs}) => declaredMs),
+	);
+	if (!dispatcher.acceptsRequest(id, longestMs)) {
+		refuseAtStop(dispatcher, request, response);
+		return;
+	}
+
 	response.on('close', () => {
 		if (!response.writableFinished) {
 			dispatcher.handleCallerDisconnect(id, request.socket.errored !== null);
@@ -218,9 +281,7 @@
 	});
 	void (async () => {
 		const answer = await dispatcher.submit(decoded.value);
-		if (!response.destroyed) {
-			sendResponse(dispatcher, response, encodeAnswer(answer));
-		}
+		sendResponse(dispatcher, response, encodeAnswer(answer));
 	})();
 }
 
@@ -279,6 +340,10 @@
 	response: ServerResponse,
 	{status, body, retryAfterMs}: EncodedResponse,
 ): void {
+	if (response.headersSent || response.destroyed) {
+		return;
+	}
+
 	const bytes = Buffer.from(body);
 	const headers: Record<string, string | number> = {
 		'content-type': 'application/json',
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -10,3 +10,4 @@
 export * from './store-client.js';
 export * from './worker-client.js';
 export * from './worker-record.js';
+export * from './open-requests.js';
--- a/packages/platform/src/tests/caller-server.test.ts
+++ b/packages/platform/src/tests/caller-server.test.ts
@@ -1,8 +1,13 @@
-import {type Server} from 'node:http';
+import {request, type IncomingMessage, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
-import {type DesiredState} from '@verbenarouter/core';
+import {type DesiredState, type PoolAnswer} from '@verbenarouter/core';
 import {afterEach, describe, expect, it} from 'vitest';
-import {createCallerServer, type JobDispatcher} from '../caller-server.js';
+import {
+	createCallerServer,
+	refuseOpenRequests,
+	type JobDispatcher,
+} from '../caller-server.js';
+import {OpenRequests} from '../open-requests.js';
 import {HttpHostClient, type HttpExchangeOutcome} from '../http-exchange.js';
 
 let callerServer: Server | undefined;
@@ -36,43 +41,83 @@
 	],
 };
 
-/** Submits a job while no desired state is known; `firstState` is what the wait for it resolves with. */
-async function submitBeforeDesiredState(
-	firstState: DesiredState | undefined,
-): Promise<{
-	readonly exchange: HttpExchangeOutcome;
+/** Creates a dispatcher that completes each job at once and records what is refused. */
+function createDispatcher(overrides: Partial<JobDispatcher> = {}): {
+	readonly dispatcher: JobDispatcher;
 	readonly rejected: readonly string[];
-}> {
+} {
 	const rejected: string[] = [];
-	const dispatcher: JobDispatcher = {
-		desiredState: () => undefined,
-		waitForDesiredState: async () => firstState,
-		submit: async () => ({kind: 'completed'}),
-		handleCallerDisconnect: () => undefined,
-		cancel: async () => false,
-		getJobState: async () => undefined,
-		countPendingJobs: async () => undefined,
-		isStopping: () => false,
-		handleRejectedRequest(id, status, reason) {
-			rejected.push(`${id} ${status} ${reason}`);
+	return {
+		rejected,
+		dispatcher: {
+			desiredState: () => state,
+			waitForDesiredState: async () => state,
+			submit: async () => ({kind: 'completed'}),
+			handleCallerDisconnect: () => undefined,
+			cancel: async () => false,
+			getJobState: async () => undefined,
+			countPendingJobs: async () => undefined,
+			isStopping: () => false,
+			acceptsRequest: () => true,
+			handleRejectedRequest(id, status, reason) {
+				rejected.push(`${id} ${status} ${reason}`);
+			},
+			...overrides,
 		},
 	};
-	callerServer = createCallerServer(dispatcher);
+}
+
+/** Listens with a server for a dispatcher, and returns a client of it. */
+async function listen(
+	dispatcher: JobDispatcher,
+	openRequests = new OpenRequests(),
+): Promise<HttpHostClient> {
+	callerServer = createCallerServer(dispatcher, openRequests);
 	await new Promise<void>((resolve) => {
 		callerServer?.listen(0, '127.0.0.1', resolve);
 	});
 	client = new HttpHostClient(
 		`127.0.0.1:${(callerServer.address() as AddressInfo).port}`,
-		1,
+		3,
 	);
-	const exchange = await client.exchange({
-		method: 'POST',
-		path: '/plans/00000000000000aa',
-		headers: {host: 'kitchen.example'},
-		body: '{"spec":"x","bestEffort":true,"steps":[{"count":1,"cpu":100,"memMb":1}]}',
-		timeoutMs: 10_000,
+	return client;
+}
+
+const submission = {
+	method: 'POST',
+	path: '/plans/00000000000000aa',
+	headers: {host: 'kitchen.example'},
+	body: '{"spec":"x","bestEffort":true,"steps":[{"count":1,"cpu":100,"memMb":1,"estimatedMs":70}]}',
+	timeoutMs: 10_000,
+} as const;
+
+/** Sends a request to cancel the job, and returns the response. */
+async function sendDelete(): Promise<IncomingMessage> {
+	return new Promise((resolve, reject) => {
+		const {port} = callerServer!.address() as AddressInfo;
+		const {path, headers} = submission;
+		request({port, method: 'DELETE', path, headers}, (response) => {
+			response.resume();
+			resolve(response);
+		})
+			.on('error', reject)
+			.end();
+	});
+}
+
+/** Submits a job while no desired state is known; `firstState` is what the wait for it resolves with. */
+async function submitBeforeDesiredState(
+	firstState: DesiredState | undefined,
+): Promise<{
+	readonly exchange: HttpExchangeOutcome;
+	readonly rejected: readonly string[];
+}> {
+	const {dispatcher, rejected} = createDispatcher({
+		desiredState: () => undefined,
+		waitForDesiredState: async () => firstState,
 	});
-	return {exchange, rejected};
+	const connected = await listen(dispatcher);
+	return {exchange: await connected.exchange(submission), rejected};
 }
 
 describe('a request that arrives before the first desired state', () => {
@@ -92,3 +137,56 @@
 		]);
 	});
 });
+
+describe('a request that arrives while the process stops', () => {
+	it('is refused at once with the time that it needs known, whatever its method', async () => {
+		const asked: string[] = [];
+		const {dispatcher, rejected} = createDispatcher({
+			isStopping: () => true,
+			acceptsRequest(id, needsMs) {
+				asked.push(`${id} ${needsMs}`);
+				return false;
+			},
+		});
+		const connected = await listen(dispatcher);
+		for (const method of ['POST', 'GET'] as const) {
+			// eslint-disable-next-line no-await-in-loop -- the order of the answers is checked
+			expect(await connected.exchange({...submission, method})).toMatchObject({
+				kind: 'answered',
+				status: 503,
+			});
+		}
+
+		const {statusCode, headers} = await sendDelete();
+		expect(statusCode).toBe(503);
+		expect(headers).toMatchObject({connection: 'close', 'retry-after': '1'});
+		expect(asked).toEqual([
+			'00000000000000aa 70',
+			'/plans/00000000000000aa 0',
+			'/plans/00000000000000aa 0',
+		]);
+		expect(rejected).toEqual([
+			'/plans/00000000000000aa 503 stopping',
+			'/plans/00000000000000aa 503 stopping',
+			'/plans/00000000000000aa 503 stopping',
+		]);
+	});
+
+	it('is refused with all others that have no response when the process is about to end, and only once', async () => {
+		const openRequests = new OpenRequests();
+		const {dispatcher} = createDispatcher({
+			submit: async () => Promise.race<PoolAnswer>([]),
+			getJobState: async () => Promise.race<string>([]),
+		});
+		const connected = await listen(dispatcher, openRequests);
+		const exchanges = Promise.all([
+			connected.exchange(submission),
+			connected.exchange({...submission, method: 'GET'}),
+		]);
+		await expect.poll(() => openRequests.readCount).toBe(2);
+		refuseOpenRequests(dispatcher, openRequests);
+		refuseOpenRequests(dispatcher, openRequests);
+		expect(await exchanges).toMatchObject([{status: 503}, {status: 503}]);
+		await expect.poll(() => openRequests.readCount).toBe(0);
+	});
+});
--- a/packages/verbenarouter/src/pool/daemon.ts
+++ b/packages/verbenarouter/src/pool/daemon.ts
@@ -3,20 +3,17 @@
 import {type Socket} from 'node:net';
 import process from 'node:process';
 import {EventLoopDelay} from '@verbenarouter/core';
-import {createCallerServer, parseEntrySettings} from '@verbenarouter/platform';
+import {
+	OpenRequests,
+	createCallerServer,
+	parseEntrySettings,
+} from '@verbenarouter/platform';
 import {PoolLog} from './pool-log.js';
 import {PoolNode} from './pool-node.js';
+import {ProcessStop} from './process-stop.js';
 import {startupWarmUpLoad, runWarmUpJobs} from './warm-up.js';
 import {monotonicNowMs} from './monotonic-clock.js';
 
-/** Time before the end of the stop grace period at which the process exits at the latest. */
-const graceMarginMs = 600;
-/** Shortest time for which a stopping process still accepts requests; the load balancer needs two failed probes. */
-const minStopMs = 2600;
-/** Interval at which a stopping process checks whether it can exit. */
-const stopCheckIntervalMs = 50;
-/** Time for the last answers to be sent before connections are closed. */
-const answerFlushMs = 100;
 /** Delay after the start before the metrics module is loaded, so that loading does not delay the first answers. */
 const metricsDelayMs = 4000;
 /** Interval at which the modification time of the settings file is checked. */
@@ -99,7 +96,8 @@
 		...readProcessGauges(),
 	}));
 	const node: PoolNode = new PoolNode(value, log, monotonicNowMs);
-	const callerServer = createCallerServer(node);
+	const openRequests = new OpenRequests();
+	const callerServer = createCallerServer(node, openRequests);
 	callerServer.on('connection', (socket) => {
 		connections.add(socket);
 		socket.once('close', () => {
@@ -137,54 +135,25 @@
 	}, metricsDelayMs);
 	watchSettings(path, node, log);
 	process.once('SIGTERM', () => {
-		stop({node, log, readProcessGauges}, value.stopGraceMs, () => {
-			process.exit(0);
-		});
-	});
-}
-
-/**
- * Exits once all callers have their answers and {@link minStopMs} has passed, or shortly before the platform would kill
- * the process.
- */
-function stop(
-	{
-		node,
-		log,
-		readProcessGauges,
-	}: {
-		readonly node: PoolNode;
-		readonly log: PoolLog;
-		readonly readProcessGauges: () => Readonly<Record<string, number>>;
-	},
-	graceMs: number,
-	exit: () => void,
-): void {
-	const stoppedAtMs = monotonicNowMs();
-	log.write({
-		event: 'stopping',
-		pendingJobs: node.pendingJobCount,
-		...readProcessGauges(),
+		const now = monotonicNowMs();
+		const notice = {
+			sentAtMs: delay.earliestArrivalMs(now),
+			handledAtMs: now,
+			graceMs: value.stopGraceMs,
+		};
+		new ProcessStop(notice, {
+			node,
+			log,
+			delay,
+			callerServer,
+			openRequests,
+			readProcessGauges,
+			now: monotonicNowMs,
+			exit() {
+				process.exit(0);
+			},
+		}).begin();
 	});
-	node.beginStop();
-	const checkTimer = setInterval(() => {
-		const sinceMs = monotonicNowMs() - stoppedAtMs;
-		const isIdle = node.pendingJobCount === 0 && sinceMs >= minStopMs;
-		if (isIdle || sinceMs >= graceMs - graceMarginMs) {
-			clearInterval(checkTimer);
-			log.write({
-				event: 'stopped',
-				pendingJobs: node.pendingJobCount,
-				sinceStopMs: Math.round(sinceMs),
-				...readProcessGauges(),
-			});
-			node.answerRemainingJobs();
-			setTimeout(() => {
-				node.close();
-				setImmediate(exit);
-			}, answerFlushMs);
-		}
-	}, stopCheckIntervalMs);
 }
 
 // The bundle is CommonJS, which has no top-level await; an unhandled rejection ends the process and prints its cause.
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -109,6 +109,8 @@
 	/** Name of the live leader of this entry VM's zone. */
 	#leader: string | undefined;
 	#isStopping = false;
+	/** Decides while the process stops whether a request is accepted. */
+	#acceptsRequest: JobDispatcher['acceptsRequest'] | undefined;
 	#nextRequestNumber = 1;
 	#attemptCount = 0;
 	#lastHeartbeatMs = 0;
@@ -280,9 +282,10 @@
 		this.#leadership.setWarm();
 	}
 
-	/** Hands over the zones that this entry VM leads; jobs are still received and answered. */
-	beginStop(): void {
+	/** Hands over the zones that this entry VM leads; jobs are still received and answered, as far as they are accepted. */
+	beginStop(acceptsRequest: JobDispatcher['acceptsRequest']): void {
 		this.#isStopping = true;
+		this.#acceptsRequest = acceptsRequest;
 		this.#applyLeadershipChanges(
 			this.#leadership.stop(this.#now()),
 			'stopping',
@@ -348,6 +351,14 @@
 		return this.#isStopping;
 	}
 
+	acceptsRequest(id: string, needsMs: number): boolean {
+		// A copy of a pending job gets the answer of that job: "not run" would be untrue if the job has started.
+		return (
+			this.#pendingJobs.get(id) !== undefined ||
+			(this.#acceptsRequest?.(id, needsMs) ?? true)
+		);
+	}
+
 	async submit(submitted: Omit<PoolJob, 'attempt'>): Promise<PoolAnswer> {
 		return new Promise((resolve) => {
 			this.#attemptCount += 1;
--- a/packages/verbenarouter/src/pool/warm-up.ts
+++ b/packages/verbenarouter/src/pool/warm-up.ts
@@ -133,6 +133,7 @@
 		getJobState: async () => undefined,
 		countPendingJobs: async () => undefined,
 		isStopping: () => false,
+		acceptsRequest: () => true,
 		handleRejectedRequest: () => undefined,
 	});
 	const caller = new HttpHostClient(await listen(callerServer), concurrency);
