--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -47,3 +47,5 @@
 export * from './zone-overflow.js';
 export type * from './pool-decision.js';
 export * from './pool-admission.js';
+export * from './event-loop-delay.js';
+export * from './stop-plan.js';
--- a/packages/verbenarouter/src/pool/daemon.ts
+++ b/packages/verbenarouter/src/pool/daemon.ts
@@ -1,24 +1,25 @@
 import {readFileSync, statSync} from 'node:fs';
 import {createServer} from 'node:http';
+import {type Socket} from 'node:net';
 import process from 'node:process';
-import {createCallerServer, parseEntrySettings} from '@verbenarouter/platform';
+import {EventLoopDelay} from '@verbenarouter/core';
+import {
+	OpenRequests,
+	createCallerServer,
+	parseEntrySettings,
+} from '@verbenarouter/platform';
 import {PoolLog} from './pool-log.js';
 import {PoolNode} from './pool-node.js';
+import {ProcessStop} from './process-stop.js';
 import {startupWarmUpLoad, runWarmUpJobs} from './warm-up.js';
 import {monotonicNowMs} from './monotonic-clock.js';
 
-/** Time before the end of the stop grace period at which the process exits at the latest. */
-const graceMarginMs = 600;
-/** Shortest time for which a stopping process still accepts requests; the load balancer needs two failed probes. */
-const minStopMs = 2600;
-/** Interval at which a stopping process checks whether it can exit. */
-const stopCheckIntervalMs = 50;
-/** Time for the last answers to be sent before connections are closed. */
-const answerFlushMs = 100;
 /** Delay after the start before the metrics module is loaded, so that loading does not delay the first answers. */
 const metricsDelayMs = 4000;
 /** Interval at which the modification time of the settings file is checked. */
 const settingsCheckIntervalMs = 1000;
+/** Interval at which the delay of the event loop is measured. */
+const delayCheckIntervalMs = 50;
 /** Exit code of a process whose settings are invalid. */
 const badSettingsExitCode = 2;
 
@@ -85,9 +86,28 @@
 	}
 
 	const {value} = settings;
-	const log: PoolLog = new PoolLog(value.name, () => node.gauges);
+	const delay = new EventLoopDelay(delayCheckIntervalMs);
+	setInterval(() => {
+		delay.recordCheck(monotonicNowMs());
+	}, delayCheckIntervalMs);
+	const connections = new Set<Socket>();
+	const log: PoolLog = new PoolLog(value.name, () => ({
+		...node.gauges,
+		...readProcessGauges(),
+	}));
 	const node: PoolNode = new PoolNode(value, log, monotonicNowMs);
-	const callerServer = createCallerServer(node);
+	const openRequests = new OpenRequests();
+	const callerServer = createCallerServer(node, openRequests);
+	callerServer.on('connection', (socket) => {
+		connections.add(socket);
+		socket.once('close', () => {
+			connections.delete(socket);
+		});
+	});
+	const readProcessGauges = () => ({
+		eventLoopDelayMs: Math.round(delay.largestMs(monotonicNowMs())),
+		openConnections: connections.size,
+	});
 	const readiness = createServer((request, response) => {
 		request.resume();
 		response.writeHead(node.isReady ? 200 : 503).end();
@@ -115,40 +135,27 @@
 	}, metricsDelayMs);
 	watchSettings(path, node, log);
 	process.once('SIGTERM', () => {
-		stop(node, log, value.stopGraceMs, () => {
-			process.exit(0);
-		});
+		const now = monotonicNowMs();
+		const notice = {
+			sentAtMs: delay.earliestArrivalMs(now),
+			handledAtMs: now,
+			graceMs: value.stopGraceMs,
+		};
+		new ProcessStop(notice, {
+			node,
+			log,
+			delay,
+			callerServer,
+			openRequests,
+			readProcessGauges,
+			now: monotonicNowMs,
+			exit() {
+				process.exit(0);
+			},
+		}).begin();
 	});
 }
 
-/**
- * Exits once all callers have their answers and {@link minStopMs} has passed, or shortly before the platform would kill
- * the process.
- */
-function stop(
-	node: PoolNode,
-	log: PoolLog,
-	graceMs: number,
-	exit: () => void,
-): void {
-	const stoppedAtMs = monotonicNowMs();
-	log.write({event: 'stopping', pendingJobs: node.pendingJobCount});
-	node.beginStop();
-	const checkTimer = setInterval(() => {
-		const sinceMs = monotonicNowMs() - stoppedAtMs;
-		const isIdle = node.pendingJobCount === 0 && sinceMs >= minStopMs;
-		if (isIdle || sinceMs >= graceMs - graceMarginMs) {
-			clearInterval(checkTimer);
-			log.write({event: 'stopped', pendingJobs: node.pendingJobCount});
-			node.answerRemainingJobs();
-			setTimeout(() => {
-				node.close();
-				setImmediate(exit);
-			}, answerFlushMs);
-		}
-	}, stopCheckIntervalMs);
-}
-
 // The bundle is CommonJS, which has no top-level await; an unhandled rejection ends the process and prints its cause.
 // eslint-disable-next-line unicorn/prefer-top-level-await
 void main();
