Count messages between entry VMs by type, and report the delay of the event loop and why a peer is lost

Change: `peer_messages_total`, `peer_bytes_total` and `peer_handling_ms_total` by type and direction, `peer_streams_closed_total` by cause, gauge `event_loop_delay_ms`, and `cause` in `peer-lost`. Ruled out: telling a cancelled stream from an ended one, as gRPC reports both for a cancelled one; the cause is `closed` for both.

--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -6,3 +6,4 @@
 export * from './pool-link.js';
 export * from './pool-mesh.js';
 export type * from './pool-message.js';
+export * from './pool-traffic.js';
--- a/packages/peer/src/pool-link.ts
+++ b/packages/peer/src/pool-link.ts
@@ -7,20 +7,42 @@
 	type ServiceDefinition,
 } from '@grpc/grpc-js';
 import {type PoolMessage} from './pool-message.js';
+import {type LinkCloseCause, type PoolTraffic} from './pool-traffic.js';
 
-/** Messages that were sent in one turn of the event loop. */
-export type PoolBatch = readonly PoolMessage[];
+/** Messages that were sent in one turn of the event loop, and their encoded length. */
+export type PoolBatch = {
+	readonly messages: readonly PoolMessage[];
+	readonly byteLength: number;
+};
 
 /** Acknowledges a heartbeat, which shows that the receiver still reads the stream. */
 export type PoolAcknowledgement = {readonly isAlive: true};
 
-/** Serializes a message. Receivers do not validate messages, as only entry VMs send them. */
-function serialize(value: PoolBatch | PoolAcknowledgement) {
-	return Buffer.from(JSON.stringify(value));
+/** An encoded message and its type. */
+type EncodedMessage = {
+	readonly type: PoolMessage['type'];
+	readonly text: string;
+};
+
+/** The encoded acknowledgement. */
+const acknowledgementBytes = Buffer.from(JSON.stringify({isAlive: true}));
+
+/** Joins messages into a JSON array. Receivers do not validate messages, as only entry VMs send them. */
+function serializeBatch(batch: readonly EncodedMessage[]) {
+	return Buffer.from(`[${batch.map(({text}) => text).join(',')}]`);
 }
 
 function deserializeBatch(bytes: Uint8Array): PoolBatch {
-	return JSON.parse(Buffer.from(bytes).toString('utf8')) as PoolBatch;
+	return {
+		messages: JSON.parse(
+			Buffer.from(bytes).toString('utf8'),
+		) as readonly PoolMessage[],
+		byteLength: bytes.length,
+	};
+}
+
+function serializeAcknowledgement() {
+	return acknowledgementBytes;
 }
 
 function deserializeAcknowledgement(): PoolAcknowledgement {
@@ -33,9 +55,9 @@
 		path: '/verbenarouter.Pool/Exchange',
 		requestStream: true,
 		responseStream: true,
-		requestSerialize: serialize,
+		requestSerialize: serializeBatch,
 		requestDeserialize: deserializeBatch,
-		responseSerialize: serialize,
+		responseSerialize: serializeAcknowledgement,
 		responseDeserialize: deserializeAcknowledgement,
 	},
 } satisfies ServiceDefinition;
@@ -70,32 +92,50 @@
 	maxReconnectMs: 400,
 };
 
+/** Options and handlers of {@link PoolLink}. */
+export type PoolLinkOptions = {
+	/** `host:port` of the other entry VM. */
+	readonly address: string;
+	/** Called on the first acknowledgement on a new stream. */
+	readonly onOpen: () => void;
+	/** Returns the time of a monotonic clock, in milliseconds. */
+	readonly now: () => number;
+	/** Counts what the link sends. */
+	readonly traffic: PoolTraffic;
+	readonly settings?: PoolLinkSettings;
+};
+
 /** Client end of a stream of messages to another entry VM. Heartbeats reconnect a lost stream. */
 export class PoolLink {
+	/** `host:port` of the other entry VM. */
+	readonly address: string;
 	readonly #settings: PoolLinkSettings;
 	readonly #onOpen: () => void;
 	readonly #now: () => number;
+	readonly #traffic: PoolTraffic;
 	#client: Client | undefined;
-	#stream: ClientDuplexStream<PoolBatch, PoolAcknowledgement> | undefined;
+	#stream:
+		| ClientDuplexStream<readonly EncodedMessage[], PoolAcknowledgement>
+		| undefined;
+
 	#isOpen = false;
-	#batch: PoolMessage[] = [];
+	#batch: EncodedMessage[] = [];
 	/** Time at which the oldest unacknowledged heartbeat was sent. */
 	#unacknowledgedSinceMs: number | undefined;
 	#reconnectAtMs = 0;
 	#reconnectDelayMs: number;
 
-	/**
-	 * `onOpen` is called on the first acknowledgement on a new stream; `now` returns the time of a monotonic clock, in
-	 * milliseconds.
-	 */
-	constructor(
-		readonly address: string,
-		onOpen: () => void,
-		now: () => number,
-		settings: PoolLinkSettings = defaultPoolLinkSettings,
-	) {
+	constructor({
+		address,
+		onOpen,
+		now,
+		traffic,
+		settings = defaultPoolLinkSettings,
+	}: PoolLinkOptions) {
+		this.address = address;
 		this.#now = now;
 		this.#onOpen = onOpen;
+		this.#traffic = traffic;
 		this.#settings = settings;
 		this.#reconnectDelayMs = settings.reconnectMs;
 	}
@@ -124,7 +164,7 @@
 			this.#unacknowledgedSinceMs !== undefined &&
 			now - this.#unacknowledgedSinceMs > this.#settings.silenceMs;
 		if (this.#stream !== undefined && isSilent) {
-			this.#disconnect(now);
+			this.#disconnect('silent', now);
 		}
 
 		if (this.#stream === undefined && now >= this.#reconnectAtMs) {
@@ -139,11 +179,18 @@
 
 	/** Closes the stream and drops messages that have not been written. */
 	close(): void {
-		this.#disconnect(0);
+		this.#disconnect('removed', 0);
 	}
 
 	#enqueue(message: PoolMessage): void {
-		this.#batch.push(message);
+		const startedAtMs = this.#now();
+		const text = JSON.stringify(message);
+		this.#traffic.add('sent', message.type, {
+			messages: 1,
+			bytes: text.length,
+			tookMs: this.#now() - startedAtMs,
+		});
+		this.#batch.push({type: message.type, text});
 		if (this.#batch.length === 1) {
 			const stream = this.#stream;
 			setImmediate(() => {
@@ -166,7 +213,7 @@
 		);
 		const stream = client.makeBidiStreamRequest(
 			poolService.exchange.path,
-			serialize,
+			serializeBatch,
 			deserializeAcknowledgement,
 		);
 		this.#client = client;
@@ -184,17 +231,25 @@
 				this.#onOpen();
 			}
 		});
-		const handleLoss = () => {
+		const handleLoss = (cause: LinkCloseCause) => {
 			if (stream === this.#stream) {
-				this.#disconnect(this.#now());
+				this.#disconnect(cause, this.#now());
 			}
 		};
 
-		stream.on('error', handleLoss);
-		stream.on('end', handleLoss);
+		stream.on('error', () => {
+			handleLoss('broken');
+		});
+		stream.on('end', () => {
+			handleLoss('ended');
+		});
 	}
 
-	#disconnect(now: number): void {
+	#disconnect(cause: LinkCloseCause, now: number): void {
+		if (this.#stream !== undefined) {
+			this.#traffic.addClosedLink(cause);
+		}
+
 		const client = this.#client;
 		const stream = this.#stream;
 		this.#client = undefined;
--- a/packages/peer/src/pool-mesh.ts
+++ b/packages/peer/src/pool-mesh.ts
@@ -8,6 +8,13 @@
 	type PoolAcknowledgement,
 } from './pool-link.js';
 import {type PoolMessage} from './pool-message.js';
+import {PoolTraffic} from './pool-traffic.js';
+
+/**
+ * Why the newest stream that an entry VM has opened is lost: it failed, its sender or a break of the connection has
+ * closed it, or a message on it came so late that it may be out of date.
+ */
+export type PeerLossCause = 'failed' | 'closed' | 'out-of-date';
 
 /** Options and handlers of {@link PoolMesh}. */
 export type PoolMeshOptions = {
@@ -19,7 +26,7 @@
 	/** Handles a message of an entry VM that has sent a heartbeat on the same stream. */
 	readonly onMessage: (from: string, message: PoolMessage) => void;
 	/** Handles the loss of the newest stream that an entry VM has opened. */
-	readonly onLost: (name: string) => void;
+	readonly onLost: (name: string, cause: PeerLossCause) => void;
 	/** Handles that the stream to an entry VM has opened. Messages sent on an earlier stream may be lost. */
 	readonly onOpen: (name: string) => void;
 };
@@ -35,6 +42,8 @@
 
 /** Server for the streams of other entry VMs, and a {@link PoolLink} to each of them. */
 export class PoolMesh {
+	/** Counts of the messages to and from other entry VMs. */
+	readonly traffic = new PoolTraffic();
 	readonly #options: PoolMeshOptions;
 	readonly #server = new Server(poolChannelOptions);
 	readonly #linksByAddress = new Map<string, PoolLink>();
@@ -71,13 +80,14 @@
 			if (!this.#linksByAddress.has(address)) {
 				this.#linksByAddress.set(
 					address,
-					new PoolLink(
+					new PoolLink({
 						address,
-						() => {
+						onOpen: () => {
 							this.#handleLinkOpen(address);
 						},
-						this.#options.now,
-					),
+						now: this.#options.now,
+						traffic: this.traffic,
+					}),
 				);
 			}
 		}
@@ -137,43 +147,65 @@
 		let lastReceivedAtMs = this.#options.now();
 		stream.on('data', (batch: PoolBatch) => {
 			const now = this.#options.now();
+			this.#countBatch(batch);
 			if (now - lastReceivedAtMs > staleStreamMs) {
-				handleStreamEnd();
+				handleStreamEnd('out-of-date');
 				stream.end();
 				return;
 			}
 
 			lastReceivedAtMs = now;
-			for (const message of batch) {
+			for (const message of batch.messages) {
 				if (message.type === 'heartbeat') {
 					name = message.heartbeat.name;
 					this.#inboundStreams.set(name, stream);
 					this.#addressesByName.set(name, message.heartbeat.address);
 					if (!stream.writableEnded && !stream.cancelled) {
 						stream.write({isAlive: true});
+						this.traffic.add('sent', 'acknowledgement', {messages: 1});
 					}
 				}
 
 				if (name !== undefined) {
+					const startedAtMs = this.#options.now();
 					this.#options.onMessage(name, message);
+					this.traffic.add('received', message.type, {
+						tookMs: this.#options.now() - startedAtMs,
+					});
 				}
 			}
 		});
-		const handleStreamEnd = () => {
+		const handleStreamEnd = (cause: PeerLossCause) => {
 			if (name !== undefined && this.#inboundStreams.get(name) === stream) {
 				this.#inboundStreams.delete(name);
-				this.#options.onLost(name);
+				this.#options.onLost(name, cause);
 			}
 		};
 
 		stream.on('error', () => {
-			handleStreamEnd();
+			handleStreamEnd('failed');
 			stream.end();
 		});
-		stream.on('cancelled', handleStreamEnd);
+		stream.on('cancelled', () => {
+			handleStreamEnd('closed');
+		});
 		stream.on('end', () => {
-			handleStreamEnd();
+			handleStreamEnd('closed');
 			stream.end();
 		});
 	}
+
+	/** Counts received messages; the bytes of a batch of several messages count as type `batch`. */
+	#countBatch({messages, byteLength}: PoolBatch): void {
+		for (const {type} of messages) {
+			this.traffic.add('received', type, {messages: 1});
+		}
+
+		const [first] = messages;
+		this.traffic.add(
+			'received',
+			messages.length === 1 && first !== undefined ? first.type : 'batch',
+			{bytes: byteLength},
+		);
+	}
 }
--- a/packages/peer/src/tests/pool-mesh.test.ts
+++ b/packages/peer/src/tests/pool-mesh.test.ts
@@ -17,6 +17,7 @@
 	readonly address: string;
 	readonly messageSenders: string[];
 	readonly lostPeers: string[];
+	readonly lossCauses: string[];
 	clockMs: number;
 	/** Sends a heartbeat on all links. */
 	sendHeartbeat(): void;
@@ -44,6 +45,7 @@
 	const address = `127.0.0.1:${await findFreePort()}`;
 	const messageSenders: string[] = [];
 	const lostPeers: string[] = [];
+	const lossCauses: string[] = [];
 	const fixture: MeshFixture = {
 		mesh: new PoolMesh({
 			name,
@@ -52,14 +54,16 @@
 			onMessage(from) {
 				messageSenders.push(from);
 			},
-			onLost(from) {
+			onLost(from, cause) {
 				lostPeers.push(from);
+				lossCauses.push(cause);
 			},
 			onOpen: () => undefined,
 		}),
 		address,
 		messageSenders,
 		lostPeers,
+		lossCauses,
 		clockMs: 1000,
 		sendHeartbeat() {
 			fixture.mesh.sendHeartbeats(
@@ -130,4 +134,30 @@
 			'sender',
 		]);
 	});
+
+	it('is counted with its messages by type, and its loss by cause', async () => {
+		const receiver = await meshFixture('receiver');
+		const sender = await meshFixture('sender');
+		sender.mesh.updateLinks([receiver.address]);
+		sender.sendHeartbeat();
+		await waitUntil(() => receiver.messageSenders.length === 1);
+		const [sent] = sender.mesh.traffic.counts;
+		const [received] = receiver.mesh.traffic.counts;
+		expect(sent).toMatchObject({
+			type: 'heartbeat',
+			direction: 'sent',
+			messages: 1,
+		});
+		// The brackets of the batch.
+		expect(received).toMatchObject({
+			type: 'heartbeat',
+			direction: 'received',
+			messages: 1,
+			bytes: sent!.bytes + 2,
+		});
+		sender.mesh.updateLinks([]);
+		await waitUntil(() => receiver.lostPeers.length === 1);
+		expect(receiver.lossCauses).toEqual(['closed']);
+		expect([...sender.mesh.traffic.closedLinks]).toEqual([['removed', 1]]);
+	});
 });
--- a/packages/verbenarouter/src/metrics.ts
+++ b/packages/verbenarouter/src/metrics.ts
@@ -26,9 +26,13 @@
 /** Returns the current values of the gauges, by name in camel case with the unit, for example `catalogueAgeMs`. */
 export type GaugeReader = () => Readonly<Record<string, number>>;
 
+/** Returns counters that are kept outside of {@link Metrics}. */
+export type CounterReader = () => readonly MetricSample[];
+
 /** Counters, gauges and response times of one process, exported in the Prometheus text format and as JSON. */
 export class Metrics {
 	readonly #readGauges: GaugeReader;
+	readonly #readCounters: CounterReader;
 	readonly #counters = new Map<
 		string,
 		{readonly sample: MetricSample; value: number}
@@ -37,8 +41,9 @@
 	readonly #jobHistograms = new Map<string, Histogram>();
 	readonly #taskHistograms = new Map<string, Histogram>();
 
-	constructor(readGauges: GaugeReader) {
+	constructor(readGauges: GaugeReader, readCounters: CounterReader = () => []) {
 		this.#readGauges = readGauges;
+		this.#readCounters = readCounters;
 	}
 
 	/** Records the answer to a submission; `durationMs` is the time since its arrival. */
@@ -87,10 +92,13 @@
 	} {
 		return {
 			gauges: this.#readGauges(),
-			counters: [...this.#counters.values()].map(({sample, value}) => ({
-				...sample,
-				value,
-			})),
+			counters: [
+				...[...this.#counters.values()].map(({sample, value}) => ({
+					...sample,
+					value,
+				})),
+				...this.#readCounters(),
+			],
 			jobTimesMs: summarizeTimes(this.#jobHistograms),
 			taskTimesMs: summarizeTimes(this.#taskHistograms),
 		};
--- a/packages/verbenarouter/src/pool/daemon.ts
+++ b/packages/verbenarouter/src/pool/daemon.ts
@@ -85,7 +85,11 @@
 	}
 
 	const {value} = settings;
-	const log: PoolLog = new PoolLog(value.name, () => node.gauges);
+	const log: PoolLog = new PoolLog(
+		value.name,
+		() => node.gauges,
+		() => node.counters,
+	);
 	const node: PoolNode = new PoolNode(value, log, monotonicNowMs);
 	const callerServer = createCallerServer(node);
 	const readiness = createServer((request, response) => {
--- a/packages/verbenarouter/src/pool/pool-log.ts
+++ b/packages/verbenarouter/src/pool/pool-log.ts
@@ -1,6 +1,6 @@
 import {type PoolAnswer, type PoolJob} from '@verbenarouter/core';
 import {createLogger, type LogFields, type ProcessLogger} from '../logger.js';
-import {type Metrics} from '../metrics.js';
+import {type CounterReader, type Metrics} from '../metrics.js';
 
 /** Number of counts that are buffered until the metrics are loaded; further ones are dropped. */
 const maxBufferedCounts = 20_000;
@@ -9,13 +9,19 @@
 export class PoolLog {
 	readonly #logger: ProcessLogger;
 	readonly #gauges: () => Readonly<Record<string, number>>;
+	readonly #counters: CounterReader;
 	#metrics: Metrics | undefined;
 	/** Counts made before the metrics were loaded. */
 	#bufferedCounts: Array<(metrics: Metrics) => void> = [];
 
-	constructor(name: string, gauges: () => Readonly<Record<string, number>>) {
+	constructor(
+		name: string,
+		gauges: () => Readonly<Record<string, number>>,
+		counters: CounterReader,
+	) {
 		this.#logger = createLogger({format: 'json', level: 'info'}, name);
 		this.#gauges = gauges;
+		this.#counters = counters;
 	}
 
 	/**
@@ -25,7 +31,7 @@
 	async loadMetrics(): Promise<Metrics> {
 		if (this.#metrics === undefined) {
 			const loaded = await import('../metrics.js');
-			this.#metrics ??= new loaded.Metrics(this.#gauges);
+			this.#metrics ??= new loaded.Metrics(this.#gauges, this.#counters);
 			for (const count of this.#bufferedCounts) {
 				count(this.#metrics);
 			}
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -22,6 +22,8 @@
 	type JobDispatcher,
 } from '@verbenarouter/platform';
 import {droppedLines} from '../logger.js';
+import {type MetricSample} from '../metrics.js';
+import {EventLoopDelay} from './event-loop-delay.js';
 import {MemberRegistry} from './member-registry.js';
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {type PoolLog} from './pool-log.js';
@@ -96,6 +98,7 @@
 	readonly #storeFollower: StoreFollower;
 	readonly #registry: MemberRegistry;
 	readonly #pendingJobs = new PendingJobs();
+	readonly #eventLoopDelay = new EventLoopDelay(tickIntervalMs);
 	readonly #members = new Map<string, KnownMember>();
 	/** Resolves the requests to the leader that have no reply yet, by request number. */
 	readonly #replyHandlers = new Map<number, (value: unknown) => void>();
@@ -179,10 +182,10 @@
 			onMessage: (from, message) => {
 				this.#receiveMessage(from, message);
 			},
-			onLost: (name) => {
+			onLost: (name, cause) => {
 				this.#leadership.markDisconnected(name);
 				this.#scheduler.markReceiverUnreachable(name, now());
-				log.write({event: 'peer-lost', peer: name});
+				log.write({event: 'peer-lost', peer: name, cause});
 				this.#updateLeadership();
 			},
 			onOpen: (name) => {
@@ -272,9 +275,35 @@
 				Math.min(1e9, this.#storeFollower.dataAgeMs(this.#now())),
 			),
 			logLinesDropped: droppedLines.count,
+			eventLoopDelayMs: Math.round(this.#eventLoopDelay.delayMs(this.#now())),
 		};
 	}
 
+	/** Present values of the counters of messages between entry VMs. */
+	get counters(): readonly MetricSample[] {
+		const {counts, closedLinks} = this.#mesh.traffic;
+		return [
+			...counts.flatMap(({type, direction, messages, bytes, tookMs}) => [
+				{
+					name: 'peer_messages_total',
+					labels: {type, direction},
+					value: messages,
+				},
+				{name: 'peer_bytes_total', labels: {type, direction}, value: bytes},
+				{
+					name: 'peer_handling_ms_total',
+					labels: {type, direction},
+					value: tookMs,
+				},
+			]),
+			...[...closedLinks].map(([cause, value]) => ({
+				name: 'peer_streams_closed_total',
+				labels: {cause},
+				value,
+			})),
+		];
+	}
+
 	/** Marks this process as warm, so that it may lead the whole region: its scheduling code has run. */
 	setWarm(): void {
 		this.#leadership.setWarm();
@@ -443,6 +472,7 @@
 	/** Runs the checks that are due. */
 	#tick(): void {
 		const now = this.#now();
+		this.#eventLoopDelay.recordRun(now);
 		this.#updateLeadership();
 		this.#storeFollower.setActive(this.#shouldReadStore(now));
 		this.#storeFollower.tick(now);
--- a/packages/verbenarouter/src/tests/metrics.test.ts
+++ b/packages/verbenarouter/src/tests/metrics.test.ts
@@ -33,4 +33,20 @@
 			'target-1': {count: 1, p50: 6, p99: 6, p999: 6, maximum: 6},
 		});
 	});
+
+	it('exports counters that are kept elsewhere', () => {
+		const metrics = new Metrics(
+			() => ({}),
+			() => [
+				{
+					name: 'peer_bytes_total',
+					labels: {type: 'heartbeat', direction: 'sent'},
+					value: 7,
+				},
+			],
+		);
+		expect(metrics.formatText().split('\n')).toContain(
+			'verbenarouter_peer_bytes_total{type="heartbeat",direction="sent"} 7',
+		);
+	});
 });
