--- a/testing/src/pool/pool-installation.ts
+++ b/testing/src/pool/pool-installation.ts
@@ -28,6 +28,7 @@
 	readonly zone: string;
 	readonly callerPort: number;
 	readonly readinessPort: number;
+	readonly metricsPort: number;
 	/** Log lines on standard output, of all processes so far. */
 	readonly lines: string[];
 	child: ChildProcess;
@@ -140,6 +141,7 @@
 				zone,
 				callerPort,
 				readinessPort,
+				metricsPort,
 				lines,
 				child: this.#spawn(settingsPath, lines),
 			});
@@ -333,27 +335,36 @@
 	});
 }
 
-/** Finds distinct loopback ports that are free at present, by listening on all of them at the same time. */
+/** Ports from which those of entry VMs are selected: below the ones that systems give to outgoing connections. */
+const firstPort = 12_000;
+const portCount = 20_000;
+
+/** Finds distinct loopback ports that are free at present, by listening on them. */
 async function findFreePorts(count: number): Promise<readonly number[]> {
-	const servers = await Promise.all(
-		Array.from(
-			{length: count},
-			async () =>
-				new Promise<ReturnType<typeof createServer>>((resolve) => {
-					const server = createServer();
-					server.listen(0, '127.0.0.1', () => {
-						resolve(server);
-					});
-				}),
-		),
-	);
-	const ports = servers.map((server) => {
-		const address = server.address();
-		return typeof address === 'object' && address !== null ? address.port : 0;
-	});
-	for (const server of servers) {
-		server.close();
+	const ports: number[] = [];
+	// Installations that run at the same time start at different ports.
+	const offset = (process.pid * 137) % portCount;
+	for (let index = 0; ports.length < count && index < portCount; index += 1) {
+		const port = firstPort + ((offset + index) % portCount);
+		// eslint-disable-next-line no-await-in-loop -- tries one port after the other
+		if (await isPortFree(port)) {
+			ports.push(port);
+		}
 	}
 
 	return ports;
 }
+
+async function isPortFree(port: number): Promise<boolean> {
+	return new Promise((resolve) => {
+		const server = createServer();
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, '127.0.0.1', () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+}
