Bound the streams that an entry VM opens, and encode a heartbeat once for all of them

Cause: a stream that had not opened after 0.4 s was replaced, at once by all links. An entry VM that lacks processor time does not open a stream in that time, so it was given new connections for ever; each of them had all heartbeats of that time queued on it. And each heartbeat was encoded for every link. While messages wait to be written, no further heartbeat is queued. When the other entry VM has opened a stream, a link that waits for its delay connects at once. A heartbeat is encoded once. An open stream is replaced after 0.4 s as before. Ruled out: sending only the first heartbeat on a stream that is not acknowledged: a test of the mesh showed that this delays the second.

--- a/packages/peer/src/pool-link.ts
+++ b/packages/peer/src/pool-link.ts
@@ -18,18 +18,33 @@
 /** Acknowledges a heartbeat, which shows that the receiver still reads the stream. */
 export type PoolAcknowledgement = {readonly isAlive: true};
 
-/** An encoded message and its type. */
-type EncodedMessage = {
+/** A message that is encoded once for all streams on which it is sent. */
+export class EncodedMessage {
 	readonly type: PoolMessage['type'];
 	readonly text: string;
-};
+	#batchBytes: ReturnType<typeof Buffer.from> | undefined;
+
+	constructor(message: PoolMessage) {
+		this.type = message.type;
+		this.text = JSON.stringify(message);
+	}
+
+	/** The bytes of a batch with only this message. */
+	get batchBytes() {
+		this.#batchBytes ??= Buffer.from(`[${this.text}]`);
+		return this.#batchBytes;
+	}
+}
 
 /** The encoded acknowledgement. */
 const acknowledgementBytes = Buffer.from(JSON.stringify({isAlive: true}));
 
 /** Joins messages into a JSON array. Receivers do not validate messages, as only entry VMs send them. */
 function serializeBatch(batch: readonly EncodedMessage[]) {
-	return Buffer.from(`[${batch.map(({text}) => text).join(',')}]`);
+	const [first] = batch;
+	return batch.length === 1 && first !== undefined
+		? first.batchBytes
+		: Buffer.from(`[${batch.map(({text}) => text).join(',')}]`);
 }
 
 function deserializeBatch(bytes: Uint8Array): PoolBatch {
@@ -77,17 +92,29 @@
 
 /** Settings of {@link PoolLink}. */
 export type PoolLinkSettings = {
-	/** Milliseconds without an acknowledgement of a heartbeat after which the stream is replaced. */
+	/** Milliseconds without an acknowledgement of a heartbeat after which an open stream is replaced. */
 	readonly silenceMs: number;
-	/** First delay before a reconnect, in milliseconds; it doubles with each further attempt up to `maxReconnectMs`. */
+	/**
+	 * Milliseconds for which the first attempt waits for a stream to open; doubles with each further attempt up to
+	 * `maxOpenMs`, because an entry VM that lacks processor time opens none of the streams that it is given too often.
+	 */
+	readonly openMs: number;
+	/** Longest time for which an attempt waits for a stream to open, in milliseconds. */
+	readonly maxOpenMs: number;
+	/**
+	 * Mean of the first delay before a reconnect, in milliseconds; it doubles with each further attempt up to
+	 * `maxReconnectMs`.
+	 */
 	readonly reconnectMs: number;
-	/** Longest delay before a reconnect, in milliseconds. */
+	/** Longest mean delay before a reconnect, in milliseconds. */
 	readonly maxReconnectMs: number;
 };
 
 /** Settings for a heartbeat interval of 100 ms. */
 export const defaultPoolLinkSettings: PoolLinkSettings = {
 	silenceMs: 400,
+	openMs: 400,
+	maxOpenMs: 1600,
 	reconnectMs: 50,
 	maxReconnectMs: 400,
 };
@@ -102,6 +129,10 @@
 	readonly now: () => number;
 	/** Counts what the link sends. */
 	readonly traffic: PoolTraffic;
+	/** Returns a random number from 0 to 1, by which reconnects of many links are spread. */
+	readonly random: () => number;
+	/** Whether a new stream may be opened now; called only when one is due. */
+	readonly tryTakeConnect: (now: number) => boolean;
 	readonly settings?: PoolLinkSettings;
 };
 
@@ -113,6 +144,8 @@
 	readonly #onOpen: () => void;
 	readonly #now: () => number;
 	readonly #traffic: PoolTraffic;
+	readonly #random: () => number;
+	readonly #tryTakeConnect: (now: number) => boolean;
 	#client: Client | undefined;
 	#stream:
 		| ClientDuplexStream<readonly EncodedMessage[], PoolAcknowledgement>
@@ -120,24 +153,32 @@
 
 	#isOpen = false;
 	#batch: EncodedMessage[] = [];
+	/** Number of batches on the current stream that wait for the connection to open or for the receiver to read. */
+	#unwrittenBatches = 0;
 	/** Time at which the oldest unacknowledged heartbeat was sent. */
 	#unacknowledgedSinceMs: number | undefined;
 	#reconnectAtMs = 0;
 	#reconnectDelayMs: number;
+	#openTimeoutMs: number;
 
 	constructor({
 		address,
 		onOpen,
 		now,
 		traffic,
+		random,
+		tryTakeConnect,
 		settings = defaultPoolLinkSettings,
 	}: PoolLinkOptions) {
 		this.address = address;
 		this.#now = now;
 		this.#onOpen = onOpen;
 		this.#traffic = traffic;
+		this.#random = random;
+		this.#tryTakeConnect = tryTakeConnect;
 		this.#settings = settings;
 		this.#reconnectDelayMs = settings.reconnectMs;
+		this.#openTimeoutMs = settings.openMs;
 	}
 
 	/** Whether the receiver has acknowledged a heartbeat on the current stream. */
@@ -146,7 +187,7 @@
 	}
 
 	/** Sends a message at the end of the current turn of the event loop; returns false if the stream is not open. */
-	send(message: PoolMessage): boolean {
+	send(message: EncodedMessage): boolean {
 		if (!this.#isOpen) {
 			return false;
 		}
@@ -156,41 +197,76 @@
 	}
 
 	/**
-	 * Sends a heartbeat, also on a stream that is not acknowledged yet. Replaces a silent stream, and reconnects after the
-	 * reconnect delay if there is none.
+	 * Sends a heartbeat, also on a stream that is not acknowledged yet, unless earlier messages wait to be written. Replaces
+	 * a silent stream, and reconnects after the reconnect delay if there is none.
 	 */
-	sendHeartbeat(message: PoolMessage, now: number): void {
+	sendHeartbeat(message: EncodedMessage, now: number): void {
+		const limitMs = this.#isOpen
+			? this.#settings.silenceMs
+			: this.#openTimeoutMs;
 		const isSilent =
 			this.#unacknowledgedSinceMs !== undefined &&
-			now - this.#unacknowledgedSinceMs > this.#settings.silenceMs;
+			now - this.#unacknowledgedSinceMs > limitMs;
 		if (this.#stream !== undefined && isSilent) {
+			if (!this.#isOpen) {
+				this.#openTimeoutMs = Math.min(
+					2 * this.#openTimeoutMs,
+					this.#settings.maxOpenMs,
+				);
+			}
+
 			this.#disconnect('silent', now);
 		}
 
-		if (this.#stream === undefined && now >= this.#reconnectAtMs) {
+		if (
+			this.#stream === undefined &&
+			now >= this.#reconnectAtMs &&
+			this.#tryTakeConnect(now)
+		) {
 			this.#connect(now);
 		}
 
 		if (this.#stream !== undefined) {
 			this.#unacknowledgedSinceMs ??= now;
-			this.#enqueue(message);
+			const isWaiting =
+				this.#unwrittenBatches > 0 || (!this.#isOpen && this.#batch.length > 0);
+			if (!isWaiting) {
+				this.#enqueue(message);
+			}
+		}
+	}
+
+	/**
+	 * Excludes a time for which this process did not read its sockets from the time without an acknowledgement. The
+	 * acknowledgement may be unread.
+	 */
+	excludeStall(stallMs: number, now: number): void {
+		if (this.#unacknowledgedSinceMs !== undefined) {
+			this.#unacknowledgedSinceMs = Math.min(
+				now,
+				this.#unacknowledgedSinceMs + stallMs,
+			);
 		}
 	}
 
+	/** Connects at the next heartbeat if there is no stream, as the other entry VM has just opened one. */
+	resetDelay(): void {
+		this.#reconnectDelayMs = this.#settings.reconnectMs;
+		this.#openTimeoutMs = this.#settings.openMs;
+		this.#reconnectAtMs = 0;
+	}
+
 	/** Closes the stream and drops messages that have not been written. */
 	close(): void {
 		this.#disconnect('removed', 0);
 	}
 
-	#enqueue(message: PoolMessage): void {
-		const startedAtMs = this.#now();
-		const text = JSON.stringify(message);
+	#enqueue(message: EncodedMessage): void {
 		this.#traffic.add('sent', message.type, {
 			messages: 1,
-			bytes: text.length,
-			tookMs: this.#now() - startedAtMs,
+			bytes: message.text.length,
 		});
-		this.#batch.push({type: message.type, text});
+		this.#batch.push(message);
 		if (this.#batch.length === 1) {
 			const stream = this.#stream;
 			setImmediate(() => {
@@ -198,7 +274,12 @@
 				this.#batch = [];
 				// A batch is not written to a later stream, as it may be out of date by then.
 				if (stream === this.#stream && stream !== undefined) {
-					stream.write(batch);
+					this.#unwrittenBatches += 1;
+					stream.write(batch, () => {
+						if (stream === this.#stream) {
+							this.#unwrittenBatches -= 1;
+						}
+					});
 				}
 			});
 		}
@@ -228,6 +309,7 @@
 			if (!this.#isOpen) {
 				this.#isOpen = true;
 				this.#reconnectDelayMs = this.#settings.reconnectMs;
+				this.#openTimeoutMs = this.#settings.openMs;
 				this.#onOpen();
 			}
 		});
@@ -256,7 +338,8 @@
 		this.#stream = undefined;
 		this.#isOpen = false;
 		this.#batch = [];
-		this.#reconnectAtMs = now + this.#reconnectDelayMs;
+		this.#unwrittenBatches = 0;
+		this.#reconnectAtMs = now + this.#reconnectDelayMs * (0.5 + this.#random());
 		this.#reconnectDelayMs = Math.min(
 			2 * this.#reconnectDelayMs,
 			this.#settings.maxReconnectMs,
--- a/packages/peer/src/pool-mesh.ts
+++ b/packages/peer/src/pool-mesh.ts
@@ -1,6 +1,8 @@
 import {Server, type ServerDuplexStream} from '@grpc/grpc-js';
 import {bindServer} from './bind-server.js';
+import {ConnectBudget} from './connect-budget.js';
 import {
+	EncodedMessage,
 	PoolLink,
 	poolChannelOptions,
 	poolService,
@@ -23,6 +25,8 @@
 	readonly address: string;
 	/** Returns the time of a monotonic clock, in milliseconds. */
 	readonly now: () => number;
+	/** Returns a random number from 0 to 1, by which reconnects are spread. */
+	readonly random: () => number;
 	/** Handles a message of an entry VM that has sent a heartbeat on the same stream. */
 	readonly onMessage: (from: string, message: PoolMessage) => void;
 	/** Handles the loss of the newest stream that an entry VM has opened. */
@@ -46,6 +50,7 @@
 	readonly traffic = new PoolTraffic();
 	readonly #options: PoolMeshOptions;
 	readonly #server = new Server(poolChannelOptions);
+	readonly #connectBudget = new ConnectBudget();
 	readonly #linksByAddress = new Map<string, PoolLink>();
 	readonly #addressesByName = new Map<string, string>();
 	/** Newest stream that each entry VM has opened to this one, by the name of the entry VM. */
@@ -87,6 +92,8 @@
 						},
 						now: this.#options.now,
 						traffic: this.traffic,
+						random: this.#options.random,
+						tryTakeConnect: (now) => this.#connectBudget.tryTake(now),
 					}),
 				);
 			}
@@ -99,16 +106,45 @@
 		isRecipient: (address: string) => boolean,
 		now: number,
 	): void {
-		for (const link of this.#linksByAddress.values()) {
-			if (isRecipient(link.address)) {
-				link.sendHeartbeat(message, now);
-			}
+		const links = [...this.#linksByAddress.values()].filter(({address}) =>
+			isRecipient(address),
+		);
+		if (links.length === 0) {
+			return;
+		}
+
+		const encoded = this.#encode(message);
+		for (const link of links) {
+			link.sendHeartbeat(encoded, now);
 		}
 	}
 
 	/** Sends a message to an entry VM; returns false if there is no working stream. */
 	send(name: string, message: PoolMessage): boolean {
-		return this.#findLink(name)?.send(message) ?? false;
+		return this.sendToAll([name], message);
+	}
+
+	/** Sends a message to several entry VMs; returns whether there is a working stream to each. */
+	sendToAll(names: readonly string[], message: PoolMessage): boolean {
+		const links = names.flatMap((name) => {
+			const link = this.#findLink(name);
+			return link?.isOpen === true ? [link] : [];
+		});
+		if (links.length > 0) {
+			const encoded = this.#encode(message);
+			for (const link of links) {
+				link.send(encoded);
+			}
+		}
+
+		return links.length === names.length;
+	}
+
+	/** Excludes a time for which this process did not read its sockets from the silence of its streams. */
+	excludeStall(stallMs: number, now: number): void {
+		for (const link of this.#linksByAddress.values()) {
+			link.excludeStall(stallMs, now);
+		}
 	}
 
 	/** Whether messages can be sent to an entry VM. */
@@ -126,6 +162,15 @@
 		this.#server.forceShutdown();
 	}
 
+	#encode(message: PoolMessage): EncodedMessage {
+		const startedAtMs = this.#options.now();
+		const encoded = new EncodedMessage(message);
+		this.traffic.add('sent', message.type, {
+			tookMs: this.#options.now() - startedAtMs,
+		});
+		return encoded;
+	}
+
 	#handleLinkOpen(address: string): void {
 		const name = [...this.#addressesByName].find(
 			([, other]) => other === address,
@@ -157,6 +202,10 @@
 			lastReceivedAtMs = now;
 			for (const message of batch.messages) {
 				if (message.type === 'heartbeat') {
+					if (name === undefined) {
+						this.#linksByAddress.get(message.heartbeat.address)?.resetDelay();
+					}
+
 					name = message.heartbeat.name;
 					this.#inboundStreams.set(name, stream);
 					this.#addressesByName.set(name, message.heartbeat.address);
--- a/packages/peer/src/tests/pool-mesh.test.ts
+++ b/packages/peer/src/tests/pool-mesh.test.ts
@@ -51,6 +51,7 @@
 			name,
 			address,
 			now: () => fixture.clockMs,
+			random: () => 0.5,
 			onMessage(from) {
 				messageSenders.push(from);
 			},
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -179,6 +179,7 @@
 			name: settings.name,
 			address: settings.peerAddress,
 			now,
+			random: Math.random,
 			onMessage: (from, message) => {
 				this.#receiveMessage(from, message);
 			},
