Judge the silence of peers only after a stalled process has read its sockets

Cause: a timer decides which peers are lost. After a stall it runs before the sockets are read, so that all peers were lost whose heartbeats were waiting there; streams were replaced whose acknowledgements were waiting too. Change: after a delay of its checks of 100 ms or more a process first reads its sockets, and the time does not count as silence of the peers that were live at its start, up to 1 s since each peer's last heartbeat, nor as silence of a stream. Without a late check nothing changes: 0.4 s of silence, or a broken connection at once. After a freeze, submits that waited are dropped until the sender's next heartbeat, and a refused token still drops the zone and blocks claims until a heartbeat arrives, as others may lead by then. findLeader no longer makes and sorts a list for each zone. Ruled out: a clock that stands still while the process is late, as tokens and the order of claims are taken from the same times.

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -71,6 +71,11 @@
 	readonly warmUpMs: number;
 	/** Time for which another leader must have been live before this one hands its zones over to it. */
 	readonly mergeDelayMs: number;
+	/**
+	 * Longest time in which this process read no messages that is not counted as silence of a peer. The loss of a leader is
+	 * noticed that much later by a process that is late.
+	 */
+	readonly maxExcludedMs: number;
 };
 
 /** Default settings, for heartbeats every 100 ms. */
@@ -83,6 +88,7 @@
 	isolatedGraceMs: 1500,
 	warmUpMs: 3000,
 	mergeDelayMs: 1500,
+	maxExcludedMs: 1000,
 };
 
 /**
@@ -118,6 +124,8 @@
 	readonly liveSinceMs: number;
 	/** Whether the connection has broken since the newest heartbeat. */
 	readonly isDisconnected: boolean;
+	/** Time since the newest heartbeat in which this process read no messages, so that later ones may be unread. */
+	readonly excludedMs: number;
 };
 
 /** Length of the time steps that fencing tokens count, so that later claims get higher tokens without coordination. */
@@ -215,10 +223,30 @@
 			lastHeartbeatAtMs: now,
 			liveSinceMs: isUninterrupted ? peer.liveSinceMs : now,
 			isDisconnected: false,
+			excludedMs: 0,
 		});
 		this.#highestToken = Math.max(this.#highestToken, heartbeat.highestToken);
 	}
 
+	/**
+	 * Excludes a time in which this process read no messages, and which ends now, from the silence of the peers that were
+	 * live at its start. Call it before the other methods after such a time.
+	 */
+	excludeStall(stallMs: number, now: number): void {
+		for (const [name, peer] of this.#peers) {
+			if (this.#isLive(peer, now - stallMs)) {
+				const unreadMs = Math.min(stallMs, now - peer.lastHeartbeatAtMs);
+				this.#peers.set(name, {
+					...peer,
+					excludedMs: Math.min(
+						peer.excludedMs + unreadMs,
+						this.#settings.maxExcludedMs,
+					),
+				});
+			}
+		}
+	}
+
 	/** Marks a peer as not live until its next heartbeat, after its connection broke. */
 	markDisconnected(name: string): void {
 		const peer = this.#peers.get(name);
@@ -233,6 +261,15 @@
 		return peer !== undefined && this.#isLive(peer, now);
 	}
 
+	/**
+	 * Whether a peer's heartbeats have arrived without a gap, with no allowance for a time in which this process read no
+	 * messages: what it sent before such a time may be out of date.
+	 */
+	hasRecentHeartbeat(name: string, now: number): boolean {
+		const peer = this.#peers.get(name);
+		return peer !== undefined && this.#isLive({...peer, excludedMs: 0}, now);
+	}
+
 	/** Returns the newest heartbeats of the live peers. */
 	livePeers(now: number): readonly Heartbeat[] {
 		return [...this.#peers.values()]
@@ -242,18 +279,23 @@
 
 	/** Finds the live leader of a zone; of several, the one with the highest fencing token. */
 	findLeader(zone: string, now: number): ZoneLeader | undefined {
+		let leader: ZoneLeader | undefined;
+		for (const peer of this.#peers.values()) {
+			const token = peer.heartbeat.leads[zone];
+			if (
+				token !== undefined &&
+				token > (leader?.token ?? Number.NEGATIVE_INFINITY) &&
+				this.#isLive(peer, now)
+			) {
+				leader = {name: peer.heartbeat.name, token};
+			}
+		}
+
 		const ownToken = this.#ledZones.get(zone);
-		const peerLeaders = this.livePeers(now).flatMap(({name, leads}) => {
-			const token = leads[zone];
-			return token === undefined ? [] : [{name, token}];
-		});
-		const [highest] = [
-			...peerLeaders,
-			...(ownToken === undefined
-				? []
-				: [{name: this.#self.name, token: ownToken}]),
-		].toSorted((left, right) => right.token - left.token);
-		return highest;
+		return ownToken !== undefined &&
+			ownToken > (leader?.token ?? Number.NEGATIVE_INFINITY)
+			? {name: this.#self.name, token: ownToken}
+			: leader;
 	}
 
 	/** Whether this process is warm, and so fast enough to lead a whole region. */
@@ -266,11 +308,16 @@
 		this.#isWarm = true;
 	}
 
-	/** Whether this entry VM has had at least two live peers and now has none. */
+	/**
+	 * Whether this entry VM has had at least two live peers and now has none that has sent a recent heartbeat. A process
+	 * that continues after a freeze is isolated until it receives one, as others may lead its zones by then.
+	 */
 	isIsolated(now: number): boolean {
 		return (
 			this.#lastTwoPeersAtMs !== Number.NEGATIVE_INFINITY &&
-			this.livePeers(now).length === 0
+			[...this.#peers.keys()].every(
+				(name) => !this.hasRecentHeartbeat(name, now),
+			)
 		);
 	}
 
@@ -562,12 +609,12 @@
 	}
 
 	#isLive(
-		{lastHeartbeatAtMs, isDisconnected, heartbeat}: Peer,
+		{lastHeartbeatAtMs, isDisconnected, excludedMs, heartbeat}: Peer,
 		now: number,
 	): boolean {
 		return (
 			!isDisconnected &&
-			now - lastHeartbeatAtMs <=
+			now - lastHeartbeatAtMs - excludedMs <=
 				this.#settings.maxMissedHeartbeats * heartbeat.intervalMs
 		);
 	}
--- a/packages/core/src/tests/leadership.test.ts
+++ b/packages/core/src/tests/leadership.test.ts
@@ -266,3 +266,76 @@
 		);
 	});
 });
+
+describe('Leadership of a process that read no messages for a time', () => {
+	const leader = heartbeatFixture('entry-2', {
+		processorShare: 2,
+		leads: {'zone-a': 1000, 'zone-b': 1000},
+		highestToken: 1000,
+	});
+	const follower = heartbeatFixture('entry-3', {zone: 'zone-b'});
+
+	/** Creates a follower that has received heartbeats until a time. */
+	function followUntil(now: number): Leadership {
+		const leadership = createLeadership('entry-1');
+		expect(simulate(leadership, 0, now, [leader, follower])).toEqual([]);
+		return leadership;
+	}
+
+	it('does not count that time as silence of its peers', () => {
+		const leadership = followUntil(5000);
+		leadership.excludeStall(700, 5700);
+		expect(leadership.isPeerLive('entry-2', 5700)).toBe(true);
+		expect(simulate(leadership, 5700, 6080)).toEqual([]);
+		expect(leadership.findLeader('zone-a', 6080)?.name).toBe('entry-2');
+		expect(leadership.findLeader('zone-a', 6101)).toBe(undefined);
+	});
+
+	it('notices the loss of a leader although it is late all the time', () => {
+		const leadership = followUntil(5000);
+		for (let now = 5300; now <= 6400; now += 300) {
+			leadership.excludeStall(300, now);
+			leadership.tick(now);
+		}
+
+		expect(leadership.findLeader('zone-a', 6400)?.name).toBe('entry-2');
+		for (let now = 6500; now <= 7400; now += 300) {
+			leadership.excludeStall(300, now);
+			leadership.tick(now);
+		}
+
+		expect(leadership.findLeader('zone-a', 7400)).toBe(undefined);
+	});
+
+	it('does not take a peer for live that was lost before', () => {
+		const leadership = followUntil(5000);
+		leadership.markDisconnected('entry-3');
+		simulate(leadership, 5020, 5500);
+		leadership.excludeStall(700, 6200);
+		expect(leadership.livePeers(6200)).toEqual([]);
+	});
+
+	it('takes messages of that time for out of date until the next heartbeat', () => {
+		const leadership = followUntil(5000);
+		leadership.excludeStall(700, 5700);
+		expect(leadership.hasRecentHeartbeat('entry-3', 5700)).toBe(false);
+		leadership.receiveHeartbeat(follower, 5700);
+		expect(leadership.hasRecentHeartbeat('entry-3', 5700)).toBe(true);
+	});
+
+	it('drops a zone whose token is refused, and claims nothing until a heartbeat arrives', () => {
+		const leadership = createLeadership('entry-1');
+		leadership.setWarm();
+		const followers = [follower, heartbeatFixture('entry-4')];
+		expect(simulate(leadership, 0, 5000, followers)).toEqual(zones);
+		leadership.excludeStall(700, 5700);
+		expect(
+			leadership.handleTokenRefusal(
+				'zone-a',
+				leadership.ledZones.get('zone-a')!,
+				5700,
+			),
+		).toEqual([{kind: 'dropped', zone: 'zone-a', reason: 'isolated'}]);
+		expect(simulate(leadership, 5700, 5900)).toEqual([]);
+	});
+});
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -38,6 +38,11 @@
 const memberListIntervalMs = 2000;
 /** Interval at which leadership, store reads, leases, stops and deadlines are checked. */
 const tickIntervalMs = 20;
+/**
+ * Delay of the checks from which this process counts as stalled: peers are then judged only after its sockets have been read,
+ * and the time does not count as their silence.
+ */
+const stallThresholdMs = 100;
 /** Longest time for which a job that was sent to no leader yet waits for a reachable one. */
 const maxFirstSendDelayMs = 900;
 /** Longest time for which a job that a lost leader may have started waits for the next leader; a failover takes less. */
@@ -99,6 +104,8 @@
 	readonly #registry: MemberRegistry;
 	readonly #pendingJobs = new PendingJobs();
 	readonly #eventLoopDelay = new EventLoopDelay(tickIntervalMs);
+	/** Whether the checks of a late tick wait until the sockets have been read. */
+	#areChecksDeferred = false;
 	readonly #members = new Map<string, KnownMember>();
 	/** Resolves the requests to the leader that have no reply yet, by request number. */
 	readonly #replyHandlers = new Map<number, (value: unknown) => void>();
@@ -470,10 +477,43 @@
 		this.#log.write({event: 'rejected', id, status, reason});
 	}
 
-	/** Runs the checks that are due. */
+	/** Runs the checks that are due; if this process was stalled, once it has read what arrived meanwhile. */
 	#tick(): void {
+		const isStalled = this.#excludeStall(this.#now());
+		if (this.#areChecksDeferred) {
+			return;
+		}
+
+		if (!isStalled) {
+			this.#runChecks();
+			return;
+		}
+
+		// An event loop that is late runs its timers before it reads its sockets.
+		this.#areChecksDeferred = true;
+		setImmediate(() => {
+			setImmediate(() => {
+				this.#areChecksDeferred = false;
+				this.#excludeStall(this.#now());
+				this.#runChecks();
+			});
+		});
+	}
+
+	/** Excludes a stall of this process that ends now from the silence of peers; returns whether there was one. */
+	#excludeStall(now: number): boolean {
+		const delayMs = this.#eventLoopDelay.recordRun(now);
+		if (delayMs < stallThresholdMs) {
+			return false;
+		}
+
+		this.#leadership.excludeStall(delayMs, now);
+		this.#mesh.excludeStall(delayMs, now);
+		return true;
+	}
+
+	#runChecks(): void {
 		const now = this.#now();
-		this.#eventLoopDelay.recordRun(now);
 		this.#updateLeadership();
 		this.#storeFollower.setActive(this.#shouldReadStore(now));
 		this.#storeFollower.tick(now);
@@ -728,7 +768,7 @@
 				// sender has submitted the job to another leader by then.
 				if (
 					this.#leadership.ledZones.size > 0 &&
-					this.#leadership.isPeerLive(from, now)
+					this.#leadership.hasRecentHeartbeat(from, now)
 				) {
 					this.#scheduler.submit(message.job, from, message.isResubmitted, now);
 				}
