--- a/packages/core/src/event-loop-delay.ts
+++ b/packages/core/src/event-loop-delay.ts
@@ -14,8 +14,8 @@
 		this.#intervalMs = intervalMs;
 	}
 
-	/** Records that the check runs now. */
-	recordCheck(now: number): void {
+	/** Records that the check runs now; returns by how much it is late, in milliseconds. */
+	recordCheck(now: number): number {
 		const delayMs = this.#computeOverdueMs(now);
 		this.#checkBeforeLastMs = this.#lastCheckMs;
 		this.#lastCheckMs = now;
@@ -25,6 +25,7 @@
 			),
 			{atMs: now, delayMs},
 		];
+		return delayMs;
 	}
 
 	/** Returns the largest delay of the last 4 s in milliseconds, including that of a check that is overdue now. */
--- a/packages/core/src/tests/event-loop-delay.test.ts
+++ b/packages/core/src/tests/event-loop-delay.test.ts
@@ -28,6 +28,13 @@
 		expect(delay.largestMs(4800)).toBe(300);
 	});
 
+	it('returns by how much each check is late', () => {
+		const delay = createDelay([1000]);
+		expect(delay.recordCheck(1320)).toBe(270);
+		expect(delay.recordCheck(1370)).toBe(0);
+		expect(delay.recordCheck(1375)).toBe(0);
+	});
+
 	it('includes a check that is overdue', () => {
 		expect(createDelay([0, 50]).largestMs(1000)).toBe(900);
 	});
--- a/packages/verbenarouter/src/pool/daemon.ts
+++ b/packages/verbenarouter/src/pool/daemon.ts
@@ -91,10 +91,11 @@
 		delay.recordCheck(monotonicNowMs());
 	}, delayCheckIntervalMs);
 	const connections = new Set<Socket>();
-	const log: PoolLog = new PoolLog(value.name, () => ({
-		...node.gauges,
-		...readProcessGauges(),
-	}));
+	const log: PoolLog = new PoolLog(
+		value.name,
+		() => ({...node.gauges, ...readProcessGauges()}),
+		() => node.counters,
+	);
 	const node: PoolNode = new PoolNode(value, log, monotonicNowMs);
 	const openRequests = new OpenRequests();
 	const callerServer = createCallerServer(node, openRequests);
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -1,5 +1,6 @@
 import {
 	BestFit,
+	EventLoopDelay,
 	Leadership,
 	LearnedTimeEstimator,
 	ObjectiveOrder,
@@ -28,6 +29,7 @@
 	type JobDispatcher,
 } from '@verbenarouter/platform';
 import {droppedLines} from '../logger.js';
+import {type MetricSample} from '../metrics.js';
 import {MemberRegistry} from './member-registry.js';
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {type PoolLog} from './pool-log.js';
@@ -42,6 +44,11 @@
 const memberListIntervalMs = 2000;
 /** Interval at which leadership, store reads, leases, stops and deadlines are checked. */
 const tickIntervalMs = 20;
+/**
+ * Delay of the checks from which this process counts as stalled: peers are then judged only after its sockets have been read,
+ * and the time does not count as their silence.
+ */
+const stallThresholdMs = 100;
 /** Longest time for which a job that was sent to no leader yet waits for a reachable one. */
 const maxFirstSendDelayMs = 900;
 /** Longest time for which a job that a lost leader may have started waits for the next leader; a failover takes less. */
@@ -104,6 +111,9 @@
 	readonly #storeFollower: StoreFollower;
 	readonly #registry: MemberRegistry;
 	readonly #pendingJobs = new PendingJobs();
+	readonly #eventLoopDelay = new EventLoopDelay(tickIntervalMs);
+	/** Whether the checks of a late tick wait until the sockets have been read. */
+	#areChecksDeferred = false;
 	readonly #members = new Map<string, KnownMember>();
 	/** Resolves the requests to the leader that have no reply yet, by request number. */
 	readonly #replyHandlers = new Map<number, (value: unknown) => void>();
@@ -187,13 +197,14 @@
 			name: settings.name,
 			address: settings.peerAddress,
 			now,
+			random: Math.random,
 			onMessage: (from, message) => {
 				this.#receiveMessage(from, message);
 			},
-			onLost: (name) => {
+			onLost: (name, cause) => {
 				this.#leadership.markDisconnected(name);
 				this.#scheduler.markReceiverUnreachable(name, now());
-				log.write({event: 'peer-lost', peer: name});
+				log.write({event: 'peer-lost', peer: name, cause});
 				this.#updateLeadership();
 			},
 			onOpen: (name) => {
@@ -286,6 +297,31 @@
 		};
 	}
 
+	/** Present values of the counters of messages between entry VMs. */
+	get counters(): readonly MetricSample[] {
+		const {counts, closedLinks} = this.#mesh.traffic;
+		return [
+			...counts.flatMap(({type, direction, messages, bytes, tookMs}) => [
+				{
+					name: 'peer_messages_total',
+					labels: {type, direction},
+					value: messages,
+				},
+				{name: 'peer_bytes_total', labels: {type, direction}, value: bytes},
+				{
+					name: 'peer_handling_ms_total',
+					labels: {type, direction},
+					value: tookMs,
+				},
+			]),
+			...[...closedLinks].map(([cause, value]) => ({
+				name: 'peer_streams_closed_total',
+				labels: {cause},
+				value,
+			})),
+		];
+	}
+
 	/** Marks this process as warm, so that it may lead the whole region: its scheduling code has run. */
 	setWarm(): void {
 		this.#leadership.setWarm();
@@ -453,8 +489,42 @@
 		this.#log.write({event: 'rejected', id, status, reason});
 	}
 
-	/** Runs the checks that are due. */
+	/** Runs the checks that are due; if this process was stalled, once it has read what arrived meanwhile. */
 	#tick(): void {
+		const isStalled = this.#excludeStall(this.#now());
+		if (this.#areChecksDeferred) {
+			return;
+		}
+
+		if (!isStalled) {
+			this.#runChecks();
+			return;
+		}
+
+		// An event loop that is late runs its timers before it reads its sockets.
+		this.#areChecksDeferred = true;
+		setImmediate(() => {
+			setImmediate(() => {
+				this.#areChecksDeferred = false;
+				this.#excludeStall(this.#now());
+				this.#runChecks();
+			});
+		});
+	}
+
+	/** Excludes a stall of this process that ends now from the silence of peers; returns whether there was one. */
+	#excludeStall(now: number): boolean {
+		const delayMs = this.#eventLoopDelay.recordCheck(now);
+		if (delayMs < stallThresholdMs) {
+			return false;
+		}
+
+		this.#leadership.excludeStall(delayMs, now);
+		this.#mesh.excludeStall(delayMs, now);
+		return true;
+	}
+
+	#runChecks(): void {
 		const now = this.#now();
 		this.#updateLeadership();
 		this.#storeFollower.setActive(this.#shouldReadStore(now));
@@ -750,7 +820,7 @@
 				// sender has submitted the job to another leader by then.
 				if (
 					this.#leadership.ledZones.size > 0 &&
-					this.#leadership.isPeerLive(from, now)
+					this.#leadership.hasRecentHeartbeat(from, now)
 				) {
 					this.#scheduler.submit(message.job, from, message.isResubmitted, now);
 				}
--- a/testing/src/tests/zone-leaders.test.ts
+++ b/testing/src/tests/zone-leaders.test.ts
@@ -73,7 +73,7 @@
 				{count: workersPerZone, cpu: 1000, memMb: 64, estimatedMs: blockingMs},
 			],
 		}),
-		30_000,
+		{deadlineMs: 30_000},
 	);
 }
 
