--- a/packages/verbenarouter/src/pool/process-stop.ts
+++ b/packages/verbenarouter/src/pool/process-stop.ts
@@ -4,7 +4,11 @@
 	type EventLoopDelay,
 	type StopNotice,
 } from '@verbenarouter/core';
-import {refuseOpenRequests, type OpenRequests} from '@verbenarouter/platform';
+import {
+	refuseOpenRequests,
+	type JobDispatcher,
+	type OpenRequests,
+} from '@verbenarouter/platform';
 import {type PoolLog} from './pool-log.js';
 import {type PoolNode} from './pool-node.js';
 
@@ -20,8 +24,12 @@
 
 /** What a stop needs of its process. */
 export type StoppingProcess = {
-	readonly node: PoolNode;
-	readonly log: PoolLog;
+	readonly node: JobDispatcher &
+		Pick<
+			PoolNode,
+			'pendingJobCount' | 'beginStop' | 'answerRemainingJobs' | 'close'
+		>;
+	readonly log: Pick<PoolLog, 'write'>;
 	readonly delay: EventLoopDelay;
 	readonly callerServer: Server;
 	readonly openRequests: OpenRequests;
@@ -39,10 +47,12 @@
 	readonly #plan: StopPlan;
 	readonly #process: StoppingProcess;
 	#isClosing = false;
+	/** Whether the listener and idle connections are closed. */
+	#isClosed = false;
 	/** Time at which the remaining requests were given their last answers. */
 	#answeredAtMs: number | undefined;
 	#isEnding = false;
-	#hasExited = false;
+	#checkTimer: NodeJS.Timeout | undefined;
 
 	constructor(notice: StopNotice, stoppingProcess: StoppingProcess) {
 		this.#notice = notice;
@@ -55,7 +65,7 @@
 		const {node} = this.#process;
 		this.#writeLine('stopping');
 		node.beginStop((id, needsMs) => this.#acceptsRequest(id, needsMs));
-		setInterval(() => {
+		this.#checkTimer = setInterval(() => {
 			this.#check();
 		}, checkIntervalMs);
 	}
@@ -79,10 +89,6 @@
 
 	/** Does what is due. */
 	#check(): void {
-		if (this.#hasExited) {
-			return;
-		}
-
 		const {node, openRequests} = this.#process;
 		const phase = this.#plan.decidePhase(this.#observe());
 		if (phase === 'draining') {
@@ -94,6 +100,7 @@
 			this.#afterQuickTurn(() => {
 				// Closes idle connections too.
 				this.#process.callerServer.close();
+				this.#isClosed = true;
 			});
 		}
 
@@ -105,7 +112,8 @@
 			this.#answeredAtMs === undefined ||
 			this.#process.now() - this.#answeredAtMs >= cancellationFlushMs;
 		const isIdle = node.pendingJobCount === 0 && openRequests.readCount === 0;
-		if (!this.#isEnding && ((isIdle && isFlushed) || phase === 'over')) {
+		const isDone = this.#isClosed && isIdle && isFlushed;
+		if (!this.#isEnding && (isDone || phase === 'over')) {
 			this.#end();
 		}
 	}
@@ -138,7 +146,7 @@
 		this.#afterQuickTurn(() => {
 			const {openRequests, exit} = this.#process;
 			if (openRequests.readCount === 0 || this.#isOver) {
-				this.#hasExited = true;
+				clearInterval(this.#checkTimer);
 				exit();
 			} else {
 				this.#exitAfterQuickTurn();
