Send what leaders of zones read in the store to their own zones

With a leader for each zone, each of them sent every change of the desired state and of the list of workers to all entry VMs, and all they know to each one that connects: four times as many bytes as one leader, most of them between zones.

A leader of zones now sends a change to the entry VMs of its zones, and a new desired state to the other leaders too, which pass it on in theirs. A zone without a leader hears from all leaders, and a follower that reads for a leader that cannot still sends to all. The time of the last copy for a leader that cannot read the store is kept for each leader: with a common one, the leader whose heartbeat came first after 400 ms got every copy.

Also tests of elections of six entry VMs in two zones: loss of every leader in turn, partition and heal, start of all; and of a planned stop of a zone's leader and a new desired state on the stand-ins.

The bytes between zones are not measured in this commit.

--- a/packages/core/src/tests/leadership.test.ts
+++ b/packages/core/src/tests/leadership.test.ts
@@ -407,3 +407,122 @@
 		).toBe('f');
 	});
 });
+
+describe('leaders of zones that lose each other', () => {
+	type Node = {
+		readonly name: string;
+		readonly zone: string;
+		readonly leadership: Leadership;
+		isRunning: boolean;
+	};
+
+	function createNodes(): readonly Node[] {
+		return zones.flatMap((zone) =>
+			['1', '2', '3'].map((number) => {
+				const name = `${zone}-${number}`;
+				return {
+					name,
+					zone,
+					leadership: createZonalLeadership(name, zone, Number(number)),
+					isRunning: true,
+				};
+			}),
+		);
+	}
+
+	/** Lets nodes exchange heartbeats every 100 ms where `canReach` allows; returns the claims, as name and zone. */
+	function run(
+		nodes: readonly Node[],
+		fromMs: number,
+		toMs: number,
+		canReach: (from: Node, to: Node) => boolean = () => true,
+	): readonly string[] {
+		const claims: string[] = [];
+		for (let now = fromMs; now <= toMs; now += 20) {
+			const running = nodes.filter(({isRunning}) => isRunning);
+			for (const from of now % 100 === 0 ? running : []) {
+				const heartbeat = {
+					...createLeadershipHeartbeat(from.name, from.zone, from.leadership),
+					processorShare: Number(from.name.at(-1)),
+					hears: Object.fromEntries(
+						zones.flatMap((zone) => {
+							const leader = from.leadership.findLeader(zone, now);
+							return leader === undefined ? [] : [[zone, leader.token]];
+						}),
+					),
+				};
+				for (const to of running) {
+					if (to !== from && canReach(from, to)) {
+						to.leadership.receiveHeartbeat(heartbeat, now);
+					}
+				}
+			}
+
+			for (const {name, leadership} of running) {
+				claims.push(
+					...leadership
+						.tick(now)
+						.flatMap(({kind, zone}) =>
+							kind === 'claimed' ? [`${name} ${zone}`] : [],
+						),
+				);
+			}
+		}
+
+		return claims;
+	}
+
+	/** Returns the zones of the running nodes that lead, with the zones that they lead. */
+	function listLeaders(
+		nodes: readonly Node[],
+	): ReadonlyArray<readonly [string, readonly string[]]> {
+		return nodes
+			.filter(
+				({isRunning, leadership}) => isRunning && leadership.ledZones.size > 0,
+			)
+			.map(({zone, leadership}) => [zone, [...leadership.ledZones.keys()]]);
+	}
+
+	const ownLeaders = zones.map((zone) => [zone, [zone]]);
+
+	it('agrees on one leader in each zone, and after its loss on another one of the zone', () => {
+		const nodes = createNodes();
+		run(nodes, 0, 6000);
+		expect(listLeaders(nodes)).toEqual(ownLeaders);
+		for (let now = 6020; now < 20_000; now += 4000) {
+			const leader = nodes.find(
+				({isRunning, leadership}) => isRunning && leadership.ledZones.size > 0,
+			)!;
+			leader.isRunning = false;
+			const claims = run(nodes, now, now + 3980);
+			expect(claims.every((claim) => claim.endsWith(leader.zone))).toBe(true);
+			const isZoneAlive = nodes.some(
+				({isRunning, zone}) => isRunning && zone === leader.zone,
+			);
+			expect(
+				listLeaders(nodes).filter(([zone]) => zone === leader.zone),
+			).toEqual(isZoneAlive ? [[leader.zone, [leader.zone]]] : []);
+		}
+	});
+
+	it('changes no leader when the zones are partitioned and when the partition heals', () => {
+		const nodes = createNodes();
+		run(nodes, 0, 8000);
+		const isSameZone = (from: Node, to: Node) => from.zone === to.zone;
+		expect(run(nodes, 8020, 14_000, isSameZone)).toEqual([]);
+		expect(run(nodes, 14_020, 20_000)).toEqual([]);
+		expect(listLeaders(nodes)).toEqual(ownLeaders);
+	});
+
+	it('agrees on leaders again after a start of all', () => {
+		const nodes = createNodes();
+		run(nodes, 0, 4000);
+		const anew = createNodes();
+		expect(
+			run(anew, 4020, 10_000).every((claim) =>
+				zones.some((zone) => claim.startsWith(zone) && claim.endsWith(zone)),
+			),
+		).toBe(true);
+		expect(listLeaders(anew)).toEqual(ownLeaders);
+	});
+});
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -135,7 +135,8 @@
 	#leaderWithoutStoreSinceMs: number | undefined;
 	/** Names of the peers that have recently read the store themselves. */
 	readonly #storeReaders = new Set<string>();
-	#lastKnowledgeSentMs = 0;
+	/** Time at which store data was last sent to each leader that cannot read the store. */
+	readonly #lastKnowledgeSentMs = new Map<string, number>();
 
 	constructor(settings: EntrySettings, log: PoolLog, now: () => number) {
 		this.#settings = settings;
@@ -196,7 +197,10 @@
 			},
 			onOpen: (name) => {
 				log.write({event: 'peer-open', peer: name});
-				if (this.#leadership.ledZones.size > 0) {
+				if (
+					this.#leadership.ledZones.size > 0 &&
+					this.#informsZone(this.#members.get(name)?.zone)
+				) {
 					this.#sendKnowledge(name);
 				}
 
@@ -892,9 +896,10 @@
 		this.#leadersWithoutStore.add(from);
 		if (
 			this.#storeFollower.ownDataAgeMs(now) < staleStoreDataMs &&
-			now - this.#lastKnowledgeSentMs >= knowledgeResendIntervalMs
+			now - (this.#lastKnowledgeSentMs.get(from) ?? 0) >=
+				knowledgeResendIntervalMs
 		) {
-			this.#lastKnowledgeSentMs = now;
+			this.#lastKnowledgeSentMs.set(from, now);
 			this.#sendKnowledge(from);
 		}
 	}
@@ -926,13 +931,39 @@
 		});
 	}
 
-	/** Sends the desired state and the workers to all live peers. */
-	#sendKnowledgeToPeers(): void {
-		for (const {name} of this.#leadership.livePeers(this.#now())) {
+	/** Sends the desired state and the workers to the selected live peers. */
+	#sendKnowledgeToPeers(isSelected: (peer: Heartbeat) => boolean): void {
+		const peers = this.#leadership
+			.livePeers(this.#now())
+			.filter((peer) => isSelected(peer));
+		for (const {name} of peers) {
 			this.#sendKnowledge(name);
 		}
 	}
 
+	/** Passes on what a peer has sent to the entry VMs of the zones that this one leads, which get it from no other. */
+	#passKnowledgeOn(): void {
+		const {ledZones} = this.#leadership;
+		if (this.#scope === 'zone') {
+			this.#sendKnowledgeToPeers(({zone}) => ledZones.has(zone));
+		}
+	}
+
+	/**
+	 * Whether this entry VM sends what it reads in the store to the entry VMs of a zone. With a leader for each zone, they
+	 * get it from their own one, or from a follower that reads for a leader that cannot.
+	 */
+	#informsZone(zone: string | undefined): boolean {
+		const {ledZones} = this.#leadership;
+		return (
+			this.#scope === 'region' ||
+			zone === undefined ||
+			ledZones.size === 0 ||
+			ledZones.has(zone) ||
+			this.#leadership.findLeader(zone, this.#now()) === undefined
+		);
+	}
+
 	/** Applies a desired state from the store or a peer unless it is older than the present one or the same. */
 	#applyDesiredState(state: DesiredState, source: string): void {
 		if (
@@ -956,7 +987,12 @@
 
 		this.#stateWaiters.clear();
 		if (source === 'store') {
-			this.#sendKnowledgeToPeers();
+			this.#sendKnowledgeToPeers(
+				({zone, leads}) =>
+					this.#informsZone(zone) || Object.keys(leads).length > 0,
+			);
+		} else {
+			this.#passKnowledgeOn();
 		}
 	}
 
@@ -981,7 +1017,9 @@
 		}
 
 		if (source === 'store') {
-			this.#sendKnowledgeToPeers();
+			this.#sendKnowledgeToPeers(({zone}) => this.#informsZone(zone));
+		} else if (source !== 'time') {
+			this.#passKnowledgeOn();
 		}
 	}
 
--- a/testing/src/tests/zone-leaders.test.ts
+++ b/testing/src/tests/zone-leaders.test.ts
@@ -202,4 +202,37 @@
 			80,
 		);
 	});
+
+	it('completes all jobs during a planned stop of the leader of a zone, and runs no task twice at the same time', async () => {
+		const installation = await startLargeInstallation(2);
+		const leader = findLeader(installation, 'a');
+		const pendingAnswers = submitPaced(installation, installation.entryVms, 60);
+		await sleep(300);
+		leader.child.kill('SIGTERM');
+		const answers = await pendingAnswers;
+		expect(answers.map(({status}) => status)).toEqual(
+			Array.from({length: 60}, () => 200),
+		);
+		expect(findOverlappingTasks(collectRuns(installation))).toEqual([]);
+		expect(findLeader(installation, 'a').zone).toBe('a');
+	});
+
+	it('gives each entry VM a new desired state through the leader of its zone', async () => {
+		const installation = await startLargeInstallation(2);
+		installation.publishDesiredState(7, '/moved/');
+		await sleep(1500);
+		const answers = await Promise.all(
+			installation.entryVms.map(async ({callerPort}) =>
+				sendRequest(
+					callerPort,
+					'POST',
+					`/moved/${installation.newId()}`,
+					'{"spec":"20 100","bestEffort":true,"steps":[{"count":1,"cpu":100}]}',
+				),
+			),
+		);
+		expect(answers.map(({status}) => status)).toEqual(
+			installation.entryVms.map(() => 200),
+		);
+	});
 });
