Hand zones only to entry VMs with the same scope of leaders

While a deployment of many workers is updated, entry VMs of the last build keep one leader for the region, and yield their zones to the strongest warm leader. A leader of zones would hand them back at once, every few milliseconds, and each time all jobs are submitted again. The same holds for two entry VMs that count the workers differently.

A zone is now handed over only to an entry VM with the same scope in its heartbeats; one of the last build counts as a leader for the region. A planned stop still hands over to the best candidate of any scope.

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -522,13 +522,17 @@
 			: (this.#peers.get(name)?.heartbeat.leads ?? {});
 	}
 
-	/** Finds the entry VM to which a zone that this one leads should be handed over, if any. */
+	/**
+	 * Finds the entry VM to which a zone that this one leads should be handed over, if any. One with the other scope, as all
+	 * of the last build, would hand it back.
+	 */
 	#findSuccessor(zone: string, now: number): string | undefined {
 		const eligiblePeers = [...this.#peers.values()].filter(
 			(peer) =>
 				this.#isLive(peer, now) &&
 				!peer.heartbeat.isStopping &&
-				now - peer.liveSinceMs >= this.#settings.mergeDelayMs,
+				now - peer.liveSinceMs >= this.#settings.mergeDelayMs &&
+				(peer.heartbeat.scope ?? 'region') === this.#scope,
 		);
 		if (this.#scope === 'zone') {
 			const [best] = eligiblePeers
--- a/packages/core/src/tests/leadership.test.ts
+++ b/packages/core/src/tests/leadership.test.ts
@@ -289,8 +289,14 @@
 		const a = createZonalLeadership('a');
 		const b = createZonalLeadership('b', 'zone-b', 2);
 		for (let now = 0; now <= 10_000; now += 20) {
-			a.receiveHeartbeat(createLeadershipHeartbeat('b', 'zone-b', b), now);
-			b.receiveHeartbeat(createLeadershipHeartbeat('a', 'zone-a', a), now);
+			a.receiveHeartbeat(
+				{...createLeadershipHeartbeat('b', 'zone-b', b), scope: 'zone'},
+				now,
+			);
+			b.receiveHeartbeat(
+				{...createLeadershipHeartbeat('a', 'zone-a', a), scope: 'zone'},
+				now,
+			);
 			a.tick(now);
 			b.tick(now);
 		}
@@ -341,15 +347,17 @@
 		simulate(leadership, 0, 1000, [leaving]);
 		expect([...leadership.ledZones.keys()].toSorted()).toEqual(zones);
 		const returned = [
-			heartbeatFixture('c', {zone: 'zone-b', isWarm: false, processorShare: 4}),
-			heartbeatFixture('d', {zone: 'zone-b', processorShare: 1}),
-			heartbeatFixture('e', {zone: 'zone-b', processorShare: 2}),
-			heartbeatFixture('f', {
+			{name: 'c', isWarm: false, processorShare: 4},
+			{name: 'd', processorShare: 1},
+			{name: 'e', processorShare: 2},
+			{name: 'f', processorShare: 3, isStopping: true},
+		].map((change) =>
+			heartbeatFixture(change.name, {
 				zone: 'zone-b',
-				processorShare: 3,
-				isStopping: true,
+				scope: 'zone',
+				...change,
 			}),
-		];
+		);
 		simulate(leadership, 3000, 3000 + mergeDelayMs - 20, returned);
 		expect(leadership.ledZones.size).toBe(2);
 		simulate(
@@ -370,25 +378,55 @@
 			return [...leadership.ledZones.keys()];
 		};
 
-		expect(leadsAfter(heartbeatFixture('a'))).toEqual(['zone-a']);
+		const inScope = {scope: 'zone'} as const;
+		expect(leadsAfter(heartbeatFixture('a', inScope))).toEqual(['zone-a']);
 		expect(
-			leadsAfter(heartbeatFixture('a', {processorShare: 2, isWarm: false})),
+			leadsAfter(
+				heartbeatFixture('a', {...inScope, processorShare: 2, isWarm: false}),
+			),
 		).toEqual(['zone-a']);
-		expect(leadsAfter(heartbeatFixture('a', {processorShare: 2}))).toEqual([]);
+		expect(
+			leadsAfter(heartbeatFixture('a', {...inScope, processorShare: 2})),
+		).toEqual([]);
 	});
 
 	it('splits the region when the scope changes, each zone to its own entry VM', () => {
 		const leadership = createLeadership('a');
 		leadership.setWarm();
-		const peers = [heartbeatFixture('b', {zone: 'zone-b'})];
-		simulate(leadership, 0, 3000, peers);
+		simulate(leadership, 0, 3000, [heartbeatFixture('b', {zone: 'zone-b'})]);
 		expect(leadership.ledZones.size).toBe(2);
 		leadership.setScope('zone');
+		const peers = [heartbeatFixture('b', {zone: 'zone-b', scope: 'zone'})];
 		simulate(leadership, 3020, 3040, peers);
 		expect([...leadership.ledZones.keys()]).toEqual(['zone-a']);
 		expect(leadership.successors.get('zone-b')).toBe('b');
 	});
 
+	it('hands no zone to an entry VM with the other scope, which would hand it back', () => {
+		const zonal = createZonalLeadership('a');
+		const lastBuild = heartbeatFixture('c', {zone: 'zone-b'});
+		simulate(zonal, 0, 1000, [
+			heartbeatFixture('b', {
+				zone: 'zone-b',
+				isStopping: true,
+				yields: {'zone-b': 'a'},
+			}),
+		]);
+		simulate(zonal, 3000, 6000, [lastBuild]);
+		expect(zonal.ledZones.size).toBe(2);
+		const regional = createLeadership('m');
+		simulate(regional, 0, 1000);
+		const strongerLeader = heartbeatFixture('a', {
+			zone: 'zone-b',
+			leads: {'zone-b': 5},
+			processorShare: 2,
+		});
+		simulate(regional, 1020, 4000, [{...strongerLeader, scope: 'zone'}]);
+		expect(regional.ledZones.size).toBe(1);
+		simulate(regional, 4020, 7000, [strongerLeader]);
+		expect(regional.ledZones.size).toBe(0);
+	});
+
 	it('hands its zone over on a planned stop to an entry VM of the zone, and to another one only if there is none', () => {
 		const successorAmong = (peers: readonly Heartbeat[]) => {
 			const leadership = createZonalLeadership('m');
@@ -443,6 +481,7 @@
 			for (const from of now % 100 === 0 ? running : []) {
 				const heartbeat = {
 					...createLeadershipHeartbeat(from.name, from.zone, from.leadership),
+					scope: 'zone' as const,
 					processorShare: Number(from.name.at(-1)),
 					hears: Object.fromEntries(
 						zones.flatMap((zone) => {
