Bound the heartbeats of an entry VM by time and number of peers, and evaluate an election once a turn

Cause: without a leader each entry VM sent heartbeats to all every 100 ms, and at each change of the live leaders and each heartbeat of a peer that had lost one, with no bound a second; each of these heartbeats was evaluated by itself, so their cost grew with the square of the entry VMs when there was least processor time. Followers sent each other 2.5 a second with the list of all members in one of five. Change: a schedule by address. Fast heartbeats go between a leader and the entry VMs of its zones and among leaders; between leaders and followers of other zones 400 ms. A process that is late lengthens and announces its intervals, up to 400 ms. The lists of members are sent every 4 s, or 0.7 s after a change. The election is evaluated once for all messages that were read in a turn.

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -128,6 +128,8 @@
 	readonly excludedMs: number;
 };
 
+/** Longest time since a heartbeat for which it counts as recent, also from a peer that announces a longer interval. */
+const maxRecentMs = 1600;
 /** Length of the time steps that fencing tokens count, so that later claims get higher tokens without coordination. */
 const tokenStepMs = 10;
 /** Number of tokens in each time step; each entry VM uses its own one, so that two do not claim with the same token. */
@@ -267,7 +269,11 @@
 	 */
 	hasRecentHeartbeat(name: string, now: number): boolean {
 		const peer = this.#peers.get(name);
-		return peer !== undefined && this.#isLive({...peer, excludedMs: 0}, now);
+		return (
+			peer !== undefined &&
+			now - peer.lastHeartbeatAtMs <= maxRecentMs &&
+			this.#isLive({...peer, excludedMs: 0}, now)
+		);
 	}
 
 	/** Returns the newest heartbeats of the live peers. */
--- a/packages/peer/src/pool-mesh.ts
+++ b/packages/peer/src/pool-mesh.ts
@@ -36,11 +36,14 @@
 };
 
 /**
- * Milliseconds without a message after which later messages on the stream are discarded as out of date: a network
- * partition or a freeze of this process has delayed them. Twice the longest heartbeat interval, after which the sender has
- * opened a new stream.
+ * Shortest time without a message after which later messages on the stream are discarded as out of date: a network
+ * partition or a freeze of this process has delayed them. The sender of fast heartbeats has opened a new stream by then.
  */
 const staleStreamMs = 800;
+/** The longest heartbeat interval for which `staleStreamMs` holds. */
+const maxFastIntervalMs = 400;
+/** Number of longer intervals without a message after which later messages on the stream are discarded. */
+const staleIntervals = 4;
 
 type InboundStream = ServerDuplexStream<PoolBatch, PoolAcknowledgement>;
 
@@ -147,6 +150,11 @@
 		}
 	}
 
+	/** Addresses to which this entry VM has links. */
+	get addresses(): readonly string[] {
+		return [...this.#linksByAddress.keys()];
+	}
+
 	/** Whether messages can be sent to an entry VM. */
 	isOpen(name: string): boolean {
 		return this.#findLink(name)?.isOpen ?? false;
@@ -190,10 +198,11 @@
 	#handleStream(stream: InboundStream): void {
 		let name: string | undefined;
 		let lastReceivedAtMs = this.#options.now();
+		let staleMs = staleStreamMs;
 		stream.on('data', (batch: PoolBatch) => {
 			const now = this.#options.now();
 			this.#countBatch(batch);
-			if (now - lastReceivedAtMs > staleStreamMs) {
+			if (now - lastReceivedAtMs > staleMs) {
 				handleStreamEnd('out-of-date');
 				stream.end();
 				return;
@@ -207,6 +216,10 @@
 					}
 
 					name = message.heartbeat.name;
+					staleMs =
+						message.heartbeat.intervalMs > maxFastIntervalMs
+							? staleIntervals * message.heartbeat.intervalMs
+							: staleStreamMs;
 					this.#inboundStreams.set(name, stream);
 					this.#addressesByName.set(name, message.heartbeat.address);
 					if (!stream.writableEnded && !stream.cancelled) {
--- a/packages/peer/src/pool-message.ts
+++ b/packages/peer/src/pool-message.ts
@@ -23,6 +23,8 @@
 			readonly needsKnowledge: boolean;
 			/** Whether the sender has recently read the store itself. */
 			readonly readsStore: boolean;
+			/** Whether the sender accepts heartbeat intervals of more than 400 ms; absent in earlier versions. */
+			readonly acceptsSlowIntervals?: boolean;
 	  }
 	| {
 			readonly type: 'submit';
--- a/packages/peer/src/tests/pool-mesh.test.ts
+++ b/packages/peer/src/tests/pool-mesh.test.ts
@@ -19,17 +19,23 @@
 	readonly lostPeers: string[];
 	readonly lossCauses: string[];
 	clockMs: number;
+	/** The interval that heartbeats announce. */
+	intervalMs: number;
 	/** Sends a heartbeat on all links. */
 	sendHeartbeat(): void;
 };
 
-function heartbeatFixture(name: string, address: string): Heartbeat {
+function heartbeatFixture(
+	name: string,
+	address: string,
+	intervalMs: number,
+): Heartbeat {
 	return {
 		name,
 		zone: 'a',
 		address,
 		incarnation: '1',
-		intervalMs: 100,
+		intervalMs,
 		processorShare: 1,
 		isStopping: false,
 		isWarm: true,
@@ -66,11 +72,12 @@
 		lostPeers,
 		lossCauses,
 		clockMs: 1000,
+		intervalMs: 100,
 		sendHeartbeat() {
 			fixture.mesh.sendHeartbeats(
 				{
 					type: 'heartbeat',
-					heartbeat: heartbeatFixture(name, address),
+					heartbeat: heartbeatFixture(name, address, fixture.intervalMs),
 					needsKnowledge: false,
 					readsStore: true,
 				},
@@ -136,6 +143,27 @@
 		]);
 	});
 
+	it('delivers messages after a pause that its sender has announced', async () => {
+		const receiver = await meshFixture('receiver');
+		const sender = await meshFixture('sender');
+		sender.intervalMs = 1000;
+		sender.mesh.updateLinks([receiver.address]);
+		sender.sendHeartbeat();
+		await waitUntil(() => receiver.messageSenders.length === 1);
+		receiver.clockMs += 3900;
+		sender.sendHeartbeat();
+		await waitUntil(() => receiver.messageSenders.length === 2);
+		expect([receiver.messageSenders.length, receiver.lostPeers]).toEqual([
+			2,
+			[],
+		]);
+		receiver.clockMs += 4100;
+		sender.sendHeartbeat();
+		await waitUntil(() => receiver.lostPeers.length === 1);
+		expect(receiver.messageSenders.length).toBe(2);
+		expect(receiver.lossCauses).toEqual(['out-of-date']);
+	});
+
 	it('is counted with its messages by type, and its loss by cause', async () => {
 		const receiver = await meshFixture('receiver');
 		const sender = await meshFixture('sender');
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -24,18 +24,25 @@
 import {droppedLines} from '../logger.js';
 import {type MetricSample} from '../metrics.js';
 import {EventLoopDelay} from './event-loop-delay.js';
+import {
+	HeartbeatSchedule,
+	computeHeartbeatIntervals,
+	legacySlowIntervalMs,
+	type HeartbeatIntervals,
+} from './heartbeat-schedule.js';
 import {MemberRegistry} from './member-registry.js';
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {type PoolLog} from './pool-log.js';
 import {StoreFollower} from './store-follower.js';
 import {createWorkerCommandSender} from './worker-command-sender.js';
 
-/** Interval of heartbeats from or to a leader, and of all heartbeats while a zone has no live leader. */
-const heartbeatIntervalMs = 100;
-/** Interval of heartbeats between followers, which only need them to select the next leader. */
-const slowHeartbeatIntervalMs = 400;
-/** Interval of heartbeats that include the list of known entry VMs. */
-const memberListIntervalMs = 2000;
+/** Interval at which heartbeats include the list of known entry VMs, and the shortest one while new entry VMs appear. */
+const memberListIntervalMs = 4000;
+const minMemberListIntervalMs = 300;
+/** Time for which heartbeats include the list, so that all peers receive it. */
+const memberListDurationMs = 400;
+/** Interval at which unused connections to workers are closed. */
+const connectionCheckIntervalMs = 100;
 /** Interval at which leadership, store reads, leases, stops and deadlines are checked. */
 const tickIntervalMs = 20;
 /**
@@ -121,9 +128,21 @@
 	#isStopping = false;
 	#nextRequestNumber = 1;
 	#attemptCount = 0;
-	#lastHeartbeatMs = 0;
-	#lastSlowHeartbeatMs = 0;
-	#lastMemberListMs = 0;
+	readonly #heartbeatSchedule = new HeartbeatSchedule();
+	/** Time of the last round of heartbeats to all that a change has caused. */
+	#lastRoundMs = 0;
+	/** Whether a change is to be sent to all once the gap between rounds has passed. */
+	#isRoundDue = false;
+	#lastConnectionCheckMs = 0;
+	/** Time since which heartbeats include the member list, which they do for a short time. */
+	#memberListSinceMs = 0;
+	#isMemberListChanged = false;
+	/** Names of the peers whose version accepts longer intervals among followers. */
+	readonly #peersWithSlowIntervals = new Set<string>();
+	/** Whether the election is evaluated at the end of this turn of the event loop. */
+	#isLeadershipUpdateScheduled = false;
+	/** Zones whose leader a peer has lost according to heartbeats of this turn. */
+	readonly #zonesLostByPeers = new Set<string>();
 	/** Fencing token of the live leader of each zone that has one, by zone. */
 	#liveLeaderTokens: Readonly<Record<string, number>> = {};
 	#lastDirectoryCheckMs = 0;
@@ -194,7 +213,7 @@
 				this.#leadership.markDisconnected(name);
 				this.#scheduler.markReceiverUnreachable(name, now());
 				log.write({event: 'peer-lost', peer: name, cause});
-				this.#updateLeadership();
+				this.#scheduleLeadershipUpdate();
 			},
 			onOpen: (name) => {
 				log.write({event: 'peer-open', peer: name});
@@ -544,8 +563,9 @@
 			);
 		}
 
-		if (now - this.#lastHeartbeatMs >= heartbeatIntervalMs) {
-			this.#sendDueHeartbeats(now);
+		this.#sendDueHeartbeats(now);
+		if (now - this.#lastConnectionCheckMs >= connectionCheckIntervalMs) {
+			this.#lastConnectionCheckMs = now;
 			this.#workerClient.closeUnusedConnections();
 		}
 	}
@@ -592,6 +612,31 @@
 		);
 	}
 
+	/**
+	 * Evaluates the election once the messages that have arrived are read, however many of them change it, and informs peers
+	 * that have lost a leader which is live here before they claim its zone.
+	 */
+	#scheduleLeadershipUpdate(): void {
+		if (this.#isLeadershipUpdateScheduled) {
+			return;
+		}
+
+		this.#isLeadershipUpdateScheduled = true;
+		setImmediate(() => {
+			this.#isLeadershipUpdateScheduled = false;
+			const now = this.#now();
+			this.#excludeStall(now);
+			this.#updateLeadership();
+			const isLeaderLiveHere = [...this.#zonesLostByPeers].some(
+				(zone) => this.#liveLeaderTokens[zone] !== undefined,
+			);
+			this.#zonesLostByPeers.clear();
+			if (isLeaderLiveHere) {
+				this.#sendHeartbeatToAll(now);
+			}
+		});
+	}
+
 	/** Evaluates the election, and sends heartbeats at once if the live leaders have changed. */
 	#updateLeadership(): void {
 		const now = this.#now();
@@ -697,58 +742,109 @@
 		};
 	}
 
-	/** Sends a heartbeat to all peers at once, whatever their interval. */
+	/** Sends a heartbeat to all peers, now or once the gap since the last such round has passed. */
 	#sendHeartbeatToAll(now: number): void {
-		this.#lastSlowHeartbeatMs = 0;
+		this.#isRoundDue = true;
 		this.#sendDueHeartbeats(now);
 	}
 
-	/** Sends heartbeats to the peers that need the short interval, and to the others if their interval has passed. */
+	/** Sends heartbeats to the peers for which one is due. */
 	#sendDueHeartbeats(now: number): void {
-		this.#lastHeartbeatMs = now;
-		const leaders = new Set(
-			this.#leadership
-				.livePeers(now)
-				.filter(({leads}) => Object.keys(leads).length > 0)
-				.map(({address}) => address),
+		const {addresses} = this.#mesh;
+		const intervals = computeHeartbeatIntervals(
+			addresses.length,
+			this.#eventLoopDelay.delayMs(now),
 		);
-		const isLeader = this.#leadership.ledZones.size > 0;
+		if (this.#isRoundDue && now - this.#lastRoundMs >= intervals.roundGapMs) {
+			this.#isRoundDue = false;
+			this.#lastRoundMs = now;
+			this.#heartbeatSchedule.reset();
+		}
+
+		const due = this.#heartbeatSchedule.takeDue(
+			this.#selectIntervals(addresses, intervals, now),
+			now,
+		);
+		for (const [intervalMs, recipients] of due) {
+			this.#sendHeartbeat(recipients, intervalMs, now);
+		}
+	}
+
+	/**
+	 * Selects the interval of heartbeats to each address: the fast one between a leader and the entry VMs of its zones, and
+	 * among leaders.
+	 */
+	#selectIntervals(
+		addresses: readonly string[],
+		{fastMs, electionMs, slowMs}: HeartbeatIntervals,
+		now: number,
+	): ReadonlyMap<string, number> {
+		const {ledZones} = this.#leadership;
 		const isElecting =
 			Object.keys(this.#liveLeaderTokens).length < this.#settings.zones.length;
-		const isFast = (address: string) =>
-			isLeader || isElecting || leaders.has(address);
-		this.#sendHeartbeat(isFast, heartbeatIntervalMs, now);
-		if (now - this.#lastSlowHeartbeatMs >= slowHeartbeatIntervalMs) {
-			this.#lastSlowHeartbeatMs = now;
-			this.#sendHeartbeat(
-				(address) => !isFast(address),
-				slowHeartbeatIntervalMs,
-				now,
-			);
-		}
+		const peersByAddress = new Map(
+			this.#leadership.livePeers(now).map((peer) => [peer.address, peer]),
+		);
+		const select = (address: string) => {
+			const peer = peersByAddress.get(address);
+			const isPeerLeader =
+				peer !== undefined && Object.keys(peer.leads).length > 0;
+			const isDependent =
+				peer === undefined
+					? ledZones.size > 0
+					: ledZones.has(peer.zone) ||
+						(ledZones.size > 0 && isPeerLeader) ||
+						peer.leads[this.#settings.zone] !== undefined;
+			if (isDependent) {
+				return fastMs;
+			}
+
+			if (isElecting) {
+				return electionMs;
+			}
+
+			return peer !== undefined &&
+				ledZones.size === 0 &&
+				!isPeerLeader &&
+				this.#peersWithSlowIntervals.has(peer.name)
+				? slowMs
+				: legacySlowIntervalMs;
+		};
+
+		return new Map(addresses.map((address) => [address, select(address)]));
 	}
 
-	/** Sends a heartbeat to the peers whose address is selected, announcing the interval until the next one. */
+	/** Sends a heartbeat to peers, announcing the interval until the next one. */
 	#sendHeartbeat(
-		isSelected: (address: string) => boolean,
+		recipients: ReadonlySet<string>,
 		intervalMs: number,
 		now: number,
 	): void {
-		const hasMemberList = now - this.#lastMemberListMs >= memberListIntervalMs;
-		if (hasMemberList && intervalMs === slowHeartbeatIntervalMs) {
-			this.#lastMemberListMs = now;
+		const sinceListMs = now - this.#memberListSinceMs;
+		if (
+			sinceListMs >=
+			(this.#isMemberListChanged
+				? memberListDurationMs + minMemberListIntervalMs
+				: memberListIntervalMs)
+		) {
+			this.#memberListSinceMs = now;
+			this.#isMemberListChanged = false;
 		}
 
 		this.#mesh.sendHeartbeats(
 			{
 				type: 'heartbeat',
-				heartbeat: this.#createHeartbeat(hasMemberList, intervalMs),
+				heartbeat: this.#createHeartbeat(
+					now - this.#memberListSinceMs < memberListDurationMs,
+					intervalMs,
+				),
 				needsKnowledge:
 					this.#leadership.ledZones.size > 0 &&
 					this.#storeFollower.ownDataAgeMs(now) > staleStoreDataMs,
 				readsStore: this.#storeFollower.ownDataAgeMs(now) < staleStoreDataMs,
+				acceptsSlowIntervals: true,
 			},
-			isSelected,
+			(address) => recipients.has(address),
 			now,
 		);
 	}
@@ -759,6 +855,12 @@
 		switch (message.type) {
 			case 'heartbeat': {
 				this.#receiveHeartbeat(message.heartbeat, now);
+				if (message.acceptsSlowIntervals === true) {
+					this.#peersWithSlowIntervals.add(from);
+				} else {
+					this.#peersWithSlowIntervals.delete(from);
+				}
+
 				this.#updateStoreReader(from, message, now);
 				break;
 			}
@@ -864,22 +966,18 @@
 		this.#leadership.receiveHeartbeat(heartbeat, now);
 		if (this.#members.size !== memberCount) {
 			// The next heartbeat includes the member list, so that newly connected peers receive it at once.
-			this.#lastMemberListMs = 0;
+			this.#isMemberListChanged = true;
 			this.#updateLinks();
 		}
 
 		if (hasChanged) {
-			this.#updateLeadership();
-		}
+			for (const zone of this.#settings.zones) {
+				if (heartbeat.hears[zone] === undefined) {
+					this.#zonesLostByPeers.add(zone);
+				}
+			}
 
-		const hasLostLeader = this.#settings.zones.some(
-			(zone) =>
-				heartbeat.hears[zone] === undefined &&
-				this.#liveLeaderTokens[zone] !== undefined,
-		);
-		if (hasChanged && hasLostLeader) {
-			// The sender has lost a leader that is live for this entry VM, and must be informed before it claims the zone.
-			this.#sendHeartbeatToAll(now);
+			this.#scheduleLeadershipUpdate();
 		}
 	}
 
