Send the desired state and the list of workers only to peers that lack them

Cause: at each stream that opened a leader sent the desired state and all worker entries, tens of kB, and at each change of one entry each reader of the store sent them to all peers; without a leader all entry VMs read the store, so all sent to all. Change: heartbeats announce the versions that the sender has or was sent (`knows`). A leader sends to the followers of its zones what they lack: a desired state at once and again after 0.4 s if it is not confirmed, the list of workers every 2 s at most to each peer. A follower that reads the store for a leader sends to that leader. A process without any data of the store sends nothing, as its empty list would replace others. Copies are encoded once for all recipients. Beside the last version: a peer that announces no versions is sent complete copies when its stream opens and at changes, as before, but every 2 s at most for a change of workers.

--- a/packages/peer/src/pool-message.ts
+++ b/packages/peer/src/pool-message.ts
@@ -6,10 +6,20 @@
 	type WorkerEntry,
 } from '@verbenarouter/core';
 
+/** Versions of the desired state and of the list of workers; 0 and an empty text are none. */
+export type KnowledgeVersions = {
+	readonly state: number;
+	readonly workers: string;
+};
+
 /** The sender's copy of the desired state and the worker entries of the platform's store. */
 export type StoreKnowledge = {
+	/** Absent if the receiver has it, or if the sender has none. */
 	readonly state: DesiredState | undefined;
-	readonly workers: readonly WorkerEntry[];
+	/** Absent if the receiver has them. */
+	readonly workers: readonly WorkerEntry[] | undefined;
+	/** Versions of the sender's copy; absent in earlier versions of the program. */
+	readonly versions?: KnowledgeVersions;
 	/** Milliseconds since the copy was read from the store, by the sender or by the entry VM from which the sender has it. */
 	readonly ageMs: number;
 };
@@ -25,6 +35,11 @@
 			readonly readsStore: boolean;
 			/** Whether the sender accepts heartbeat intervals of more than 400 ms; absent in earlier versions. */
 			readonly acceptsSlowIntervals?: boolean;
+			/**
+			 * Versions that the sender has or has been sent, so that it is not sent them again; absent in earlier versions of the
+			 * program.
+			 */
+			readonly knows?: KnowledgeVersions;
 	  }
 	| {
 			readonly type: 'submit';
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -14,7 +14,11 @@
 	type PoolJob,
 	type WorkerEntry,
 } from '@verbenarouter/core';
-import {PoolMesh, type PoolMessage} from '@verbenarouter/peer';
+import {
+	PoolMesh,
+	type KnowledgeVersions,
+	type PoolMessage,
+} from '@verbenarouter/peer';
 import {
 	StoreClient,
 	WorkerClient,
@@ -30,6 +34,11 @@
 	legacySlowIntervalMs,
 	type HeartbeatIntervals,
 } from './heartbeat-schedule.js';
+import {
+	KnowledgeSchedule,
+	computeWorkersVersion,
+	type DueKnowledge,
+} from './knowledge-schedule.js';
 import {MemberRegistry} from './member-registry.js';
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {type PoolLog} from './pool-log.js';
@@ -155,6 +164,12 @@
 	/** Names of the peers that have recently read the store themselves. */
 	readonly #storeReaders = new Set<string>();
 	#lastKnowledgeSentMs = 0;
+	readonly #knowledgeSchedule = new KnowledgeSchedule();
+	/** Versions that peers announce, by name; without those of peers that announce none. */
+	readonly #peerVersions = new Map<string, KnowledgeVersions>();
+	#workersVersion = '';
+	/** Version of the list of workers that a peer has sent since the last read of the store. */
+	#receivedWorkersVersion: string | undefined;
 
 	constructor(settings: EntrySettings, log: PoolLog, now: () => number) {
 		this.#settings = settings;
@@ -217,10 +232,7 @@
 			},
 			onOpen: (name) => {
 				log.write({event: 'peer-open', peer: name});
-				if (this.#leadership.ledZones.size > 0) {
-					this.#sendKnowledge(name);
-				}
-
+				this.#knowledgeSchedule.handleOpen(name);
 				if (name === this.#leader) {
 					this.#resubmitPendingJobs();
 				}
@@ -563,6 +575,7 @@
 			);
 		}
 
+		this.#sendMissingKnowledge(now);
 		this.#sendDueHeartbeats(now);
 		if (now - this.#lastConnectionCheckMs >= connectionCheckIntervalMs) {
 			this.#lastConnectionCheckMs = now;
@@ -843,6 +856,10 @@
 					this.#storeFollower.ownDataAgeMs(now) > staleStoreDataMs,
 				readsStore: this.#storeFollower.ownDataAgeMs(now) < staleStoreDataMs,
 				acceptsSlowIntervals: true,
+				knows: {
+					state: this.#desiredState?.version ?? 0,
+					workers: this.#receivedWorkersVersion ?? this.#workersVersion,
+				},
 			},
 			(address) => recipients.has(address),
 			now,
@@ -855,12 +872,7 @@
 		switch (message.type) {
 			case 'heartbeat': {
 				this.#receiveHeartbeat(message.heartbeat, now);
-				if (message.acceptsSlowIntervals === true) {
-					this.#peersWithSlowIntervals.add(from);
-				} else {
-					this.#peersWithSlowIntervals.delete(from);
-				}
-
+				this.#updatePeerVersions(from, message);
 				this.#updateStoreReader(from, message, now);
 				break;
 			}
@@ -920,14 +932,18 @@
 			}
 
 			case 'knowledge': {
-				const {state, workers, ageMs} = message.knowledge;
+				const {state, workers, versions, ageMs} = message.knowledge;
 				if (state !== undefined) {
 					this.#applyDesiredState(state, from);
 				}
 
-				if (ageMs < this.#storeFollower.dataAgeMs(now)) {
-					this.#storeFollower.applyPeerWorkers(workers, ageMs, now);
-					this.#refreshWorkers(from);
+				if (workers !== undefined) {
+					if (ageMs < this.#storeFollower.dataAgeMs(now)) {
+						this.#storeFollower.applyPeerWorkers(workers, ageMs, now);
+						this.#refreshWorkers(from);
+					}
+
+					this.#receivedWorkersVersion = versions?.workers;
 				}
 
 				break;
@@ -981,6 +997,24 @@
 		}
 	}
 
+	/** Records what a peer's version of the program supports, and which versions of the store's data it has. */
+	#updatePeerVersions(
+		name: string,
+		{knows, acceptsSlowIntervals}: PoolMessage & {readonly type: 'heartbeat'},
+	): void {
+		if (knows === undefined) {
+			this.#peerVersions.delete(name);
+		} else {
+			this.#peerVersions.set(name, knows);
+		}
+
+		if (acceptsSlowIntervals === true) {
+			this.#peersWithSlowIntervals.add(name);
+		} else {
+			this.#peersWithSlowIntervals.delete(name);
+		}
+	}
+
 	/** Connects to the entry VMs that the store lists. */
 	#addRegistryMembers(members: readonly MemberAddress[]): void {
 		const now = this.#now();
@@ -1043,20 +1077,75 @@
 
 	/** Sends the desired state and the workers to a peer. */
 	#sendKnowledge(name: string): void {
-		this.#mesh.send(name, {
+		this.#sendKnowledgeToAll([name], {hasState: true, hasWorkers: true});
+	}
+
+	/** Sends the desired state, the workers or both to peers. */
+	#sendKnowledgeToAll(
+		names: readonly string[],
+		{hasState, hasWorkers}: DueKnowledge,
+	): void {
+		this.#mesh.sendToAll(names, {
 			type: 'knowledge',
 			knowledge: {
-				state: this.#desiredState,
-				workers: this.#workerEntries,
+				state: hasState ? this.#desiredState : undefined,
+				workers: hasWorkers ? this.#workerEntries : undefined,
+				versions: this.#ownVersions,
 				ageMs: this.#storeFollower.dataAgeMs(this.#now()),
 			},
 		});
 	}
 
-	/** Sends the desired state and the workers to all live peers. */
-	#sendKnowledgeToPeers(): void {
-		for (const {name} of this.#leadership.livePeers(this.#now())) {
-			this.#sendKnowledge(name);
+	get #ownVersions(): KnowledgeVersions {
+		return {
+			state: this.#desiredState?.version ?? 0,
+			workers: this.#workersVersion,
+		};
+	}
+
+	/**
+	 * Sends the desired state and the workers to the peers that lack them: as a leader to the followers of its zones, and as
+	 * a reader of the store to leaders that cannot read it.
+	 */
+	#sendMissingKnowledge(now: number): void {
+		const {ledZones} = this.#leadership;
+		const isReader =
+			this.#leadersWithoutStore.size > 0 &&
+			this.#storeFollower.ownDataAgeMs(now) < staleStoreDataMs;
+		if (
+			(ledZones.size === 0 && !isReader) ||
+			!Number.isFinite(this.#storeFollower.dataAgeMs(now))
+		) {
+			return;
+		}
+
+		const peers = this.#leadership
+			.livePeers(now)
+			.filter(
+				({name, zone, leads}) =>
+					this.#mesh.isOpen(name) &&
+					((ledZones.has(zone) && Object.keys(leads).length === 0) ||
+						(isReader && this.#leadersWithoutStore.has(name))),
+			)
+			.map(({name}) => ({name, knows: this.#peerVersions.get(name)}));
+		const due = [
+			...this.#knowledgeSchedule.takeDue(peers, this.#ownVersions, now),
+		];
+		for (const [hasState, hasWorkers] of [
+			[true, true],
+			[true, false],
+			[false, true],
+		] as const) {
+			const names = due
+				.filter(
+					([, knowledge]) =>
+						knowledge.hasState === hasState &&
+						knowledge.hasWorkers === hasWorkers,
+				)
+				.map(([name]) => name);
+			if (names.length > 0) {
+				this.#sendKnowledgeToAll(names, {hasState, hasWorkers});
+			}
 		}
 	}
 
@@ -1082,9 +1171,7 @@
 		}
 
 		this.#stateWaiters.clear();
-		if (source === 'store') {
-			this.#sendKnowledgeToPeers();
-		}
+		this.#sendMissingKnowledge(this.#now());
 	}
 
 	/** Updates the workers from the directory, and passes them on if they have changed. */
@@ -1093,10 +1180,15 @@
 		const isChanged = !hasEqualWorkers(entries, this.#workerEntries);
 		this.#retainPartitionedWorkers(entries);
 		this.#workerEntries = entries;
+		if (source === 'store') {
+			this.#receivedWorkersVersion = undefined;
+		}
+
 		if (!isChanged) {
 			return;
 		}
 
+		this.#workersVersion = computeWorkersVersion(entries);
 		this.#log.write({
 			event: 'workers',
 			ready: entries.filter(({state}) => state === 'ready').length,
@@ -1106,10 +1198,6 @@
 		if (this.#leadership.ledZones.size > 0) {
 			this.#scheduler.updateWorkers(entries, this.#now());
 		}
-
-		if (source === 'store') {
-			this.#sendKnowledgeToPeers();
-		}
 	}
 
 	/**
@@ -1139,6 +1227,7 @@
 		}
 
 		this.#workerEntries = this.#storeFollower.directory.entries(now);
+		this.#workersVersion = computeWorkersVersion(this.#workerEntries);
 	}
 
 	/** Adds tasks that a leader reports as completed to a pending job. */
