Replace streams less often to an entry VM that acknowledges late

Cause: an open stream was replaced after 0.4 s without an acknowledgement, also to an entry VM that was only late and paid for the new connection, and also between followers, which need no quick detection. Change: the time doubles with each replacement up to 1.6 s, and is 0.4 s again once a stream has been open for 3 s; with heartbeat intervals over 0.4 s it is four of them.

--- a/packages/peer/src/pool-link.ts
+++ b/packages/peer/src/pool-link.ts
@@ -92,15 +92,18 @@
 
 /** Settings of {@link PoolLink}. */
 export type PoolLinkSettings = {
-	/** Milliseconds without an acknowledgement of a heartbeat after which an open stream is replaced. */
-	readonly silenceMs: number;
 	/**
-	 * Milliseconds for which the first attempt waits for a stream to open; doubles with each further attempt up to
-	 * `maxOpenMs`, because an entry VM that lacks processor time opens none of the streams that it is given too often.
+	 * Milliseconds without an acknowledgement of a heartbeat after which a stream is replaced, open or not. Doubles each
+	 * time up to `maxSilenceMs`, because an entry VM that lacks processor time acknowledges nothing on streams that are
+	 * replaced too often.
 	 */
-	readonly openMs: number;
-	/** Longest time for which an attempt waits for a stream to open, in milliseconds. */
-	readonly maxOpenMs: number;
+	readonly silenceMs: number;
+	/** Longest time without an acknowledgement, in milliseconds. */
+	readonly maxSilenceMs: number;
+	/** Milliseconds for which a stream must be open before `silenceMs` holds again for it. */
+	readonly stableMs: number;
+	/** Longest heartbeat interval for which `silenceMs` holds; on streams with longer ones four intervals do. */
+	readonly maxFastIntervalMs: number;
 	/**
 	 * Mean of the first delay before a reconnect, in milliseconds; it doubles with each further attempt up to
 	 * `maxReconnectMs`.
@@ -113,12 +116,16 @@
 /** Settings for a heartbeat interval of 100 ms. */
 export const defaultPoolLinkSettings: PoolLinkSettings = {
 	silenceMs: 400,
-	openMs: 400,
-	maxOpenMs: 1600,
+	maxSilenceMs: 1600,
+	stableMs: 3000,
+	maxFastIntervalMs: 400,
 	reconnectMs: 50,
 	maxReconnectMs: 400,
 };
 
+/** Number of long heartbeat intervals without an acknowledgement after which a stream is replaced. */
+const silentIntervals = 4;
+
 /** Options and handlers of {@link PoolLink}. */
 export type PoolLinkOptions = {
 	/** `host:port` of the other entry VM. */
@@ -159,7 +166,9 @@
 	#unacknowledgedSinceMs: number | undefined;
 	#reconnectAtMs = 0;
 	#reconnectDelayMs: number;
-	#openTimeoutMs: number;
+	#silenceMs: number;
+	/** Time since which the stream has been open. */
+	#openSinceMs = 0;
 
 	constructor({
 		address,
@@ -178,7 +187,7 @@
 		this.#tryTakeConnect = tryTakeConnect;
 		this.#settings = settings;
 		this.#reconnectDelayMs = settings.reconnectMs;
-		this.#openTimeoutMs = settings.openMs;
+		this.#silenceMs = settings.silenceMs;
 	}
 
 	/** Whether the receiver has acknowledged a heartbeat on the current stream. */
@@ -198,23 +207,28 @@
 
 	/**
 	 * Sends a heartbeat, also on a stream that is not acknowledged yet, unless earlier messages wait to be written. Replaces
-	 * a silent stream, and reconnects after the reconnect delay if there is none.
+	 * a silent stream, and reconnects after the reconnect delay if there is none. `intervalMs` is the time until the next.
 	 */
-	sendHeartbeat(message: EncodedMessage, now: number): void {
-		const limitMs = this.#isOpen
-			? this.#settings.silenceMs
-			: this.#openTimeoutMs;
+	sendHeartbeat(
+		message: EncodedMessage,
+		intervalMs: number,
+		now: number,
+	): void {
+		const {silenceMs, maxSilenceMs, stableMs, maxFastIntervalMs} =
+			this.#settings;
+		if (this.#isOpen && now - this.#openSinceMs >= stableMs) {
+			this.#silenceMs = silenceMs;
+		}
+
+		const limitMs =
+			this.#isOpen && intervalMs > maxFastIntervalMs
+				? silentIntervals * intervalMs
+				: this.#silenceMs;
 		const isSilent =
 			this.#unacknowledgedSinceMs !== undefined &&
 			now - this.#unacknowledgedSinceMs > limitMs;
 		if (this.#stream !== undefined && isSilent) {
-			if (!this.#isOpen) {
-				this.#openTimeoutMs = Math.min(
-					2 * this.#openTimeoutMs,
-					this.#settings.maxOpenMs,
-				);
-			}
-
+			this.#silenceMs = Math.min(2 * this.#silenceMs, maxSilenceMs);
 			this.#disconnect('silent', now);
 		}
 
@@ -252,7 +266,6 @@
 	/** Connects at the next heartbeat if there is no stream, as the other entry VM has just opened one. */
 	resetDelay(): void {
 		this.#reconnectDelayMs = this.#settings.reconnectMs;
-		this.#openTimeoutMs = this.#settings.openMs;
 		this.#reconnectAtMs = 0;
 	}
 
@@ -309,7 +322,7 @@
 			if (!this.#isOpen) {
 				this.#isOpen = true;
 				this.#reconnectDelayMs = this.#settings.reconnectMs;
-				this.#openTimeoutMs = this.#settings.openMs;
+				this.#openSinceMs = this.#now();
 				this.#onOpen();
 			}
 		});
--- a/packages/peer/src/pool-mesh.ts
+++ b/packages/peer/src/pool-mesh.ts
@@ -105,7 +105,7 @@
 
 	/** Sends a heartbeat on each link whose address `isRecipient` accepts. */
 	sendHeartbeats(
-		message: PoolMessage,
+		message: PoolMessage & {readonly type: 'heartbeat'},
 		isRecipient: (address: string) => boolean,
 		now: number,
 	): void {
@@ -118,7 +118,7 @@
 
 		const encoded = this.#encode(message);
 		for (const link of links) {
-			link.sendHeartbeat(encoded, now);
+			link.sendHeartbeat(encoded, message.heartbeat.intervalMs, now);
 		}
 	}
 
--- a/packages/peer/src/tests/pool-link.test.ts
+++ b/packages/peer/src/tests/pool-link.test.ts
@@ -13,7 +13,7 @@
 
 /** An address on which nothing listens; no test waits until the connection is refused. */
 const address = '127.0.0.1:1';
-const {openMs, reconnectMs} = defaultPoolLinkSettings;
+const {silenceMs, reconnectMs} = defaultPoolLinkSettings;
 const closers: Array<() => void> = [];
 
 afterEach(() => {
@@ -87,7 +87,7 @@
 /** Sends heartbeats every 100 ms from one time to another, in one turn of the event loop. */
 function sendHeartbeats(link: PoolLink, fromMs: number, toMs: number): void {
 	for (let now = fromMs; now <= toMs; now += 100) {
-		link.sendHeartbeat(new EncodedMessage(heartbeatMessageFixture()), now);
+		link.sendHeartbeat(new EncodedMessage(heartbeatMessageFixture()), 100, now);
 	}
 }
 
@@ -114,15 +114,19 @@
 		const delaysMs = [0, 0.5, 1].map((random) => {
 			const {link, traffic} = linkFixture({random: () => random});
 			const startMs = 1000;
-			sendHeartbeats(link, startMs, startMs + openMs + 100);
+			sendHeartbeats(link, startMs, startMs + silenceMs + 100);
 			expect(traffic.closedLinks.get('silent')).toBe(1);
-			let now = startMs + openMs + 100;
+			let now = startMs + silenceMs + 100;
 			while (countHeartbeats(traffic) < 2) {
 				now += 1;
-				link.sendHeartbeat(new EncodedMessage(heartbeatMessageFixture()), now);
+				link.sendHeartbeat(
+					new EncodedMessage(heartbeatMessageFixture()),
+					100,
+					now,
+				);
 			}
 
-			return now - (startMs + openMs + 100);
+			return now - (startMs + silenceMs + 100);
 		});
 		expect(delaysMs).toEqual([
 			reconnectMs / 2,
--- a/packages/peer/src/tests/pool-mesh.test.ts
+++ b/packages/peer/src/tests/pool-mesh.test.ts
@@ -19,6 +19,8 @@
 	readonly lostPeers: string[];
 	readonly lossCauses: string[];
 	clockMs: number;
+	/** Number of streams that the mesh has opened. */
+	openCount: number;
 	/** The interval that heartbeats announce. */
 	intervalMs: number;
 	/** Sends a heartbeat on all links. */
@@ -65,13 +67,16 @@
 				lostPeers.push(from);
 				lossCauses.push(cause);
 			},
-			onOpen: () => undefined,
+			onOpen() {
+				fixture.openCount += 1;
+			},
 		}),
 		address,
 		messageSenders,
 		lostPeers,
 		lossCauses,
 		clockMs: 1000,
+		openCount: 0,
 		intervalMs: 100,
 		sendHeartbeat() {
 			fixture.mesh.sendHeartbeats(
@@ -164,6 +169,58 @@
 		expect(receiver.lossCauses).toEqual(['out-of-date']);
 	});
 
+	it('is replaced after a silence that doubles, as its receiver may lack processor time', async () => {
+		const receiver = await meshFixture('receiver');
+		const sender = await meshFixture('sender');
+		const countReplaced = () =>
+			sender.mesh.traffic.closedLinks.get('silent') ?? 0;
+		/** Sends two heartbeats in one turn, so that no acknowledgement arrives between them. */
+		const sendWithSilence = (silenceMs: number) => {
+			sender.clockMs += 100;
+			sender.sendHeartbeat();
+			sender.clockMs += silenceMs;
+			sender.sendHeartbeat();
+		};
+
+		const reopen = async () => {
+			const count = receiver.messageSenders.length;
+			await waitUntil(() => {
+				sender.clockMs += 50;
+				sender.sendHeartbeat();
+				return receiver.messageSenders.length > count;
+			});
+			await waitUntil(() => sender.openCount === countReplaced() + 1);
+			await sleep(50);
+		};
+
+		// The sender reports that a stream has opened to an entry VM whose name it knows.
+		receiver.mesh.updateLinks([sender.address]);
+		receiver.sendHeartbeat();
+		await waitUntil(() => sender.messageSenders.length > 0);
+		sender.mesh.updateLinks([receiver.address]);
+		await reopen();
+		sendWithSilence(390);
+		expect(countReplaced()).toBe(0);
+		await reopen();
+		sendWithSilence(410);
+		expect(countReplaced()).toBe(1);
+		await reopen();
+		sendWithSilence(790);
+		expect(countReplaced()).toBe(1);
+		await reopen();
+		sendWithSilence(810);
+		expect(countReplaced()).toBe(2);
+		await reopen();
+		sender.clockMs += 3000;
+		await reopen();
+		sendWithSilence(410);
+		expect(countReplaced()).toBe(3);
+		await reopen();
+		sender.intervalMs = 1000;
+		sendWithSilence(3990);
+		expect(countReplaced()).toBe(3);
+	});
+
 	it('is counted with its messages by type, and its loss by cause', async () => {
 		const receiver = await meshFixture('receiver');
 		const sender = await meshFixture('sender');
