Start the timeout of a request at the end of the turn in which it is sent

A process that was busy for longer before its turn ended sent the request only then, and took the worker for silent before it could answer, which lapses leases and closes connections. Change: the timeout starts at the end of the turn of the event loop. Ruled out: measuring the own delay and extending the timeout by it, as that needs a second timer for each request.

--- a/packages/platform/src/http-exchange.ts
+++ b/packages/platform/src/http-exchange.ts
@@ -24,7 +24,10 @@
 	readonly path: string;
 	readonly headers?: Readonly<Record<string, string>>;
 	readonly body?: string | Uint8Array;
-	/** Timeout in milliseconds, after which the connection is destroyed. It is extended while the connection is being opened. */
+	/**
+	 * Timeout in milliseconds from the end of the present turn of the event loop, after which the connection is destroyed. It
+	 * is extended while the connection is being opened.
+	 */
 	readonly timeoutMs: number;
 };
 
@@ -97,7 +100,7 @@
 	readonly #timeoutMs: number;
 	readonly #resolve: (exchange: HttpExchangeOutcome) => void;
 	readonly #startedAtMs = performance.now();
-	#timer: NodeJS.Timeout;
+	#timer: NodeJS.Timeout | undefined;
 	/** Whether the request may have been sent, as its connection has been open. */
 	#mayBeSent = false;
 	#isSettled = false;
@@ -110,7 +113,12 @@
 		this.#request = request;
 		this.#timeoutMs = timeoutMs;
 		this.#resolve = resolve;
-		this.#timer = this.#startTimer(timeoutMs);
+		// A process that is busy until the end of this turn sends the request only then.
+		setImmediate(() => {
+			if (!this.#isSettled) {
+				this.#timer = this.#startTimer(timeoutMs);
+			}
+		});
 	}
 
 	attachListeners(): void {
--- a/packages/platform/src/tests/http-exchange.test.ts
+++ b/packages/platform/src/tests/http-exchange.test.ts
@@ -87,6 +87,25 @@
 		expect(sockets).toHaveLength(2);
 	});
 
+	it('does not count time for which this process was busy before it sent the request', async () => {
+		const {client} = await clientFixture((socket, count) => {
+			setTimeout(
+				() => {
+					sendResponse(socket);
+				},
+				count === 1 ? 0 : 30,
+			);
+		});
+		await client.exchange(request);
+		const exchange = client.exchange(shortTimeoutRequest);
+		const busyUntilMs = performance.now() + 150;
+		while (performance.now() < busyUntilMs) {
+			// Busy.
+		}
+
+		expect(await exchange).toMatchObject({kind: 'answered'});
+	});
+
 	it('is silent if the connection is reset after the request, on a reused and on a new connection', async () => {
 		const {client} = await clientFixture((socket, count) => {
 			if (count === 1) {
