--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -21,7 +21,11 @@
 	type WorkerEntry,
 	type ZoneRoom,
 } from '@verbenarouter/core';
-import {PoolMesh, type PoolMessage} from '@verbenarouter/peer';
+import {
+	PoolMesh,
+	type KnowledgeVersions,
+	type PoolMessage,
+} from '@verbenarouter/peer';
 import {
 	StoreClient,
 	WorkerClient,
@@ -30,18 +34,30 @@
 } from '@verbenarouter/platform';
 import {droppedLines} from '../logger.js';
 import {type MetricSample} from '../metrics.js';
+import {
+	HeartbeatSchedule,
+	computeHeartbeatIntervals,
+	legacySlowIntervalMs,
+	type HeartbeatIntervals,
+} from './heartbeat-schedule.js';
+import {
+	KnowledgeSchedule,
+	computeWorkersVersion,
+	type DueKnowledge,
+} from './knowledge-schedule.js';
 import {MemberRegistry} from './member-registry.js';
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {type PoolLog} from './pool-log.js';
 import {StoreFollower} from './store-follower.js';
 import {createWorkerCommandSender} from './worker-command-sender.js';
 
-/** Interval of heartbeats from or to a leader, and of all heartbeats while a zone has no live leader. */
-const heartbeatIntervalMs = 100;
-/** Interval of heartbeats between followers, which only need them to select the next leader. */
-const slowHeartbeatIntervalMs = 400;
-/** Interval of heartbeats that include the list of known entry VMs. */
-const memberListIntervalMs = 2000;
+/** Interval at which heartbeats include the list of known entry VMs, and the shortest one while new entry VMs appear. */
+const memberListIntervalMs = 4000;
+const minMemberListIntervalMs = 300;
+/** Time for which heartbeats include the list, so that all peers receive it. */
+const memberListDurationMs = 400;
+/** Interval at which unused connections to workers are closed. */
+const connectionCheckIntervalMs = 100;
 /** Interval at which leadership, store reads, leases, stops and deadlines are checked. */
 const tickIntervalMs = 20;
 /**
@@ -133,9 +149,21 @@
 	#acceptsRequest: JobDispatcher['acceptsRequest'] | undefined;
 	#nextRequestNumber = 1;
 	#attemptCount = 0;
-	#lastHeartbeatMs = 0;
-	#lastSlowHeartbeatMs = 0;
-	#lastMemberListMs = 0;
+	readonly #heartbeatSchedule = new HeartbeatSchedule();
+	/** Time of the last round of heartbeats to all that a change has caused. */
+	#lastRoundMs = 0;
+	/** Whether a change is to be sent to all once the gap between rounds has passed. */
+	#isRoundDue = false;
+	#lastConnectionCheckMs = 0;
+	/** Time since which heartbeats include the member list, which they do for a short time. */
+	#memberListSinceMs = 0;
+	#isMemberListChanged = false;
+	/** Names of the peers whose version accepts longer intervals among followers. */
+	readonly #peersWithSlowIntervals = new Set<string>();
+	/** Whether the election is evaluated at the end of this turn of the event loop. */
+	#isLeadershipUpdateScheduled = false;
+	/** Zones whose leader a peer has lost according to heartbeats of this turn. */
+	readonly #zonesLostByPeers = new Set<string>();
 	/** Fencing token of the live leader of each zone that has one, by zone. */
 	#liveLeaderTokens: Readonly<Record<string, number>> = {};
 	#lastDirectoryCheckMs = 0;
@@ -149,6 +177,12 @@
 	readonly #storeReaders = new Set<string>();
 	/** Time at which store data was last sent to each leader that cannot read the store. */
 	readonly #lastKnowledgeSentMs = new Map<string, number>();
+	readonly #knowledgeSchedule = new KnowledgeSchedule();
+	/** Versions that peers announce, by name; without those of peers that announce none. */
+	readonly #peerVersions = new Map<string, KnowledgeVersions>();
+	#workersVersion = '';
+	/** Version of the list of workers that a peer has sent since the last read of the store. */
+	#receivedWorkersVersion: string | undefined;
 
 	constructor(settings: EntrySettings, log: PoolLog, now: () => number) {
 		this.#settings = settings;
@@ -206,17 +240,11 @@
 				this.#leadership.markDisconnected(name);
 				this.#scheduler.markReceiverUnreachable(name, now());
 				log.write({event: 'peer-lost', peer: name, cause});
-				this.#updateLeadership();
+				this.#scheduleLeadershipUpdate();
 			},
 			onOpen: (name) => {
 				log.write({event: 'peer-open', peer: name});
-				if (
-					this.#leadership.ledZones.size > 0 &&
-					this.#informsZone(this.#members.get(name)?.zone)
-				) {
-					this.#sendKnowledge(name);
-				}
-
+				this.#knowledgeSchedule.handleOpen(name);
 				this.#resubmitPendingJobs(
 					(pending) => this.#findLeaderFor(pending, now()) === name,
 				);
@@ -560,8 +588,10 @@
 			);
 		}
 
-		if (now - this.#lastHeartbeatMs >= heartbeatIntervalMs) {
-			this.#sendDueHeartbeats(now);
+		this.#sendMissingKnowledge(now);
+		this.#sendDueHeartbeats(now);
+		if (now - this.#lastConnectionCheckMs >= connectionCheckIntervalMs) {
+			this.#lastConnectionCheckMs = now;
 			this.#workerClient.closeUnusedConnections();
 		}
 	}
@@ -608,6 +638,31 @@
 		);
 	}
 
+	/**
+	 * Evaluates the election once the messages that have arrived are read, however many of them change it, and informs peers
+	 * that have lost a leader which is live here before they claim its zone.
+	 */
+	#scheduleLeadershipUpdate(): void {
+		if (this.#isLeadershipUpdateScheduled) {
+			return;
+		}
+
+		this.#isLeadershipUpdateScheduled = true;
+		setImmediate(() => {
+			this.#isLeadershipUpdateScheduled = false;
+			const now = this.#now();
+			this.#excludeStall(now);
+			this.#updateLeadership();
+			const isLeaderLiveHere = [...this.#zonesLostByPeers].some(
+				(zone) => this.#liveLeaderTokens[zone] !== undefined,
+			);
+			this.#zonesLostByPeers.clear();
+			if (isLeaderLiveHere) {
+				this.#sendHeartbeatToAll(now);
+			}
+		});
+	}
+
 	/** Evaluates the election, and sends heartbeats at once if the live leaders have changed. */
 	#updateLeadership(): void {
 		const now = this.#now();
@@ -753,58 +808,113 @@
 		};
 	}
 
-	/** Sends a heartbeat to all peers at once, whatever their interval. */
+	/** Sends a heartbeat to all peers, now or once the gap since the last such round has passed. */
 	#sendHeartbeatToAll(now: number): void {
-		this.#lastSlowHeartbeatMs = 0;
+		this.#isRoundDue = true;
 		this.#sendDueHeartbeats(now);
 	}
 
-	/** Sends heartbeats to the peers that need the short interval, and to the others if their interval has passed. */
+	/** Sends heartbeats to the peers for which one is due. */
 	#sendDueHeartbeats(now: number): void {
-		this.#lastHeartbeatMs = now;
-		const leaders = new Set(
-			this.#leadership
-				.livePeers(now)
-				.filter(({leads}) => Object.keys(leads).length > 0)
-				.map(({address}) => address),
+		const {addresses} = this.#mesh;
+		const intervals = computeHeartbeatIntervals(
+			addresses.length,
+			this.#eventLoopDelay.largestMs(now),
+		);
+		if (this.#isRoundDue && now - this.#lastRoundMs >= intervals.roundGapMs) {
+			this.#isRoundDue = false;
+			this.#lastRoundMs = now;
+			this.#heartbeatSchedule.reset();
+		}
+
+		const due = this.#heartbeatSchedule.takeDue(
+			this.#selectIntervals(addresses, intervals, now),
+			now,
 		);
-		const isLeader = this.#leadership.ledZones.size > 0;
+		for (const [intervalMs, recipients] of due) {
+			this.#sendHeartbeat(recipients, intervalMs, now);
+		}
+	}
+
+	/**
+	 * Selects the interval of heartbeats to each address: the fast one between a leader and the entry VMs of its zones, and
+	 * among leaders.
+	 */
+	#selectIntervals(
+		addresses: readonly string[],
+		{fastMs, electionMs, slowMs}: HeartbeatIntervals,
+		now: number,
+	): ReadonlyMap<string, number> {
+		const {ledZones} = this.#leadership;
 		const isElecting =
 			Object.keys(this.#liveLeaderTokens).length < this.#settings.zones.length;
-		const isFast = (address: string) =>
-			isLeader || isElecting || leaders.has(address);
-		this.#sendHeartbeat(isFast, heartbeatIntervalMs, now);
-		if (now - this.#lastSlowHeartbeatMs >= slowHeartbeatIntervalMs) {
-			this.#lastSlowHeartbeatMs = now;
-			this.#sendHeartbeat(
-				(address) => !isFast(address),
-				slowHeartbeatIntervalMs,
-				now,
-			);
-		}
+		const peersByAddress = new Map(
+			this.#leadership.livePeers(now).map((peer) => [peer.address, peer]),
+		);
+		const select = (address: string) => {
+			const peer = peersByAddress.get(address);
+			const isPeerLeader =
+				peer !== undefined && Object.keys(peer.leads).length > 0;
+			const isDependent =
+				peer === undefined
+					? ledZones.size > 0
+					: ledZones.has(peer.zone) ||
+						(ledZones.size > 0 && isPeerLeader) ||
+						peer.leads[this.#settings.zone] !== undefined;
+			if (isDependent) {
+				return fastMs;
+			}
+
+			if (isElecting) {
+				return electionMs;
+			}
+
+			return peer !== undefined &&
+				ledZones.size === 0 &&
+				!isPeerLeader &&
+				this.#peersWithSlowIntervals.has(peer.name)
+				? slowMs
+				: legacySlowIntervalMs;
+		};
+
+		return new Map(addresses.map((address) => [address, select(address)]));
 	}
 
-	/** Sends a heartbeat to the peers whose address is selected, announcing the interval until the next one. */
+	/** Sends a heartbeat to peers, announcing the interval until the next one. */
 	#sendHeartbeat(
-		isSelected: (address: string) => boolean,
+		recipients: ReadonlySet<string>,
 		intervalMs: number,
 		now: number,
 	): void {
-		const hasMemberList = now - this.#lastMemberListMs >= memberListIntervalMs;
-		if (hasMemberList && intervalMs === slowHeartbeatIntervalMs) {
-			this.#lastMemberListMs = now;
+		const sinceListMs = now - this.#memberListSinceMs;
+		if (
+			sinceListMs >=
+			(this.#isMemberListChanged
+				? memberListDurationMs + minMemberListIntervalMs
+				: memberListIntervalMs)
+		) {
+			this.#memberListSinceMs = now;
+			this.#isMemberListChanged = false;
 		}
 
 		this.#mesh.sendHeartbeats(
 			{
 				type: 'heartbeat',
-				heartbeat: this.#createHeartbeat(hasMemberList, intervalMs),
+				heartbeat: this.#createHeartbeat(
+					now - this.#memberListSinceMs < memberListDurationMs,
+					intervalMs,
+				),
 				needsKnowledge:
 					this.#leadership.ledZones.size > 0 &&
 					this.#storeFollower.ownDataAgeMs(now) > staleStoreDataMs,
 				readsStore: this.#storeFollower.ownDataAgeMs(now) < staleStoreDataMs,
+				acceptsSlowIntervals: true,
+				knows: {
+					state: this.#desiredState?.version ?? 0,
+					workers: this.#receivedWorkersVersion ?? this.#workersVersion,
+				},
 			},
-			isSelected,
+			(address) => recipients.has(address),
 			now,
 		);
 	}
@@ -815,6 +925,7 @@
 		switch (message.type) {
 			case 'heartbeat': {
 				this.#receiveHeartbeat(message.heartbeat, now);
+				this.#updatePeerVersions(from, message);
 				this.#updateStoreReader(from, message, now);
 				break;
 			}
@@ -874,14 +985,18 @@
 			}
 
 			case 'knowledge': {
-				const {state, workers, ageMs} = message.knowledge;
+				const {state, workers, versions, ageMs} = message.knowledge;
 				if (state !== undefined) {
 					this.#applyDesiredState(state, from);
 				}
 
-				if (ageMs < this.#storeFollower.dataAgeMs(now)) {
-					this.#storeFollower.applyPeerWorkers(workers, ageMs, now);
-					this.#refreshWorkers(from);
+				if (workers !== undefined) {
+					if (ageMs < this.#storeFollower.dataAgeMs(now)) {
+						this.#storeFollower.applyPeerWorkers(workers, ageMs, now);
+						this.#refreshWorkers(from);
+					}
+
+					this.#receivedWorkersVersion = versions?.workers;
 				}
 
 				break;
@@ -920,22 +1035,36 @@
 		this.#leadership.receiveHeartbeat(heartbeat, now);
 		if (this.#members.size !== memberCount) {
 			// The next heartbeat includes the member list, so that newly connected peers receive it at once.
-			this.#lastMemberListMs = 0;
+			this.#isMemberListChanged = true;
 			this.#updateLinks();
 		}
 
 		if (hasChanged) {
-			this.#updateLeadership();
+			for (const zone of this.#settings.zones) {
+				if (heartbeat.hears[zone] === undefined) {
+					this.#zonesLostByPeers.add(zone);
+				}
+			}
+
+			this.#scheduleLeadershipUpdate();
 		}
+	}
 
-		const hasLostLeader = this.#settings.zones.some(
-			(zone) =>
-				heartbeat.hears[zone] === undefined &&
-				this.#liveLeaderTokens[zone] !== undefined,
-		);
-		if (hasChanged && hasLostLeader) {
-			// The sender has lost a leader that is live for this entry VM, and must be informed before it claims the zone.
-			this.#sendHeartbeatToAll(now);
+	/** Records what a peer's version of the program supports, and which versions of the store's data it has. */
+	#updatePeerVersions(
+		name: string,
+		{knows, acceptsSlowIntervals}: PoolMessage & {readonly type: 'heartbeat'},
+	): void {
+		if (knows === undefined) {
+			this.#peerVersions.delete(name);
+		} else {
+			this.#peerVersions.set(name, knows);
+		}
+
+		if (acceptsSlowIntervals === true) {
+			this.#peersWithSlowIntervals.add(name);
+		} else {
+			this.#peersWithSlowIntervals.delete(name);
 		}
 	}
 
@@ -1002,46 +1131,83 @@
 
 	/** Sends the desired state and the workers to a peer. */
 	#sendKnowledge(name: string): void {
-		this.#mesh.send(name, {
+		this.#sendKnowledgeToAll([name], {hasState: true, hasWorkers: true});
+	}
+
+	/** Sends the desired state, the workers or both to peers. */
+	#sendKnowledgeToAll(
+		names: readonly string[],
+		{hasState, hasWorkers}: DueKnowledge,
+	): void {
+		this.#mesh.sendToAll(names, {
 			type: 'knowledge',
 			knowledge: {
-				state: this.#desiredState,
-				workers: this.#workerEntries,
+				state: hasState ? this.#desiredState : undefined,
+				workers: hasWorkers ? this.#workerEntries : undefined,
+				versions: this.#ownVersions,
 				ageMs: this.#storeFollower.dataAgeMs(this.#now()),
 			},
 		});
 	}
 
-	/** Sends the desired state and the workers to the selected live peers. */
-	#sendKnowledgeToPeers(isSelected: (peer: Heartbeat) => boolean): void {
-		const peers = this.#leadership
-			.livePeers(this.#now())
-			.filter((peer) => isSelected(peer));
-		for (const {name} of peers) {
-			this.#sendKnowledge(name);
-		}
+	get #ownVersions(): KnowledgeVersions {
+		return {
+			state: this.#desiredState?.version ?? 0,
+			workers: this.#workersVersion,
+		};
 	}
 
-	/** Passes on what a peer has sent to the entry VMs of the zones that this one leads, which get it from no other. */
-	#passKnowledgeOn(): void {
+	/**
+	 * Sends the desired state and the workers to the peers that lack them: as a leader to the followers of its zones and of
+	 * zones without a leader, and as a reader of the store to leaders that cannot read it.
+	 */
+	#sendMissingKnowledge(now: number): void {
 		const {ledZones} = this.#leadership;
-		if (this.#scope === 'zone') {
-			this.#sendKnowledgeToPeers(({zone}) => ledZones.has(zone));
+		const isReader =
+			this.#leadersWithoutStore.size > 0 &&
+			this.#storeFollower.ownDataAgeMs(now) < staleStoreDataMs;
+		if (
+			(ledZones.size === 0 && !isReader) ||
+			!Number.isFinite(this.#storeFollower.dataAgeMs(now))
+		) {
+			return;
+		}
+
+		const peers = this.#leadership
+			.livePeers(now)
+			.filter(
+				({name, zone, leads}) =>
+					this.#mesh.isOpen(name) &&
+					((this.#informsZone(zone, now) && Object.keys(leads).length === 0) ||
+						(isReader && this.#leadersWithoutStore.has(name))),
+			)
+			.map(({name}) => ({name, knows: this.#peerVersions.get(name)}));
+		const due = [
+			...this.#knowledgeSchedule.takeDue(peers, this.#ownVersions, now),
+		];
+		for (const [hasState, hasWorkers] of [
+			[true, true],
+			[true, false],
+			[false, true],
+		] as const) {
+			const names = due
+				.filter(
+					([, knowledge]) =>
+						knowledge.hasState === hasState &&
+						knowledge.hasWorkers === hasWorkers,
+				)
+				.map(([name]) => name);
+			if (names.length > 0) {
+				this.#sendKnowledgeToAll(names, {hasState, hasWorkers});
+			}
 		}
 	}
 
-	/**
-	 * Whether this entry VM sends what it reads in the store to the entry VMs of a zone. With a leader for each zone, they
-	 * get it from their own one, or from a follower that reads for a leader that cannot.
-	 */
-	#informsZone(zone: string | undefined): boolean {
-		const {ledZones} = this.#leadership;
+	/** Whether this entry VM informs the entry VMs of a zone: as their leader, or if they have none. */
+	#informsZone(zone: string, now: number): boolean {
 		return (
-			this.#scope === 'region' ||
-			zone === undefined ||
-			ledZones.size === 0 ||
-			ledZones.has(zone) ||
-			this.#leadership.findLeader(zone, this.#now()) === undefined
+			this.#leadership.ledZones.has(zone) ||
+			this.#leadership.findLeader(zone, now) === undefined
 		);
 	}
 
@@ -1067,14 +1233,7 @@
 		}
 
 		this.#stateWaiters.clear();
-		if (source === 'store') {
-			this.#sendKnowledgeToPeers(
-				({zone, leads}) =>
-					this.#informsZone(zone) || Object.keys(leads).length > 0,
-			);
-		} else {
-			this.#passKnowledgeOn();
-		}
+		this.#sendMissingKnowledge(this.#now());
 	}
 
 	/** Updates the workers from the directory, and passes them on if they have changed. */
@@ -1083,10 +1242,15 @@
 		const isChanged = !hasEqualWorkers(entries, this.#workerEntries);
 		this.#retainPartitionedWorkers(entries);
 		this.#workerEntries = entries;
+		if (source === 'store') {
+			this.#receivedWorkersVersion = undefined;
+		}
+
 		if (!isChanged) {
 			return;
 		}
 
+		this.#workersVersion = computeWorkersVersion(entries);
 		this.#log.write({
 			event: 'workers',
 			ready: entries.filter(({state}) => state === 'ready').length,
@@ -1096,12 +1260,6 @@
 		if (this.#leadership.ledZones.size > 0) {
 			this.#scheduler.updateWorkers(entries, this.#now());
 		}
-
-		if (source === 'store') {
-			this.#sendKnowledgeToPeers(({zone}) => this.#informsZone(zone));
-		} else if (source !== 'time') {
-			this.#passKnowledgeOn();
-		}
 	}
 
 	/**
@@ -1131,6 +1289,7 @@
 		}
 
 		this.#workerEntries = this.#storeFollower.directory.entries(now);
+		this.#workersVersion = computeWorkersVersion(this.#workerEntries);
 	}
 
 	/** Adds tasks that a leader reports as completed to a pending job. */
