Place and project by an index of free capacity instead of scanning all workers for each task

Cause: for each submitted job the scheduler built a projection over all workers and all jobs ahead, and for each task looked at all workers four times (available, of the service, preferred, with room) and computed an exponential for each. An orphan of each task was looked for on all workers. Change: FreeCapacityIndex groups the workers of a service by their free processor amount; BestFit ends at the first group that cannot cost less. A job starts at once, without a projection, if the index has room for it and for all tasks ahead. The full projection examines workers in order of their earliest start. The list of workers is kept between changes, workers are found by identifier, jobs with waiting tasks are listed apart, orphans are found by task, and the slowdown factor is computed once for each time. Three exceptions: a task ahead that fits on no worker no longer takes a worker out of the projection (its description said so before); jobs equal in the queue order may go in another order after a retry; a task whose one other worker is on trial and just got a task waits for the next event. Ruled out: sorting workers by cost, as pace changes with time. Remaining: a group whose idle workers differ in pace is examined whole, and a projection with jobs ahead still copies the state of all workers, so that its cost grows with their sum.

--- a/packages/core/src/pool-admission.ts
+++ b/packages/core/src/pool-admission.ts
@@ -6,6 +6,7 @@
 	type ProjectedWorker,
 } from './start-projection.js';
 import {type ScheduledJob} from './scheduled-job.js';
+import {type WorkerPool} from './worker-pool.js';
 
 /** Why a job cannot run, with the number of workers that serve its queue. */
 export type Infeasibility = {
@@ -19,22 +20,26 @@
 	allWorkers: readonly PoolWorker[],
 	now: number,
 ): Infeasibility | undefined {
-	const workers = allWorkers.filter(
-		(worker) => worker.isListed && worker.entry.service === job.queue.service,
-	);
-	if (workers.length === 0) {
+	const isCandidate = (worker: PoolWorker): boolean =>
+		worker.isListed && worker.entry.service === job.queue.service;
+	if (!allWorkers.some((worker) => isCandidate(worker))) {
 		return {reason: 'no-workers', workers: 0};
 	}
 
 	const canFit = job.tasks.every(({task: {needs}}) =>
-		workers.some(({entry}) => fitsWithin(needs, entry.capacity)),
+		allWorkers.some(
+			(worker) =>
+				isCandidate(worker) && fitsWithin(needs, worker.entry.capacity),
+		),
 	);
+	const countCandidates = (): number =>
+		allWorkers.filter((worker) => isCandidate(worker)).length;
 	if (!canFit) {
-		return {reason: 'cannot-fit', workers: workers.length};
+		return {reason: 'cannot-fit', workers: countCandidates()};
 	}
 
 	return now > job.latestUsefulStartMs
-		? {reason: 'deadline-impossible', workers: workers.length}
+		? {reason: 'deadline-impossible', workers: countCandidates()}
 		: undefined;
 }
 
@@ -45,19 +50,30 @@
 export function projectJobLastStartMs(
 	job: ScheduledJob,
 	ahead: readonly ScheduledJob[],
-	workers: readonly PoolWorker[],
+	pool: Pick<WorkerPool, 'capacity' | 'workers'>,
 	now: number,
 ): number {
 	const {service} = job.queue;
+	const tasksAhead = ahead
+		.filter(
+			({queue, receiverLostAtMs}) =>
+				queue.service === service && receiverLostAtMs === undefined,
+		)
+		.flatMap((other) => toProjectedTasks(other));
+	const ownTasks = toProjectedTasks(job);
+	const tasks = [...tasksAhead, ...ownTasks];
+	const mostMillis = Math.max(
+		0,
+		...tasks.map(({processorMillis}) => processorMillis),
+	);
+	if (pool.capacity.hasRoomForTasks(service, tasks.length, mostMillis, now)) {
+		return now;
+	}
+
 	return projectLastStartMs(
-		ahead
-			.filter(
-				({queue, receiverLostAtMs}) =>
-					queue.service === service && receiverLostAtMs === undefined,
-			)
-			.flatMap((other) => toProjectedTasks(other)),
-		toProjectedTasks(job),
-		workers
+		tasksAhead,
+		ownTasks,
+		pool.workers
 			.filter(
 				(worker) =>
 					worker.entry.service === service && worker.canStartTask(now),
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -99,6 +99,8 @@
 	readonly #options: SchedulerOptions;
 	readonly #settings: SchedulerSettings;
 	readonly #jobs = new Map<string, ScheduledJob>();
+	/** All jobs with waiting tasks, and some whose last waiting task was placed or that were answered. */
+	readonly #waitingJobs = new Set<ScheduledJob>();
 	/** Attempts that were answered `not-run` or `may-have-run`, with the time of the answer. */
 	readonly #closedAttempts = new Map<
 		string,
@@ -290,9 +292,7 @@
 		now: number,
 	): void {
 		this.#now = now;
-		const run = this.pool.workers
-			.find(({entry}) => entry.id === workerId)
-			?.runs.get(taskName);
+		const run = this.pool.findWorker(workerId)?.runs.get(taskName);
 		const spec =
 			run === undefined ? '' : (this.#jobs.get(run.jobId)?.job.spec ?? '');
 		this.pool.handleStartOutcome(workerId, taskName, spec, outcome, now);
@@ -531,6 +531,7 @@
 		}
 
 		this.#jobs.set(job.id, scheduledJob);
+		this.#waitingJobs.add(scheduledJob);
 		this.#logJobDecision(
 			'admitted',
 			job.id,
@@ -599,11 +600,25 @@
 
 	/** Projects when the last task of a job starts, behind the jobs that precede it in the queue order. */
 	#projectLastStartMs(job: ScheduledJob, now: number): number {
-		const ahead = [...this.#jobs.values()].filter(
+		const ahead = this.#listWaitingJobs().filter(
 			(other) =>
 				other !== job && this.#options.queueOrder.compare(other, job, now) < 0,
 		);
-		return projectJobLastStartMs(job, ahead, this.pool.workers, now);
+		return projectJobLastStartMs(job, ahead, this.pool, now);
+	}
+
+	/** Returns the unanswered jobs with waiting tasks. */
+	#listWaitingJobs(): readonly ScheduledJob[] {
+		for (const job of this.#waitingJobs) {
+			if (
+				this.#jobs.get(job.id) !== job ||
+				job.tasks.every(({state}) => state !== 'waiting')
+			) {
+				this.#waitingJobs.delete(job);
+			}
+		}
+
+		return [...this.#waitingJobs];
 	}
 
 	/** Starts the waiting tasks that fit on available workers, in queue order, if anything has changed since the last attempt. */
@@ -613,37 +628,33 @@
 		}
 
 		this.#needsPlacement = false;
-		const availableWorkers = this.pool.workers.filter((worker) =>
-			worker.canStartTask(now),
-		);
-		if (availableWorkers.length === 0) {
-			return;
-		}
+		const freeMillisLimits = new Map<string, number>();
+		const mayHaveRoom = (job: ScheduledJob): boolean => {
+			const {service} = job.queue;
+			const limitMillis =
+				freeMillisLimits.get(service) ??
+				this.pool.capacity.freeMillisLimit(service, now);
+			freeMillisLimits.set(service, limitMillis);
+			return job.tasks.some(
+				({state, task: {needs}}) =>
+					state === 'waiting' && needs.processorMillis <= limitMillis,
+			);
+		};
 
-		const waitingJobs = [...this.#jobs.values()]
-			.filter(
-				(job) =>
-					job.receiverLostAtMs === undefined &&
-					job.tasks.some(({state}) => state === 'waiting'),
-			)
+		const placeableJobs = this.#listWaitingJobs()
+			.filter((job) => job.receiverLostAtMs === undefined && mayHaveRoom(job))
 			.toSorted((left, right) =>
 				this.#options.queueOrder.compare(left, right, now),
 			);
-		if (waitingJobs.length === 0) {
-			return;
-		}
-
-		let largestFreeMillis = largestFreeProcessorMillis(availableWorkers);
-		for (const job of waitingJobs) {
-			const hasRoom = smallestWaitingProcessorMillis(job) <= largestFreeMillis;
+		for (const job of placeableJobs) {
 			const mayHaveUnknownRuns =
 				job.isIndeterminate && now < this.#priorRunsSettledAtMs(job, now);
 			if (
-				hasRoom &&
+				mayHaveRoom(job) &&
 				!mayHaveUnknownRuns &&
-				this.#placeTasksOfJob(job, availableWorkers, now)
+				this.#placeTasksOfJob(job, now)
 			) {
-				largestFreeMillis = largestFreeProcessorMillis(availableWorkers);
+				freeMillisLimits.delete(job.queue.service);
 			}
 		}
 	}
@@ -673,14 +684,8 @@
 	}
 
 	/** Starts the waiting tasks of a job that fit on available workers; returns whether any was started. */
-	#placeTasksOfJob(
-		job: ScheduledJob,
-		availableWorkers: readonly PoolWorker[],
-		now: number,
-	): boolean {
-		const serviceWorkers = availableWorkers.filter(
-			({entry}) => entry.service === job.queue.service,
-		);
+	#placeTasksOfJob(job: ScheduledJob, now: number): boolean {
+		const candidates = this.pool.capacity.candidates(job.queue.service);
 		const largestFirst = job.waitingTasks.toSorted(
 			(left, right) =>
 				right.task.needs.processorMillis - left.task.needs.processorMillis,
@@ -688,20 +693,24 @@
 		const latestEndMs = job.latestFirstStartMs + job.longestTaskMs;
 		let hasPlacedTask = false;
 		for (const task of largestFirst) {
-			const preferredWorkers = serviceWorkers.filter(
-				(worker) =>
-					worker.entry.id !== task.avoidedWorker &&
-					(job.hasStarted ||
-						now + task.expectedMs * worker.pace.slowdownFactor(now) <=
-							latestEndMs),
-			);
-			const worker = this.#options.workerSelection.choose(
-				task.task,
-				preferredWorkers.length > 0 || !job.hasStarted
-					? preferredWorkers
-					: serviceWorkers,
-				now,
-			);
+			const worker =
+				this.#options.workerSelection.choose(
+					task.task,
+					candidates,
+					({entry, pace}) =>
+						entry.id !== task.avoidedWorker &&
+						(job.hasStarted ||
+							now + task.expectedMs * pace.slowdownFactor(now) <= latestEndMs),
+					now,
+				) ??
+				(this.#isOnlyAvoidedWorkerAvailable(job, task, now)
+					? this.#options.workerSelection.choose(
+							task.task,
+							candidates,
+							() => true,
+							now,
+						)
+					: undefined);
 			if (worker !== undefined) {
 				this.#startTask(job, task, worker, now);
 				hasPlacedTask = true;
@@ -711,6 +720,24 @@
 		return hasPlacedTask;
 	}
 
+	/** Whether a task of a started job has no available worker but the one that it should avoid. */
+	#isOnlyAvoidedWorkerAvailable(
+		job: ScheduledJob,
+		{avoidedWorker}: ScheduledTask,
+		now: number,
+	): boolean {
+		return (
+			job.hasStarted &&
+			avoidedWorker !== undefined &&
+			!this.pool.workers.some(
+				(worker) =>
+					worker.entry.service === job.queue.service &&
+					worker.entry.id !== avoidedWorker &&
+					worker.canStartTask(now),
+			)
+		);
+	}
+
 	#startTask(
 		job: ScheduledJob,
 		task: ScheduledTask,
@@ -758,6 +785,7 @@
 		}
 
 		task.state = 'waiting';
+		this.#waitingJobs.add(job);
 		task.avoidedWorker = worker.entry.id;
 		task.failureCount += outcome === 'failed' ? 1 : 0;
 		if (task.failureCount >= job.queue.mostAttempts) {
@@ -844,11 +872,16 @@
 	}
 
 	#stopRuns(job: ScheduledJob, now: number): void {
-		for (const worker of this.pool.workers) {
-			for (const run of worker.runs.values()) {
-				if (run.jobId === job.id && run.state !== 'stopping') {
-					this.pool.stopRun(run, worker, now);
-				}
+		for (const {task, worker: workerId} of job.tasks) {
+			const worker =
+				workerId === undefined ? undefined : this.pool.findWorker(workerId);
+			const run = worker?.runs.get(task.name);
+			if (
+				worker !== undefined &&
+				run !== undefined &&
+				run.state !== 'stopping'
+			) {
+				this.pool.stopRun(run, worker, now);
 			}
 		}
 	}
@@ -915,7 +948,11 @@
 		job: ScheduledJob | undefined,
 	): void {
 		worker.health.recordCompletion(ranMs, run.expectedMs);
-		worker.pace.recordEndedRun(ranMs / Math.max(1, run.expectedMs), this.#now);
+		this.pool.recordEndedRun(
+			worker,
+			ranMs / Math.max(1, run.expectedMs),
+			this.#now,
+		);
 		const task = job?.tasks.find(({task: {name}}) => name === run.task);
 		if (job !== undefined && task !== undefined) {
 			const {declaredMs} = task.task;
@@ -960,16 +997,6 @@
 	};
 }
 
-function smallestWaitingProcessorMillis({waitingTasks}: ScheduledJob): number {
-	return Math.min(
-		...waitingTasks.map(({task: {needs}}) => needs.processorMillis),
-	);
-}
-
-function largestFreeProcessorMillis(workers: readonly PoolWorker[]): number {
-	return Math.max(0, ...workers.map(({free}) => free.processorMillis));
-}
-
 /** Returns the identifier of the job that a task belongs to: the part of the task's name before the first dot. */
 export function parseJobId(taskName: string): string {
 	return taskName.slice(0, taskName.indexOf('.'));
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -147,7 +147,14 @@
 	#free: Resources | undefined;
 	#freeForCapacity: Resources | undefined;
 
-	constructor(public entry: WorkerEntry) {}
+	constructor(
+		public entry: WorkerEntry,
+		/** Rises with each worker that a pool adds; of equally suitable workers the one with the lowest is chosen. */
+		readonly ordinal = 0,
+		/** Called after each change of the free resources by runs or orphans. */
+		private readonly handleFreeChange: (worker: PoolWorker) => void = () =>
+			undefined,
+	) {}
 
 	/**
 	 * Start time of the worker's process from its last report, in Unix milliseconds; `undefined` before the first
@@ -267,5 +274,6 @@
 
 		this.#used = used;
 		this.#free = undefined;
+		this.handleFreeChange(this);
 	}
 }
--- a/packages/core/src/start-projection.ts
+++ b/packages/core/src/start-projection.ts
@@ -19,6 +19,9 @@
 
 /** Projected use of one worker; `runEnds` is sorted by time. */
 type Timeline = {
+	readonly ordinal: number;
+	/** When the worker has room for the smallest of all tasks. */
+	earliestStartMs: number;
 	freeProcessorMillis: number;
 	readonly runEnds: Array<{
 		readonly atMs: number;
@@ -38,63 +41,118 @@
 	workers: readonly ProjectedWorker[],
 	now: number,
 ): number {
-	const timelines = workers.map(
-		({freeProcessorMillis, runEnds, slowdownFactor}) => ({
-			freeProcessorMillis,
-			slowdownFactor,
-			runEnds: runEnds
-				.map(({atMs, processorMillis}) => ({
-					atMs: Math.max(now, atMs),
-					processorMillis,
-				}))
-				.toSorted((left, right) => left.atMs - right.atMs),
-		}),
+	const leastMillis = Math.min(
+		...[...tasksAhead, ...ownTasks].map(({processorMillis}) => processorMillis),
 	);
+	const timelines = workers
+		.map((worker, ordinal) => createTimeline(worker, ordinal, leastMillis, now))
+		.toSorted((left, right) => left.earliestStartMs - right.earliestStartMs);
 	for (const task of tasksAhead) {
-		startOnEarliestWorker(timelines, task, now);
+		startOnEarliestWorker(timelines, task, leastMillis, now);
 	}
 
 	return Math.max(
 		now,
-		...ownTasks.map((task) => startOnEarliestWorker(timelines, task, now)),
+		...ownTasks.map((task) =>
+			startOnEarliestWorker(timelines, task, leastMillis, now),
+		),
 	);
 }
 
+function createTimeline(
+	{freeProcessorMillis, runEnds, slowdownFactor}: ProjectedWorker,
+	ordinal: number,
+	leastMillis: number,
+	now: number,
+): Timeline {
+	const timeline = {
+		ordinal,
+		earliestStartMs: now,
+		freeProcessorMillis,
+		slowdownFactor,
+		runEnds: runEnds
+			.map(({atMs, processorMillis}) => ({
+				atMs: Math.max(now, atMs),
+				processorMillis,
+			}))
+			.toSorted((left, right) => left.atMs - right.atMs),
+	};
+	return {
+		...timeline,
+		earliestStartMs: findEarliestStartMs(timeline, leastMillis, now),
+	};
+}
+
 /**
  * Reserves room for a task on the worker that has room earliest, or of several on the one with the least free processor
- * amount, and returns the start. Returns infinity, without a reservation, if no worker ever has room.
+ * amount, and returns the start. Returns infinity, without a reservation, if no worker ever has room. `timelines` are
+ * sorted by their earliest start, so that most need not be examined.
  */
 function startOnEarliestWorker(
-	timelines: readonly Timeline[],
+	timelines: Timeline[],
 	task: ProjectedTask,
+	leastMillis: number,
 	now: number,
 ): number {
 	let best: Timeline | undefined;
-	let earliestStartMs = Number.POSITIVE_INFINITY;
-	let leastLeftoverMillis = Number.POSITIVE_INFINITY;
+	let startMs = Number.POSITIVE_INFINITY;
 	for (const timeline of timelines) {
+		if (
+			timeline.earliestStartMs > startMs ||
+			timeline.earliestStartMs === Number.POSITIVE_INFINITY
+		) {
+			break;
+		}
+
 		const startAtMs = findEarliestStartMs(timeline, task.processorMillis, now);
-		const leftoverMillis = timeline.freeProcessorMillis - task.processorMillis;
 		if (
-			startAtMs < earliestStartMs ||
-			(startAtMs === earliestStartMs && leftoverMillis < leastLeftoverMillis)
+			startAtMs < startMs ||
+			(best !== undefined && startAtMs === startMs && precedes(timeline, best))
 		) {
 			best = timeline;
-			earliestStartMs = startAtMs;
-			leastLeftoverMillis = leftoverMillis;
+			startMs = startAtMs;
 		}
 	}
 
 	if (best !== undefined) {
-		reserve(best, task, earliestStartMs);
+		timelines.splice(timelines.indexOf(best), 1);
+		reserve(best, task, startMs);
+		best.earliestStartMs = findEarliestStartMs(best, leastMillis, now);
+		timelines.splice(findPosition(timelines, best.earliestStartMs), 0, best);
 	}
 
-	return earliestStartMs;
+	return startMs;
+}
+
+/** Whether a worker is preferred to another one that has room at the same time. */
+function precedes(left: Timeline, right: Timeline): boolean {
+	return left.freeProcessorMillis === right.freeProcessorMillis
+		? left.ordinal < right.ordinal
+		: left.freeProcessorMillis < right.freeProcessorMillis;
+}
+
+/** Returns the index of the first timeline with a later earliest start, by binary search. */
+function findPosition(
+	timelines: readonly Timeline[],
+	earliestStartMs: number,
+): number {
+	let low = 0;
+	let high = timelines.length;
+	while (low < high) {
+		const middle = Math.floor((low + high) / 2);
+		if (timelines[middle]!.earliestStartMs <= earliestStartMs) {
+			low = middle + 1;
+		} else {
+			high = middle;
+		}
+	}
+
+	return low;
 }
 
 /** Returns when a worker has `neededMillis` thousandths of a core free, or infinity if it never has. */
 function findEarliestStartMs(
-	timeline: Timeline,
+	timeline: Pick<Timeline, 'freeProcessorMillis' | 'runEnds'>,
 	neededMillis: number,
 	now: number,
 ): number {
--- a/packages/core/src/worker-pace.ts
+++ b/packages/core/src/worker-pace.ts
@@ -14,6 +14,9 @@
 	/** Moving average of the logarithm of actual over expected run time, as of `#updatedAtMs`. */
 	#logRatio = 0;
 	#updatedAtMs = 0;
+	/** Cached slowdown factor, computed for `#factorAtMs`; read far more often than time passes. */
+	#factor = 1;
+	#factorAtMs = Number.NaN;
 
 	/** Adds an ended run by the ratio of its actual to its expected run time. */
 	recordEndedRun(ratio: number, now: number): void {
@@ -21,6 +24,7 @@
 		const previous = this.#decayedLogRatio(now);
 		this.#logRatio = previous + (observed - previous) * newestRunWeight;
 		this.#updatedAtMs = now;
+		this.#factorAtMs = Number.NaN;
 	}
 
 	/**
@@ -30,12 +34,18 @@
 		if (ratio > slowThreshold && Math.log(ratio) > this.#decayedLogRatio(now)) {
 			this.#logRatio = Math.log(Math.min(maxRatio, ratio));
 			this.#updatedAtMs = now;
+			this.#factorAtMs = Number.NaN;
 		}
 	}
 
 	/** Factor by which run times on this worker exceed their estimates; 1 without data. */
 	slowdownFactor(now: number): number {
-		return Math.exp(this.#decayedLogRatio(now));
+		if (this.#factorAtMs !== now) {
+			this.#factor = Math.exp(this.#decayedLogRatio(now));
+			this.#factorAtMs = now;
+		}
+
+		return this.#factor;
 	}
 
 	/** Whether tasks should be placed on other workers if possible. */
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -1,3 +1,4 @@
+import {FreeCapacityIndex} from './free-capacity-index.js';
 import {
 	PoolWorker,
 	type ReportedEnd,
@@ -135,6 +136,13 @@
 	readonly #zones = new Map<string, LedZone>();
 	readonly #workers = new Map<string, PoolWorker>();
 	readonly #orphanEnds = new Map<string, OrphanEnd>();
+	readonly #capacity = new FreeCapacityIndex();
+	/** Workers with an orphan of a task, by task. */
+	readonly #orphanHolders = new Map<string, ReadonlySet<PoolWorker>>();
+	/** Cached values of `#workers`; `undefined` after a worker was added or deleted. */
+	#workerList: readonly PoolWorker[] | undefined;
+	/** Number of workers that were added. */
+	#addedCount = 0;
 	#entries: readonly WorkerEntry[] = [];
 	/** Time of the last claim or drop of a zone. */
 	#zonesChangedAtMs = Number.NEGATIVE_INFINITY;
@@ -151,7 +159,21 @@
 
 	/** Workers of the zones that this entry VM leads. */
 	get workers(): readonly PoolWorker[] {
-		return [...this.#workers.values()];
+		this.#workerList ??= [...this.#workers.values()];
+		return this.#workerList;
+	}
+
+	/** Free capacity of the workers. */
+	get capacity(): Pick<
+		FreeCapacityIndex,
+		'candidates' | 'hasRoomForTasks' | 'freeMillisLimit'
+	> {
+		return this.#capacity;
+	}
+
+	/** Returns the worker with an identifier if this entry VM leads it. */
+	findWorker(id: string): PoolWorker | undefined {
+		return this.#workers.get(id);
 	}
 
 	/** Zones that this entry VM leads. */
@@ -178,8 +200,8 @@
 		this.#zones.delete(zone);
 		this.#zonesChangedAtMs = now;
 		const dropped = this.workers.filter(({entry}) => entry.zone === zone);
-		for (const {entry} of dropped) {
-			this.#workers.delete(entry.id);
+		for (const worker of dropped) {
+			this.#deleteWorker(worker);
 		}
 
 		return dropped.flatMap(({runs}) => [...runs.values()]);
@@ -255,8 +277,7 @@
 				.map((entry) => [entry.id, entry]),
 		);
 		for (const [id, entry] of listedEntries) {
-			const worker = this.#workers.get(id) ?? new PoolWorker(entry);
-			this.#workers.set(id, worker);
+			const worker = this.#workers.get(id) ?? this.#addWorker(entry);
 			this.#updateEntry(worker, entry, now);
 		}
 
@@ -268,7 +289,7 @@
 				}
 
 				if (worker.runs.size === 0) {
-					this.#workers.delete(worker.entry.id);
+					this.#deleteWorker(worker);
 				}
 			}
 		}
@@ -415,7 +436,7 @@
 		| {readonly kind: 'ended'; readonly end: OrphanEnd}
 		| undefined {
 		const end = this.#orphanEnds.get(task);
-		const [newest] = this.workers
+		const [newest] = [...(this.#orphanHolders.get(task) ?? [])]
 			.flatMap((worker) => {
 				const orphan = worker.orphans.get(task);
 				return orphan === undefined ? [] : [{worker, run: orphan.run}];
@@ -430,7 +451,10 @@
 			return {kind: 'ended', end};
 		}
 
-		newest?.worker.removeOrphan(task);
+		if (newest !== undefined) {
+			this.#removeOrphan(newest.worker, task);
+		}
+
 		return newest === undefined ? undefined : {kind: 'running', ...newest};
 	}
 
@@ -442,6 +466,9 @@
 			this.#sendHold(worker, now);
 		}
 
+		this.#capacity.resetSlowdownFactors(
+			this.workers.map(({pace}) => pace.slowdownFactor(now)),
+		);
 		for (const [task, {reportedAtMs}] of this.#orphanEnds) {
 			if (now - reportedAtMs > this.#settings.orphanEndRetentionMs) {
 				this.#orphanEnds.delete(task);
@@ -449,6 +476,53 @@
 		}
 	}
 
+	/** Updates the pace of a worker by the ratio of an ended run's actual to its expected run time. */
+	recordEndedRun(worker: PoolWorker, ratio: number, now: number): void {
+		worker.pace.recordEndedRun(ratio, now);
+		this.#capacity.recordSlowdownFactor(worker.pace.slowdownFactor(now));
+	}
+
+	#addWorker(entry: WorkerEntry): PoolWorker {
+		this.#addedCount += 1;
+		const worker = new PoolWorker(entry, this.#addedCount, (changed) => {
+			if (this.#workers.get(entry.id) === changed) {
+				this.#capacity.update(changed);
+			}
+		});
+		this.#workers.set(entry.id, worker);
+		this.#workerList = undefined;
+		return worker;
+	}
+
+	#deleteWorker(worker: PoolWorker): void {
+		this.#workers.delete(worker.entry.id);
+		this.#workerList = undefined;
+		this.#capacity.remove(worker);
+		for (const task of worker.orphans.keys()) {
+			this.#removeOrphan(worker, task);
+		}
+	}
+
+	#addOrphan(worker: PoolWorker, run: ReportedRun, now: number): void {
+		worker.addOrphan(run, now);
+		this.#orphanHolders.set(
+			run.task,
+			new Set([...(this.#orphanHolders.get(run.task) ?? []), worker]),
+		);
+	}
+
+	#removeOrphan(worker: PoolWorker, task: string): void {
+		worker.removeOrphan(task);
+		const others = [...(this.#orphanHolders.get(task) ?? [])].filter(
+			(holder) => holder !== worker,
+		);
+		if (others.length > 0) {
+			this.#orphanHolders.set(task, new Set(others));
+		} else {
+			this.#orphanHolders.delete(task);
+		}
+	}
+
 	#leadsAllZones(zones: readonly string[]): boolean {
 		return zones.every((zone) => this.#zones.has(zone));
 	}
@@ -458,6 +532,7 @@
 			worker.bornMs !== undefined && entry.bornMs > worker.bornMs;
 		const wasDraining = worker.entry.state === 'draining';
 		worker.entry = entry;
+		this.#capacity.update(worker);
 		if (!worker.isListed) {
 			worker.isListed = true;
 			worker.isSynced = false;
@@ -603,7 +678,7 @@
 
 	#handleReportedEnd(worker: PoolWorker, end: ReportedEnd, now: number): void {
 		const run = worker.runs.get(end.task);
-		worker.removeOrphan(end.task);
+		this.#removeOrphan(worker, end.task);
 		if (run?.run === end.run) {
 			this.#endRun(worker, run, end.how, now);
 		} else if (run === undefined && !this.#listener.tryAdoptEnd(end)) {
@@ -632,7 +707,7 @@
 	): void {
 		for (const [task] of worker.orphans) {
 			if (!reported.has(task)) {
-				worker.removeOrphan(task);
+				this.#removeOrphan(worker, task);
 			}
 		}
 
@@ -648,7 +723,7 @@
 				!worker.orphans.has(reportedRun.task) &&
 				!this.#listener.tryAdoptRun(reportedRun, worker)
 			) {
-				worker.addOrphan(reportedRun, now);
+				this.#addOrphan(worker, reportedRun, now);
 			}
 		}
 
@@ -685,7 +760,7 @@
 	#handleRestart(worker: PoolWorker, now: number): void {
 		this.#listener.handleWorkerChange(worker, 'restarted');
 		for (const task of worker.orphans.keys()) {
-			worker.removeOrphan(task);
+			this.#removeOrphan(worker, task);
 		}
 
 		// The report lists the runs whose start commands the new process has executed, and waiting tasks adopt them from it.
--- a/packages/core/src/worker-selection.ts
+++ b/packages/core/src/worker-selection.ts
@@ -1,18 +1,35 @@
 import {type PoolTask} from './pool-job.js';
 import {type PoolWorker} from './pool-worker.js';
 
+/** Workers with similar free processor amounts, in thousandths of a core. */
+export type WorkerGroup = {
+	/** No worker of this group, or of one that follows it, has less free. */
+	readonly leastFreeMillis: number;
+	/** Sorted by their ordinals. */
+	readonly workers: readonly PoolWorker[];
+};
+
+/** The workers of a service, whether or not they take tasks at present. */
+export type WorkerCandidates = {
+	/** Lower bound of the slowdown factors of all workers. */
+	readonly leastSlowdownFactor: number;
+	/** Returns all workers with at least this amount free, and perhaps some with less, in groups with ascending amounts. */
+	groupsFrom(leastFreeMillis: number): Iterable<WorkerGroup>;
+};
+
 /** Chooses the worker that a task is placed on. */
 export type WorkerSelectionPolicy = {
 	readonly name: string;
-	/** Returns one of the available candidates that have room for the task, or `undefined` if there is none. */
+	/** Returns an allowed and available candidate that has room for the task, or `undefined` if there is none. */
 	choose(
 		task: PoolTask,
-		candidates: readonly PoolWorker[],
+		candidates: WorkerCandidates,
+		isAllowed: (worker: PoolWorker) => boolean,
 		now: number,
 	): PoolWorker | undefined;
 };
 
-/** Places a task on the first worker that has room; the baseline for comparisons. */
+/** Places a task on the worker with the lowest ordinal that has room; the baseline for comparisons. */
 export class FirstFit implements WorkerSelectionPolicy {
 	get name(): string {
 		return 'first-fit';
@@ -20,10 +37,14 @@
 
 	choose(
 		task: PoolTask,
-		candidates: readonly PoolWorker[],
+		candidates: WorkerCandidates,
+		isAllowed: (worker: PoolWorker) => boolean,
 		now: number,
 	): PoolWorker | undefined {
-		return candidates.find((worker) => canStart(worker, task, now));
+		return [...candidates.groupsFrom(task.needs.processorMillis)]
+			.flatMap(({workers}) => workers)
+			.filter((worker) => canStart(worker, task, now) && isAllowed(worker))
+			.toSorted((left, right) => left.ordinal - right.ordinal)[0];
 	}
 }
 
@@ -45,17 +66,40 @@
 
 	choose(
 		task: PoolTask,
-		candidates: readonly PoolWorker[],
+		candidates: WorkerCandidates,
+		isAllowed: (worker: PoolWorker) => boolean,
 		now: number,
 	): PoolWorker | undefined {
+		const {processorMillis} = task.needs;
+		const leastSlowdownCost = computeSlowdownCost(
+			candidates.leastSlowdownFactor,
+		);
 		let best: PoolWorker | undefined;
 		let leastCost = Number.POSITIVE_INFINITY;
-		for (const worker of candidates) {
-			if (canStart(worker, task, now)) {
-				const cost = computePlacementCost(worker, task, now);
-				if (cost < leastCost) {
-					best = worker;
-					leastCost = cost;
+		for (const {leastFreeMillis, workers} of candidates.groupsFrom(
+			processorMillis,
+		)) {
+			const leastGroupCost =
+				leastFreeMillis - processorMillis + leastSlowdownCost;
+			if (leastGroupCost > leastCost) {
+				break;
+			}
+
+			for (const worker of workers) {
+				if (canStart(worker, task, now) && isAllowed(worker)) {
+					const cost = computePlacementCost(worker, task, now);
+					if (
+						cost < leastCost ||
+						(cost === leastCost && worker.ordinal < best!.ordinal)
+					) {
+						best = worker;
+						leastCost = cost;
+					}
+
+					if (cost === leastGroupCost) {
+						// The workers that follow in this group cost no less.
+						break;
+					}
 				}
 			}
 		}
@@ -77,10 +121,14 @@
 		worker.free.processorMillis - task.needs.processorMillis;
 	return (
 		leftoverMillis +
-		slowdownCostMillis * (worker.pace.slowdownFactor(now) - 1) +
+		computeSlowdownCost(worker.pace.slowdownFactor(now)) +
 		(worker.pace.isSlow(now) ? slowWorkerCostMillis : 0) +
 		(task.rack === undefined || worker.entry.labels.includes(task.rack)
 			? 0
 			: otherRackCostMillis)
 	);
 }
+
+function computeSlowdownCost(slowdownFactor: number): number {
+	return slowdownCostMillis * (slowdownFactor - 1);
+}
