Add failing tests of runs that hang on a worker

The scheduler waits for such a run until the caller leaves; the settings stuckFactor and minStuckMs were meant for it and are read by nothing.

--- a/packages/core/src/tests/pool-scheduler.test.ts
+++ b/packages/core/src/tests/pool-scheduler.test.ts
@@ -277,6 +277,65 @@
 	});
 });
 
+describe('run that takes many times as long as expected', () => {
+	const runMs = 100;
+
+	/** Starts a job's one task on one of two workers, and ticks until shortly after six times its expected run time. */
+	function playStuckRun(patienceMs: number): SchedulerFixture {
+		const fixture = new SchedulerFixture();
+		fixture.leadIdleWorkers(
+			[workerFixture('w1'), workerFixture('w2')],
+			startMs,
+		);
+		fixture.scheduler.submit(
+			poolJobFixture('j1', 1, {runMs, patienceMs}),
+			'r1',
+			false,
+			startMs,
+		);
+		fixture.answerStart(fixture.starts[0]!, startMs + 1);
+		fixture.tickUntil(startMs + 20, startMs + 6 * runMs - 20);
+		expect(fixture.stops).toEqual([]);
+		fixture.tickUntil(startMs + 6 * runMs, startMs + 6 * runMs + 20);
+		return fixture;
+	}
+
+	it('is stopped, and its task starts on another worker once it has ended', () => {
+		const fixture = playStuckRun(5000);
+		expect(fixture.stops).toHaveLength(1);
+		expect(fixture.starts).toHaveLength(1);
+		const [first] = fixture.starts;
+		fixture.receiveReport(first!.worker.id, startMs + 660, {
+			ended: [{number: 1, task: first!.task, run: 1, how: 'stopped'}],
+		});
+		expect(fixture.starts).toHaveLength(2);
+		expect(fixture.starts[1]!.worker.id).not.toBe(first!.worker.id);
+		expect(fixture.starts[1]!.run).toBe(2);
+	});
+
+	it('is left alone when its task was stopped for this before, since the estimate may be wrong', () => {
+		const fixture = playStuckRun(5000);
+		const [first] = fixture.starts;
+		fixture.receiveReport(first!.worker.id, startMs + 660, {
+			ended: [{number: 1, task: first!.task, run: 1, how: 'stopped'}],
+		});
+		const second = fixture.starts[1]!;
+		fixture.answerStart(second, startMs + 661);
+		for (let now = startMs + 680; now < startMs + 2000; now += 20) {
+			fixture.receiveReport(second.worker.id, now, {
+				running: [{task: second.task, run: 2}],
+			});
+			fixture.scheduler.tick(now);
+		}
+
+		expect(fixture.stops).toHaveLength(1);
+	});
+
+	it('is left alone when another run would end after its caller has left', () => {
+		expect(playStuckRun(700).stops).toEqual([]);
+	});
+});
+
 describe('unreachable entry VM', () => {
 	it('gets no more tasks started, and its jobs are abandoned after the timeout', () => {
 		const fixture = new SchedulerFixture();
