Keep the workers without a report in a set, instead of looking through all workers for each indeterminate job

Cause: after a failover all jobs are indeterminate, and for each of them each attempt to place tasks and each tick looked through all workers for one without a report: workers times jobs again. Change: the pool keeps a set of these workers. Same answers; the failover tests are unchanged.

--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -137,6 +137,8 @@
 	readonly #workers = new Map<string, PoolWorker>();
 	readonly #orphanEnds = new Map<string, OrphanEnd>();
 	readonly #capacity = new FreeCapacityIndex();
+	/** Workers that have not reported under the present fencing token. */
+	readonly #unsyncedWorkers = new Set<PoolWorker>();
 	/** Workers with an orphan of a task, by task. */
 	readonly #orphanHolders = new Map<string, ReadonlySet<PoolWorker>>();
 	/** Cached values of `#workers`; `undefined` after a worker was added or deleted. */
@@ -187,7 +189,7 @@
 		this.#zonesChangedAtMs = now;
 		for (const worker of this.#workers.values()) {
 			if (worker.entry.zone === zone) {
-				worker.isSynced = false;
+				this.#setSynced(worker, false);
 				worker.nextHoldAtMs = now;
 			}
 		}
@@ -229,8 +231,8 @@
 		return (
 			recentZones.size > 0 &&
 			(this.#workers.size === 0 ||
-				this.workers.some(
-					({entry, isSynced}) => !isSynced && recentZones.has(entry.zone),
+				[...this.#unsyncedWorkers].some(({entry}) =>
+					recentZones.has(entry.zone),
 				))
 		);
 	}
@@ -246,8 +248,7 @@
 		now: number,
 	): number {
 		const isFullySynced =
-			this.#leadsAllZones(allZones) &&
-			this.workers.every(({isSynced}) => isSynced);
+			this.#leadsAllZones(allZones) && this.#unsyncedWorkers.size === 0;
 		const {leaseMs, orphanStopDelayMs} = this.#settings;
 		return isFullySynced
 			? now
@@ -418,7 +419,7 @@
 		if (outcome.kind === 'done' && outcome.report !== undefined) {
 			this.#handleReport(worker, outcome.report, sentAtMs, now);
 		} else if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
-			worker.isSynced = false;
+			this.#setSynced(worker, false);
 			worker.nextHoldAtMs = now + maxHoldRetryMs;
 			this.#listener.handleFencedZone(worker.entry.zone, worker.holdToken);
 		} else {
@@ -490,12 +491,23 @@
 			}
 		});
 		this.#workers.set(entry.id, worker);
+		this.#unsyncedWorkers.add(worker);
 		this.#workerList = undefined;
 		return worker;
 	}
 
+	#setSynced(worker: PoolWorker, isSynced: boolean): void {
+		worker.isSynced = isSynced;
+		if (isSynced) {
+			this.#unsyncedWorkers.delete(worker);
+		} else if (this.#workers.get(worker.entry.id) === worker) {
+			this.#unsyncedWorkers.add(worker);
+		}
+	}
+
 	#deleteWorker(worker: PoolWorker): void {
 		this.#workers.delete(worker.entry.id);
+		this.#unsyncedWorkers.delete(worker);
 		this.#workerList = undefined;
 		this.#capacity.remove(worker);
 		for (const task of worker.orphans.keys()) {
@@ -535,7 +547,7 @@
 		this.#capacity.update(worker);
 		if (!worker.isListed) {
 			worker.isListed = true;
-			worker.isSynced = false;
+			this.#setSynced(worker, false);
 		}
 
 		if (entry.state === 'draining' && !wasDraining) {
@@ -545,7 +557,7 @@
 
 		if (hasRestarted) {
 			// The worker gets no start commands until its next report, which shows the restart.
-			worker.isSynced = false;
+			this.#setSynced(worker, false);
 		}
 
 		this.#sendHold(worker, now);
@@ -585,7 +597,7 @@
 	): void {
 		if (reason === 'fenced') {
 			// The refused token may be older than the present one; the next hold command shows whether that is refused too.
-			worker.isSynced = false;
+			this.#setSynced(worker, false);
 			this.#expediteHold(worker, now);
 			this.#endRun(
 				worker,
@@ -669,7 +681,7 @@
 		const reported = new Map(report.running.map((run) => [run.task, run]));
 		this.#reconcileRuns(worker, reported, sentAtMs, now);
 		if (!worker.isSynced) {
-			worker.isSynced = true;
+			this.#setSynced(worker, true);
 			this.#listener.handleWorkerChange(worker, 'synced');
 		}
 
