Find the extreme task sizes of a projection without spreading all tasks into arguments

Cause: the fast path and the sorted projection passed all tasks ahead as arguments of one call; jobs of 1,400 tasks reach the limit of the engine at about a hundred waiting jobs (found by reading, not seen). The callback of a worker was a parameter property, which the rest does not use. Change: loops, and a private field. No decision changes; the property tests pass.

--- a/packages/core/src/pool-admission.ts
+++ b/packages/core/src/pool-admission.ts
@@ -62,10 +62,11 @@
 		.flatMap((other) => toProjectedTasks(other));
 	const ownTasks = toProjectedTasks(job);
 	const tasks = [...tasksAhead, ...ownTasks];
-	const mostMillis = Math.max(
-		0,
-		...tasks.map(({processorMillis}) => processorMillis),
-	);
+	let mostMillis = 0;
+	for (const {processorMillis} of tasks) {
+		mostMillis = Math.max(mostMillis, processorMillis);
+	}
+
 	if (pool.capacity.hasRoomForTasks(service, tasks.length, mostMillis, now)) {
 		return now;
 	}
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -147,14 +147,17 @@
 	#free: Resources | undefined;
 	#freeForCapacity: Resources | undefined;
 
+	readonly #handleFreeChange: ((worker: PoolWorker) => void) | undefined;
+
+	/** `handleFreeChange` is called after each change of the free resources by runs or orphans. */
 	constructor(
 		public entry: WorkerEntry,
 		/** Rises with each worker that a pool adds; of equally suitable workers the one with the lowest is chosen. */
 		readonly ordinal = 0,
-		/** Called after each change of the free resources by runs or orphans. */
-		private readonly handleFreeChange: (worker: PoolWorker) => void = () =>
-			undefined,
-	) {}
+		handleFreeChange?: (worker: PoolWorker) => void,
+	) {
+		this.#handleFreeChange = handleFreeChange;
+	}
 
 	/**
 	 * Start time of the worker's process from its last report, in Unix milliseconds; `undefined` before the first
@@ -274,6 +277,6 @@
 
 		this.#used = used;
 		this.#free = undefined;
-		this.handleFreeChange(this);
+		this.#handleFreeChange?.(this);
 	}
 }
--- a/packages/core/src/start-projection.ts
+++ b/packages/core/src/start-projection.ts
@@ -41,9 +41,11 @@
 	workers: readonly ProjectedWorker[],
 	now: number,
 ): number {
-	const leastMillis = Math.min(
-		...[...tasksAhead, ...ownTasks].map(({processorMillis}) => processorMillis),
-	);
+	let leastMillis = Number.POSITIVE_INFINITY;
+	for (const {processorMillis} of [...tasksAhead, ...ownTasks]) {
+		leastMillis = Math.min(leastMillis, processorMillis);
+	}
+
 	const timelines = workers
 		.map((worker, ordinal) => createTimeline(worker, ordinal, leastMillis, now))
 		.toSorted((left, right) => left.earliestStartMs - right.earliestStartMs);
