--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -1,3 +1,4 @@
+import {FreeCapacityIndex} from './free-capacity-index.js';
 import {
 	PoolWorker,
 	type ReportedEnd,
@@ -135,6 +136,15 @@
 	readonly #zones = new Map<string, LedZone>();
 	readonly #workers = new Map<string, PoolWorker>();
 	readonly #orphanEnds = new Map<string, OrphanEnd>();
+	readonly #capacity = new FreeCapacityIndex();
+	/** Workers that have not reported under the present fencing token. */
+	readonly #unsyncedWorkers = new Set<PoolWorker>();
+	/** Workers with an orphan of a task, by task. */
+	readonly #orphanHolders = new Map<string, ReadonlySet<PoolWorker>>();
+	/** Cached values of `#workers`; `undefined` after a worker was added or deleted. */
+	#workerList: readonly PoolWorker[] | undefined;
+	/** Number of workers that were added. */
+	#addedCount = 0;
 	#entries: readonly WorkerEntry[] = [];
 	/** Time of the last claim or drop of a zone. */
 	#zonesChangedAtMs = Number.NEGATIVE_INFINITY;
@@ -151,7 +161,21 @@
 
 	/** Workers of the zones that this entry VM leads. */
 	get workers(): readonly PoolWorker[] {
-		return [...this.#workers.values()];
+		this.#workerList ??= [...this.#workers.values()];
+		return this.#workerList;
+	}
+
+	/** Free capacity of the workers. */
+	get capacity(): Pick<
+		FreeCapacityIndex,
+		'candidates' | 'hasRoomForTasks' | 'freeMillisLimit'
+	> {
+		return this.#capacity;
+	}
+
+	/** Returns the worker with an identifier if this entry VM leads it. */
+	findWorker(id: string): PoolWorker | undefined {
+		return this.#workers.get(id);
 	}
 
 	/** Zones that this entry VM leads. */
@@ -165,7 +189,7 @@
 		this.#zonesChangedAtMs = now;
 		for (const worker of this.#workers.values()) {
 			if (worker.entry.zone === zone) {
-				worker.isSynced = false;
+				this.#setSynced(worker, false);
 				worker.nextHoldAtMs = now;
 			}
 		}
@@ -178,8 +202,8 @@
 		this.#zones.delete(zone);
 		this.#zonesChangedAtMs = now;
 		const dropped = this.workers.filter(({entry}) => entry.zone === zone);
-		for (const {entry} of dropped) {
-			this.#workers.delete(entry.id);
+		for (const worker of dropped) {
+			this.#deleteWorker(worker);
 		}
 
 		return dropped.flatMap(({runs}) => [...runs.values()]);
@@ -207,8 +231,8 @@
 		return (
 			recentZones.size > 0 &&
 			(this.#workers.size === 0 ||
-				this.workers.some(
-					({entry, isSynced}) => !isSynced && recentZones.has(entry.zone),
+				[...this.#unsyncedWorkers].some(({entry}) =>
+					recentZones.has(entry.zone),
 				))
 		);
 	}
@@ -226,8 +250,8 @@
 	): number {
 		const isFullySynced =
 			this.#leadsAllZones(jobZones) &&
-			this.workers.every(
-				({isSynced, entry}) => isSynced || !jobZones.includes(entry.zone),
+			[...this.#unsyncedWorkers].every(
+				({entry}) => !jobZones.includes(entry.zone),
 			);
 		const {leaseMs, orphanStopDelayMs} = this.#settings;
 		return isFullySynced
@@ -258,8 +282,7 @@
 				.map((entry) => [entry.id, entry]),
 		);
 		for (const [id, entry] of listedEntries) {
-			const worker = this.#workers.get(id) ?? new PoolWorker(entry);
-			this.#workers.set(id, worker);
+			const worker = this.#workers.get(id) ?? this.#addWorker(entry);
 			this.#updateEntry(worker, entry, now);
 		}
 
@@ -271,7 +294,7 @@
 				}
 
 				if (worker.runs.size === 0) {
-					this.#workers.delete(worker.entry.id);
+					this.#deleteWorker(worker);
 				}
 			}
 		}
@@ -400,7 +423,7 @@
 		if (outcome.kind === 'done' && outcome.report !== undefined) {
 			this.#handleReport(worker, outcome.report, sentAtMs, now);
 		} else if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
-			worker.isSynced = false;
+			this.#setSynced(worker, false);
 			worker.nextHoldAtMs = now + maxHoldRetryMs;
 			this.#listener.handleFencedZone(worker.entry.zone, worker.holdToken);
 		} else {
@@ -418,7 +441,7 @@
 		| {readonly kind: 'ended'; readonly end: OrphanEnd}
 		| undefined {
 		const end = this.#orphanEnds.get(task);
-		const [newest] = this.workers
+		const [newest] = [...(this.#orphanHolders.get(task) ?? [])]
 			.flatMap((worker) => {
 				const orphan = worker.orphans.get(task);
 				return orphan === undefined ? [] : [{worker, run: orphan.run}];
@@ -433,7 +456,10 @@
 			return {kind: 'ended', end};
 		}
 
-		newest?.worker.removeOrphan(task);
+		if (newest !== undefined) {
+			this.#removeOrphan(newest.worker, task);
+		}
+
 		return newest === undefined ? undefined : {kind: 'running', ...newest};
 	}
 
@@ -445,6 +471,9 @@
 			this.#sendHold(worker, now);
 		}
 
+		this.#capacity.resetSlowdownFactors(
+			this.workers.map(({pace}) => pace.slowdownFactor(now)),
+		);
 		for (const [task, {reportedAtMs}] of this.#orphanEnds) {
 			if (now - reportedAtMs > this.#settings.orphanEndRetentionMs) {
 				this.#orphanEnds.delete(task);
@@ -452,6 +481,64 @@
 		}
 	}
 
+	/** Updates the pace of a worker by the ratio of an ended run's actual to its expected run time. */
+	recordEndedRun(worker: PoolWorker, ratio: number, now: number): void {
+		worker.pace.recordEndedRun(ratio, now);
+		this.#capacity.recordSlowdownFactor(worker.pace.slowdownFactor(now));
+	}
+
+	#addWorker(entry: WorkerEntry): PoolWorker {
+		this.#addedCount += 1;
+		const worker = new PoolWorker(entry, this.#addedCount, (changed) => {
+			if (this.#workers.get(entry.id) === changed) {
+				this.#capacity.update(changed);
+			}
+		});
+		this.#workers.set(entry.id, worker);
+		this.#unsyncedWorkers.add(worker);
+		this.#workerList = undefined;
+		return worker;
+	}
+
+	#setSynced(worker: PoolWorker, isSynced: boolean): void {
+		worker.isSynced = isSynced;
+		if (isSynced) {
+			this.#unsyncedWorkers.delete(worker);
+		} else if (this.#workers.get(worker.entry.id) === worker) {
+			this.#unsyncedWorkers.add(worker);
+		}
+	}
+
+	#deleteWorker(worker: PoolWorker): void {
+		this.#workers.delete(worker.entry.id);
+		this.#unsyncedWorkers.delete(worker);
+		this.#workerList = undefined;
+		this.#capacity.remove(worker);
+		for (const task of worker.orphans.keys()) {
+			this.#removeOrphan(worker, task);
+		}
+	}
+
+	#addOrphan(worker: PoolWorker, run: ReportedRun, now: number): void {
+		worker.addOrphan(run, now);
+		this.#orphanHolders.set(
+			run.task,
+			new Set([...(this.#orphanHolders.get(run.task) ?? []), worker]),
+		);
+	}
+
+	#removeOrphan(worker: PoolWorker, task: string): void {
+		worker.removeOrphan(task);
+		const others = [...(this.#orphanHolders.get(task) ?? [])].filter(
+			(holder) => holder !== worker,
+		);
+		if (others.length > 0) {
+			this.#orphanHolders.set(task, new Set(others));
+		} else {
+			this.#orphanHolders.delete(task);
+		}
+	}
+
 	#leadsAllZones(zones: readonly string[]): boolean {
 		return zones.every((zone) => this.#zones.has(zone));
 	}
@@ -461,9 +548,10 @@
 			worker.bornMs !== undefined && entry.bornMs > worker.bornMs;
 		const wasDraining = worker.entry.state === 'draining';
 		worker.entry = entry;
+		this.#capacity.update(worker);
 		if (!worker.isListed) {
 			worker.isListed = true;
-			worker.isSynced = false;
+			this.#setSynced(worker, false);
 		}
 
 		if (entry.state === 'draining' && !wasDraining) {
@@ -473,7 +561,7 @@
 
 		if (hasRestarted) {
 			// The worker gets no start commands until its next report, which shows the restart.
-			worker.isSynced = false;
+			this.#setSynced(worker, false);
 		}
 
 		this.#sendHold(worker, now);
@@ -513,7 +601,7 @@
 	): void {
 		if (reason === 'fenced') {
 			// The refused token may be older than the present one; the next hold command shows whether that is refused too.
-			worker.isSynced = false;
+			this.#setSynced(worker, false);
 			this.#expediteHold(worker, now);
 			this.#endRun(
 				worker,
@@ -597,7 +685,7 @@
 		const reported = new Map(report.running.map((run) => [run.task, run]));
 		this.#reconcileRuns(worker, reported, sentAtMs, now);
 		if (!worker.isSynced) {
-			worker.isSynced = true;
+			this.#setSynced(worker, true);
 			this.#listener.handleWorkerChange(worker, 'synced');
 		}
 
@@ -606,7 +694,7 @@
 
 	#handleReportedEnd(worker: PoolWorker, end: ReportedEnd, now: number): void {
 		const run = worker.runs.get(end.task);
-		worker.removeOrphan(end.task);
+		this.#removeOrphan(worker, end.task);
 		if (run?.run === end.run) {
 			this.#endRun(worker, run, end.how, now);
 		} else if (run === undefined && !this.#listener.tryAdoptEnd(end)) {
@@ -635,7 +723,7 @@
 	): void {
 		for (const [task] of worker.orphans) {
 			if (!reported.has(task)) {
-				worker.removeOrphan(task);
+				this.#removeOrphan(worker, task);
 			}
 		}
 
@@ -651,7 +739,7 @@
 				!worker.orphans.has(reportedRun.task) &&
 				!this.#listener.tryAdoptRun(reportedRun, worker)
 			) {
-				worker.addOrphan(reportedRun, now);
+				this.#addOrphan(worker, reportedRun, now);
 			}
 		}
 
@@ -688,7 +776,7 @@
 	#handleRestart(worker: PoolWorker, now: number): void {
 		this.#listener.handleWorkerChange(worker, 'restarted');
 		for (const task of worker.orphans.keys()) {
-			worker.removeOrphan(task);
+			this.#removeOrphan(worker, task);
 		}
 
 		// The report lists the runs whose start commands the new process has executed, and waiting tasks adopt them from it.
