--- a/testing/src/pool/open-connection.ts
+++ b/testing/src/pool/open-connection.ts
@@ -84,8 +84,9 @@
 			new Set(
 				lines.flatMap((line) => {
 					const id =
-						/"event":"(?:received|rejected)","id":"(?<id>[^"]+)"/v.exec(line)
-							?.groups?.id;
+						/"event":"(?:received|rejected|read-while-stopping)","id":"(?<id>[^"]+)"/v.exec(
+							line,
+						)?.groups?.id;
 					return id === undefined ? [] : [id.split('/').at(-1)];
 				}),
 			),
--- a/testing/src/pool/pool-installation.ts
+++ b/testing/src/pool/pool-installation.ts
@@ -1,11 +1,11 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {request, type Agent} from 'node:http';
-import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {findFreePorts} from '../processes.js';
 import {StoreStandIn} from './store-stand-in.js';
 import {WorkerStandIn} from './worker-stand-in.js';
 
@@ -36,9 +36,12 @@
 /** HTTP response to a caller; status 0 is a connection that failed. */
 export type PoolHttpResponse = {
 	readonly status: number;
+	/** For status 0, the error code if the connection was closed before a response. */
 	readonly body: string;
 	/** Milliseconds from the request to the response or failure. */
 	readonly tookMs: number;
+	/** Milliseconds from when the whole request was passed to the operating system; 0 if it never was. */
+	readonly sinceSentMs: number;
 	/** Value of the `retry-after` header. */
 	readonly retryAfter: string | undefined;
 };
@@ -102,7 +105,7 @@
 				name: `entry-${zone}-${index + 1}`,
 			})),
 		);
-		const ports = await findFreePorts(placements.length * 4 + 1);
+		const ports = await findDistinctPorts(placements.length * 4 + 1);
 		this.#seeds =
 			this.#options.hasLiveSeeds === false
 				? [`127.0.0.1:${ports.at(-1)}`]
@@ -291,12 +294,14 @@
 	}: {readonly deadlineMs?: number; readonly agent?: Agent | false} = {},
 ): Promise<PoolHttpResponse> {
 	const startedAtMs = performance.now();
+	let sentAtMs: number | undefined;
 	return new Promise((resolve) => {
 		const settle = (status: number, text: string, retryAfter?: string) => {
 			resolve({
 				status,
 				body: text,
 				tookMs: performance.now() - startedAtMs,
+				sinceSentMs: sentAtMs === undefined ? 0 : performance.now() - sentAtMs,
 				retryAfter,
 			});
 		};
@@ -332,34 +337,25 @@
 				});
 			},
 		);
-		outgoing.on('error', () => {
-			settle(0, '');
+		outgoing.on('error', (error: NodeJS.ErrnoException) => {
+			settle(0, error.code ?? error.message);
+		});
+		outgoing.on('finish', () => {
+			sentAtMs = performance.now();
 		});
 		outgoing.end(body);
 	});
 }
 
-/** Finds distinct loopback ports that are free at present, by listening on all of them at the same time. */
-async function findFreePorts(count: number): Promise<readonly number[]> {
-	const servers = await Promise.all(
-		Array.from(
-			{length: count},
-			async () =>
-				new Promise<ReturnType<typeof createServer>>((resolve) => {
-					const server = createServer();
-					server.listen(0, '127.0.0.1', () => {
-						resolve(server);
-					});
-				}),
-		),
-	);
-	const ports = servers.map((server) => {
-		const address = server.address();
-		return typeof address === 'object' && address !== null ? address.port : 0;
-	});
-	for (const server of servers) {
-		server.close();
+/** Finds distinct loopback ports that are free at present, and that no outgoing connection takes while a process restarts. */
+async function findDistinctPorts(count: number): Promise<readonly number[]> {
+	const ports = new Set<number>();
+	while (ports.size < count) {
+		// eslint-disable-next-line no-await-in-loop -- repeats only after a duplicate
+		for (const port of await findFreePorts(count - ports.size)) {
+			ports.add(port);
+		}
 	}
 
-	return ports;
+	return [...ports];
 }
--- a/testing/src/tests/site.test.ts
+++ b/testing/src/tests/site.test.ts
@@ -8,7 +8,7 @@
 	type PoolEntryVm,
 	type PoolInstallationOptions,
 } from '../pool/pool-installation.js';
-import {type RecordedRun} from '../pool/worker-stand-in.js';
+import {collectRuns, findOverlappingTasks} from '../pool/recorded-runs.js';
 
 let runningInstallation: PoolInstallation | undefined;
 
@@ -62,32 +62,6 @@
 	return Promise.all(answers);
 }
 
-/** Finds the tasks that have two runs at the same time. */
-function findOverlappingTasks(runs: readonly RecordedRun[]): readonly string[] {
-	const byTask = new Map<string, readonly RecordedRun[]>();
-	for (const run of runs) {
-		byTask.set(run.task, [...(byTask.get(run.task) ?? []), run]);
-	}
-
-	return [...byTask].flatMap(([task, taskRuns]) =>
-		taskRuns
-			.toSorted((left, right) => left.startedAtMs - right.startedAtMs)
-			.some(
-				(run, index, sorted) =>
-					index > 0 &&
-					run.startedAtMs <
-						(sorted[index - 1]!.endedAtMs ?? Number.POSITIVE_INFINITY),
-			)
-			? [task]
-			: [],
-	);
-}
-
-/** Collects the runs that all workers recorded. */
-function collectRuns({workers}: PoolInstallation): readonly RecordedRun[] {
-	return workers.flatMap(({runs}) => runs);
-}
-
 /** Finds the first entry VM that has logged a claim of the leadership. */
 function findFirstLeader({entryVms}: PoolInstallation): PoolEntryVm {
 	return entryVms.find(({lines}) =>
