Close connections of a stopping entry VM only after a turn that had nothing to accept or read

Cause: a turn of the event loop accepts one connection and reads from it in the next turn; a quick turn alone does not show that nothing waits. Change: the turn must also have accepted no connection and read no request.

--- a/packages/verbenarouter/src/pool/process-stop.ts
+++ b/packages/verbenarouter/src/pool/process-stop.ts
@@ -17,8 +17,8 @@
 /** Time for cancellations to be sent to leaders before the connections to them are closed. */
 const cancellationFlushMs = 100;
 /**
- * Longest turn of the event loop after which connections are closed. What callers sent before the turn has been read; a
- * request that arrived during a longer turn may wait unread.
+ * Longest turn of the event loop after which connections are closed. What callers sent before the turn has been read if
+ * the turn has accepted and read nothing; a request that arrived during a longer turn may wait unread.
  */
 const quickTurnMs = 50;
 
@@ -52,6 +52,8 @@
 	/** Time at which the remaining requests were given their last answers. */
 	#answeredAtMs: number | undefined;
 	#isEnding = false;
+	/** Number of connections accepted and requests read during the stop. */
+	#activityCount = 0;
 	#checkTimer: NodeJS.Timeout | undefined;
 
 	constructor(notice: StopNotice, stoppingProcess: StoppingProcess) {
@@ -62,7 +64,13 @@
 
 	/** Hands over what the node leads, and starts to check what is due. */
 	begin(): void {
-		const {node} = this.#process;
+		const {node, callerServer} = this.#process;
+		for (const event of ['connection', 'request']) {
+			callerServer.on(event, () => {
+				this.#activityCount += 1;
+			});
+		}
+
 		this.#writeLine('stopping');
 		node.beginStop((id, needsMs) => this.#acceptsRequest(id, needsMs));
 		this.#checkTimer = setInterval(() => {
@@ -97,7 +105,7 @@
 
 		if (!this.#isClosing) {
 			this.#isClosing = true;
-			this.#afterQuickTurn(() => {
+			this.#afterQuietTurn(() => {
 				// Closes idle connections too.
 				this.#process.callerServer.close();
 				this.#isClosed = true;
@@ -139,28 +147,35 @@
 		this.#isEnding = true;
 		this.#writeLine('stopped');
 		this.#process.node.close();
-		this.#exitAfterQuickTurn();
+		this.#exitAfterQuietTurn();
 	}
 
-	#exitAfterQuickTurn(): void {
-		this.#afterQuickTurn(() => {
+	#exitAfterQuietTurn(): void {
+		this.#afterQuietTurn(() => {
 			const {openRequests, exit} = this.#process;
 			if (openRequests.readCount === 0 || this.#isOver) {
 				clearInterval(this.#checkTimer);
 				exit();
 			} else {
-				this.#exitAfterQuickTurn();
+				this.#exitAfterQuietTurn();
 			}
 		});
 	}
 
-	/** Calls `action` after a quick turn of the event loop has read what callers have sent, or when the time is over. */
-	#afterQuickTurn(action: () => void): void {
+	/**
+	 * Calls `action` after a quick turn of the event loop that had nothing to accept or read, or when the time is over. A
+	 * turn accepts one connection, and the next one reads from it.
+	 */
+	#afterQuietTurn(action: () => void): void {
 		const {now} = this.#process;
 		const waitFrom = (startedAtMs: number) => {
+			const activityCount = this.#activityCount;
 			setImmediate(() => {
 				const endedAtMs = now();
-				if (endedAtMs - startedAtMs <= quickTurnMs || this.#isOver) {
+				const isQuiet =
+					endedAtMs - startedAtMs <= quickTurnMs &&
+					this.#activityCount === activityCount;
+				if (isQuiet || this.#isOver) {
 					action();
 				} else {
 					waitFrom(endedAtMs);
--- a/packages/verbenarouter/src/tests/process-stop.test.ts
+++ b/packages/verbenarouter/src/tests/process-stop.test.ts
@@ -132,6 +132,23 @@
 		await expect.poll(() => events).toEqual(['close', 'exit with 0 open']);
 	});
 
+	it('answers requests on connections that wait to be accepted after a long turn of the event loop', async () => {
+		const {stop, clock, events} = await createStop();
+		stop.begin();
+		clock.offsetMs = 2700;
+		const answers = Array.from({length: 6}, async () => {
+			const other = connect((callerServer!.address() as AddressInfo).port);
+			other.write(getRequest);
+			return text(other);
+		});
+		block(200);
+		const received = await Promise.all(answers);
+		expect(received.map((answer) => answer.slice(0, 12))).toEqual(
+			Array.from({length: 6}, () => 'HTTP/1.1 200'),
+		);
+		await expect.poll(() => events).toEqual(['close', 'exit with 0 open']);
+	});
+
 	it('refuses a request that is read before a late timer has given the last answers, and gives them then', async () => {
 		const {stop, clock, connection, events} = await createStop();
 		stop.begin();
