--- a/testing/src/pool/pool-installation.ts
+++ b/testing/src/pool/pool-installation.ts
@@ -1,11 +1,11 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {request, type Agent} from 'node:http';
-import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {findFreePorts} from '../processes.js';
 import {StoreStandIn} from './store-stand-in.js';
 import {WorkerStandIn} from './worker-stand-in.js';
 
@@ -37,9 +37,12 @@
 /** HTTP response to a caller; status 0 is a connection that failed. */
 export type PoolHttpResponse = {
 	readonly status: number;
+	/** For status 0, the error code if the connection was closed before a response. */
 	readonly body: string;
 	/** Milliseconds from the request to the response or failure. */
 	readonly tookMs: number;
+	/** Milliseconds from when the whole request was passed to the operating system; 0 if it never was. */
+	readonly sinceSentMs: number;
 	/** Value of the `retry-after` header. */
 	readonly retryAfter: string | undefined;
 };
@@ -103,7 +106,7 @@
 				name: `entry-${zone}-${index + 1}`,
 			})),
 		);
-		const ports = await findFreePorts(placements.length * 4 + 1);
+		const ports = await findDistinctPorts(placements.length * 4 + 1);
 		this.#seeds =
 			this.#options.hasLiveSeeds === false
 				? [`127.0.0.1:${ports.at(-1)}`]
@@ -293,12 +296,14 @@
 	}: {readonly deadlineMs?: number; readonly agent?: Agent | false} = {},
 ): Promise<PoolHttpResponse> {
 	const startedAtMs = performance.now();
+	let sentAtMs: number | undefined;
 	return new Promise((resolve) => {
 		const settle = (status: number, text: string, retryAfter?: string) => {
 			resolve({
 				status,
 				body: text,
 				tookMs: performance.now() - startedAtMs,
+				sinceSentMs: sentAtMs === undefined ? 0 : performance.now() - sentAtMs,
 				retryAfter,
 			});
 		};
@@ -334,43 +339,25 @@
 				});
 			},
 		);
-		outgoing.on('error', () => {
-			settle(0, '');
+		outgoing.on('error', (error: NodeJS.ErrnoException) => {
+			settle(0, error.code ?? error.message);
+		});
+		outgoing.on('finish', () => {
+			sentAtMs = performance.now();
 		});
 		outgoing.end(body);
 	});
 }
 
-/** Ports from which those of entry VMs are selected: below the ones that systems give to outgoing connections. */
-const firstPort = 12_000;
-const portCount = 20_000;
-
-/** Finds distinct loopback ports that are free at present, by listening on them. */
-async function findFreePorts(count: number): Promise<readonly number[]> {
-	const ports: number[] = [];
-	// Installations that run at the same time start at different ports.
-	const offset = (process.pid * 137) % portCount;
-	for (let index = 0; ports.length < count && index < portCount; index += 1) {
-		const port = firstPort + ((offset + index) % portCount);
-		// eslint-disable-next-line no-await-in-loop -- tries one port after the other
-		if (await isPortFree(port)) {
-			ports.push(port);
+/** Finds distinct loopback ports that are free at present, and that no outgoing connection takes while a process restarts. */
+async function findDistinctPorts(count: number): Promise<readonly number[]> {
+	const ports = new Set<number>();
+	while (ports.size < count) {
+		// eslint-disable-next-line no-await-in-loop -- repeats only after a duplicate
+		for (const port of await findFreePorts(count - ports.size)) {
+			ports.add(port);
 		}
 	}
 
-	return ports;
-}
-
-async function isPortFree(port: number): Promise<boolean> {
-	return new Promise((resolve) => {
-		const server = createServer();
-		server.once('error', () => {
-			resolve(false);
-		});
-		server.listen(port, '127.0.0.1', () => {
-			server.close(() => {
-				resolve(true);
-			});
-		});
-	});
+	return [...ports];
 }
--- a/testing/src/pool/recorded-runs.ts
+++ b/testing/src/pool/recorded-runs.ts
@@ -1,6 +1,13 @@
 import {type PoolInstallation} from './pool-installation.js';
 import {type RecordedRun} from './worker-stand-in.js';
 
+/** Collects the runs that all workers recorded. */
+export function collectRuns({
+	workers,
+}: PoolInstallation): readonly RecordedRun[] {
+	return workers.flatMap(({runs}) => runs);
+}
+
 /** Finds the tasks that have two runs at the same time. */
 export function findOverlappingTasks(
 	runs: readonly RecordedRun[],
@@ -23,10 +30,3 @@
 			: [],
 	);
 }
-
-/** Collects the runs that all workers recorded. */
-export function collectRuns({
-	workers,
-}: PoolInstallation): readonly RecordedRun[] {
-	return workers.flatMap(({runs}) => runs);
-}
