--- a/packages/verbenarouter/src/pool/heartbeat-schedule.ts
+++ b/packages/verbenarouter/src/pool/heartbeat-schedule.ts
@@ -20,8 +20,8 @@
 const minRoundGapMs = 40;
 /** Milliseconds of each interval for each peer, from the size on at which these are longer: they bound messages a second. */
 const perPeerMs = {election: 8, slow: 40, roundGap: 3} as const;
-/** Delay of the event loop from which heartbeats are sent less often. */
-const lateMs = 50;
+/** Delay of the event loop from which heartbeats are sent less often; peers bear shorter ones without that. */
+const lateMs = 150;
 
 /**
  * Computes the intervals for a number of peers and a delay of the own event loop. A process that is late sends fewer
@@ -31,12 +31,10 @@
 	peerCount: number,
 	eventLoopDelayMs: number,
 ): HeartbeatIntervals {
-	const latenessMs = eventLoopDelayMs < lateMs ? 0 : 2 * eventLoopDelayMs;
 	const lengthen = (intervalMs: number) =>
-		Math.max(
-			intervalMs,
-			Math.min(intervalMs + latenessMs, legacySlowIntervalMs),
-		);
+		eventLoopDelayMs < lateMs
+			? intervalMs
+			: Math.max(intervalMs, legacySlowIntervalMs);
 	return {
 		fastMs: lengthen(fastIntervalMs),
 		electionMs: lengthen(
