Stop a run that hangs, and run its task on another worker while its caller waits

Cause: the scheduler waited for such a run until the caller left; the settings for stuck runs were read by nothing. Ruled out: a lower factor.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -12,7 +12,11 @@
 	type WorkerEntry,
 	type WorkerRun,
 } from './pool-worker.js';
-import {ScheduledJob, type ScheduledTask} from './scheduled-job.js';
+import {
+	ScheduledJob,
+	submissionDelayMs,
+	type ScheduledTask,
+} from './scheduled-job.js';
 import {
 	type CommandOutcome,
 	type WorkerCommandSender,
@@ -50,9 +54,9 @@
 	readonly answerRetentionMs: number;
 	/** Largest number of retained answers, and of retained attempts without a result. */
 	readonly maxRetainedAnswers: number;
-	/** Multiple of the expected run time from which a run counts as stuck. The scheduler does not read it. */
+	/** Multiple of the expected run time from which a run counts as stuck; few runs of sound workers take as long. */
 	readonly stuckFactor: number;
-	/** Shortest run time from which a run counts as stuck. The scheduler does not read it. */
+	/** Shortest run time from which a run counts as stuck. */
 	readonly minStuckMs: number;
 };
 
@@ -328,11 +332,12 @@
 		this.#now = now;
 		this.pool.tick(now);
 		for (const worker of this.pool.workers) {
-			for (const {orderedAtMs, expectedMs} of worker.runs.values()) {
+			for (const run of worker.runs.values()) {
 				worker.pace.recordOngoingRun(
-					(now - orderedAtMs) / Math.max(1, expectedMs),
+					(now - run.orderedAtMs) / Math.max(1, run.expectedMs),
 					now,
 				);
+				this.#stopRunIfStuck(run, worker, now);
 			}
 		}
 
@@ -840,6 +845,53 @@
 		}
 	}
 
+	/**
+	 * Stops a run that takes many times as long as expected, so that its task can run on another worker while its caller
+	 * waits. A task is stopped only once for this, because its estimate may be wrong.
+	 */
+	#stopRunIfStuck(run: WorkerRun, worker: PoolWorker, now: number): void {
+		const {stuckFactor, minStuckMs} = this.#settings;
+		const ranMs = now - run.orderedAtMs;
+		if (
+			run.state !== 'running' ||
+			ranMs < Math.max(minStuckMs, stuckFactor * run.expectedMs)
+		) {
+			return;
+		}
+
+		const job = this.#jobs.get(run.jobId);
+		const task = job?.tasks.find(({task: {name}}) => name === run.task);
+		if (
+			job === undefined ||
+			task === undefined ||
+			task.wasStuck ||
+			task.worker !== worker.entry.id ||
+			ranMs < stuckFactor * task.task.declaredMs ||
+			now + run.expectedMs + submissionDelayMs > job.callerDeadlineMs
+		) {
+			return;
+		}
+
+		task.wasStuck = true;
+		this.#options.output.logDecision({
+			event: 'run-stuck',
+			id: run.jobId,
+			task: run.task,
+			run: run.run,
+			worker: worker.entry.id,
+			reason: 'overdue',
+			inputs: {
+				ranMs: Math.round(ranMs),
+				expectedMs: Math.round(run.expectedMs),
+			},
+		});
+		if (worker.health.recordFailure(run.jobId, now)) {
+			this.handleWorkerChange(worker, 'set-aside');
+		}
+
+		this.pool.stopRun(run, worker, now);
+	}
+
 	/** Projects the start of a waiting job once more; returns whether it is beyond the latest first start. */
 	#isProjectedTooLate(job: ScheduledJob, now: number): boolean {
 		if (
--- a/packages/core/src/scheduled-job.ts
+++ b/packages/core/src/scheduled-job.ts
@@ -13,6 +13,8 @@
 	/** Number of the latest known run; 0 before the first. */
 	latestRun: number;
 	failureCount: number;
+	/** Whether a run of the task was stopped because it took many times as long as expected. */
+	wasStuck: boolean;
 	/** Identifier of the worker where the last run ended without success; a retry prefers other workers. */
 	avoidedWorker: string | undefined;
 };
@@ -21,7 +23,7 @@
 const maxLatenessFactor = 3;
 
 /** Longest time in milliseconds that a job takes to reach an available leader; a longer one means that there was no leader. */
-const submissionDelayMs = 40;
+export const submissionDelayMs = 40;
 
 /** Computes the time in milliseconds from a job's arrival within which its caller can still use an answer. */
 export function computeAnswerWindowMs(
@@ -73,6 +75,7 @@
 			worker: undefined,
 			latestRun: 0,
 			failureCount: 0,
+			wasStuck: false,
 			avoidedWorker: undefined,
 		}));
 		this.hasStarted = this.tasks.some(({state}) => state === 'done');
