Let a worker tell its pool when it becomes synced or stops to be

Cause: the set of workers without a report was kept by a method that each assignment had to use; an assignment elsewhere would have left the set wrong, and an indeterminate job could have been started too early. Change: `isSynced` is an accessor that calls the pool, like changes of runs and orphans. No decision changes.

--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -117,11 +117,6 @@
 	health = new TargetHealth();
 	/** Ratio of run times to estimates. */
 	pace = new WorkerPace();
-	/**
-	 * Whether the worker has reported under the present fencing token; cleared by a refusal of it, a restart and a new
-	 * listing.
-	 */
-	isSynced = false;
 	/** Whether a hold command has no answer yet. */
 	isHoldPending = false;
 	/** Fencing token of the newest hold command. */
@@ -140,6 +135,7 @@
 	fullUntilMs = 0;
 	/** Time by which the lease is certain to have expired unless a leader extends it again. */
 	leaseExpiresByMs = 0;
+	#isSynced = false;
 	#clockOffsetMs: number | undefined;
 	#bornMs: number | undefined;
 	#used: Resources = {processorMillis: 0, memoryMb: 0, accelerators: 0};
@@ -147,16 +143,29 @@
 	#free: Resources | undefined;
 	#freeForCapacity: Resources | undefined;
 
-	readonly #handleFreeChange: ((worker: PoolWorker) => void) | undefined;
+	readonly #handleChange: ((worker: PoolWorker) => void) | undefined;
 
-	/** `handleFreeChange` is called after each change of the free resources by runs or orphans. */
+	/** `handleChange` is called after each change of the runs, the orphans or `isSynced`. */
 	constructor(
 		public entry: WorkerEntry,
 		/** Rises with each worker that a pool adds; of equally suitable workers the one with the lowest is chosen. */
 		readonly ordinal = 0,
-		handleFreeChange?: (worker: PoolWorker) => void,
+		handleChange?: (worker: PoolWorker) => void,
 	) {
-		this.#handleFreeChange = handleFreeChange;
+		this.#handleChange = handleChange;
+	}
+
+	/**
+	 * Whether the worker has reported under the present fencing token; cleared by a refusal of it, a restart and a new
+	 * listing.
+	 */
+	get isSynced(): boolean {
+		return this.#isSynced;
+	}
+
+	set isSynced(isSynced: boolean) {
+		this.#isSynced = isSynced;
+		this.#handleChange?.(this);
 	}
 
 	/**
@@ -277,6 +286,6 @@
 
 		this.#used = used;
 		this.#free = undefined;
-		this.#handleFreeChange?.(this);
+		this.#handleChange?.(this);
 	}
 }
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -189,7 +189,7 @@
 		this.#zonesChangedAtMs = now;
 		for (const worker of this.#workers.values()) {
 			if (worker.entry.zone === zone) {
-				this.#setSynced(worker, false);
+				worker.isSynced = false;
 				worker.nextHoldAtMs = now;
 			}
 		}
@@ -419,7 +419,7 @@
 		if (outcome.kind === 'done' && outcome.report !== undefined) {
 			this.#handleReport(worker, outcome.report, sentAtMs, now);
 		} else if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
-			this.#setSynced(worker, false);
+			worker.isSynced = false;
 			worker.nextHoldAtMs = now + maxHoldRetryMs;
 			this.#listener.handleFencedZone(worker.entry.zone, worker.holdToken);
 		} else {
@@ -487,7 +487,7 @@
 		this.#addedCount += 1;
 		const worker = new PoolWorker(entry, this.#addedCount, (changed) => {
 			if (this.#workers.get(entry.id) === changed) {
-				this.#capacity.update(changed);
+				this.#handleWorkerUpdate(changed);
 			}
 		});
 		this.#workers.set(entry.id, worker);
@@ -496,11 +496,11 @@
 		return worker;
 	}
 
-	#setSynced(worker: PoolWorker, isSynced: boolean): void {
-		worker.isSynced = isSynced;
-		if (isSynced) {
+	#handleWorkerUpdate(worker: PoolWorker): void {
+		this.#capacity.update(worker);
+		if (worker.isSynced) {
 			this.#unsyncedWorkers.delete(worker);
-		} else if (this.#workers.get(worker.entry.id) === worker) {
+		} else {
 			this.#unsyncedWorkers.add(worker);
 		}
 	}
@@ -547,7 +547,7 @@
 		this.#capacity.update(worker);
 		if (!worker.isListed) {
 			worker.isListed = true;
-			this.#setSynced(worker, false);
+			worker.isSynced = false;
 		}
 
 		if (entry.state === 'draining' && !wasDraining) {
@@ -557,7 +557,7 @@
 
 		if (hasRestarted) {
 			// The worker gets no start commands until its next report, which shows the restart.
-			this.#setSynced(worker, false);
+			worker.isSynced = false;
 		}
 
 		this.#sendHold(worker, now);
@@ -597,7 +597,7 @@
 	): void {
 		if (reason === 'fenced') {
 			// The refused token may be older than the present one; the next hold command shows whether that is refused too.
-			this.#setSynced(worker, false);
+			worker.isSynced = false;
 			this.#expediteHold(worker, now);
 			this.#endRun(
 				worker,
@@ -681,7 +681,7 @@
 		const reported = new Map(report.running.map((run) => [run.task, run]));
 		this.#reconcileRuns(worker, reported, sentAtMs, now);
 		if (!worker.isSynced) {
-			this.#setSynced(worker, true);
+			worker.isSynced = true;
 			this.#listener.handleWorkerChange(worker, 'synced');
 		}
 
