--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -27,6 +27,13 @@
 	readonly hears: Readonly<Record<string, number>>;
 	/** Zones that the sender hands over, with the name of the successor of each. */
 	readonly yields: Readonly<Record<string, string>>;
+	/**
+	 * Scope of leaders that the sender has decided on; absent from the last build, which has one leader for the region
+	 * and ignores the zones of jobs.
+	 */
+	readonly scope?: PoolScope;
+	/** Free thousandths of a core of each zone that the sender leads, for jobs that other zones have refused. */
+	readonly spareMillis?: Readonly<Record<string, number>>;
 	/** Entry VMs that appear in heartbeats, without those that only the store lists; empty in most heartbeats. */
 	readonly members: readonly MemberAddress[];
 };
@@ -71,6 +78,11 @@
 	readonly warmUpMs: number;
 	/** Time for which another leader must have been live before this one hands its zones over to it. */
 	readonly mergeDelayMs: number;
+	/**
+	 * Longest time in which this process read no messages that is not counted as silence of a peer. The loss of a leader is
+	 * noticed that much later by a process that is late.
+	 */
+	readonly maxExcludedMs: number;
 };
 
 /** Default settings, for heartbeats every 100 ms. */
@@ -83,6 +95,7 @@
 	isolatedGraceMs: 1500,
 	warmUpMs: 3000,
 	mergeDelayMs: 1500,
+	maxExcludedMs: 1000,
 };
 
 /**
@@ -118,8 +131,12 @@
 	readonly liveSinceMs: number;
 	/** Whether the connection has broken since the newest heartbeat. */
 	readonly isDisconnected: boolean;
+	/** Time since the newest heartbeat in which this process read no messages, so that later ones may be unread. */
+	readonly excludedMs: number;
 };
 
+/** Longest time since a heartbeat for which it counts as recent, also from a peer that announces a longer interval. */
+const maxRecentMs = 1600;
 /** Length of the time steps that fencing tokens count, so that later claims get higher tokens without coordination. */
 const tokenStepMs = 10;
 /** Number of tokens in each time step; each entry VM uses its own one, so that two do not claim with the same token. */
@@ -220,10 +237,30 @@
 			lastHeartbeatAtMs: now,
 			liveSinceMs: isUninterrupted ? peer.liveSinceMs : now,
 			isDisconnected: false,
+			excludedMs: 0,
 		});
 		this.#highestToken = Math.max(this.#highestToken, heartbeat.highestToken);
 	}
 
+	/**
+	 * Excludes a time in which this process read no messages, and which ends now, from the silence of the peers that were
+	 * live at its start. Call it before the other methods after such a time.
+	 */
+	excludeStall(stallMs: number, now: number): void {
+		for (const [name, peer] of this.#peers) {
+			if (this.#isLive(peer, now - stallMs)) {
+				const unreadMs = Math.min(stallMs, now - peer.lastHeartbeatAtMs);
+				this.#peers.set(name, {
+					...peer,
+					excludedMs: Math.min(
+						peer.excludedMs + unreadMs,
+						this.#settings.maxExcludedMs,
+					),
+				});
+			}
+		}
+	}
+
 	/** Marks a peer as not live until its next heartbeat, after its connection broke. */
 	markDisconnected(name: string): void {
 		const peer = this.#peers.get(name);
@@ -238,6 +275,19 @@
 		return peer !== undefined && this.#isLive(peer, now);
 	}
 
+	/**
+	 * Whether a peer's heartbeats have arrived without a gap, with no allowance for a time in which this process read no
+	 * messages: what it sent before such a time may be out of date.
+	 */
+	hasRecentHeartbeat(name: string, now: number): boolean {
+		const peer = this.#peers.get(name);
+		return (
+			peer !== undefined &&
+			now - peer.lastHeartbeatAtMs <= maxRecentMs &&
+			this.#isLive({...peer, excludedMs: 0}, now)
+		);
+	}
+
 	/** Returns the newest heartbeats of the live peers. */
 	livePeers(now: number): readonly Heartbeat[] {
 		return [...this.#peers.values()]
@@ -247,18 +297,23 @@
 
 	/** Finds the live leader of a zone; of several, the one with the highest fencing token. */
 	findLeader(zone: string, now: number): ZoneLeader | undefined {
+		let leader: ZoneLeader | undefined;
+		for (const peer of this.#peers.values()) {
+			const token = peer.heartbeat.leads[zone];
+			if (
+				token !== undefined &&
+				token > (leader?.token ?? Number.NEGATIVE_INFINITY) &&
+				this.#isLive(peer, now)
+			) {
+				leader = {name: peer.heartbeat.name, token};
+			}
+		}
+
 		const ownToken = this.#ledZones.get(zone);
-		const peerLeaders = this.livePeers(now).flatMap(({name, leads}) => {
-			const token = leads[zone];
-			return token === undefined ? [] : [{name, token}];
-		});
-		const [highest] = [
-			...peerLeaders,
-			...(ownToken === undefined
-				? []
-				: [{name: this.#self.name, token: ownToken}]),
-		].toSorted((left, right) => right.token - left.token);
-		return highest;
+		return ownToken !== undefined &&
+			ownToken > (leader?.token ?? Number.NEGATIVE_INFINITY)
+			? {name: this.#self.name, token: ownToken}
+			: leader;
 	}
 
 	/** Whether this process is warm, and so fast enough to lead a whole region. */
@@ -271,11 +326,16 @@
 		this.#isWarm = true;
 	}
 
-	/** Whether this entry VM has had at least two live peers and now has none. */
+	/**
+	 * Whether this entry VM has had at least two live peers and now has none that has sent a recent heartbeat. A process
+	 * that continues after a freeze is isolated until it receives one, as others may lead its zones by then.
+	 */
 	isIsolated(now: number): boolean {
 		return (
 			this.#lastTwoPeersAtMs !== Number.NEGATIVE_INFINITY &&
-			this.livePeers(now).length === 0
+			[...this.#peers.keys()].every(
+				(name) => !this.hasRecentHeartbeat(name, now),
+			)
 		);
 	}
 
@@ -496,15 +556,21 @@
 		const inZone = allCandidates.filter((candidate) => candidate.zone === zone);
 		const isRegional =
 			this.#scope === 'region' && allCandidates.some(({isWarm}) => isWarm);
+		if (this.#scope === 'zone' && inZone.length > 0) {
+			return inZone.toSorted((left, right) => compareCandidates(left, right));
+		}
+
+		// One leader should lead the whole region, while leaders of zones should share the zones without entry VMs.
+		const direction = this.#scope === 'region' ? 1 : -1;
 		return (
 			isRegional || inZone.length === 0 ? allCandidates : inZone
 		).toSorted(
 			(left, right) =>
 				Number(right.isWarm) - Number(left.isWarm) ||
-				Object.keys(this.#tokensLedBy(right.name)).length -
-					Object.keys(this.#tokensLedBy(left.name)).length ||
-				right.processorShare - left.processorShare ||
-				compareStrings(left.name, right.name),
+				direction *
+					(Object.keys(this.#tokensLedBy(right.name)).length -
+						Object.keys(this.#tokensLedBy(left.name)).length) ||
+				compareCandidates(left, right),
 		);
 	}
 
@@ -514,19 +580,30 @@
 			: (this.#peers.get(name)?.heartbeat.leads ?? {});
 	}
 
-	/** Finds the entry VM to which a zone that this one leads should be handed over, if any. */
+	/**
+	 * Finds the entry VM to which a zone that this one leads should be handed over, if any. One with the other scope, as all
+	 * of the last build, would hand it back.
+	 */
 	#findSuccessor(zone: string, now: number): string | undefined {
 		const eligiblePeers = [...this.#peers.values()].filter(
 			(peer) =>
 				this.#isLive(peer, now) &&
 				!peer.heartbeat.isStopping &&
-				now - peer.liveSinceMs >= this.#settings.mergeDelayMs,
+				now - peer.liveSinceMs >= this.#settings.mergeDelayMs &&
+				(peer.heartbeat.scope ?? 'region') === this.#scope,
 		);
 		if (this.#scope === 'zone') {
-			return this.#self.zone === zone
-				? undefined
-				: eligiblePeers.find(({heartbeat}) => heartbeat.zone === zone)
-						?.heartbeat.name;
+			const [best] = eligiblePeers
+				.map(({heartbeat}) => heartbeat)
+				.filter((heartbeat) => heartbeat.zone === zone)
+				.toSorted((left, right) => compareCandidates(left, right));
+			// A zone returns to its own entry VMs. Within the zone it moves only to a stronger machine that is warm: both
+			// are lasting properties, so that it never moves back.
+			const isBetter =
+				this.#self.zone !== zone ||
+				(best?.isWarm === true &&
+					best.processorShare > this.#self.processorShare);
+			return isBetter ? best?.name : undefined;
 		}
 
 		const ownCount = this.#ledZones.size;
@@ -583,12 +660,12 @@
 	}
 
 	#isLive(
-		{lastHeartbeatAtMs, isDisconnected, heartbeat}: Peer,
+		{lastHeartbeatAtMs, isDisconnected, excludedMs, heartbeat}: Peer,
 		now: number,
 	): boolean {
 		return (
 			!isDisconnected &&
-			now - lastHeartbeatAtMs <=
+			now - lastHeartbeatAtMs - excludedMs <=
 				this.#settings.maxMissedHeartbeats * heartbeat.intervalMs
 		);
 	}
@@ -614,6 +691,15 @@
 	);
 }
 
+/** Orders candidates for a zone: the warm first, then the strongest machine, then by name. */
+function compareCandidates(left: Candidate, right: Candidate): number {
+	return (
+		Number(right.isWarm) - Number(left.isWarm) ||
+		right.processorShare - left.processorShare ||
+		compareStrings(left.name, right.name)
+	);
+}
+
 function compareStrings(left: string, right: string): number {
 	if (left === right) {
 		return 0;
--- a/packages/core/src/pool-admission.ts
+++ b/packages/core/src/pool-admission.ts
@@ -6,6 +6,7 @@
 	type ProjectedWorker,
 } from './start-projection.js';
 import {type ScheduledJob} from './scheduled-job.js';
+import {type WorkerPool} from './worker-pool.js';
 
 /** Why a job cannot run, with the number of workers that serve its queue. */
 export type Infeasibility = {
@@ -13,28 +14,34 @@
 	readonly workers: number;
 };
 
-/** Returns why a job cannot run on the listed workers of its service, or `undefined` if it can. */
+/** Returns why a job cannot run on the listed workers of its service in its zones, or `undefined` if it can. */
 export function findInfeasibility(
 	job: ScheduledJob,
 	allWorkers: readonly PoolWorker[],
 	now: number,
 ): Infeasibility | undefined {
-	const workers = allWorkers.filter(
-		(worker) => worker.isListed && worker.entry.service === job.queue.service,
-	);
-	if (workers.length === 0) {
+	const isCandidate = (worker: PoolWorker): boolean =>
+		worker.isListed &&
+		worker.entry.service === job.queue.service &&
+		job.mayRunIn(worker.entry.zone);
+	if (!allWorkers.some((worker) => isCandidate(worker))) {
 		return {reason: 'no-workers', workers: 0};
 	}
 
 	const canFit = job.tasks.every(({task: {needs}}) =>
-		workers.some(({entry}) => fitsWithin(needs, entry.capacity)),
+		allWorkers.some(
+			(worker) =>
+				isCandidate(worker) && fitsWithin(needs, worker.entry.capacity),
+		),
 	);
+	const countCandidates = (): number =>
+		allWorkers.filter((worker) => isCandidate(worker)).length;
 	if (!canFit) {
-		return {reason: 'cannot-fit', workers: workers.length};
+		return {reason: 'cannot-fit', workers: countCandidates()};
 	}
 
 	return now > job.latestUsefulStartMs
-		? {reason: 'deadline-impossible', workers: workers.length}
+		? {reason: 'deadline-impossible', workers: countCandidates()}
 		: undefined;
 }
 
@@ -45,22 +52,43 @@
 export function projectJobLastStartMs(
 	job: ScheduledJob,
 	ahead: readonly ScheduledJob[],
-	workers: readonly PoolWorker[],
+	pool: Pick<WorkerPool, 'capacity' | 'workers'>,
 	now: number,
 ): number {
 	const {service} = job.queue;
+	const tasksAhead = ahead
+		.filter(
+			({queue, receiverLostAtMs}) =>
+				queue.service === service && receiverLostAtMs === undefined,
+		)
+		.flatMap((other) => toProjectedTasks(other));
+	const ownTasks = toProjectedTasks(job);
+	const tasks = [...tasksAhead, ...ownTasks];
+	let mostMillis = 0;
+	for (const {processorMillis} of tasks) {
+		mostMillis = Math.max(mostMillis, processorMillis);
+	}
+
+	const isEligible = ({entry}: PoolWorker) => job.mayRunIn(entry.zone);
+	const hasRoom = pool.capacity.hasRoomForTasks(
+		service,
+		{taskCount: tasks.length, mostMillis},
+		isEligible,
+		now,
+	);
+	if (hasRoom) {
+		return now;
+	}
+
 	return projectLastStartMs(
-		ahead
-			.filter(
-				({queue, receiverLostAtMs}) =>
-					queue.service === service && receiverLostAtMs === undefined,
-			)
-			.flatMap((other) => toProjectedTasks(other)),
-		toProjectedTasks(job),
-		workers
+		tasksAhead,
+		ownTasks,
+		pool.workers
 			.filter(
 				(worker) =>
-					worker.entry.service === service && worker.canStartTask(now),
+					worker.entry.service === service &&
+					isEligible(worker) &&
+					worker.canStartTask(now),
 			)
 			.map((worker) => toProjectedWorker(worker, now)),
 		now,
--- a/packages/core/src/pool-job.ts
+++ b/packages/core/src/pool-job.ts
@@ -35,6 +35,13 @@
 	readonly attempt: string;
 	/** Names of tasks that an earlier leader has reported done. */
 	readonly doneTasks?: readonly string[];
+	/**
+	 * Zones whose workers may run the job, and outside which no earlier leader has run it; absent for all zones. Leaders of
+	 * the last build ignore it.
+	 */
+	readonly zones?: readonly string[];
+	/** Number of zones whose leaders have refused this attempt; absent if there is none. */
+	readonly refusingZones?: number;
 	/**
 	 * Fencing token of the leader that the receiver submits this copy to, as last heard; absent in copies from builds that
 	 * do not send it.
@@ -79,6 +86,16 @@
 	/** The entry VM that received the job is shutting down and its grace period has ended. */
 	| 'stopping';
 
+/** Returns the zones of both sets; `undefined` stands for all zones. */
+export function unionZones(
+	left: readonly string[] | undefined,
+	right: readonly string[] | undefined,
+): readonly string[] | undefined {
+	return left === undefined || right === undefined
+		? undefined
+		: [...new Set([...left, ...right])];
+}
+
 /** Adds two amounts of resources. */
 export function addResources(left: Resources, right: Resources): Resources {
 	return {
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -3,7 +3,12 @@
 import {type RunTimeEstimator} from './run-time-estimator.js';
 import {findInfeasibility, projectJobLastStartMs} from './pool-admission.js';
 import {type PoolDecision} from './pool-decision.js';
-import {type NotRunReason, type PoolAnswer, type PoolJob} from './pool-job.js';
+import {
+	unionZones,
+	type NotRunReason,
+	type PoolAnswer,
+	type PoolJob,
+} from './pool-job.js';
 import {decidePoolAdmission, type QueueOrder} from './pool-queue.js';
 import {
 	type ReportedEnd,
@@ -12,7 +17,11 @@
 	type WorkerEntry,
 	type WorkerRun,
 } from './pool-worker.js';
-import {ScheduledJob, type ScheduledTask} from './scheduled-job.js';
+import {
+	ScheduledJob,
+	submissionDelayMs,
+	type ScheduledTask,
+} from './scheduled-job.js';
 import {
 	type CommandOutcome,
 	type SentHold,
@@ -51,9 +60,9 @@
 	readonly answerRetentionMs: number;
 	/** Largest number of retained answers, and of retained attempts without a result. */
 	readonly maxRetainedAnswers: number;
-	/** Multiple of the expected run time from which a run counts as stuck. The scheduler does not read it. */
+	/** Multiple of the expected run time from which a run counts as stuck; few runs of sound workers take as long. */
 	readonly stuckFactor: number;
-	/** Shortest run time from which a run counts as stuck. The scheduler does not read it. */
+	/** Shortest run time from which a run counts as stuck. */
 	readonly minStuckMs: number;
 };
 
@@ -105,6 +114,8 @@
 	readonly #options: SchedulerOptions;
 	readonly #settings: SchedulerSettings;
 	readonly #jobs = new Map<string, ScheduledJob>();
+	/** All jobs with waiting tasks, and some whose last waiting task was placed or that were answered. */
+	readonly #waitingJobs = new Set<ScheduledJob>();
 	/** Attempts that were answered `not-run` or `may-have-run`, with the time of the answer. */
 	readonly #closedAttempts = new Map<
 		string,
@@ -149,6 +160,32 @@
 		).length;
 	}
 
+	/**
+	 * Computes the free thousandths of a core on the workers of each led zone. A zone in which tasks wait has none: what
+	 * is free on each of its workers is too little for them.
+	 */
+	computeSpareMillis(now: number): Readonly<Record<string, number>> {
+		const waitingJobs = [...this.#jobs.values()].filter(({tasks}) =>
+			tasks.some(({state}) => state === 'waiting'),
+		);
+		return Object.fromEntries(
+			this.pool.zones.map((zone) => [
+				zone,
+				waitingJobs.some((job) => job.mayRunIn(zone))
+					? 0
+					: this.pool.workers
+							.filter(
+								(worker) =>
+									worker.entry.zone === zone && worker.canStartTask(now),
+							)
+							.reduce(
+								(sum, {free}) => sum + Math.max(0, free.processorMillis),
+								0,
+							),
+			]),
+		);
+	}
+
 	/** Applies a desired state unless its version is older than, or the same as, the current one. */
 	applyDesiredState(state: DesiredState): void {
 		if (
@@ -181,18 +218,27 @@
 	}
 
 	/**
-	 * Stops leading the workers of zones. Jobs with runs there are answered `may-have-run`; if no zone is left, all jobs are
-	 * dropped without an answer, for the next leader to take over.
+	 * Stops leading the workers of zones. Jobs that may run in none of the remaining zones are dropped without an answer,
+	 * for the next leader to take over; all others with runs in the dropped zones are answered `may-have-run`.
 	 */
 	stopLeadingZones(zones: readonly string[], now: number): void {
 		this.#now = now;
 		const runs = zones.flatMap((zone) => this.pool.dropZone(zone, now));
 		if (this.pool.zones.length === 0) {
-			this.#sendCompletedTasks([...this.#jobs.values()]);
+			this.#sendCompletedTasks(this.#jobs.values());
 			this.#jobs.clear();
 			return;
 		}
 
+		const leaving = [...this.#jobs.values()].filter(
+			(job) => !this.pool.zones.some((zone) => job.mayRunIn(zone)),
+		);
+		this.#sendCompletedTasks(leaving);
+		for (const job of leaving) {
+			this.#stopRuns(job, now);
+			this.#jobs.delete(job.id);
+		}
+
 		for (const run of runs) {
 			const job = this.#jobs.get(run.jobId);
 			if (job !== undefined) {
@@ -254,6 +300,7 @@
 			if (isResubmitted) {
 				// Another leader may have started the job after this leader received it first.
 				knownJob.isIndeterminate = true;
+				knownJob.zones = unionZones(knownJob.zones, job.zones);
 				knownJob.markUnsettled(job.earlierToken ?? 0, now);
 			}
 
@@ -331,9 +378,7 @@
 		now: number,
 	): void {
 		this.#now = now;
-		const run = this.pool.workers
-			.find(({entry}) => entry.id === workerId)
-			?.runs.get(taskName);
+		const run = this.pool.findWorker(workerId)?.runs.get(taskName);
 		const spec =
 			run === undefined ? '' : (this.#jobs.get(run.jobId)?.job.spec ?? '');
 		this.pool.handleStartOutcome(workerId, taskName, spec, outcome, now);
@@ -376,11 +421,12 @@
 		this.#tickedAtMs = now;
 		this.pool.tick(now);
 		for (const worker of this.pool.workers) {
-			for (const {orderedAtMs, expectedMs} of worker.runs.values()) {
+			for (const run of worker.runs.values()) {
 				worker.pace.recordOngoingRun(
-					(now - orderedAtMs) / Math.max(1, expectedMs),
+					(now - run.orderedAtMs) / Math.max(1, run.expectedMs),
 					now,
 				);
+				this.#stopRunIfStuck(run, worker, now);
 			}
 		}
 
@@ -509,7 +555,7 @@
 	}
 
 	/** Sends the done tasks of each job to its receiver, so that the next leader does not run them again. */
-	#sendCompletedTasks(jobs: readonly ScheduledJob[]): void {
+	#sendCompletedTasks(jobs: Iterable<ScheduledJob>): void {
 		for (const {id, receiver, tasks} of jobs) {
 			const doneTasks = tasks
 				.filter(({state}) => state === 'done')
@@ -595,6 +641,7 @@
 		}
 
 		this.#jobs.set(job.id, scheduledJob);
+		this.#waitingJobs.add(scheduledJob);
 		this.#logJobDecision(
 			'admitted',
 			job.id,
@@ -706,11 +753,27 @@
 
 	/** Projects when the last task of a job starts, behind the jobs that precede it in the queue order. */
 	#projectLastStartMs(job: ScheduledJob, now: number): number {
-		const ahead = [...this.#jobs.values()].filter(
+		const ahead = this.#listWaitingJobs().filter(
 			(other) =>
-				other !== job && this.#options.queueOrder.compare(other, job, now) < 0,
+				other !== job &&
+				haveCommonZone(other, job) &&
+				this.#options.queueOrder.compare(other, job, now) < 0,
 		);
-		return projectJobLastStartMs(job, ahead, this.pool.workers, now);
+		return projectJobLastStartMs(job, ahead, this.pool, now);
+	}
+
+	/** Returns the unanswered jobs with waiting tasks. */
+	#listWaitingJobs(): readonly ScheduledJob[] {
+		for (const job of this.#waitingJobs) {
+			if (
+				this.#jobs.get(job.id) !== job ||
+				job.tasks.every(({state}) => state !== 'waiting')
+			) {
+				this.#waitingJobs.delete(job);
+			}
+		}
+
+		return [...this.#waitingJobs];
 	}
 
 	/** Starts the waiting tasks that fit on available workers, in queue order, if anything has changed since the last attempt. */
@@ -720,35 +783,31 @@
 		}
 
 		this.#needsPlacement = false;
-		const availableWorkers = this.pool.workers.filter((worker) =>
-			worker.canStartTask(now),
-		);
-		if (availableWorkers.length === 0) {
-			return;
-		}
+		const freeMillisLimits = new Map<string, number>();
+		const mayHaveRoom = (job: ScheduledJob): boolean => {
+			const {service} = job.queue;
+			const limitMillis =
+				freeMillisLimits.get(service) ??
+				this.pool.capacity.freeMillisLimit(service, now);
+			freeMillisLimits.set(service, limitMillis);
+			return job.tasks.some(
+				({state, task: {needs}}) =>
+					state === 'waiting' && needs.processorMillis <= limitMillis,
+			);
+		};
 
-		const waitingJobs = [...this.#jobs.values()]
-			.filter(
-				(job) =>
-					job.receiverLostAtMs === undefined &&
-					job.tasks.some(({state}) => state === 'waiting'),
-			)
+		const placeableJobs = this.#listWaitingJobs()
+			.filter((job) => job.receiverLostAtMs === undefined && mayHaveRoom(job))
 			.toSorted((left, right) =>
 				this.#options.queueOrder.compare(left, right, now),
 			);
-		if (waitingJobs.length === 0) {
-			return;
-		}
-
-		let largestFreeMillis = largestFreeProcessorMillis(availableWorkers);
-		for (const job of waitingJobs) {
-			const hasRoom = smallestWaitingProcessorMillis(job) <= largestFreeMillis;
+		for (const job of placeableJobs) {
 			if (
-				hasRoom &&
+				mayHaveRoom(job) &&
 				now >= this.#priorRunsSettledAtMs(job, now) &&
-				this.#placeTasksOfJob(job, availableWorkers, now)
+				this.#placeTasksOfJob(job, now)
 			) {
-				largestFreeMillis = largestFreeProcessorMillis(availableWorkers);
+				freeMillisLimits.delete(job.queue.service);
 			}
 		}
 	}
@@ -758,7 +817,7 @@
 	 * start any more, or is known to this leader.
 	 */
 	#priorRunsSettledAtMs(
-		{unsettledSinceMs, earlierToken}: ScheduledJob,
+		{unsettledSinceMs, earlierToken, zones}: ScheduledJob,
 		now: number,
 	): number {
 		return unsettledSinceMs === undefined
@@ -766,7 +825,7 @@
 			: Math.max(
 					unsettledSinceMs + workerListDelayMs,
 					this.pool.priorRunsSettledAtMs(
-						this.#options.zones,
+						zones ?? this.#options.zones,
 						unsettledSinceMs,
 						earlierToken,
 						now,
@@ -776,13 +835,13 @@
 
 	/** Returns the earliest time that {@link #priorRunsSettledAtMs} can become, if workers of newly led zones report at once. */
 	#earliestPriorRunsSettledAtMs(
-		{unsettledSinceMs, earlierToken}: ScheduledJob,
+		{unsettledSinceMs, earlierToken, zones}: ScheduledJob,
 		now: number,
 	): number {
 		return unsettledSinceMs === undefined
 			? now
 			: this.pool.earliestPriorRunsSettledAtMs(
-					this.#options.zones,
+					zones ?? this.#options.zones,
 					unsettledSinceMs,
 					earlierToken,
 					now,
@@ -790,14 +849,7 @@
 	}
 
 	/** Starts the waiting tasks of a job that fit on available workers; returns whether any was started. */
-	#placeTasksOfJob(
-		job: ScheduledJob,
-		availableWorkers: readonly PoolWorker[],
-		now: number,
-	): boolean {
-		const serviceWorkers = availableWorkers.filter(
-			({entry}) => entry.service === job.queue.service,
-		);
+	#placeTasksOfJob(job: ScheduledJob, now: number): boolean {
 		if (job.unsettledSinceMs !== undefined && this.pool.hasOrphans) {
 			// A run of another leader that a report listed while the task was placed here, in vain.
 			for (const task of job.waitingTasks) {
@@ -810,6 +862,7 @@
 			}
 		}
 
+		const candidates = this.pool.capacity.candidates(job.queue.service);
 		const largestFirst = job.waitingTasks.toSorted(
 			(left, right) =>
 				right.task.needs.processorMillis - left.task.needs.processorMillis,
@@ -817,20 +870,25 @@
 		const latestEndMs = job.latestFirstStartMs + job.longestTaskMs;
 		let hasPlacedTask = false;
 		for (const task of largestFirst) {
-			const preferredWorkers = serviceWorkers.filter(
-				(worker) =>
-					worker.entry.id !== task.avoidedWorker &&
-					(job.hasStarted ||
-						now + task.expectedMs * worker.pace.slowdownFactor(now) <=
-							latestEndMs),
-			);
-			const worker = this.#options.workerSelection.choose(
-				task.task,
-				preferredWorkers.length > 0 || !job.hasStarted
-					? preferredWorkers
-					: serviceWorkers,
-				now,
-			);
+			const worker =
+				this.#options.workerSelection.choose(
+					task.task,
+					candidates,
+					({entry, pace}) =>
+						job.mayRunIn(entry.zone) &&
+						entry.id !== task.avoidedWorker &&
+						(job.hasStarted ||
+							now + task.expectedMs * pace.slowdownFactor(now) <= latestEndMs),
+					now,
+				) ??
+				(this.#isOnlyAvoidedWorkerAvailable(job, task, now)
+					? this.#options.workerSelection.choose(
+							task.task,
+							candidates,
+							({entry}) => job.mayRunIn(entry.zone),
+							now,
+						)
+					: undefined);
 			if (worker !== undefined) {
 				this.#startTask(job, task, worker, now);
 				hasPlacedTask = true;
@@ -840,6 +898,25 @@
 		return hasPlacedTask;
 	}
 
+	/** Whether a task of a started job has no available worker but the one that it should avoid. */
+	#isOnlyAvoidedWorkerAvailable(
+		job: ScheduledJob,
+		{avoidedWorker}: ScheduledTask,
+		now: number,
+	): boolean {
+		return (
+			job.hasStarted &&
+			avoidedWorker !== undefined &&
+			!this.pool.workers.some(
+				(worker) =>
+					worker.entry.service === job.queue.service &&
+					job.mayRunIn(worker.entry.zone) &&
+					worker.entry.id !== avoidedWorker &&
+					worker.canStartTask(now),
+			)
+		);
+	}
+
 	#startTask(
 		job: ScheduledJob,
 		task: ScheduledTask,
@@ -887,6 +964,7 @@
 		}
 
 		task.state = 'waiting';
+		this.#waitingJobs.add(job);
 		task.avoidedWorker = worker.entry.id;
 		task.failureCount += outcome === 'failed' ? 1 : 0;
 		if (task.failureCount >= job.queue.mostAttempts) {
@@ -941,6 +1019,53 @@
 		}
 	}
 
+	/**
+	 * Stops a run that takes many times as long as expected, so that its task can run on another worker while its caller
+	 * waits. A task is stopped only once for this, because its estimate may be wrong.
+	 */
+	#stopRunIfStuck(run: WorkerRun, worker: PoolWorker, now: number): void {
+		const {stuckFactor, minStuckMs} = this.#settings;
+		const ranMs = now - run.orderedAtMs;
+		if (
+			run.state !== 'running' ||
+			ranMs < Math.max(minStuckMs, stuckFactor * run.expectedMs)
+		) {
+			return;
+		}
+
+		const job = this.#jobs.get(run.jobId);
+		const task = job?.tasks.find(({task: {name}}) => name === run.task);
+		if (
+			job === undefined ||
+			task === undefined ||
+			task.wasStuck ||
+			task.worker !== worker.entry.id ||
+			ranMs < stuckFactor * task.task.declaredMs ||
+			now + run.expectedMs + submissionDelayMs > job.callerDeadlineMs
+		) {
+			return;
+		}
+
+		task.wasStuck = true;
+		this.#options.output.logDecision({
+			event: 'run-stuck',
+			id: run.jobId,
+			task: run.task,
+			run: run.run,
+			worker: worker.entry.id,
+			reason: 'overdue',
+			inputs: {
+				ranMs: Math.round(ranMs),
+				expectedMs: Math.round(run.expectedMs),
+			},
+		});
+		if (worker.health.recordFailure(run.jobId, now)) {
+			this.handleWorkerChange(worker, 'set-aside');
+		}
+
+		this.pool.stopRun(run, worker, now);
+	}
+
 	/** Projects the start of a waiting job once more; returns whether it is beyond the latest first start. */
 	#isProjectedTooLate(job: ScheduledJob, now: number): boolean {
 		if (
@@ -973,13 +1098,14 @@
 	}
 
 	#stopRuns(job: ScheduledJob, now: number): void {
-		for (const worker of this.pool.workers) {
-			for (const run of worker.runs.values()) {
-				if (run.jobId === job.id) {
-					this.#stoppedJobs.set(job.id, now);
-					if (run.state !== 'stopping') {
-						this.pool.stopRun(run, worker, now);
-					}
+		for (const {task, worker: workerId} of job.tasks) {
+			const worker =
+				workerId === undefined ? undefined : this.pool.findWorker(workerId);
+			const run = worker?.runs.get(task.name);
+			if (worker !== undefined && run !== undefined) {
+				this.#stoppedJobs.set(job.id, now);
+				if (run.state !== 'stopping') {
+					this.pool.stopRun(run, worker, now);
 				}
 			}
 		}
@@ -1047,7 +1173,11 @@
 		job: ScheduledJob | undefined,
 	): void {
 		worker.health.recordCompletion(ranMs, run.expectedMs);
-		worker.pace.recordEndedRun(ranMs / Math.max(1, run.expectedMs), this.#now);
+		this.pool.recordEndedRun(
+			worker,
+			ranMs / Math.max(1, run.expectedMs),
+			this.#now,
+		);
 		const task = job?.tasks.find(({task: {name}}) => name === run.task);
 		if (job !== undefined && task !== undefined) {
 			const {declaredMs} = task.task;
@@ -1092,16 +1222,13 @@
 	};
 }
 
-function smallestWaitingProcessorMillis({waitingTasks}: ScheduledJob): number {
-	return Math.min(
-		...waitingTasks.map(({task: {needs}}) => needs.processorMillis),
+/** Whether two jobs may run on workers of the same zone. */
+function haveCommonZone(left: ScheduledJob, right: ScheduledJob): boolean {
+	return (
+		left.zones === undefined || left.zones.some((zone) => right.mayRunIn(zone))
 	);
 }
 
-function largestFreeProcessorMillis(workers: readonly PoolWorker[]): number {
-	return Math.max(0, ...workers.map(({free}) => free.processorMillis));
-}
-
 /** Returns the identifier of the job that a task belongs to: the part of the task's name before the first dot. */
 export function parseJobId(taskName: string): string {
 	return taskName.slice(0, taskName.indexOf('.'));
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -117,11 +117,6 @@
 	health = new TargetHealth();
 	/** Ratio of run times to estimates. */
 	pace = new WorkerPace();
-	/**
-	 * Whether the worker has reported under the present fencing token; cleared by a refusal of it, a restart and a new
-	 * listing.
-	 */
-	isSynced = false;
 	/** Time from which hold commands must have been sent for their reports to count. */
 	reportsRequiredSinceMs = Number.NEGATIVE_INFINITY;
 	/** Whether a hold command has no answer yet. */
@@ -140,6 +135,7 @@
 	fullUntilMs = 0;
 	/** Time by which the lease is certain to have expired unless a leader extends it again. */
 	leaseExpiresByMs = 0;
+	#isSynced = false;
 	#clockOffsetMs: number | undefined;
 	#bornMs: number | undefined;
 	#used: Resources = {processorMillis: 0, memoryMb: 0, accelerators: 0};
@@ -147,7 +143,30 @@
 	#free: Resources | undefined;
 	#freeForCapacity: Resources | undefined;
 
-	constructor(public entry: WorkerEntry) {}
+	readonly #handleChange: ((worker: PoolWorker) => void) | undefined;
+
+	/** `handleChange` is called after each change of the runs, the orphans or `isSynced`. */
+	constructor(
+		public entry: WorkerEntry,
+		/** Rises with each worker that a pool adds; of equally suitable workers the one with the lowest is chosen. */
+		readonly ordinal = 0,
+		handleChange?: (worker: PoolWorker) => void,
+	) {
+		this.#handleChange = handleChange;
+	}
+
+	/**
+	 * Whether the worker has reported under the present fencing token; cleared by a refusal of it, a restart and a new
+	 * listing.
+	 */
+	get isSynced(): boolean {
+		return this.#isSynced;
+	}
+
+	set isSynced(isSynced: boolean) {
+		this.#isSynced = isSynced;
+		this.#handleChange?.(this);
+	}
 
 	/**
 	 * Start time of the worker's process from its last report, in Unix milliseconds; `undefined` before the first
@@ -267,5 +286,6 @@
 
 		this.#used = used;
 		this.#free = undefined;
+		this.#handleChange?.(this);
 	}
 }
--- a/packages/core/src/scheduled-job.ts
+++ b/packages/core/src/scheduled-job.ts
@@ -13,6 +13,8 @@
 	/** Number of the latest known run; 0 before the first. */
 	latestRun: number;
 	failureCount: number;
+	/** Whether a run of the task was stopped because it took many times as long as expected. */
+	wasStuck: boolean;
 	/** Identifier of the worker where the last run ended without success; a retry prefers other workers. */
 	avoidedWorker: string | undefined;
 };
@@ -21,7 +23,7 @@
 const maxLatenessFactor = 3;
 
 /** Longest time in milliseconds that a job takes to reach an available leader; a longer one means that there was no leader. */
-const submissionDelayMs = 40;
+export const submissionDelayMs = 40;
 
 /** Computes the time in milliseconds from a job's arrival within which its caller can still use an answer. */
 export function computeAnswerWindowMs(
@@ -56,6 +58,8 @@
 	isDelayedByFailover: boolean;
 	/** Whether the scheduler has projected the start again since it admitted the job. */
 	isReassessed = false;
+	/** Zones whose workers may run the job, or may have run it for an earlier leader; `undefined` for all zones. */
+	zones: readonly string[] | undefined;
 	/** Whether any run of the job has been placed, or found on a worker, or any task was done when the job arrived. */
 	hasStarted = false;
 
@@ -70,7 +74,9 @@
 		this.isIndeterminate = false;
 		this.unsettledSinceMs = undefined;
 		this.earlierToken = job.earlierToken ?? 0;
-		this.isDelayedByFailover = job.waitedMs > submissionDelayMs;
+		this.zones = job.zones;
+		this.isDelayedByFailover =
+			job.waitedMs > submissionDelayMs && job.refusingZones === undefined;
 		this.arrivedAtMs = now - job.waitedMs;
 		this.tasks = job.tasks.map((task) => ({
 			task,
@@ -79,6 +85,7 @@
 			worker: undefined,
 			latestRun: 0,
 			failureCount: 0,
+			wasStuck: false,
 			avoidedWorker: undefined,
 		}));
 		this.hasStarted = this.tasks.some(({state}) => state === 'done');
@@ -96,6 +103,11 @@
 		return this.queue.priority;
 	}
 
+	/** Whether a task of the job may be placed on workers of a zone. */
+	mayRunIn(zone: string): boolean {
+		return this.zones === undefined || this.zones.includes(zone);
+	}
+
 	/** Latency objective: the time from arrival within which the job should be answered. */
 	get objectiveMs(): number {
 		return this.queue.stretch * this.longestTaskMs + this.queue.latencyMs;
--- a/packages/core/src/tests/leadership.test.ts
+++ b/packages/core/src/tests/leadership.test.ts
@@ -42,6 +42,14 @@
 	return created;
 }
 
+function createZonalLeadership(
+	name: string,
+	zone = 'zone-a',
+	processorShare = 1,
+): Leadership {
+	return new Leadership({name, zone, processorShare}, zones);
+}
+
 /** Returns the heartbeat of an entry VM with the state of its leadership. */
 function createLeadershipHeartbeat(
 	name: string,
@@ -279,3 +287,367 @@
 		);
 	});
 });
+
+describe('leaders of zones', () => {
+	it('claims its zone and no other, warm or not', () => {
+		const peers = [heartbeatFixture('b', {zone: 'zone-b'})];
+		const cold = createZonalLeadership('a');
+		expect(simulate(cold, 0, 6000, peers)).toEqual(['zone-a']);
+		const warm = createZonalLeadership('c');
+		warm.setWarm();
+		expect(simulate(warm, 0, 6000, peers)).toEqual(['zone-a']);
+	});
+
+	it('does not merge leaders of zones once they are warm', () => {
+		const a = createZonalLeadership('a');
+		const b = createZonalLeadership('b', 'zone-b', 2);
+		for (let now = 0; now <= 10_000; now += 20) {
+			a.receiveHeartbeat(
+				{...createLeadershipHeartbeat('b', 'zone-b', b), scope: 'zone'},
+				now,
+			);
+			b.receiveHeartbeat(
+				{...createLeadershipHeartbeat('a', 'zone-a', a), scope: 'zone'},
+				now,
+			);
+			a.tick(now);
+			b.tick(now);
+		}
+
+		expect([[...a.ledZones.keys()], [...b.ledZones.keys()]]).toEqual([
+			['zone-a'],
+			['zone-b'],
+		]);
+	});
+
+	it('lets the warm candidate claim first, and of equals the strongest machine', () => {
+		const leader = heartbeatFixture('l', {leads: {'zone-a': 5}});
+		const stronger = heartbeatFixture('z', {processorShare: 2, isWarm: false});
+		const claimsAfterLoss = (leadership: Leadership, untilMs: number) => {
+			simulate(leadership, 0, 2000, [leader, stronger]);
+			leadership.markDisconnected('l');
+			return simulate(leadership, 2020, 2020 + untilMs, [stronger]);
+		};
+
+		const warm = createZonalLeadership('m');
+		warm.setWarm();
+		expect(claimsAfterLoss(warm, leaderCheckMs + 20)).toEqual(['zone-a']);
+		const untilTurnMs = leaderCheckMs + candidateStaggerMs;
+		expect(
+			claimsAfterLoss(createZonalLeadership('m'), untilTurnMs - 20),
+		).toEqual([]);
+		expect(
+			claimsAfterLoss(createZonalLeadership('m'), untilTurnMs + 20),
+		).toEqual(['zone-a']);
+	});
+
+	it('ranks the leader of many zones no higher than others of the zone', () => {
+		const leadership = createZonalLeadership('a');
+		leadership.setWarm();
+		const peers = [heartbeatFixture('b', {leads: {'zone-b': 5, 'zone-c': 5}})];
+		expect(
+			simulate(leadership, 0, startGraceMs + leaderCheckMs + 40, peers),
+		).toEqual(['zone-a']);
+	});
+
+	it('hands a foreign zone back to the best candidate of the zone, and only after the merge delay', () => {
+		const leadership = createZonalLeadership('a');
+		const leaving = heartbeatFixture('b', {
+			zone: 'zone-b',
+			isStopping: true,
+			yields: {'zone-b': 'a'},
+		});
+		simulate(leadership, 0, 1000, [leaving]);
+		expect([...leadership.ledZones.keys()].toSorted()).toEqual(zones);
+		const returned = [
+			{name: 'c', isWarm: false, processorShare: 4},
+			{name: 'd', processorShare: 1},
+			{name: 'e', processorShare: 2},
+			{name: 'f', processorShare: 3, isStopping: true},
+		].map((change) =>
+			heartbeatFixture(change.name, {
+				zone: 'zone-b',
+				scope: 'zone',
+				...change,
+			}),
+		);
+		simulate(leadership, 3000, 3000 + mergeDelayMs - 20, returned);
+		expect(leadership.ledZones.size).toBe(2);
+		simulate(
+			leadership,
+			3000 + mergeDelayMs,
+			3000 + mergeDelayMs + 20,
+			returned,
+		);
+		expect([...leadership.ledZones.keys()]).toEqual(['zone-a']);
+		expect(leadership.successors.get('zone-b')).toBe('e');
+	});
+
+	it('moves a zone within it only to a stronger warm machine', () => {
+		const leadsAfter = (peer: Heartbeat) => {
+			const leadership = createZonalLeadership('m');
+			simulate(leadership, 0, 1000);
+			simulate(leadership, 1020, 1100 + mergeDelayMs, [peer]);
+			return [...leadership.ledZones.keys()];
+		};
+
+		const inScope = {scope: 'zone'} as const;
+		expect(leadsAfter(heartbeatFixture('a', inScope))).toEqual(['zone-a']);
+		expect(
+			leadsAfter(
+				heartbeatFixture('a', {...inScope, processorShare: 2, isWarm: false}),
+			),
+		).toEqual(['zone-a']);
+		expect(
+			leadsAfter(heartbeatFixture('a', {...inScope, processorShare: 2})),
+		).toEqual([]);
+	});
+
+	it('splits the region when the scope changes, each zone to its own entry VM', () => {
+		const leadership = createLeadership('a');
+		leadership.setWarm();
+		simulate(leadership, 0, 3000, [heartbeatFixture('b', {zone: 'zone-b'})]);
+		expect(leadership.ledZones.size).toBe(2);
+		leadership.setScope('zone');
+		const peers = [heartbeatFixture('b', {zone: 'zone-b', scope: 'zone'})];
+		simulate(leadership, 3020, 3040, peers);
+		expect([...leadership.ledZones.keys()]).toEqual(['zone-a']);
+		expect(leadership.successors.get('zone-b')).toBe('b');
+	});
+
+	it('hands no zone to an entry VM with the other scope, which would hand it back', () => {
+		const zonal = createZonalLeadership('a');
+		const lastBuild = heartbeatFixture('c', {zone: 'zone-b'});
+		simulate(zonal, 0, 1000, [
+			heartbeatFixture('b', {
+				zone: 'zone-b',
+				isStopping: true,
+				yields: {'zone-b': 'a'},
+			}),
+		]);
+		simulate(zonal, 3000, 6000, [lastBuild]);
+		expect(zonal.ledZones.size).toBe(2);
+		const regional = createLeadership('m');
+		simulate(regional, 0, 1000);
+		const strongerLeader = heartbeatFixture('a', {
+			zone: 'zone-b',
+			leads: {'zone-b': 5},
+			processorShare: 2,
+		});
+		simulate(regional, 1020, 4000, [{...strongerLeader, scope: 'zone'}]);
+		expect(regional.ledZones.size).toBe(1);
+		simulate(regional, 4020, 7000, [strongerLeader]);
+		expect(regional.ledZones.size).toBe(0);
+	});
+
+	it('hands its zone over on a planned stop to an entry VM of the zone, and to another one only if there is none', () => {
+		const successorAmong = (peers: readonly Heartbeat[]) => {
+			const leadership = createZonalLeadership('m');
+			simulate(leadership, 0, 1000, peers);
+			leadership.stop(1000);
+			return leadership.successors.get('zone-a');
+		};
+
+		const foreign = heartbeatFixture('f', {zone: 'zone-b', processorShare: 9});
+		expect(successorAmong([foreign, heartbeatFixture('n')])).toBe('n');
+		expect(
+			successorAmong([
+				heartbeatFixture('e', {zone: 'zone-b', leads: {'zone-b': 1}}),
+				heartbeatFixture('f', {zone: 'zone-b', processorShare: 0.5}),
+			]),
+		).toBe('f');
+	});
+});
+
+describe('Leadership of a process that read no messages for a time', () => {
+	const leader = heartbeatFixture('entry-2', {
+		processorShare: 2,
+		leads: {'zone-a': 1000, 'zone-b': 1000},
+		highestToken: 1000,
+	});
+	const follower = heartbeatFixture('entry-3', {zone: 'zone-b'});
+
+	/** Creates a follower that has received heartbeats until a time. */
+	function followUntil(now: number): Leadership {
+		const leadership = createLeadership('entry-1');
+		expect(simulate(leadership, 0, now, [leader, follower])).toEqual([]);
+		return leadership;
+	}
+
+	it('does not count that time as silence of its peers', () => {
+		const leadership = followUntil(5000);
+		leadership.excludeStall(700, 5700);
+		expect(leadership.isPeerLive('entry-2', 5700)).toBe(true);
+		expect(simulate(leadership, 5700, 6080)).toEqual([]);
+		expect(leadership.findLeader('zone-a', 6080)?.name).toBe('entry-2');
+		expect(leadership.findLeader('zone-a', 6101)).toBe(undefined);
+	});
+
+	it('notices the loss of a leader although it is late all the time', () => {
+		const leadership = followUntil(5000);
+		for (let now = 5300; now <= 6400; now += 300) {
+			leadership.excludeStall(300, now);
+			leadership.tick(now);
+		}
+
+		expect(leadership.findLeader('zone-a', 6400)?.name).toBe('entry-2');
+		for (let now = 6500; now <= 7400; now += 300) {
+			leadership.excludeStall(300, now);
+			leadership.tick(now);
+		}
+
+		expect(leadership.findLeader('zone-a', 7400)).toBe(undefined);
+	});
+
+	it('does not take a peer for live that was lost before', () => {
+		const leadership = followUntil(5000);
+		leadership.markDisconnected('entry-3');
+		simulate(leadership, 5020, 5500);
+		leadership.excludeStall(700, 6200);
+		expect(leadership.livePeers(6200)).toEqual([]);
+	});
+
+	it('takes messages of that time for out of date until the next heartbeat', () => {
+		const leadership = followUntil(5000);
+		leadership.excludeStall(700, 5700);
+		expect(leadership.hasRecentHeartbeat('entry-3', 5700)).toBe(false);
+		leadership.receiveHeartbeat(follower, 5700);
+		expect(leadership.hasRecentHeartbeat('entry-3', 5700)).toBe(true);
+	});
+
+	it('drops a zone whose token is refused, and claims nothing until a heartbeat arrives', () => {
+		const leadership = createLeadership('entry-1');
+		leadership.setWarm();
+		const followers = [follower, heartbeatFixture('entry-4')];
+		expect(simulate(leadership, 0, 5000, followers)).toEqual(zones);
+		leadership.excludeStall(700, 5700);
+		expect(
+			leadership.handleTokenRefusal(
+				'zone-a',
+				leadership.ledZones.get('zone-a')!,
+				5700,
+			),
+		).toEqual([{kind: 'dropped', zone: 'zone-a', reason: 'isolated'}]);
+		expect(simulate(leadership, 5700, 5900)).toEqual([]);
+	});
+});
+
+describe('leaders of zones that lose each other', () => {
+	type Node = {
+		readonly name: string;
+		readonly zone: string;
+		readonly leadership: Leadership;
+		isRunning: boolean;
+	};
+
+	function createNodes(): readonly Node[] {
+		return zones.flatMap((zone) =>
+			['1', '2', '3'].map((number) => {
+				const name = `${zone}-${number}`;
+				return {
+					name,
+					zone,
+					leadership: createZonalLeadership(name, zone, Number(number)),
+					isRunning: true,
+				};
+			}),
+		);
+	}
+
+	/** Lets nodes exchange heartbeats every 100 ms where `canReach` allows; returns the claims, as name and zone. */
+	function run(
+		nodes: readonly Node[],
+		fromMs: number,
+		toMs: number,
+		canReach: (from: Node, to: Node) => boolean = () => true,
+	): readonly string[] {
+		const claims: string[] = [];
+		for (let now = fromMs; now <= toMs; now += 20) {
+			const running = nodes.filter(({isRunning}) => isRunning);
+			for (const from of now % 100 === 0 ? running : []) {
+				const heartbeat = {
+					...createLeadershipHeartbeat(from.name, from.zone, from.leadership),
+					scope: 'zone' as const,
+					processorShare: Number(from.name.at(-1)),
+					hears: Object.fromEntries(
+						zones.flatMap((zone) => {
+							const leader = from.leadership.findLeader(zone, now);
+							return leader === undefined ? [] : [[zone, leader.token]];
+						}),
+					),
+				};
+				for (const to of running) {
+					if (to !== from && canReach(from, to)) {
+						to.leadership.receiveHeartbeat(heartbeat, now);
+					}
+				}
+			}
+
+			for (const {name, leadership} of running) {
+				claims.push(
+					...leadership
+						.tick(now)
+						.flatMap(({kind, zone}) =>
+							kind === 'claimed' ? [`${name} ${zone}`] : [],
+						),
+				);
+			}
+		}
+
+		return claims;
+	}
+
+	/** Returns the zones of the running nodes that lead, with the zones that they lead. */
+	function listLeaders(
+		nodes: readonly Node[],
+	): ReadonlyArray<readonly [string, readonly string[]]> {
+		return nodes
+			.filter(
+				({isRunning, leadership}) => isRunning && leadership.ledZones.size > 0,
+			)
+			.map(({zone, leadership}) => [zone, [...leadership.ledZones.keys()]]);
+	}
+
+	const ownLeaders = zones.map((zone) => [zone, [zone]]);
+
+	it('agrees on one leader in each zone, and after its loss on another one of the zone', () => {
+		const nodes = createNodes();
+		run(nodes, 0, 6000);
+		expect(listLeaders(nodes)).toEqual(ownLeaders);
+		for (let now = 6020; now < 20_000; now += 4000) {
+			const leader = nodes.find(
+				({isRunning, leadership}) => isRunning && leadership.ledZones.size > 0,
+			)!;
+			leader.isRunning = false;
+			const claims = run(nodes, now, now + 3980);
+			expect(claims.every((claim) => claim.endsWith(leader.zone))).toBe(true);
+			const isZoneAlive = nodes.some(
+				({isRunning, zone}) => isRunning && zone === leader.zone,
+			);
+			expect(
+				listLeaders(nodes).filter(([zone]) => zone === leader.zone),
+			).toEqual(isZoneAlive ? [[leader.zone, [leader.zone]]] : []);
+		}
+	});
+
+	it('changes no leader when the zones are partitioned and when the partition heals', () => {
+		const nodes = createNodes();
+		run(nodes, 0, 8000);
+		const isSameZone = (from: Node, to: Node) => from.zone === to.zone;
+		expect(run(nodes, 8020, 14_000, isSameZone)).toEqual([]);
+		expect(run(nodes, 14_020, 20_000)).toEqual([]);
+		expect(listLeaders(nodes)).toEqual(ownLeaders);
+	});
+
+	it('agrees on leaders again after a start of all', () => {
+		const nodes = createNodes();
+		run(nodes, 0, 4000);
+		const anew = createNodes();
+		expect(
+			run(anew, 4020, 10_000).every((claim) =>
+				zones.some((zone) => claim.startsWith(zone) && claim.endsWith(zone)),
+			),
+		).toBe(true);
+		expect(listLeaders(anew)).toEqual(ownLeaders);
+	});
+});
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -1,3 +1,4 @@
+import {FreeCapacityIndex} from './free-capacity-index.js';
 import {
 	PoolWorker,
 	type ReportedEnd,
@@ -140,6 +141,15 @@
 	readonly #zones = new Map<string, LedZone>();
 	readonly #workers = new Map<string, PoolWorker>();
 	readonly #orphanEnds = new Map<string, OrphanEnd>();
+	readonly #capacity = new FreeCapacityIndex();
+	/** Workers that have not reported under the present fencing token. */
+	readonly #unsyncedWorkers = new Set<PoolWorker>();
+	/** Workers with an orphan of a task, by task. */
+	readonly #orphanHolders = new Map<string, ReadonlySet<PoolWorker>>();
+	/** Cached values of `#workers`; `undefined` after a worker was added or deleted. */
+	#workerList: readonly PoolWorker[] | undefined;
+	/** Number of workers that were added. */
+	#addedCount = 0;
 	#entries: readonly WorkerEntry[] = [];
 	/** Time of the last claim or drop of a zone. */
 	#zonesChangedAtMs = Number.NEGATIVE_INFINITY;
@@ -156,7 +166,21 @@
 
 	/** Workers of the zones that this entry VM leads. */
 	get workers(): readonly PoolWorker[] {
-		return [...this.#workers.values()];
+		this.#workerList ??= [...this.#workers.values()];
+		return this.#workerList;
+	}
+
+	/** Free capacity of the workers. */
+	get capacity(): Pick<
+		FreeCapacityIndex,
+		'candidates' | 'hasRoomForTasks' | 'freeMillisLimit'
+	> {
+		return this.#capacity;
+	}
+
+	/** Returns the worker with an identifier if this entry VM leads it. */
+	findWorker(id: string): PoolWorker | undefined {
+		return this.#workers.get(id);
 	}
 
 	/** Zones that this entry VM leads. */
@@ -216,8 +240,8 @@
 		this.#zones.delete(zone);
 		this.#zonesChangedAtMs = now;
 		const dropped = this.workers.filter(({entry}) => entry.zone === zone);
-		for (const {entry} of dropped) {
-			this.#workers.delete(entry.id);
+		for (const worker of dropped) {
+			this.#deleteWorker(worker);
 		}
 
 		return dropped.flatMap(({runs}) => [...runs.values()]);
@@ -246,8 +270,8 @@
 		return (
 			recentZones.size > 0 &&
 			(this.#workers.size === 0 ||
-				this.workers.some(
-					({entry, isSynced}) => !isSynced && recentZones.has(entry.zone),
+				[...this.#unsyncedWorkers].some(({entry}) =>
+					recentZones.has(entry.zone),
 				))
 		);
 	}
@@ -255,22 +279,24 @@
 	/**
 	 * Returns the time from which every run of a job that an earlier leader sent a start command for, and that no report
 	 * lists, is certain to have ended or never to start. The leader of another zone may keep such a run alive until it
-	 * stops the run as an orphan. `sinceMs` is the time since which another leader may have the job, and `earlierToken` the
-	 * highest token under which it may have it.
+	 * stops the run as an orphan. `jobZones` are the zones in which the job may have run, `sinceMs` is the time since which
+	 * another leader may have the job, and `earlierToken` the highest token under which it may have it.
 	 *
 	 * All reports under a token that is higher than `earlierToken` show every such run: later starts under lower tokens are
 	 * refused, and a leader that claims with a higher token needs all reports itself before it starts the job.
 	 */
 	priorRunsSettledAtMs(
-		allZones: readonly string[],
+		jobZones: readonly string[],
 		sinceMs: number,
 		earlierToken: number,
 		now: number,
 	): number {
 		const isFullySynced =
-			this.#leadsAllZones(allZones) &&
+			this.#leadsAllZones(jobZones) &&
 			this.token >= earlierToken &&
-			this.workers.every(({isSynced}) => isSynced);
+			[...this.#unsyncedWorkers].every(
+				({entry}) => !jobZones.includes(entry.zone),
+			);
 		const {leaseMs, orphanStopDelayMs} = this.#settings;
 		return isFullySynced
 			? now
@@ -282,19 +308,20 @@
 
 	/** Like `priorRunsSettledAtMs`, but assumes that workers send a requested report at once unless a command to them has failed. */
 	earliestPriorRunsSettledAtMs(
-		allZones: readonly string[],
+		jobZones: readonly string[],
 		sinceMs: number,
 		earlierToken: number,
 		now: number,
 	): number {
-		const areReportsOnTheirWay = this.workers.every(
-			({isSynced, contactFailures}) => isSynced || contactFailures === 0,
+		const areReportsOnTheirWay = [...this.#unsyncedWorkers].every(
+			({entry, contactFailures}) =>
+				contactFailures === 0 || !jobZones.includes(entry.zone),
 		);
-		return this.#leadsAllZones(allZones) &&
+		return this.#leadsAllZones(jobZones) &&
 			this.token >= earlierToken &&
 			(this.isSyncing(now) || areReportsOnTheirWay)
 			? now
-			: this.priorRunsSettledAtMs(allZones, sinceMs, earlierToken, now);
+			: this.priorRunsSettledAtMs(jobZones, sinceMs, earlierToken, now);
 	}
 
 	/** Updates the workers from the platform's list. */
@@ -306,8 +333,7 @@
 				.map((entry) => [entry.id, entry]),
 		);
 		for (const [id, entry] of listedEntries) {
-			const worker = this.#workers.get(id) ?? new PoolWorker(entry);
-			this.#workers.set(id, worker);
+			const worker = this.#workers.get(id) ?? this.#addWorker(entry);
 			this.#updateEntry(worker, entry, now);
 		}
 
@@ -319,7 +345,7 @@
 				}
 
 				if (worker.runs.size === 0) {
-					this.#workers.delete(worker.entry.id);
+					this.#deleteWorker(worker);
 				}
 			}
 		}
@@ -473,7 +499,7 @@
 		| {readonly kind: 'ended'; readonly end: OrphanEnd}
 		| undefined {
 		const end = this.#orphanEnds.get(task);
-		const [newest] = this.workers
+		const [newest] = [...(this.#orphanHolders.get(task) ?? [])]
 			.flatMap((worker) => {
 				const orphan = worker.orphans.get(task);
 				return orphan === undefined ? [] : [{worker, run: orphan.run}];
@@ -488,7 +514,10 @@
 			return {kind: 'ended', end};
 		}
 
-		newest?.worker.removeOrphan(task);
+		if (newest !== undefined) {
+			this.#removeOrphan(newest.worker, task);
+		}
+
 		return newest === undefined ? undefined : {kind: 'running', ...newest};
 	}
 
@@ -500,6 +529,9 @@
 			this.#sendHold(worker, now);
 		}
 
+		this.#capacity.resetSlowdownFactors(
+			this.workers.map(({pace}) => pace.slowdownFactor(now)),
+		);
 		for (const [task, {reportedAtMs}] of this.#orphanEnds) {
 			if (now - reportedAtMs > this.#settings.orphanEndRetentionMs) {
 				this.#orphanEnds.delete(task);
@@ -507,6 +539,64 @@
 		}
 	}
 
+	/** Updates the pace of a worker by the ratio of an ended run's actual to its expected run time. */
+	recordEndedRun(worker: PoolWorker, ratio: number, now: number): void {
+		worker.pace.recordEndedRun(ratio, now);
+		this.#capacity.recordSlowdownFactor(worker.pace.slowdownFactor(now));
+	}
+
+	#addWorker(entry: WorkerEntry): PoolWorker {
+		this.#addedCount += 1;
+		const worker = new PoolWorker(entry, this.#addedCount, (changed) => {
+			if (this.#workers.get(entry.id) === changed) {
+				this.#handleWorkerUpdate(changed);
+			}
+		});
+		this.#workers.set(entry.id, worker);
+		this.#unsyncedWorkers.add(worker);
+		this.#workerList = undefined;
+		return worker;
+	}
+
+	#handleWorkerUpdate(worker: PoolWorker): void {
+		this.#capacity.update(worker);
+		if (worker.isSynced) {
+			this.#unsyncedWorkers.delete(worker);
+		} else {
+			this.#unsyncedWorkers.add(worker);
+		}
+	}
+
+	#deleteWorker(worker: PoolWorker): void {
+		this.#workers.delete(worker.entry.id);
+		this.#unsyncedWorkers.delete(worker);
+		this.#workerList = undefined;
+		this.#capacity.remove(worker);
+		for (const task of worker.orphans.keys()) {
+			this.#removeOrphan(worker, task);
+		}
+	}
+
+	#addOrphan(worker: PoolWorker, run: ReportedRun, now: number): void {
+		worker.addOrphan(run, now);
+		this.#orphanHolders.set(
+			run.task,
+			new Set([...(this.#orphanHolders.get(run.task) ?? []), worker]),
+		);
+	}
+
+	#removeOrphan(worker: PoolWorker, task: string): void {
+		worker.removeOrphan(task);
+		const others = [...(this.#orphanHolders.get(task) ?? [])].filter(
+			(holder) => holder !== worker,
+		);
+		if (others.length > 0) {
+			this.#orphanHolders.set(task, new Set(others));
+		} else {
+			this.#orphanHolders.delete(task);
+		}
+	}
+
 	#leadsAllZones(zones: readonly string[]): boolean {
 		return zones.every((zone) => this.#zones.has(zone));
 	}
@@ -516,6 +606,7 @@
 			worker.bornMs !== undefined && entry.bornMs > worker.bornMs;
 		const wasDraining = worker.entry.state === 'draining';
 		worker.entry = entry;
+		this.#capacity.update(worker);
 		if (!worker.isListed) {
 			worker.isListed = true;
 			worker.isSynced = false;
@@ -661,7 +752,7 @@
 
 	#handleReportedEnd(worker: PoolWorker, end: ReportedEnd, now: number): void {
 		const run = worker.runs.get(end.task);
-		worker.removeOrphan(end.task);
+		this.#removeOrphan(worker, end.task);
 		if (run?.run === end.run) {
 			this.#endRun(worker, run, end.how, now);
 		} else if (run === undefined && !this.#listener.tryAdoptEnd(end)) {
@@ -690,7 +781,7 @@
 	): void {
 		for (const [task] of worker.orphans) {
 			if (!reported.has(task)) {
-				worker.removeOrphan(task);
+				this.#removeOrphan(worker, task);
 			}
 		}
 
@@ -706,7 +797,7 @@
 				!worker.orphans.has(reportedRun.task) &&
 				!this.#listener.tryAdoptRun(reportedRun, worker)
 			) {
-				worker.addOrphan(reportedRun, now);
+				this.#addOrphan(worker, reportedRun, now);
 			}
 		}
 
@@ -743,7 +834,7 @@
 	#handleRestart(worker: PoolWorker, now: number): void {
 		this.#listener.handleWorkerChange(worker, 'restarted');
 		for (const task of worker.orphans.keys()) {
-			worker.removeOrphan(task);
+			this.#removeOrphan(worker, task);
 		}
 
 		// The report lists the runs whose start commands the new process has executed, and waiting tasks adopt them from it.
--- a/packages/peer/src/pool-link.ts
+++ b/packages/peer/src/pool-link.ts
@@ -7,20 +7,57 @@
 	type ServiceDefinition,
 } from '@grpc/grpc-js';
 import {type PoolMessage} from './pool-message.js';
+import {type LinkCloseCause, type PoolTraffic} from './pool-traffic.js';
 
-/** Messages that were sent in one turn of the event loop. */
-export type PoolBatch = readonly PoolMessage[];
+/** Messages that were sent in one turn of the event loop, and their encoded length. */
+export type PoolBatch = {
+	readonly messages: readonly PoolMessage[];
+	readonly byteLength: number;
+};
 
 /** Acknowledges a heartbeat, which shows that the receiver still reads the stream. */
 export type PoolAcknowledgement = {readonly isAlive: true};
 
-/** Serializes a message. Receivers do not validate messages, as only entry VMs send them. */
-function serialize(value: PoolBatch | PoolAcknowledgement) {
-	return Buffer.from(JSON.stringify(value));
+/** A message that is encoded once for all streams on which it is sent. */
+export class EncodedMessage {
+	readonly type: PoolMessage['type'];
+	readonly text: string;
+	#batchBytes: ReturnType<typeof Buffer.from> | undefined;
+
+	constructor(message: PoolMessage) {
+		this.type = message.type;
+		this.text = JSON.stringify(message);
+	}
+
+	/** The bytes of a batch with only this message. */
+	get batchBytes() {
+		this.#batchBytes ??= Buffer.from(`[${this.text}]`);
+		return this.#batchBytes;
+	}
+}
+
+/** The encoded acknowledgement. */
+const acknowledgementBytes = Buffer.from(JSON.stringify({isAlive: true}));
+
+/** Joins messages into a JSON array. Receivers do not validate messages, as only entry VMs send them. */
+function serializeBatch(batch: readonly EncodedMessage[]) {
+	const [first] = batch;
+	return batch.length === 1 && first !== undefined
+		? first.batchBytes
+		: Buffer.from(`[${batch.map(({text}) => text).join(',')}]`);
 }
 
 function deserializeBatch(bytes: Uint8Array): PoolBatch {
-	return JSON.parse(Buffer.from(bytes).toString('utf8')) as PoolBatch;
+	return {
+		messages: JSON.parse(
+			Buffer.from(bytes).toString('utf8'),
+		) as readonly PoolMessage[],
+		byteLength: bytes.length,
+	};
+}
+
+function serializeAcknowledgement() {
+	return acknowledgementBytes;
 }
 
 function deserializeAcknowledgement(): PoolAcknowledgement {
@@ -33,9 +70,9 @@
 		path: '/verbenarouter.Pool/Exchange',
 		requestStream: true,
 		responseStream: true,
-		requestSerialize: serialize,
+		requestSerialize: serializeBatch,
 		requestDeserialize: deserializeBatch,
-		responseSerialize: serialize,
+		responseSerialize: serializeAcknowledgement,
 		responseDeserialize: deserializeAcknowledgement,
 	},
 } satisfies ServiceDefinition;
@@ -55,49 +92,102 @@
 
 /** Settings of {@link PoolLink}. */
 export type PoolLinkSettings = {
-	/** Milliseconds without an acknowledgement of a heartbeat after which the stream is replaced. */
+	/**
+	 * Milliseconds without an acknowledgement of a heartbeat after which a stream is replaced, open or not. Doubles each
+	 * time up to `maxSilenceMs`, because an entry VM that lacks processor time acknowledges nothing on streams that are
+	 * replaced too often.
+	 */
 	readonly silenceMs: number;
-	/** First delay before a reconnect, in milliseconds; it doubles with each further attempt up to `maxReconnectMs`. */
+	/** Longest time without an acknowledgement, in milliseconds. */
+	readonly maxSilenceMs: number;
+	/** Milliseconds for which a stream must be open before `silenceMs` holds again for it. */
+	readonly stableMs: number;
+	/** Longest heartbeat interval for which `silenceMs` holds; on streams with longer ones four intervals do. */
+	readonly maxFastIntervalMs: number;
+	/**
+	 * Mean of the first delay before a reconnect, in milliseconds; it doubles with each further attempt up to
+	 * `maxReconnectMs`.
+	 */
 	readonly reconnectMs: number;
-	/** Longest delay before a reconnect, in milliseconds. */
+	/** Longest mean delay before a reconnect, in milliseconds. */
 	readonly maxReconnectMs: number;
 };
 
 /** Settings for a heartbeat interval of 100 ms. */
 export const defaultPoolLinkSettings: PoolLinkSettings = {
 	silenceMs: 400,
+	maxSilenceMs: 1600,
+	stableMs: 3000,
+	maxFastIntervalMs: 400,
 	reconnectMs: 50,
 	maxReconnectMs: 400,
 };
 
+/** Number of long heartbeat intervals without an acknowledgement after which a stream is replaced. */
+const silentIntervals = 4;
+
+/** Options and handlers of {@link PoolLink}. */
+export type PoolLinkOptions = {
+	/** `host:port` of the other entry VM. */
+	readonly address: string;
+	/** Called on the first acknowledgement on a new stream. */
+	readonly onOpen: () => void;
+	/** Returns the time of a monotonic clock, in milliseconds. */
+	readonly now: () => number;
+	/** Counts what the link sends. */
+	readonly traffic: PoolTraffic;
+	/** Returns a random number from 0 to 1, by which reconnects of many links are spread. */
+	readonly random: () => number;
+	/** Whether a new stream may be opened now; called only when one is due. */
+	readonly tryTakeConnect: (now: number) => boolean;
+	readonly settings?: PoolLinkSettings;
+};
+
 /** Client end of a stream of messages to another entry VM. Heartbeats reconnect a lost stream. */
 export class PoolLink {
+	/** `host:port` of the other entry VM. */
+	readonly address: string;
 	readonly #settings: PoolLinkSettings;
 	readonly #onOpen: () => void;
 	readonly #now: () => number;
+	readonly #traffic: PoolTraffic;
+	readonly #random: () => number;
+	readonly #tryTakeConnect: (now: number) => boolean;
 	#client: Client | undefined;
-	#stream: ClientDuplexStream<PoolBatch, PoolAcknowledgement> | undefined;
+	#stream:
+		| ClientDuplexStream<readonly EncodedMessage[], PoolAcknowledgement>
+		| undefined;
+
 	#isOpen = false;
-	#batch: PoolMessage[] = [];
+	#batch: EncodedMessage[] = [];
+	/** Number of batches on the current stream that wait for the connection to open or for the receiver to read. */
+	#unwrittenBatches = 0;
 	/** Time at which the oldest unacknowledged heartbeat was sent. */
 	#unacknowledgedSinceMs: number | undefined;
 	#reconnectAtMs = 0;
 	#reconnectDelayMs: number;
+	#silenceMs: number;
+	/** Time since which the stream has been open. */
+	#openSinceMs = 0;
 
-	/**
-	 * `onOpen` is called on the first acknowledgement on a new stream; `now` returns the time of a monotonic clock, in
-	 * milliseconds.
-	 */
-	constructor(
-		readonly address: string,
-		onOpen: () => void,
-		now: () => number,
-		settings: PoolLinkSettings = defaultPoolLinkSettings,
-	) {
+	constructor({
+		address,
+		onOpen,
+		now,
+		traffic,
+		random,
+		tryTakeConnect,
+		settings = defaultPoolLinkSettings,
+	}: PoolLinkOptions) {
+		this.address = address;
 		this.#now = now;
 		this.#onOpen = onOpen;
+		this.#traffic = traffic;
+		this.#random = random;
+		this.#tryTakeConnect = tryTakeConnect;
 		this.#settings = settings;
 		this.#reconnectDelayMs = settings.reconnectMs;
+		this.#silenceMs = settings.silenceMs;
 	}
 
 	/** Whether the receiver has acknowledged a heartbeat on the current stream. */
@@ -106,7 +196,7 @@
 	}
 
 	/** Sends a message at the end of the current turn of the event loop; returns false if the stream is not open. */
-	send(message: PoolMessage): boolean {
+	send(message: EncodedMessage): boolean {
 		if (!this.#isOpen) {
 			return false;
 		}
@@ -116,33 +206,79 @@
 	}
 
 	/**
-	 * Sends a heartbeat, also on a stream that is not acknowledged yet. Replaces a silent stream, and reconnects after the
-	 * reconnect delay if there is none.
+	 * Sends a heartbeat, also on a stream that is not acknowledged yet, unless earlier messages wait to be written. Replaces
+	 * a silent stream, and reconnects after the reconnect delay if there is none. `intervalMs` is the time until the next.
 	 */
-	sendHeartbeat(message: PoolMessage, now: number): void {
+	sendHeartbeat(
+		message: EncodedMessage,
+		intervalMs: number,
+		now: number,
+	): void {
+		const {silenceMs, maxSilenceMs, stableMs, maxFastIntervalMs} =
+			this.#settings;
+		if (this.#isOpen && now - this.#openSinceMs >= stableMs) {
+			this.#silenceMs = silenceMs;
+		}
+
+		const limitMs =
+			this.#isOpen && intervalMs > maxFastIntervalMs
+				? silentIntervals * intervalMs
+				: this.#silenceMs;
 		const isSilent =
 			this.#unacknowledgedSinceMs !== undefined &&
-			now - this.#unacknowledgedSinceMs > this.#settings.silenceMs;
+			now - this.#unacknowledgedSinceMs > limitMs;
 		if (this.#stream !== undefined && isSilent) {
-			this.#disconnect(now);
+			this.#silenceMs = Math.min(2 * this.#silenceMs, maxSilenceMs);
+			this.#disconnect('silent', now);
 		}
 
-		if (this.#stream === undefined && now >= this.#reconnectAtMs) {
+		if (
+			this.#stream === undefined &&
+			now >= this.#reconnectAtMs &&
+			this.#tryTakeConnect(now)
+		) {
 			this.#connect(now);
 		}
 
 		if (this.#stream !== undefined) {
 			this.#unacknowledgedSinceMs ??= now;
-			this.#enqueue(message);
+			const isWaiting =
+				this.#unwrittenBatches > 0 || (!this.#isOpen && this.#batch.length > 0);
+			if (!isWaiting) {
+				this.#enqueue(message);
+			}
+		}
+	}
+
+	/**
+	 * Excludes a time for which this process did not read its sockets from the time without an acknowledgement. The
+	 * acknowledgement may be unread.
+	 */
+	excludeStall(stallMs: number, now: number): void {
+		if (this.#unacknowledgedSinceMs !== undefined) {
+			this.#unacknowledgedSinceMs = Math.min(
+				now,
+				this.#unacknowledgedSinceMs + stallMs,
+			);
 		}
 	}
 
+	/** Connects at the next heartbeat if there is no stream, as the other entry VM has just opened one. */
+	resetDelay(): void {
+		this.#reconnectDelayMs = this.#settings.reconnectMs;
+		this.#reconnectAtMs = 0;
+	}
+
 	/** Closes the stream and drops messages that have not been written. */
 	close(): void {
-		this.#disconnect(0);
+		this.#disconnect('removed', 0);
 	}
 
-	#enqueue(message: PoolMessage): void {
+	#enqueue(message: EncodedMessage): void {
+		this.#traffic.add('sent', message.type, {
+			messages: 1,
+			bytes: message.text.length,
+		});
 		this.#batch.push(message);
 		if (this.#batch.length === 1) {
 			const stream = this.#stream;
@@ -151,7 +287,12 @@
 				this.#batch = [];
 				// A batch is not written to a later stream, as it may be out of date by then.
 				if (stream === this.#stream && stream !== undefined) {
-					stream.write(batch);
+					this.#unwrittenBatches += 1;
+					stream.write(batch, () => {
+						if (stream === this.#stream) {
+							this.#unwrittenBatches -= 1;
+						}
+					});
 				}
 			});
 		}
@@ -166,7 +307,7 @@
 		);
 		const stream = client.makeBidiStreamRequest(
 			poolService.exchange.path,
-			serialize,
+			serializeBatch,
 			deserializeAcknowledgement,
 		);
 		this.#client = client;
@@ -181,27 +322,37 @@
 			if (!this.#isOpen) {
 				this.#isOpen = true;
 				this.#reconnectDelayMs = this.#settings.reconnectMs;
+				this.#openSinceMs = this.#now();
 				this.#onOpen();
 			}
 		});
-		const handleLoss = () => {
+		const handleLoss = (cause: LinkCloseCause) => {
 			if (stream === this.#stream) {
-				this.#disconnect(this.#now());
+				this.#disconnect(cause, this.#now());
 			}
 		};
 
-		stream.on('error', handleLoss);
-		stream.on('end', handleLoss);
+		stream.on('error', () => {
+			handleLoss('broken');
+		});
+		stream.on('end', () => {
+			handleLoss('ended');
+		});
 	}
 
-	#disconnect(now: number): void {
+	#disconnect(cause: LinkCloseCause, now: number): void {
+		if (this.#stream !== undefined) {
+			this.#traffic.addClosedLink(cause);
+		}
+
 		const client = this.#client;
 		const stream = this.#stream;
 		this.#client = undefined;
 		this.#stream = undefined;
 		this.#isOpen = false;
 		this.#batch = [];
-		this.#reconnectAtMs = now + this.#reconnectDelayMs;
+		this.#unwrittenBatches = 0;
+		this.#reconnectAtMs = now + this.#reconnectDelayMs * (0.5 + this.#random());
 		this.#reconnectDelayMs = Math.min(
 			2 * this.#reconnectDelayMs,
 			this.#settings.maxReconnectMs,
--- a/packages/peer/src/pool-mesh.ts
+++ b/packages/peer/src/pool-mesh.ts
@@ -1,6 +1,8 @@
 import {Server, type ServerDuplexStream} from '@grpc/grpc-js';
 import {bindServer} from './bind-server.js';
+import {ConnectBudget} from './connect-budget.js';
 import {
+	EncodedMessage,
 	PoolLink,
 	poolChannelOptions,
 	poolService,
@@ -8,6 +10,13 @@
 	type PoolAcknowledgement,
 } from './pool-link.js';
 import {type PoolMessage} from './pool-message.js';
+import {PoolTraffic} from './pool-traffic.js';
+
+/**
+ * Why the newest stream that an entry VM has opened is lost: it failed, its sender or a break of the connection has
+ * closed it, or a message on it came so late that it may be out of date.
+ */
+export type PeerLossCause = 'failed' | 'closed' | 'out-of-date';
 
 /** Options and handlers of {@link PoolMesh}. */
 export type PoolMeshOptions = {
@@ -16,27 +25,35 @@
 	readonly address: string;
 	/** Returns the time of a monotonic clock, in milliseconds. */
 	readonly now: () => number;
+	/** Returns a random number from 0 to 1, by which reconnects are spread. */
+	readonly random: () => number;
 	/** Handles a message of an entry VM that has sent a heartbeat on the same stream. */
 	readonly onMessage: (from: string, message: PoolMessage) => void;
 	/** Handles the loss of the newest stream that an entry VM has opened. */
-	readonly onLost: (name: string) => void;
+	readonly onLost: (name: string, cause: PeerLossCause) => void;
 	/** Handles that the stream to an entry VM has opened. Messages sent on an earlier stream may be lost. */
 	readonly onOpen: (name: string) => void;
 };
 
 /**
- * Milliseconds without a message after which later messages on the stream are discarded as out of date: a network
- * partition or a freeze of this process has delayed them. Twice the longest heartbeat interval, after which the sender has
- * opened a new stream.
+ * Shortest time without a message after which later messages on the stream are discarded as out of date: a network
+ * partition or a freeze of this process has delayed them. The sender of fast heartbeats has opened a new stream by then.
  */
 const staleStreamMs = 800;
+/** The longest heartbeat interval for which `staleStreamMs` holds. */
+const maxFastIntervalMs = 400;
+/** Number of longer intervals without a message after which later messages on the stream are discarded. */
+const staleIntervals = 4;
 
 type InboundStream = ServerDuplexStream<PoolBatch, PoolAcknowledgement>;
 
 /** Server for the streams of other entry VMs, and a {@link PoolLink} to each of them. */
 export class PoolMesh {
+	/** Counts of the messages to and from other entry VMs. */
+	readonly traffic = new PoolTraffic();
 	readonly #options: PoolMeshOptions;
 	readonly #server = new Server(poolChannelOptions);
+	readonly #connectBudget = new ConnectBudget();
 	readonly #linksByAddress = new Map<string, PoolLink>();
 	readonly #addressesByName = new Map<string, string>();
 	/** Newest stream that each entry VM has opened to this one, by the name of the entry VM. */
@@ -71,13 +88,16 @@
 			if (!this.#linksByAddress.has(address)) {
 				this.#linksByAddress.set(
 					address,
-					new PoolLink(
+					new PoolLink({
 						address,
-						() => {
+						onOpen: () => {
 							this.#handleLinkOpen(address);
 						},
-						this.#options.now,
-					),
+						now: this.#options.now,
+						traffic: this.traffic,
+						random: this.#options.random,
+						tryTakeConnect: (now) => this.#connectBudget.tryTake(now),
+					}),
 				);
 			}
 		}
@@ -85,20 +105,54 @@
 
 	/** Sends a heartbeat on each link whose address `isRecipient` accepts. */
 	sendHeartbeats(
-		message: PoolMessage,
+		message: PoolMessage & {readonly type: 'heartbeat'},
 		isRecipient: (address: string) => boolean,
 		now: number,
 	): void {
-		for (const link of this.#linksByAddress.values()) {
-			if (isRecipient(link.address)) {
-				link.sendHeartbeat(message, now);
-			}
+		const links = [...this.#linksByAddress.values()].filter(({address}) =>
+			isRecipient(address),
+		);
+		if (links.length === 0) {
+			return;
+		}
+
+		const encoded = this.#encode(message);
+		for (const link of links) {
+			link.sendHeartbeat(encoded, message.heartbeat.intervalMs, now);
 		}
 	}
 
 	/** Sends a message to an entry VM; returns false if there is no working stream. */
 	send(name: string, message: PoolMessage): boolean {
-		return this.#findLink(name)?.send(message) ?? false;
+		return this.sendToAll([name], message);
+	}
+
+	/** Sends a message to several entry VMs; returns whether there is a working stream to each. */
+	sendToAll(names: readonly string[], message: PoolMessage): boolean {
+		const links = names.flatMap((name) => {
+			const link = this.#findLink(name);
+			return link?.isOpen === true ? [link] : [];
+		});
+		if (links.length > 0) {
+			const encoded = this.#encode(message);
+			for (const link of links) {
+				link.send(encoded);
+			}
+		}
+
+		return links.length === names.length;
+	}
+
+	/** Excludes a time for which this process did not read its sockets from the silence of its streams. */
+	excludeStall(stallMs: number, now: number): void {
+		for (const link of this.#linksByAddress.values()) {
+			link.excludeStall(stallMs, now);
+		}
+	}
+
+	/** Addresses to which this entry VM has links. */
+	get addresses(): readonly string[] {
+		return [...this.#linksByAddress.keys()];
 	}
 
 	/** Whether messages can be sent to an entry VM. */
@@ -116,6 +170,15 @@
 		this.#server.forceShutdown();
 	}
 
+	#encode(message: PoolMessage): EncodedMessage {
+		const startedAtMs = this.#options.now();
+		const encoded = new EncodedMessage(message);
+		this.traffic.add('sent', message.type, {
+			tookMs: this.#options.now() - startedAtMs,
+		});
+		return encoded;
+	}
+
 	#handleLinkOpen(address: string): void {
 		const name = [...this.#addressesByName].find(
 			([, other]) => other === address,
@@ -135,45 +198,76 @@
 	#handleStream(stream: InboundStream): void {
 		let name: string | undefined;
 		let lastReceivedAtMs = this.#options.now();
+		let staleMs = staleStreamMs;
 		stream.on('data', (batch: PoolBatch) => {
 			const now = this.#options.now();
-			if (now - lastReceivedAtMs > staleStreamMs) {
-				handleStreamEnd();
+			this.#countBatch(batch);
+			if (now - lastReceivedAtMs > staleMs) {
+				handleStreamEnd('out-of-date');
 				stream.end();
 				return;
 			}
 
 			lastReceivedAtMs = now;
-			for (const message of batch) {
+			for (const message of batch.messages) {
 				if (message.type === 'heartbeat') {
+					if (name === undefined) {
+						this.#linksByAddress.get(message.heartbeat.address)?.resetDelay();
+					}
+
 					name = message.heartbeat.name;
+					staleMs =
+						message.heartbeat.intervalMs > maxFastIntervalMs
+							? staleIntervals * message.heartbeat.intervalMs
+							: staleStreamMs;
 					this.#inboundStreams.set(name, stream);
 					this.#addressesByName.set(name, message.heartbeat.address);
 					if (!stream.writableEnded && !stream.cancelled) {
 						stream.write({isAlive: true});
+						this.traffic.add('sent', 'acknowledgement', {messages: 1});
 					}
 				}
 
 				if (name !== undefined) {
+					const startedAtMs = this.#options.now();
 					this.#options.onMessage(name, message);
+					this.traffic.add('received', message.type, {
+						tookMs: this.#options.now() - startedAtMs,
+					});
 				}
 			}
 		});
-		const handleStreamEnd = () => {
+		const handleStreamEnd = (cause: PeerLossCause) => {
 			if (name !== undefined && this.#inboundStreams.get(name) === stream) {
 				this.#inboundStreams.delete(name);
-				this.#options.onLost(name);
+				this.#options.onLost(name, cause);
 			}
 		};
 
 		stream.on('error', () => {
-			handleStreamEnd();
+			handleStreamEnd('failed');
 			stream.end();
 		});
-		stream.on('cancelled', handleStreamEnd);
+		stream.on('cancelled', () => {
+			handleStreamEnd('closed');
+		});
 		stream.on('end', () => {
-			handleStreamEnd();
+			handleStreamEnd('closed');
 			stream.end();
 		});
 	}
+
+	/** Counts received messages; the bytes of a batch of several messages count as type `batch`. */
+	#countBatch({messages, byteLength}: PoolBatch): void {
+		for (const {type} of messages) {
+			this.traffic.add('received', type, {messages: 1});
+		}
+
+		const [first] = messages;
+		this.traffic.add(
+			'received',
+			messages.length === 1 && first !== undefined ? first.type : 'batch',
+			{bytes: byteLength},
+		);
+	}
 }
--- a/packages/verbenarouter/src/pool/pending-jobs.ts
+++ b/packages/verbenarouter/src/pool/pending-jobs.ts
@@ -1,16 +1,31 @@
-import {type PoolAnswer, type PoolJob} from '@verbenarouter/core';
+import {
+	unionZones,
+	type PoolAnswer,
+	type PoolJob,
+	type ZoneLeader,
+} from '@verbenarouter/core';
 
 /** A job without an answer, with the callers that wait for it. */
 export type PendingJob = {
 	readonly job: PoolJob;
 	/** Time at which the first caller submitted the job. */
 	readonly receivedAtMs: number;
+	/** Zone whose leader gets the job after that of the receiver's own zone has refused it; `undefined` before. */
+	overflowZone: string | undefined;
+	/** Leaders that have refused the job and will never start it. */
+	refusedBy: readonly string[];
+	/** Number of times that the job was sent to `leaders`. */
+	sendCount: number;
+	/** Whether the connection of the only caller broke; the caller may send the job to another entry VM. */
+	hasLostCaller: boolean;
 	/** Leader to which the job was last sent; `undefined` before the first. */
 	sentTo: string | undefined;
 	/** Highest fencing token of the leaders to which the job was sent; `undefined` before the first. */
 	earlierToken: number | undefined;
-	/** Whether the job was sent to more than one leader. */
-	wasSentToSeveralLeaders: boolean;
+	/** Leaders to which the job was sent, without those in `refusedBy`; each may have started it. */
+	readonly leaders: Set<string>;
+	/** Zones whose workers may have run the job for these leaders; `undefined` for all zones. */
+	zones: readonly string[] | undefined;
 	/** Time since which the job has waited to be sent to a leader; `undefined` once it is sent. */
 	withoutLeaderSinceMs: number | undefined;
 	/** Names of the tasks that leaders have reported as completed. */
@@ -47,15 +62,21 @@
 		const known = this.#jobs.get(job.id);
 		if (known !== undefined) {
 			known.resolvers.push(resolve);
+			known.hasLostCaller = false;
 			return {pending: known, isNew: false};
 		}
 
 		const pending: PendingJob = {
 			job,
 			receivedAtMs: now,
+			overflowZone: undefined,
+			refusedBy: [],
+			sendCount: 0,
+			hasLostCaller: false,
 			sentTo: undefined,
 			earlierToken: undefined,
-			wasSentToSeveralLeaders: false,
+			leaders: new Set(),
+			zones: [],
 			withoutLeaderSinceMs: now,
 			doneTasks: [],
 			resolvers: [resolve],
@@ -75,20 +96,29 @@
 		return pending;
 	}
 
-	/** Records that a job is sent to a leader with a fencing token; returns whether it was sent to one before. */
-	markSent(pending: PendingJob, leader: string, token: number): boolean {
-		const hadLeader = pending.sentTo !== undefined;
+	/**
+	 * Records that a job is sent to a leader that places it in `zones` only, or anywhere without them. Returns whether a
+	 * leader may have started it before.
+	 */
+	markSent(
+		pending: PendingJob,
+		{name, token}: ZoneLeader,
+		zones?: readonly string[],
+	): boolean {
+		const isResubmitted = pending.leaders.size > 0;
+		pending.leaders.add(name);
+		pending.sendCount += 1;
+		pending.zones = unionZones(pending.zones, zones);
 		pending.earlierToken = Math.max(pending.earlierToken ?? 0, token);
-		pending.wasSentToSeveralLeaders ||= hadLeader && pending.sentTo !== leader;
-		pending.sentTo = leader;
+		pending.sentTo = name;
 		pending.withoutLeaderSinceMs = undefined;
-		return hadLeader;
+		return isResubmitted;
 	}
 
 	/**
 	 * Returns the answer that callers may receive for a leader's answer, or `undefined` to ignore it. `completed` and
 	 * `failed` are accepted from any leader, all else only from the leader that has the job now. `not-run` becomes
-	 * `may-have-run` if the job was sent to several leaders, since another one may have started it.
+	 * `may-have-run` if the job was sent to another leader too, since that one may have started it.
 	 */
 	filterAnswer(
 		id: string,
@@ -105,11 +135,35 @@
 			return undefined;
 		}
 
-		return answer.kind === 'not-run' && pending.wasSentToSeveralLeaders
+		return answer.kind === 'not-run' &&
+			[...pending.leaders].some((other) => other !== leader)
 			? {kind: 'may-have-run', reason: 'leader-lost'}
 			: answer;
 	}
 
+	/**
+	 * Whether no leader has a job after one has answered `not-run`. A job that was sent twice is excluded: the leader may
+	 * have started anew between the two messages, and would not know that it has refused the first.
+	 */
+	isRefusedForCertain(pending: PendingJob, leader: string): boolean {
+		return (
+			pending.sendCount === 1 &&
+			pending.leaders.size === 1 &&
+			pending.leaders.has(leader)
+		);
+	}
+
+	/** Directs a job that a leader has refused for certain to the leader of another zone. */
+	redirect(pending: PendingJob, leader: string, zone: string): void {
+		pending.refusedBy = [...pending.refusedBy, leader];
+		pending.overflowZone = zone;
+		pending.leaders.clear();
+		pending.zones = [];
+		pending.sendCount = 0;
+		pending.sentTo = undefined;
+		pending.earlierToken = undefined;
+	}
+
 	/** Removes a job without an answer. */
 	remove(id: string): PendingJob | undefined {
 		const pending = this.#jobs.get(id);
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -1,20 +1,31 @@
 import {
 	BestFit,
+	EventLoopDelay,
 	Leadership,
 	LearnedTimeEstimator,
 	ObjectiveOrder,
 	PoolScheduler,
+	ScopeBySize,
+	ZoneOverflow,
 	computeAnswerWindowMs,
 	defaultWorkerPoolSettings,
+	isRefusedForLackOfRoom,
+	maxOverflowPatienceMs,
 	type DesiredState,
 	type Heartbeat,
 	type LeadershipChange,
 	type MemberAddress,
 	type PoolAnswer,
 	type PoolJob,
+	type PoolScope,
 	type WorkerEntry,
+	type ZoneRoom,
 } from '@verbenarouter/core';
-import {PoolMesh, type PoolMessage} from '@verbenarouter/peer';
+import {
+	PoolMesh,
+	type KnowledgeVersions,
+	type PoolMessage,
+} from '@verbenarouter/peer';
 import {
 	StoreClient,
 	WorkerClient,
@@ -22,20 +33,38 @@
 	type JobDispatcher,
 } from '@verbenarouter/platform';
 import {droppedLines} from '../logger.js';
+import {type MetricSample} from '../metrics.js';
+import {
+	HeartbeatSchedule,
+	computeHeartbeatIntervals,
+	legacySlowIntervalMs,
+	type HeartbeatIntervals,
+} from './heartbeat-schedule.js';
+import {
+	KnowledgeSchedule,
+	computeWorkersVersion,
+	type DueKnowledge,
+} from './knowledge-schedule.js';
 import {MemberRegistry} from './member-registry.js';
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {type PoolLog} from './pool-log.js';
 import {StoreFollower} from './store-follower.js';
 import {createWorkerCommandSender} from './worker-command-sender.js';
 
-/** Interval of heartbeats from or to a leader, and of all heartbeats while a zone has no live leader. */
-const heartbeatIntervalMs = 100;
-/** Interval of heartbeats between followers, which only need them to select the next leader. */
-const slowHeartbeatIntervalMs = 400;
-/** Interval of heartbeats that include the list of known entry VMs. */
-const memberListIntervalMs = 2000;
+/** Interval at which heartbeats include the list of known entry VMs, and the shortest one while new entry VMs appear. */
+const memberListIntervalMs = 4000;
+const minMemberListIntervalMs = 300;
+/** Time for which heartbeats include the list, so that all peers receive it. */
+const memberListDurationMs = 400;
+/** Interval at which unused connections to workers are closed. */
+const connectionCheckIntervalMs = 100;
 /** Interval at which leadership, store reads, leases, stops and deadlines are checked. */
 const tickIntervalMs = 20;
+/**
+ * Delay of the checks from which this process counts as stalled: peers are then judged only after its sockets have been read,
+ * and the time does not count as their silence.
+ */
+const stallThresholdMs = 100;
 /** Longest time for which a job that was sent to no leader yet waits for a reachable one. */
 const maxFirstSendDelayMs = 900;
 /** Longest time for which a job that a lost leader may have started waits for the next leader; a failover takes less. */
@@ -90,12 +119,17 @@
 	readonly #log: PoolLog;
 	readonly #now: () => number;
 	readonly #leadership: Leadership;
+	readonly #scopeBySize = new ScopeBySize();
+	readonly #overflow = new ZoneOverflow();
 	readonly #scheduler: PoolScheduler;
 	readonly #mesh: PoolMesh;
 	readonly #workerClient: WorkerClient;
 	readonly #storeFollower: StoreFollower;
 	readonly #registry: MemberRegistry;
 	readonly #pendingJobs = new PendingJobs();
+	readonly #eventLoopDelay = new EventLoopDelay(tickIntervalMs);
+	/** Whether the checks of a late tick wait until the sockets have been read. */
+	#areChecksDeferred = false;
 	readonly #members = new Map<string, KnownMember>();
 	/** Resolves the requests to the leader that have no reply yet, by request number. */
 	readonly #replyHandlers = new Map<number, (value: unknown) => void>();
@@ -106,14 +140,30 @@
 	#desiredState: DesiredState | undefined;
 	/** The workers that may be alive, as last read from the directory. */
 	#workerEntries: readonly WorkerEntry[] = [];
+	/** Whether one leader leads the whole region or each zone has its own, by the number of workers. */
+	#scope: PoolScope = 'zone';
 	/** Name of the live leader of this entry VM's zone. */
 	#leader: string | undefined;
 	#isStopping = false;
+	/** Decides while the process stops whether a request is accepted. */
+	#acceptsRequest: JobDispatcher['acceptsRequest'] | undefined;
 	#nextRequestNumber = 1;
 	#attemptCount = 0;
-	#lastHeartbeatMs = 0;
-	#lastSlowHeartbeatMs = 0;
-	#lastMemberListMs = 0;
+	readonly #heartbeatSchedule = new HeartbeatSchedule();
+	/** Time of the last round of heartbeats to all that a change has caused. */
+	#lastRoundMs = 0;
+	/** Whether a change is to be sent to all once the gap between rounds has passed. */
+	#isRoundDue = false;
+	#lastConnectionCheckMs = 0;
+	/** Time since which heartbeats include the member list, which they do for a short time. */
+	#memberListSinceMs = 0;
+	#isMemberListChanged = false;
+	/** Names of the peers whose version accepts longer intervals among followers. */
+	readonly #peersWithSlowIntervals = new Set<string>();
+	/** Whether the election is evaluated at the end of this turn of the event loop. */
+	#isLeadershipUpdateScheduled = false;
+	/** Zones whose leader a peer has lost according to heartbeats of this turn. */
+	readonly #zonesLostByPeers = new Set<string>();
 	/** Fencing token of the live leader of each zone that has one, by zone. */
 	#liveLeaderTokens: Readonly<Record<string, number>> = {};
 	#lastDirectoryCheckMs = 0;
@@ -125,7 +175,14 @@
 	#leaderWithoutStoreSinceMs: number | undefined;
 	/** Names of the peers that have recently read the store themselves. */
 	readonly #storeReaders = new Set<string>();
-	#lastKnowledgeSentMs = 0;
+	/** Time at which store data was last sent to each leader that cannot read the store. */
+	readonly #lastKnowledgeSentMs = new Map<string, number>();
+	readonly #knowledgeSchedule = new KnowledgeSchedule();
+	/** Versions that peers announce, by name; without those of peers that announce none. */
+	readonly #peerVersions = new Map<string, KnowledgeVersions>();
+	#workersVersion = '';
+	/** Version of the list of workers that a peer has sent since the last read of the store. */
+	#receivedWorkersVersion: string | undefined;
 
 	constructor(settings: EntrySettings, log: PoolLog, now: () => number) {
 		this.#settings = settings;
@@ -133,7 +190,6 @@
 		this.#now = now;
 		this.#incarnation = `${settings.name}-${Math.floor(now())}`;
 		this.#leadership = new Leadership(settings, settings.zones);
-		this.#leadership.setScope('region');
 		this.#workerClient = new WorkerClient(now);
 		this.#scheduler = new PoolScheduler({
 			commandSender: createWorkerCommandSender(
@@ -176,24 +232,22 @@
 			name: settings.name,
 			address: settings.peerAddress,
 			now,
+			random: Math.random,
 			onMessage: (from, message) => {
 				this.#receiveMessage(from, message);
 			},
-			onLost: (name) => {
+			onLost: (name, cause) => {
 				this.#leadership.markDisconnected(name);
 				this.#scheduler.markReceiverUnreachable(name, now());
-				log.write({event: 'peer-lost', peer: name});
-				this.#updateLeadership();
+				log.write({event: 'peer-lost', peer: name, cause});
+				this.#scheduleLeadershipUpdate();
 			},
 			onOpen: (name) => {
 				log.write({event: 'peer-open', peer: name});
-				if (this.#leadership.ledZones.size > 0) {
-					this.#sendKnowledge(name);
-				}
-
-				if (name === this.#leader) {
-					this.#resubmitPendingJobs();
-				}
+				this.#knowledgeSchedule.handleOpen(name);
+				this.#resubmitPendingJobs(
+					(pending) => this.#findLeaderFor(pending, now()) === name,
+				);
 			},
 		});
 		const client = new StoreClient(settings.storeAddress);
@@ -275,14 +329,40 @@
 		};
 	}
 
+	/** Present values of the counters of messages between entry VMs. */
+	get counters(): readonly MetricSample[] {
+		const {counts, closedLinks} = this.#mesh.traffic;
+		return [
+			...counts.flatMap(({type, direction, messages, bytes, tookMs}) => [
+				{
+					name: 'peer_messages_total',
+					labels: {type, direction},
+					value: messages,
+				},
+				{name: 'peer_bytes_total', labels: {type, direction}, value: bytes},
+				{
+					name: 'peer_handling_ms_total',
+					labels: {type, direction},
+					value: tookMs,
+				},
+			]),
+			...[...closedLinks].map(([cause, value]) => ({
+				name: 'peer_streams_closed_total',
+				labels: {cause},
+				value,
+			})),
+		];
+	}
+
 	/** Marks this process as warm, so that it may lead the whole region: its scheduling code has run. */
 	setWarm(): void {
 		this.#leadership.setWarm();
 	}
 
-	/** Hands over the zones that this entry VM leads; jobs are still received and answered. */
-	beginStop(): void {
+	/** Hands over the zones that this entry VM leads; jobs are still received and answered, as far as they are accepted. */
+	beginStop(acceptsRequest: JobDispatcher['acceptsRequest']): void {
 		this.#isStopping = true;
+		this.#acceptsRequest = acceptsRequest;
 		this.#applyLeadershipChanges(
 			this.#leadership.stop(this.#now()),
 			'stopping',
@@ -348,6 +428,14 @@
 		return this.#isStopping;
 	}
 
+	acceptsRequest(id: string, needsMs: number): boolean {
+		// A copy of a pending job gets the answer of that job: "not run" would be untrue if the job has started.
+		return (
+			this.#pendingJobs.get(id) !== undefined ||
+			(this.#acceptsRequest?.(id, needsMs) ?? true)
+		);
+	}
+
 	async submit(submitted: Omit<PoolJob, 'attempt'>): Promise<PoolAnswer> {
 		return new Promise((resolve) => {
 			this.#attemptCount += 1;
@@ -386,8 +474,13 @@
 		}
 
 		this.#log.write({event: 'caller-left', id, isReset});
-		if (isReset) {
-			// A caller whose connection broke submits the job again and then receives the result of the first submission.
+		// A caller whose connection broke submits the job again and then receives the result of the first submission. The
+		// leader that gets it then does not know of runs in another zone, so a job there is cancelled.
+		const isContinued =
+			isReset &&
+			(pending.overflowZone === undefined || pending.resolvers.length > 1);
+		if (isContinued) {
+			pending.hasLostCaller = true;
 			return;
 		}
 
@@ -398,50 +491,72 @@
 	}
 
 	async cancel(id: string): Promise<boolean> {
-		const isKnown =
-			this.#leader === this.#settings.name
-				? this.#scheduler.cancel(id, 'cancelled', this.#now())
-				: await this.#requestFromLeader((question) => ({
-						type: 'cancel',
-						id,
-						reason: 'cancelled',
-						question,
-					}));
-		return isKnown === true;
+		const replies = await this.#requestFromLeaders(
+			() => this.#scheduler.cancel(id, 'cancelled', this.#now()),
+			(question) => ({type: 'cancel', id, reason: 'cancelled', question}),
+		);
+		return replies.includes(true);
 	}
 
 	async getJobState(id: string): Promise<string | undefined> {
-		const state =
-			this.#leader === this.#settings.name
-				? toStateText(this.#scheduler.getJobState(id))
-				: await this.#requestFromLeader((question) => ({
-						type: 'ask',
-						question,
-						about: 'state',
-						name: id,
-					}));
-		return typeof state === 'string' ? state : undefined;
+		const replies = await this.#requestFromLeaders(
+			() => toStateText(this.#scheduler.getJobState(id)),
+			(question) => ({type: 'ask', question, about: 'state', name: id}),
+		);
+		return replies.find((state) => typeof state === 'string');
 	}
 
 	async countPendingJobs(queue: string): Promise<number | undefined> {
-		const count =
-			this.#leader === this.#settings.name
-				? this.#scheduler.countPendingJobs(queue)
-				: await this.#requestFromLeader((question) => ({
-						type: 'ask',
-						question,
-						about: 'pending',
-						name: queue,
-					}));
-		return typeof count === 'number' ? count : undefined;
+		const replies = await this.#requestFromLeaders(
+			() => this.#scheduler.countPendingJobs(queue),
+			(question) => ({type: 'ask', question, about: 'pending', name: queue}),
+		);
+		const counts = replies.filter((count) => typeof count === 'number');
+		return counts.length === 0
+			? undefined
+			: counts.reduce((sum, count) => sum + count, 0);
 	}
 
 	handleRejectedRequest(id: string, status: number, reason: string): void {
 		this.#log.write({event: 'rejected', id, status, reason});
 	}
 
-	/** Runs the checks that are due. */
+	/** Runs the checks that are due; if this process was stalled, once it has read what arrived meanwhile. */
 	#tick(): void {
+		const isStalled = this.#excludeStall(this.#now());
+		if (this.#areChecksDeferred) {
+			return;
+		}
+
+		if (!isStalled) {
+			this.#runChecks();
+			return;
+		}
+
+		// An event loop that is late runs its timers before it reads its sockets.
+		this.#areChecksDeferred = true;
+		setImmediate(() => {
+			setImmediate(() => {
+				this.#areChecksDeferred = false;
+				this.#excludeStall(this.#now());
+				this.#runChecks();
+			});
+		});
+	}
+
+	/** Excludes a stall of this process that ends now from the silence of peers; returns whether there was one. */
+	#excludeStall(now: number): boolean {
+		const delayMs = this.#eventLoopDelay.recordCheck(now);
+		if (delayMs < stallThresholdMs) {
+			return false;
+		}
+
+		this.#leadership.excludeStall(delayMs, now);
+		this.#mesh.excludeStall(delayMs, now);
+		return true;
+	}
+
+	#runChecks(): void {
 		const now = this.#now();
 		this.#updateLeadership();
 		this.#storeFollower.setActive(this.#shouldReadStore(now));
@@ -473,8 +588,10 @@
 			);
 		}
 
-		if (now - this.#lastHeartbeatMs >= heartbeatIntervalMs) {
-			this.#sendDueHeartbeats(now);
+		this.#sendMissingKnowledge(now);
+		this.#sendDueHeartbeats(now);
+		if (now - this.#lastConnectionCheckMs >= connectionCheckIntervalMs) {
+			this.#lastConnectionCheckMs = now;
 			this.#workerClient.closeUnusedConnections();
 		}
 	}
@@ -521,9 +638,35 @@
 		);
 	}
 
+	/**
+	 * Evaluates the election once the messages that have arrived are read, however many of them change it, and informs peers
+	 * that have lost a leader which is live here before they claim its zone.
+	 */
+	#scheduleLeadershipUpdate(): void {
+		if (this.#isLeadershipUpdateScheduled) {
+			return;
+		}
+
+		this.#isLeadershipUpdateScheduled = true;
+		setImmediate(() => {
+			this.#isLeadershipUpdateScheduled = false;
+			const now = this.#now();
+			this.#excludeStall(now);
+			this.#updateLeadership();
+			const isLeaderLiveHere = [...this.#zonesLostByPeers].some(
+				(zone) => this.#liveLeaderTokens[zone] !== undefined,
+			);
+			this.#zonesLostByPeers.clear();
+			if (isLeaderLiveHere) {
+				this.#sendHeartbeatToAll(now);
+			}
+		});
+	}
+
 	/** Evaluates the election, and sends heartbeats at once if the live leaders have changed. */
 	#updateLeadership(): void {
 		const now = this.#now();
+		this.#updateScope(now);
 		this.#applyLeadershipChanges(this.#leadership.tick(now), 'tick');
 		const liveLeaderTokens = Object.fromEntries(
 			this.#settings.zones.flatMap((zone) => {
@@ -542,6 +685,27 @@
 		this.#updateOwnLeader(now);
 	}
 
+	/** Sets the scope of leaders for the number of workers that are listed now. */
+	#updateScope(now: number): void {
+		const leaderScope = this.#leadership
+			.livePeers(now)
+			.find(({name}) => name === this.#leader)?.scope;
+		const scope = this.#scopeBySize.update(
+			this.#workerEntries.length,
+			leaderScope,
+			now,
+		);
+		if (scope !== this.#scope) {
+			this.#scope = scope;
+			this.#leadership.setScope(scope);
+			this.#log.write({
+				event: 'scope',
+				scope,
+				workers: this.#workerEntries.length,
+			});
+		}
+	}
+
 	/** Resubmits all pending jobs if the leader of this entry VM's zone has changed. */
 	#updateOwnLeader(now: number): void {
 		const leader = this.#leadership.findLeader(this.#settings.zone, now);
@@ -554,8 +718,22 @@
 				token: leader?.token ?? 0,
 				zone: this.#settings.zone,
 			});
-			this.#resubmitPendingJobs();
+			this.#resubmitPendingJobs(({overflowZone}) => overflowZone === undefined);
 		}
+
+		this.#resubmitPendingJobs(
+			(pending) =>
+				pending.overflowZone !== undefined &&
+				(pending.withoutLeaderSinceMs !== undefined ||
+					this.#findLeaderFor(pending, now) !== pending.sentTo),
+		);
+	}
+
+	/** Returns the leader that gets a job: that of the zone that it overflows to, or of this entry VM's zone. */
+	#findLeaderFor({overflowZone}: PendingJob, now: number): string | undefined {
+		return overflowZone === undefined
+			? this.#leader
+			: this.#leadership.findLeader(overflowZone, now)?.name;
 	}
 
 	/** Applies changes of leadership to the scheduler, and sends the workers of dropped zones to their new leaders. */
@@ -618,6 +796,10 @@
 			highestToken: this.#leadership.highestToken,
 			hears: this.#liveLeaderTokens,
 			yields: Object.fromEntries(this.#leadership.successors),
+			scope: this.#scope,
+			...(this.#scope === 'zone' && this.#leadership.ledZones.size > 0
+				? {spareMillis: this.#scheduler.computeSpareMillis(this.#now())}
+				: {}),
 			members: hasMemberList
 				? [...this.#members.values()]
 						.filter(({isOnlyInRegistry}) => !isOnlyInRegistry)
@@ -626,58 +808,113 @@
 		};
 	}
 
-	/** Sends a heartbeat to all peers at once, whatever their interval. */
+	/** Sends a heartbeat to all peers, now or once the gap since the last such round has passed. */
 	#sendHeartbeatToAll(now: number): void {
-		this.#lastSlowHeartbeatMs = 0;
+		this.#isRoundDue = true;
 		this.#sendDueHeartbeats(now);
 	}
 
-	/** Sends heartbeats to the peers that need the short interval, and to the others if their interval has passed. */
+	/** Sends heartbeats to the peers for which one is due. */
 	#sendDueHeartbeats(now: number): void {
-		this.#lastHeartbeatMs = now;
-		const leaders = new Set(
-			this.#leadership
-				.livePeers(now)
-				.filter(({leads}) => Object.keys(leads).length > 0)
-				.map(({address}) => address),
+		const {addresses} = this.#mesh;
+		const intervals = computeHeartbeatIntervals(
+			addresses.length,
+			this.#eventLoopDelay.largestMs(now),
+		);
+		if (this.#isRoundDue && now - this.#lastRoundMs >= intervals.roundGapMs) {
+			this.#isRoundDue = false;
+			this.#lastRoundMs = now;
+			this.#heartbeatSchedule.reset();
+		}
+
+		const due = this.#heartbeatSchedule.takeDue(
+			this.#selectIntervals(addresses, intervals, now),
+			now,
 		);
-		const isLeader = this.#leadership.ledZones.size > 0;
+		for (const [intervalMs, recipients] of due) {
+			this.#sendHeartbeat(recipients, intervalMs, now);
+		}
+	}
+
+	/**
+	 * Selects the interval of heartbeats to each address: the fast one between a leader and the entry VMs of its zones, and
+	 * among leaders.
+	 */
+	#selectIntervals(
+		addresses: readonly string[],
+		{fastMs, electionMs, slowMs}: HeartbeatIntervals,
+		now: number,
+	): ReadonlyMap<string, number> {
+		const {ledZones} = this.#leadership;
 		const isElecting =
 			Object.keys(this.#liveLeaderTokens).length < this.#settings.zones.length;
-		const isFast = (address: string) =>
-			isLeader || isElecting || leaders.has(address);
-		this.#sendHeartbeat(isFast, heartbeatIntervalMs, now);
-		if (now - this.#lastSlowHeartbeatMs >= slowHeartbeatIntervalMs) {
-			this.#lastSlowHeartbeatMs = now;
-			this.#sendHeartbeat(
-				(address) => !isFast(address),
-				slowHeartbeatIntervalMs,
-				now,
-			);
-		}
+		const peersByAddress = new Map(
+			this.#leadership.livePeers(now).map((peer) => [peer.address, peer]),
+		);
+		const select = (address: string) => {
+			const peer = peersByAddress.get(address);
+			const isPeerLeader =
+				peer !== undefined && Object.keys(peer.leads).length > 0;
+			const isDependent =
+				peer === undefined
+					? ledZones.size > 0
+					: ledZones.has(peer.zone) ||
+						(ledZones.size > 0 && isPeerLeader) ||
+						peer.leads[this.#settings.zone] !== undefined;
+			if (isDependent) {
+				return fastMs;
+			}
+
+			if (isElecting) {
+				return electionMs;
+			}
+
+			return peer !== undefined &&
+				ledZones.size === 0 &&
+				!isPeerLeader &&
+				this.#peersWithSlowIntervals.has(peer.name)
+				? slowMs
+				: legacySlowIntervalMs;
+		};
+
+		return new Map(addresses.map((address) => [address, select(address)]));
 	}
 
-	/** Sends a heartbeat to the peers whose address is selected, announcing the interval until the next one. */
+	/** Sends a heartbeat to peers, announcing the interval until the next one. */
 	#sendHeartbeat(
-		isSelected: (address: string) => boolean,
+		recipients: ReadonlySet<string>,
 		intervalMs: number,
 		now: number,
 	): void {
-		const hasMemberList = now - this.#lastMemberListMs >= memberListIntervalMs;
-		if (hasMemberList && intervalMs === slowHeartbeatIntervalMs) {
-			this.#lastMemberListMs = now;
+		const sinceListMs = now - this.#memberListSinceMs;
+		if (
+			sinceListMs >=
+			(this.#isMemberListChanged
+				? memberListDurationMs + minMemberListIntervalMs
+				: memberListIntervalMs)
+		) {
+			this.#memberListSinceMs = now;
+			this.#isMemberListChanged = false;
 		}
 
 		this.#mesh.sendHeartbeats(
 			{
 				type: 'heartbeat',
-				heartbeat: this.#createHeartbeat(hasMemberList, intervalMs),
+				heartbeat: this.#createHeartbeat(
+					now - this.#memberListSinceMs < memberListDurationMs,
+					intervalMs,
+				),
 				needsKnowledge:
 					this.#leadership.ledZones.size > 0 &&
 					this.#storeFollower.ownDataAgeMs(now) > staleStoreDataMs,
 				readsStore: this.#storeFollower.ownDataAgeMs(now) < staleStoreDataMs,
+				acceptsSlowIntervals: true,
+				knows: {
+					state: this.#desiredState?.version ?? 0,
+					workers: this.#receivedWorkersVersion ?? this.#workersVersion,
+				},
 			},
-			isSelected,
+			(address) => recipients.has(address),
 			now,
 		);
 	}
@@ -688,6 +925,7 @@
 		switch (message.type) {
 			case 'heartbeat': {
 				this.#receiveHeartbeat(message.heartbeat, now);
+				this.#updatePeerVersions(from, message);
 				this.#updateStoreReader(from, message, now);
 				break;
 			}
@@ -697,7 +935,7 @@
 				// sender has submitted the job to another leader by then.
 				if (
 					this.#leadership.ledZones.size > 0 &&
-					this.#leadership.isPeerLive(from, now)
+					this.#leadership.hasRecentHeartbeat(from, now)
 				) {
 					this.#scheduler.submit(message.job, from, message.isResubmitted, now);
 				}
@@ -752,14 +990,18 @@
 			}
 
 			case 'knowledge': {
-				const {state, workers, ageMs} = message.knowledge;
+				const {state, workers, versions, ageMs} = message.knowledge;
 				if (state !== undefined) {
 					this.#applyDesiredState(state, from);
 				}
 
-				if (ageMs < this.#storeFollower.dataAgeMs(now)) {
-					this.#storeFollower.applyPeerWorkers(workers, ageMs, now);
-					this.#refreshWorkers(from);
+				if (workers !== undefined) {
+					if (ageMs < this.#storeFollower.dataAgeMs(now)) {
+						this.#storeFollower.applyPeerWorkers(workers, ageMs, now);
+						this.#refreshWorkers(from);
+					}
+
+					this.#receivedWorkersVersion = versions?.workers;
 				}
 
 				break;
@@ -798,22 +1040,36 @@
 		this.#leadership.receiveHeartbeat(heartbeat, now);
 		if (this.#members.size !== memberCount) {
 			// The next heartbeat includes the member list, so that newly connected peers receive it at once.
-			this.#lastMemberListMs = 0;
+			this.#isMemberListChanged = true;
 			this.#updateLinks();
 		}
 
 		if (hasChanged) {
-			this.#updateLeadership();
+			for (const zone of this.#settings.zones) {
+				if (heartbeat.hears[zone] === undefined) {
+					this.#zonesLostByPeers.add(zone);
+				}
+			}
+
+			this.#scheduleLeadershipUpdate();
 		}
+	}
 
-		const hasLostLeader = this.#settings.zones.some(
-			(zone) =>
-				heartbeat.hears[zone] === undefined &&
-				this.#liveLeaderTokens[zone] !== undefined,
-		);
-		if (hasChanged && hasLostLeader) {
-			// The sender has lost a leader that is live for this entry VM, and must be informed before it claims the zone.
-			this.#sendHeartbeatToAll(now);
+	/** Records what a peer's version of the program supports, and which versions of the store's data it has. */
+	#updatePeerVersions(
+		name: string,
+		{knows, acceptsSlowIntervals}: PoolMessage & {readonly type: 'heartbeat'},
+	): void {
+		if (knows === undefined) {
+			this.#peerVersions.delete(name);
+		} else {
+			this.#peerVersions.set(name, knows);
+		}
+
+		if (acceptsSlowIntervals === true) {
+			this.#peersWithSlowIntervals.add(name);
+		} else {
+			this.#peersWithSlowIntervals.delete(name);
 		}
 	}
 
@@ -855,9 +1111,10 @@
 		this.#leadersWithoutStore.add(from);
 		if (
 			this.#storeFollower.ownDataAgeMs(now) < staleStoreDataMs &&
-			now - this.#lastKnowledgeSentMs >= knowledgeResendIntervalMs
+			now - (this.#lastKnowledgeSentMs.get(from) ?? 0) >=
+				knowledgeResendIntervalMs
 		) {
-			this.#lastKnowledgeSentMs = now;
+			this.#lastKnowledgeSentMs.set(from, now);
 			this.#sendKnowledge(from);
 		}
 	}
@@ -879,23 +1136,86 @@
 
 	/** Sends the desired state and the workers to a peer. */
 	#sendKnowledge(name: string): void {
-		this.#mesh.send(name, {
+		this.#sendKnowledgeToAll([name], {hasState: true, hasWorkers: true});
+	}
+
+	/** Sends the desired state, the workers or both to peers. */
+	#sendKnowledgeToAll(
+		names: readonly string[],
+		{hasState, hasWorkers}: DueKnowledge,
+	): void {
+		this.#mesh.sendToAll(names, {
 			type: 'knowledge',
 			knowledge: {
-				state: this.#desiredState,
-				workers: this.#workerEntries,
+				state: hasState ? this.#desiredState : undefined,
+				workers: hasWorkers ? this.#workerEntries : undefined,
+				versions: this.#ownVersions,
 				ageMs: this.#storeFollower.dataAgeMs(this.#now()),
 			},
 		});
 	}
 
-	/** Sends the desired state and the workers to all live peers. */
-	#sendKnowledgeToPeers(): void {
-		for (const {name} of this.#leadership.livePeers(this.#now())) {
-			this.#sendKnowledge(name);
+	get #ownVersions(): KnowledgeVersions {
+		return {
+			state: this.#desiredState?.version ?? 0,
+			workers: this.#workersVersion,
+		};
+	}
+
+	/**
+	 * Sends the desired state and the workers to the peers that lack them: as a leader to the followers of its zones and of
+	 * zones without a leader, and as a reader of the store to leaders that cannot read it.
+	 */
+	#sendMissingKnowledge(now: number): void {
+		const {ledZones} = this.#leadership;
+		const isReader =
+			this.#leadersWithoutStore.size > 0 &&
+			this.#storeFollower.ownDataAgeMs(now) < staleStoreDataMs;
+		if (
+			(ledZones.size === 0 && !isReader) ||
+			!Number.isFinite(this.#storeFollower.dataAgeMs(now))
+		) {
+			return;
+		}
+
+		const peers = this.#leadership
+			.livePeers(now)
+			.filter(
+				({name, zone, leads}) =>
+					this.#mesh.isOpen(name) &&
+					((this.#informsZone(zone, now) && Object.keys(leads).length === 0) ||
+						(isReader && this.#leadersWithoutStore.has(name))),
+			)
+			.map(({name}) => ({name, knows: this.#peerVersions.get(name)}));
+		const due = [
+			...this.#knowledgeSchedule.takeDue(peers, this.#ownVersions, now),
+		];
+		for (const [hasState, hasWorkers] of [
+			[true, true],
+			[true, false],
+			[false, true],
+		] as const) {
+			const names = due
+				.filter(
+					([, knowledge]) =>
+						knowledge.hasState === hasState &&
+						knowledge.hasWorkers === hasWorkers,
+				)
+				.map(([name]) => name);
+			if (names.length > 0) {
+				this.#sendKnowledgeToAll(names, {hasState, hasWorkers});
+			}
 		}
 	}
 
+	/** Whether this entry VM informs the entry VMs of a zone: as their leader, or if they have none. */
+	#informsZone(zone: string, now: number): boolean {
+		return (
+			this.#leadership.ledZones.has(zone) ||
+			this.#leadership.findLeader(zone, now) === undefined
+		);
+	}
+
 	/** Applies a desired state from the store or a peer unless it is older than the present one or the same. */
 	#applyDesiredState(state: DesiredState, source: string): void {
 		if (
@@ -918,9 +1238,7 @@
 		}
 
 		this.#stateWaiters.clear();
-		if (source === 'store') {
-			this.#sendKnowledgeToPeers();
-		}
+		this.#sendMissingKnowledge(this.#now());
 	}
 
 	/** Updates the workers from the directory, and passes them on if they have changed. */
@@ -929,10 +1247,15 @@
 		const isChanged = !hasEqualWorkers(entries, this.#workerEntries);
 		this.#retainPartitionedWorkers(entries);
 		this.#workerEntries = entries;
+		if (source === 'store') {
+			this.#receivedWorkersVersion = undefined;
+		}
+
 		if (!isChanged) {
 			return;
 		}
 
+		this.#workersVersion = computeWorkersVersion(entries);
 		this.#log.write({
 			event: 'workers',
 			ready: entries.filter(({state}) => state === 'ready').length,
@@ -942,10 +1265,6 @@
 		if (this.#leadership.ledZones.size > 0) {
 			this.#scheduler.updateWorkers(entries, this.#now());
 		}
-
-		if (source === 'store') {
-			this.#sendKnowledgeToPeers();
-		}
 	}
 
 	/**
@@ -975,6 +1294,7 @@
 		}
 
 		this.#workerEntries = this.#storeFollower.directory.entries(now);
+		this.#workersVersion = computeWorkersVersion(this.#workerEntries);
 	}
 
 	/**
@@ -1006,7 +1326,7 @@
 	/** Submits a job to the leader, or marks it as unsent while none is reachable. */
 	#sendToLeader(pending: PendingJob): void {
 		const now = this.#now();
-		const leader = this.#leader;
+		const leader = this.#findLeaderFor(pending, now);
 		if (leader === undefined || !this.#canReach(leader)) {
 			pending.withoutLeaderSinceMs ??= now;
 			return;
@@ -1016,20 +1336,31 @@
 			this.#releaseAtLeader(pending.sentTo, pending.job.id);
 		}
 
-		const {doneTasks, earlierToken} = pending;
+		const {earlierToken} = pending;
 		const leaderToken =
-			this.#leadership.findLeader(this.#settings.zone, now)?.token ?? 0;
+			this.#leadership.findLeader(
+				pending.overflowZone ?? this.#settings.zone,
+				now,
+			)?.token ?? 0;
 		const isResubmitted = this.#pendingJobs.markSent(
 			pending,
-			leader,
-			leaderToken,
+			{name: leader, token: leaderToken},
+			this.#findZonesForJob(pending, leader, now),
 		);
+		const {doneTasks, zones, refusedBy} = pending;
 		const job = {
 			...pending.job,
 			waitedMs: now - pending.receivedAtMs,
 			leaderToken,
 			...(earlierToken === undefined ? {} : {earlierToken}),
 			...(doneTasks.length > 0 ? {doneTasks} : {}),
+			...(zones === undefined ? {} : {zones}),
+			...(refusedBy.length > 0
+				? {
+						refusingZones: refusedBy.length,
+						patienceMs: Math.min(pending.job.patienceMs, maxOverflowPatienceMs),
+					}
+				: {}),
 		};
 		if (leader === this.#settings.name) {
 			this.#scheduler.submit(job, leader, isResubmitted, now);
@@ -1038,10 +1369,28 @@
 		}
 	}
 
-	/** Submits all pending jobs again, to the present leader. */
-	#resubmitPendingJobs(): void {
+	/** Returns the zones in which a leader is to place a job; `undefined` for all zones. */
+	#findZonesForJob(
+		{overflowZone}: PendingJob,
+		leader: string,
+		now: number,
+	): readonly string[] | undefined {
+		const placesByZone =
+			leader === this.#settings.name ||
+			this.#leadership
+				.livePeers(now)
+				.some(({name, scope}) => name === leader && scope !== undefined);
+		return this.#scope === 'zone' && placesByZone
+			? [overflowZone ?? this.#settings.zone]
+			: undefined;
+	}
+
+	/** Submits the selected pending jobs again, to their present leaders. */
+	#resubmitPendingJobs(isSelected: (pending: PendingJob) => boolean): void {
 		const now = this.#now();
-		for (const pending of this.#pendingJobs.all) {
+		for (const pending of this.#pendingJobs.all.filter((other) =>
+			isSelected(other),
+		)) {
 			pending.withoutLeaderSinceMs ??= now;
 			this.#sendToLeader(pending);
 		}
@@ -1103,9 +1452,14 @@
 
 	/** Passes a leader's answer on to the callers, and cancels the job at another leader that has it now. */
 	#receiveAnswer(leader: string, id: string, answer: PoolAnswer): void {
-		const sentTo = this.#pendingJobs.get(id)?.sentTo;
+		const pending = this.#pendingJobs.get(id);
+		const sentTo = pending?.sentTo;
 		const acceptedAnswer = this.#pendingJobs.filterAnswer(id, leader, answer);
-		if (acceptedAnswer === undefined) {
+		if (
+			pending === undefined ||
+			acceptedAnswer === undefined ||
+			this.#sendToOtherZone(pending, leader, acceptedAnswer)
+		) {
 			return;
 		}
 
@@ -1124,6 +1478,63 @@
 		}
 	}
 
+	/**
+	 * Submits a job that its leader has refused for lack of room to the leader of a zone that has room; returns whether
+	 * there is one.
+	 */
+	#sendToOtherZone(
+		pending: PendingJob,
+		leader: string,
+		answer: PoolAnswer,
+	): boolean {
+		const now = this.#now();
+		if (
+			this.#scope !== 'zone' ||
+			pending.hasLostCaller ||
+			!isRefusedForLackOfRoom(answer) ||
+			!this.#pendingJobs.isRefusedForCertain(pending, leader)
+		) {
+			return false;
+		}
+
+		const room = this.#overflow.choose(
+			pending.job,
+			[...pending.refusedBy, leader],
+			this.#findZoneRooms(now),
+			now,
+		);
+		if (room === undefined) {
+			return false;
+		}
+
+		this.#log.write({
+			event: 'overflow',
+			id: pending.job.id,
+			refusedBy: leader,
+			...room,
+			waitedMs: Math.round(now - pending.receivedAtMs),
+		});
+		this.#pendingJobs.redirect(pending, leader, room.zone);
+		this.#sendToLeader(pending);
+		return true;
+	}
+
+	/** Returns the room of the zones with another leader that heeds the zones of jobs and is reachable. */
+	#findZoneRooms(now: number): readonly ZoneRoom[] {
+		return this.#leadership
+			.livePeers(now)
+			.filter(({name}) => this.#mesh.isOpen(name))
+			.flatMap(({name: leader, spareMillis = {}}) =>
+				Object.entries(spareMillis)
+					.filter(
+						([zone]) =>
+							zone !== this.#settings.zone &&
+							this.#leadership.findLeader(zone, now)?.name === leader,
+					)
+					.map(([zone, millis]) => ({zone, leader, spareMillis: millis})),
+			);
+	}
+
 	/** Cancels a job at a leader because no caller waits for it any more. */
 	#cancelAtLeader(leader: string, id: string): void {
 		if (leader === this.#settings.name) {
@@ -1133,8 +1544,33 @@
 		}
 	}
 
-	/** Sends a request to the leader; resolves with its reply, or with `undefined` if there is none in time. */
+	/**
+	 * Gets the replies of all leaders to a request, of this entry VM itself from `answer`: a job may be with the leader of
+	 * any zone. A reply that does not arrive in time is `undefined`.
+	 */
+	async #requestFromLeaders<Reply>(
+		answer: () => Reply,
+		createMessage: (requestNumber: number) => PoolMessage,
+	): Promise<readonly unknown[]> {
+		const now = this.#now();
+		const leaders = new Set(
+			this.#settings.zones.flatMap((zone) => {
+				const leader = this.#leadership.findLeader(zone, now)?.name;
+				return leader === undefined ? [] : [leader];
+			}),
+		);
+		return Promise.all(
+			[...leaders].map(async (leader) =>
+				leader === this.#settings.name
+					? answer()
+					: this.#requestFromLeader(leader, createMessage),
+			),
+		);
+	}
+
+	/** Sends a request to a leader; resolves with its reply, or with `undefined` if there is none in time. */
 	async #requestFromLeader(
+		leader: string,
 		createMessage: (requestNumber: number) => PoolMessage,
 	): Promise<unknown> {
 		const requestNumber = this.#nextRequestNumber;
@@ -1145,7 +1581,7 @@
 				this.#replyHandlers.delete(requestNumber);
 				resolve(undefined);
 			}, requestTimeoutMs);
-			this.#mesh.send(this.#leader ?? '', createMessage(requestNumber));
+			this.#mesh.send(leader, createMessage(requestNumber));
 		});
 	}
 }
