--- a/packages/core/src/pool-job.ts
+++ b/packages/core/src/pool-job.ts
@@ -42,6 +42,13 @@
 	readonly zones?: readonly string[];
 	/** Number of zones whose leaders have refused this attempt; absent if there is none. */
 	readonly refusingZones?: number;
+	/**
+	 * Fencing token of the leader that the receiver submits this copy to, as last heard; absent in copies from builds that
+	 * do not send it.
+	 */
+	readonly leaderToken?: number;
+	/** Highest fencing token of the leaders that the receiver submitted the job to before; absent if there was none. */
+	readonly earlierToken?: number;
 };
 
 /** How a job ended, or why it did not run. */
--- a/packages/verbenarouter/src/pool/pending-jobs.ts
+++ b/packages/verbenarouter/src/pool/pending-jobs.ts
@@ -1,4 +1,9 @@
-import {unionZones, type PoolAnswer, type PoolJob} from '@verbenarouter/core';
+import {
+	unionZones,
+	type PoolAnswer,
+	type PoolJob,
+	type ZoneLeader,
+} from '@verbenarouter/core';
 
 /** A job without an answer, with the callers that wait for it. */
 export type PendingJob = {
@@ -15,6 +20,8 @@
 	hasLostCaller: boolean;
 	/** Leader to which the job was last sent; `undefined` before the first. */
 	sentTo: string | undefined;
+	/** Highest fencing token of the leaders to which the job was sent; `undefined` before the first. */
+	earlierToken: number | undefined;
 	/** Leaders to which the job was sent, without those in `refusedBy`; each may have started it. */
 	readonly leaders: Set<string>;
 	/** Zones whose workers may have run the job for these leaders; `undefined` for all zones. */
@@ -67,6 +74,7 @@
 			sendCount: 0,
 			hasLostCaller: false,
 			sentTo: undefined,
+			earlierToken: undefined,
 			leaders: new Set(),
 			zones: [],
 			withoutLeaderSinceMs: now,
@@ -94,14 +102,15 @@
 	 */
 	markSent(
 		pending: PendingJob,
-		leader: string,
+		{name, token}: ZoneLeader,
 		zones?: readonly string[],
 	): boolean {
 		const isResubmitted = pending.leaders.size > 0;
-		pending.leaders.add(leader);
+		pending.leaders.add(name);
 		pending.sendCount += 1;
 		pending.zones = unionZones(pending.zones, zones);
-		pending.sentTo = leader;
+		pending.earlierToken = Math.max(pending.earlierToken ?? 0, token);
+		pending.sentTo = name;
 		pending.withoutLeaderSinceMs = undefined;
 		return isResubmitted;
 	}
@@ -152,6 +161,7 @@
 		pending.zones = [];
 		pending.sendCount = 0;
 		pending.sentTo = undefined;
+		pending.earlierToken = undefined;
 	}
 
 	/** Removes a job without an answer. */
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -203,7 +203,7 @@
 				},
 				sendCompletedTasks: (receiver, id, doneTasks) => {
 					if (receiver === settings.name) {
-						this.#addCompletedTasks(id, doneTasks);
+						this.#addCompletedTasks(receiver, id, doneTasks);
 					} else {
 						this.#mesh.send(receiver, {type: 'progress', id, doneTasks});
 					}
@@ -949,11 +949,16 @@
 			}
 
 			case 'progress': {
-				this.#addCompletedTasks(message.id, message.doneTasks);
+				this.#addCompletedTasks(from, message.id, message.doneTasks);
 				break;
 			}
 
 			case 'cancel': {
+				if (message.reason === 'moved') {
+					this.#scheduler.release(message.id, from, now);
+					break;
+				}
+
 				const isKnown = this.#scheduler.cancel(message.id, message.reason, now);
 				if (message.question !== undefined) {
 					this.#mesh.send(from, {
@@ -1292,11 +1297,29 @@
 		this.#workersVersion = computeWorkersVersion(this.#workerEntries);
 	}
 
-	/** Adds tasks that a leader reports as completed to a pending job. */
-	#addCompletedTasks(id: string, doneTasks: readonly string[]): void {
+	/**
+	 * Adds tasks that a leader reports as completed to a pending job, and tells the leader that has the job by now, which
+	 * would run them again.
+	 */
+	#addCompletedTasks(
+		leader: string,
+		id: string,
+		doneTasks: readonly string[],
+	): void {
 		const pending = this.#pendingJobs.get(id);
-		if (pending !== undefined) {
-			pending.doneTasks = [...new Set([...pending.doneTasks, ...doneTasks])];
+		if (pending === undefined) {
+			return;
+		}
+
+		const allDoneTasks = [...new Set([...pending.doneTasks, ...doneTasks])];
+		const hasNewTasks = allDoneTasks.length > pending.doneTasks.length;
+		pending.doneTasks = allDoneTasks;
+		if (
+			hasNewTasks &&
+			pending.sentTo !== undefined &&
+			pending.sentTo !== leader
+		) {
+			this.#sendToLeader(pending);
 		}
 	}
 
@@ -1309,16 +1332,27 @@
 			return;
 		}
 
-		const previous = pending.sentTo;
+		if (pending.sentTo !== undefined && pending.sentTo !== leader) {
+			this.#releaseAtLeader(pending.sentTo, pending.job.id);
+		}
+
+		const {earlierToken} = pending;
+		const leaderToken =
+			this.#leadership.findLeader(
+				pending.overflowZone ?? this.#settings.zone,
+				now,
+			)?.token ?? 0;
 		const isResubmitted = this.#pendingJobs.markSent(
 			pending,
-			leader,
+			{name: leader, token: leaderToken},
 			this.#findZonesForJob(pending, leader, now),
 		);
 		const {doneTasks, zones, refusedBy} = pending;
 		const job = {
 			...pending.job,
 			waitedMs: now - pending.receivedAtMs,
+			leaderToken,
+			...(earlierToken === undefined ? {} : {earlierToken}),
 			...(doneTasks.length > 0 ? {doneTasks} : {}),
 			...(zones === undefined ? {} : {zones}),
 			...(refusedBy.length > 0
@@ -1333,15 +1367,6 @@
 		} else {
 			this.#mesh.send(leader, {type: 'submit', job, isResubmitted});
 		}
-
-		if (
-			previous !== undefined &&
-			previous !== leader &&
-			this.#leadsAnyZone(previous, now)
-		) {
-			// The previous leader may still run the job in the zones that it keeps, also longer than the next one waits.
-			this.#cancelAtLeader(previous, pending.job.id);
-		}
 	}
 
 	/** Returns the zones in which a leader is to place a job; `undefined` for all zones. */
@@ -1360,17 +1385,6 @@
 			: undefined;
 	}
 
-	/** Whether an entry VM is live and leads a zone. */
-	#leadsAnyZone(name: string, now: number): boolean {
-		return name === this.#settings.name
-			? this.#leadership.ledZones.size > 0
-			: this.#leadership
-					.livePeers(now)
-					.some(
-						(peer) => peer.name === name && Object.keys(peer.leads).length > 0,
-					);
-	}
-
 	/** Submits the selected pending jobs again, to their present leaders. */
 	#resubmitPendingJobs(isSelected: (pending: PendingJob) => boolean): void {
 		const now = this.#now();
@@ -1455,6 +1469,15 @@
 		}
 	}
 
+	/** Has a leader give up a job that is submitted to another one now; two leaders would otherwise wait and then start it. */
+	#releaseAtLeader(leader: string, id: string): void {
+		if (leader === this.#settings.name) {
+			this.#scheduler.release(id, leader, this.#now());
+		} else {
+			this.#mesh.send(leader, {type: 'cancel', id, reason: 'moved'});
+		}
+	}
+
 	/**
 	 * Submits a job that its leader has refused for lack of room to the leader of a zone that has room; returns whether
 	 * there is one.
--- a/packages/verbenarouter/src/tests/pending-jobs.test.ts
+++ b/packages/verbenarouter/src/tests/pending-jobs.test.ts
@@ -1,4 +1,8 @@
-import {type PoolAnswer, type PoolJob} from '@verbenarouter/core';
+import {
+	type PoolAnswer,
+	type PoolJob,
+	type ZoneLeader,
+} from '@verbenarouter/core';
 import {describe, expect, it} from 'vitest';
 import {PendingJobs} from '../pool/pending-jobs.js';
 
@@ -13,12 +17,16 @@
 };
 const notRun: PoolAnswer = {kind: 'not-run', reason: 'overloaded'};
 
+function leaderFixture(name: string): ZoneLeader {
+	return {name, token: 1};
+}
+
 /** Returns pending jobs with `job` sent to each of the leaders in turn. */
 function createPendingJobs(...leaders: readonly string[]): PendingJobs {
 	const jobs = new PendingJobs();
 	const {pending} = jobs.add(job, () => undefined, 0);
 	for (const leader of leaders) {
-		jobs.markSent(pending, leader);
+		jobs.markSent(pending, leaderFixture(leader));
 	}
 
 	return jobs;
@@ -61,21 +69,21 @@
 	it('returns whether a leader may have started the job before', () => {
 		const jobs = new PendingJobs();
 		const {pending} = jobs.add(job, () => undefined, 0);
-		expect(jobs.markSent(pending, 'a', ['zone-a'])).toBe(false);
-		expect(jobs.markSent(pending, 'a', ['zone-a'])).toBe(true);
-		expect(jobs.markSent(pending, 'b', ['zone-a'])).toBe(true);
+		expect(jobs.markSent(pending, leaderFixture('a'), ['zone-a'])).toBe(false);
+		expect(jobs.markSent(pending, leaderFixture('a'), ['zone-a'])).toBe(true);
+		expect(jobs.markSent(pending, leaderFixture('b'), ['zone-a'])).toBe(true);
 		expect(pending.sentTo).toBe('b');
 	});
 
 	it('unites the zones of all leaders that had the job, and keeps all zones after a leader that ignores them', () => {
 		const jobs = new PendingJobs();
 		const {pending} = jobs.add(job, () => undefined, 0);
-		jobs.markSent(pending, 'a', ['zone-a']);
+		jobs.markSent(pending, leaderFixture('a'), ['zone-a']);
 		expect(pending.zones).toEqual(['zone-a']);
-		jobs.markSent(pending, 'b', ['zone-b']);
+		jobs.markSent(pending, leaderFixture('b'), ['zone-b']);
 		expect(pending.zones).toEqual(['zone-a', 'zone-b']);
-		jobs.markSent(pending, 'c');
-		jobs.markSent(pending, 'a', ['zone-a']);
+		jobs.markSent(pending, leaderFixture('c'));
+		jobs.markSent(pending, leaderFixture('a'), ['zone-a']);
 		expect(pending.zones).toBeUndefined();
 	});
 });
@@ -91,7 +99,7 @@
 			refusedBy: ['a'],
 			sentTo: undefined,
 		});
-		expect(jobs.markSent(pending, 'b', ['zone-b'])).toBe(false);
+		expect(jobs.markSent(pending, leaderFixture('b'), ['zone-b'])).toBe(false);
 		expect(pending.zones).toEqual(['zone-b']);
 		expect(jobs.filterAnswer('j1', 'b', notRun)).toEqual(notRun);
 	});
@@ -100,8 +108,8 @@
 		const jobs = createPendingJobs('a');
 		const pending = jobs.get('j1')!;
 		jobs.redirect(pending, 'a', 'zone-b');
-		jobs.markSent(pending, 'b', ['zone-b']);
-		expect(jobs.markSent(pending, 'c', ['zone-b'])).toBe(true);
+		jobs.markSent(pending, leaderFixture('b'), ['zone-b']);
+		expect(jobs.markSent(pending, leaderFixture('c'), ['zone-b'])).toBe(true);
 		expect(pending.zones).toEqual(['zone-b']);
 		expect(jobs.filterAnswer('j1', 'c', notRun)?.kind).toBe('may-have-run');
 		expect(jobs.isRefusedForCertain(pending, 'c')).toBe(false);
@@ -111,7 +119,7 @@
 		const jobs = createPendingJobs('a');
 		const pending = jobs.get('j1')!;
 		jobs.redirect(pending, 'a', 'zone-b');
-		jobs.markSent(pending, 'b', ['zone-b']);
+		jobs.markSent(pending, leaderFixture('b'), ['zone-b']);
 		expect(jobs.filterAnswer('j1', 'a', notRun)).toBeUndefined();
 	});
 
--- a/testing/src/measure-scheduler.ts
+++ b/testing/src/measure-scheduler.ts
@@ -182,7 +182,7 @@
 		measure('report', () => {
 			scheduler.handleHoldOutcome(
 				worker.entry.id,
-				hold?.sentAtMs ?? clock.now,
+				{sentAtMs: hold?.sentAtMs ?? clock.now, fencingToken: 7},
 				{
 					kind: 'done',
 					clockMs: clock.now,
