Wait in the tests of zone leaders for reports and busy workers, not for a time

On a machine with a load of 50 to 62 four of the six tests failed: jobs were sent before all of the 130 stand-in workers had reported, and were refused as overloaded 250 ms after the claim; and half a second was too short to fill a zone. The tests now wait until each worker has reported or runs a task. What they check is unchanged.

--- a/testing/src/tests/zone-leaders.test.ts
+++ b/testing/src/tests/zone-leaders.test.ts
@@ -21,7 +21,7 @@
 	runningInstallation?.close();
 });
 
-/** Starts two zones with so many small workers together that each zone has its own leader. */
+/** Starts two zones with so many small workers together that each has its own leader, and waits until all have reported. */
 async function startLargeInstallation(
 	entryVmsPerZone: number,
 ): Promise<PoolInstallation> {
@@ -32,9 +32,25 @@
 		processorMillis: 1000,
 	});
 	await runningInstallation.start();
+	while (countReportedWorkers(runningInstallation) < 2 * workersPerZone) {
+		// eslint-disable-next-line no-await-in-loop -- polls until the test times out
+		await sleep(20);
+	}
+
 	return runningInstallation;
 }
 
+/** Counts the workers that have reported to a leader. A leader refuses jobs while it waits for the reports for long. */
+function countReportedWorkers({entryVms}: PoolInstallation): number {
+	return new Set(
+		entryVms.flatMap(({lines}) =>
+			lines
+				.filter((line) => line.includes('"reason":"synced"'))
+				.map((line) => /"worker":"(?<id>[^"]+)"/v.exec(line)?.groups?.id),
+		),
+	).size;
+}
+
 /** Returns the zones that an entry VM has claimed so far. */
 function claimedZones({lines}: PoolEntryVm): readonly string[] {
 	return lines
@@ -57,8 +73,11 @@
 	)!;
 }
 
-/** Fills all workers of a zone with one long job, whose caller waits for it. */
-function fillZone(installation: PoolInstallation, zone: string): void {
+/** Fills all workers of a zone with one long job, whose caller waits for it; resolves when it runs on all of them. */
+async function fillZone(
+	installation: PoolInstallation,
+	zone: string,
+): Promise<void> {
 	const receiver = installation.entryVms.find(
 		(entryVm) => entryVm.zone === zone,
 	)!;
@@ -75,6 +94,15 @@
 		}),
 		30_000,
 	);
+	const workers = installation.workers.filter(
+		({options}) => options.zone === zone,
+	);
+	const isBusy = ({runs}: PoolInstallation['workers'][number]) =>
+		runs.some(({endedAtMs}) => endedAtMs === undefined);
+	while (!workers.every((worker) => isBusy(worker))) {
+		// eslint-disable-next-line no-await-in-loop -- polls until the test times out
+		await sleep(20);
+	}
 }
 
 /** Returns the zones of the workers that have run tasks of a job. */
@@ -151,8 +179,7 @@
 	it('runs jobs in the other zone while the workers of their own are busy, and refuses them while all are', async () => {
 		const installation = await startLargeInstallation(1);
 		const [inZoneA] = installation.entryVms;
-		fillZone(installation, 'a');
-		await sleep(500);
+		await fillZone(installation, 'a');
 		const ids = Array.from({length: 10}, () => installation.newId());
 		const answers = await Promise.all(
 			ids.map(async (id) => installation.submit(inZoneA!, id, job)),
@@ -161,8 +188,7 @@
 		expect(ids.map((id) => [...zonesOfRuns(installation, id)])).toEqual(
 			ids.map(() => ['b']),
 		);
-		fillZone(installation, 'b');
-		await sleep(500);
+		await fillZone(installation, 'b');
 		const id = installation.newId();
 		const refusal = await installation.submit(inZoneA!, id, job);
 		expect(refusal.status).toBe(429);
@@ -188,8 +214,7 @@
 
 	it('never runs a task twice at the same time when the leader of a zone that jobs overflow to is killed', async () => {
 		const installation = await startLargeInstallation(2);
-		fillZone(installation, 'a');
-		await sleep(500);
+		await fillZone(installation, 'a');
 		const leader = findLeader(installation, 'b');
 		const receivers = installation.entryVms.filter(({zone}) => zone === 'a');
 		const pendingAnswers = submitPaced(installation, receivers, 160);
