Warm up the strongest machine of a zone after its restart while a weaker one leads

Cause: warm entry VMs are preferred as leaders, and a restarted one is warm only after it has led for 3 s. Once both strong machines of a zone (1.35 cores) have restarted, one of 0.32 cores leads it for good: leuven-3 from 23.1 s on. Change: a restarted process runs its warm-up when a weaker machine leads its zone and no machine of the zone suits better; it then takes the zone over by the present rule. Not at region scope, nor where the leader is as strong, so small installations don't pay for it. Ruled out: preferring strength to warmth, since a process whose code has never run takes about ten times as long.

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -326,6 +326,34 @@
 		this.#isWarm = true;
 	}
 
+	/**
+	 * Whether this process should run its warm-up: a weaker machine leads its zone, which it can take over once it is warm,
+	 * and no other machine of the zone suits better.
+	 */
+	isWarmUpDue(now: number): boolean {
+		const {zone, processorShare} = this.#self;
+		if (this.#scope === 'region' || this.#isWarm || this.#isStopping) {
+			return false;
+		}
+
+		const zonePeers = this.livePeers(now).filter((peer) => peer.zone === zone);
+		const leader = this.findLeader(zone, now);
+		return (
+			zonePeers.some(
+				(peer) =>
+					peer.name === leader?.name && peer.processorShare < processorShare,
+			) &&
+			zonePeers.every(
+				(peer) =>
+					peer.isStopping ||
+					compareCandidates(
+						{...this.#self, isWarm: true},
+						{...peer, isWarm: true},
+					) < 0,
+			)
+		);
+	}
+
 	/**
 	 * Whether this entry VM has had at least two live peers and now has none that has sent a recent heartbeat. A process
 	 * that continues after a freeze is isolated until it receives one, as others may lead its zones by then.
--- a/packages/core/src/tests/leadership.test.ts
+++ b/packages/core/src/tests/leadership.test.ts
@@ -403,6 +403,36 @@
 		).toEqual([]);
 	});
 
+	it('has the strongest machine warm up after its restart while a weaker one leads its zone', () => {
+		const isWarmUpDue = (
+			leaderShare: number,
+			others: readonly Heartbeat[] = [],
+		) => {
+			const leadership = createZonalLeadership('m', 'zone-a', 2);
+			const leader = heartbeatFixture('l', {
+				processorShare: leaderShare,
+				leads: {'zone-a': 5},
+			});
+			simulate(leadership, 0, 1000, [leader, ...others]);
+			return leadership.isWarmUpDue(1000);
+		};
+
+		const cold = {processorShare: 2, isWarm: false};
+		expect(isWarmUpDue(1)).toBe(true);
+		expect(isWarmUpDue(2)).toBe(false);
+		expect(isWarmUpDue(1, [heartbeatFixture('n', cold)])).toBe(true);
+		expect(isWarmUpDue(1, [heartbeatFixture('a', cold)])).toBe(false);
+		expect(
+			isWarmUpDue(1, [heartbeatFixture('a', {...cold, isStopping: true})]),
+		).toBe(true);
+		expect(
+			isWarmUpDue(1, [heartbeatFixture('a', {...cold, zone: 'zone-b'})]),
+		).toBe(true);
+		const alone = createZonalLeadership('m', 'zone-a', 2);
+		simulate(alone, 0, 1000);
+		expect(alone.isWarmUpDue(1000)).toBe(false);
+	});
+
 	it('splits the region when the scope changes, each zone to its own entry VM', () => {
 		const leadership = createLeadership('a');
 		leadership.setWarm();
--- a/packages/verbenarouter/src/pool/daemon.ts
+++ b/packages/verbenarouter/src/pool/daemon.ts
@@ -20,6 +20,8 @@
 const settingsCheckIntervalMs = 1000;
 /** Interval at which the delay of the event loop is measured. */
 const delayCheckIntervalMs = 50;
+/** Interval at which a process that has started again checks whether to run its warm-up. */
+const warmUpCheckIntervalMs = 250;
 /** Exit code of a process whose settings are invalid. */
 const badSettingsExitCode = 2;
 
@@ -47,6 +49,16 @@
 	}
 }
 
+/** Runs warm-up jobs once the zone is better led by this process than by its present leader. */
+function warmUpWhenDue(node: PoolNode, log: PoolLog): void {
+	const timer = setInterval(() => {
+		if (node.isWarmUpDue) {
+			clearInterval(timer);
+			void warmUp(node, log);
+		}
+	}, warmUpCheckIntervalMs);
+}
+
 /** Reloads the settings file on SIGHUP and when its modification time changes. */
 function watchSettings(path: string, node: PoolNode, log: PoolLog): void {
 	let modifiedMs = statSync(path).mtimeMs;
@@ -129,6 +141,8 @@
 	log.write({event: 'started', tookMs: Math.round(performance.now())});
 	if (value.isFirstStart) {
 		void warmUp(node, log);
+	} else {
+		warmUpWhenDue(node, log);
 	}
 
 	setTimeout(() => {
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -354,6 +354,11 @@
 		];
 	}
 
+	/** Whether this process should run its warm-up, so that it can lead its zone instead of a weaker machine. */
+	get isWarmUpDue(): boolean {
+		return this.#leadership.isWarmUpDue(this.#now());
+	}
+
 	/** Marks this process as warm, so that it may lead the whole region: its scheduling code has run. */
 	setWarm(): void {
 		this.#leadership.setWarm();
