Judge no runs of a worker whose report a late leader has not read

Callers would see refusals on idle workers: a leader that was late by 0.45 s stopped runs that had ended long before, and set sound workers aside. Cause: runs count as stuck, and workers as slow, by the time since their start, also if their ends wait unread in this process.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -420,7 +420,8 @@
 
 		this.#tickedAtMs = now;
 		this.pool.tick(now);
-		for (const worker of this.pool.workers) {
+		// The runs of a worker whose report is missing may have ended: this process may have been late to read it.
+		for (const worker of this.pool.workers.filter(({isSynced}) => isSynced)) {
 			for (const run of worker.runs.values()) {
 				worker.pace.recordOngoingRun(
 					(now - run.orderedAtMs) / Math.max(1, run.expectedMs),
--- a/packages/core/src/tests/pool-scheduler.test.ts
+++ b/packages/core/src/tests/pool-scheduler.test.ts
@@ -282,6 +282,50 @@
 	});
 });
 
+describe('a leader that was late', () => {
+	/** Lets six short runs start on a worker and end while the leader is late, which has read the first end only. */
+	function playLateLeader(): SchedulerFixture {
+		const fixture = new SchedulerFixture();
+		fixture.leadIdleWorkers([workerFixture('w1')], startMs);
+		for (let index = 0; index < 6; index += 1) {
+			fixture.scheduler.submit(
+				poolJobFixture(`j${index}`, 1, {
+					runMs: 60,
+					processorMillis: 1000,
+					patienceMs: 2500,
+				}),
+				'r1',
+				false,
+				startMs,
+			);
+		}
+
+		for (const start of fixture.starts) {
+			fixture.answerStart(start, startMs + 1);
+		}
+
+		fixture.scheduler.tick(startMs + 20);
+		fixture.receiveReport('w1', startMs + 470, {
+			sentAtMs: startMs + 5,
+			ended: [{number: 1, task: fixture.starts[0]!.task, run: 1, how: 'done'}],
+			running: fixture.starts.slice(1).map(({task}) => ({task, run: 1})),
+		});
+		fixture.scheduler.tick(startMs + 470);
+		return fixture;
+	}
+
+	it('does not take the runs whose ends it has not read yet for stuck', () => {
+		const fixture = playLateLeader();
+		expect(fixture.starts).toHaveLength(6);
+		expect(fixture.stops).toEqual([]);
+	});
+
+	it('does not take the worker for slow', () => {
+		const [worker] = playLateLeader().scheduler.pool.workers;
+		expect(worker!.pace.isSlow(startMs + 470)).toBe(false);
+	});
+});
+
 describe('run that takes many times as long as expected', () => {
 	const runMs = 100;
 
