Ask the index of orphans whether there are any, instead of all workers for each job

Cause: the check scanned all workers for each unsettled job, and after a claim all jobs are unsettled: work that grows with workers times jobs, which the index of free capacity had removed elsewhere. A fault of joining the two.

--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -195,10 +195,7 @@
 
 	/** Whether any worker has an orphan, or the end of one is retained. */
 	get hasOrphans(): boolean {
-		return (
-			this.#orphanEnds.size > 0 ||
-			[...this.#workers.values()].some(({orphans}) => orphans.size > 0)
-		);
+		return this.#orphanEnds.size > 0 || this.#orphanHolders.size > 0;
 	}
 
 	/** Leads the workers of a zone under a fencing token; their runs continue. */
