--- a/testing/src/known-red/known-red.ts
+++ b/testing/src/known-red/known-red.ts
@@ -12,6 +12,8 @@
 	readonly isPassed: boolean;
 	/** Full names of the tests that have failed. */
 	readonly failedTests: readonly string[];
+	/** Number of errors outside of the tests, such as those of hooks. */
+	readonly errorCount: number;
 };
 
 /** Whether a test run passes apart from the known red tests. */
@@ -53,7 +55,10 @@
 ): TestRunVerdict {
 	const failedTests = files.flatMap((file) => file.failedTests);
 	const failedFiles = files
-		.filter(({isPassed, failedTests: own}) => !isPassed && own.length === 0)
+		.filter(
+			({isPassed, failedTests: own, errorCount}) =>
+				errorCount > 0 || (!isPassed && own.length === 0),
+		)
 		.map(({name}) => name);
 	const listed = new Set(knownRed.map(({test}) => test));
 	const unknownFailures = [
--- a/testing/src/known-red/run-tests.ts
+++ b/testing/src/known-red/run-tests.ts
@@ -17,6 +17,7 @@
 	failedTests: [...module.children.allTests('failed')].map((test) =>
 		test.fullName.replaceAll(' > ', ' '),
 	),
+	errorCount: module.errors().length,
 }));
 const otherErrors = vitest.state.getUnhandledErrors().length;
 await vitest.close();
--- a/testing/src/tests/known-red.test.ts
+++ b/testing/src/tests/known-red.test.ts
@@ -12,8 +12,9 @@
 function fileFixture(
 	failedTests: readonly string[],
 	isPassed = false,
+	errorCount = 0,
 ): TestFileResult {
-	return {name: 'a.test.ts', isPassed, failedTests};
+	return {name: 'a.test.ts', isPassed, failedTests, errorCount};
 }
 
 describe('the list of known red tests', () => {
@@ -54,6 +55,12 @@
 		});
 	});
 
+	it('rejects a run in which a file has errors outside of its tests, also beside a listed test that fails', () => {
+		expect(
+			decideTestRun([fileFixture(['group case one'], false, 1)], 0, knownRed),
+		).toMatchObject({isAccepted: false, unknownFailures: ['a.test.ts']});
+	});
+
 	it('rejects a run with errors outside of all tests, and one without tests', () => {
 		const files = [fileFixture(['group case one'])];
 		expect(decideTestRun(files, 1, knownRed).isAccepted).toBe(false);
