Ask for a submission again that a late leader read before its sender's heartbeat

Callers would see 504 at the end of their patience for jobs that no leader knew of. Cause: a leader ignored submissions that it read before a recent heartbeat of the sender, since both sides used to give up after 0.4 s and the sender would have moved the job. Change: the leader asks the receiver, which knows whether it has moved the job; it submits it again after the next heartbeat. The submission that arrived late is still not used. Entry VMs of the last build ignore the message. Also lets the reply of a leader be read before its time-out counts, like other time-outs. Ruled out: accepting the submission as it is: after a partition two leaders would have the job.

--- a/packages/peer/src/pool-message.ts
+++ b/packages/peer/src/pool-message.ts
@@ -48,6 +48,8 @@
 			readonly isResubmitted: boolean;
 	  }
 	| {readonly type: 'answer'; readonly id: string; readonly answer: PoolAnswer}
+	/** Asks the receiver of a job to submit it again, since it arrived out of date. Entry VMs of the last build ignore it. */
+	| {readonly type: 'resubmit'; readonly id: string}
 	| {
 			readonly type: 'progress';
 			readonly id: string;
--- a/packages/peer/src/pool-traffic.ts
+++ b/packages/peer/src/pool-traffic.ts
@@ -23,6 +23,7 @@
 	submit: true,
 	answer: true,
 	progress: true,
+	resubmit: true,
 	cancel: true,
 	ask: true,
 	reply: true,
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -93,6 +93,9 @@
 /** Longest time for which a request to the leader waits for its reply. */
 const requestTimeoutMs = 800;
 
+/** Delay of a submission that a leader has asked for again: longer than the interval of heartbeats to leaders. */
+const resubmitDelayMs = 120;
+
 /** Settings that take effect without a restart. */
 const reloadableSettings: ReadonlySet<keyof EntrySettings> = new Set([
 	'peerSeeds',
@@ -924,6 +927,38 @@
 		);
 	}
 
+	/**
+	 * Submits a job to the scheduler. One that arrives before a recent heartbeat of its sender was delayed, by a partition or
+	 * because this process was late. Its sender may have submitted it to another leader by then, and is asked to submit it
+	 * again if it has not.
+	 */
+	#receiveSubmission(
+		from: string,
+		{job, isResubmitted}: PoolMessage & {readonly type: 'submit'},
+		now: number,
+	): void {
+		if (this.#leadership.ledZones.size === 0) {
+			return;
+		}
+
+		if (this.#leadership.hasRecentHeartbeat(from, now)) {
+			this.#scheduler.submit(job, from, isResubmitted, now);
+		} else {
+			this.#log.write({event: 'submission-out-of-date', id: job.id, from});
+			this.#mesh.send(from, {type: 'resubmit', id: job.id});
+		}
+	}
+
+	/** Submits a job to its leader again, which has received a heartbeat by then, unless another leader has the job. */
+	#resubmitAfterHeartbeat(leader: string, id: string): void {
+		setTimeout(() => {
+			const pending = this.#pendingJobs.get(id);
+			if (pending?.sentTo === leader) {
+				this.#sendToLeader(pending);
+			}
+		}, resubmitDelayMs);
+	}
+
 	/** Handles a message from another entry VM. */
 	#receiveMessage(from: string, message: PoolMessage): void {
 		const now = this.#now();
@@ -936,15 +971,12 @@
 			}
 
 			case 'submit': {
-				// A submission that a partition delayed arrives before the sender's next heartbeat. It is ignored, because the
-				// sender has submitted the job to another leader by then.
-				if (
-					this.#leadership.ledZones.size > 0 &&
-					this.#leadership.hasRecentHeartbeat(from, now)
-				) {
-					this.#scheduler.submit(message.job, from, message.isResubmitted, now);
-				}
+				this.#receiveSubmission(from, message, now);
+				break;
+			}
 
+			case 'resubmit': {
+				this.#resubmitAfterHeartbeat(from, message.id);
 				break;
 			}
 
@@ -1583,8 +1615,13 @@
 		return new Promise((resolve) => {
 			this.#replyHandlers.set(requestNumber, resolve);
 			setTimeout(() => {
-				this.#replyHandlers.delete(requestNumber);
-				resolve(undefined);
+				// A late event loop runs overdue timers before it reads its sockets, so the reply may have arrived already.
+				setImmediate(() => {
+					setImmediate(() => {
+						this.#replyHandlers.delete(requestNumber);
+						resolve(undefined);
+					});
+				});
 			}, requestTimeoutMs);
 			this.#mesh.send(leader, createMessage(requestNumber));
 		});
