Answer requests that are pipelined on a connection while the process stops

Callers that pipeline would see LOST: of two requests that were read from one connection during a stop the second got no answer. Cause: the first response carried 'connection: close', upon which Node destroys the connection with the requests behind it; the second counted as open until the end of the grace, as a response behind others gets no 'close' event. Evidence: the test got 1 of 2 answers before and gets both now, and nothing stays open. Found in a review; callers of the users' platform have not been seen to pipeline.

--- a/packages/platform/src/caller-server.ts
+++ b/packages/platform/src/caller-server.ts
@@ -13,7 +13,7 @@
 	type QueueSetting,
 } from '@verbenarouter/core';
 import {decodeJob, encodeAnswer, type EncodedResponse} from './job-record.js';
-import {OpenRequests} from './open-requests.js';
+import {OpenRequests, isLastOnConnection} from './open-requests.js';
 
 /** The dispatcher as used by the server for callers. */
 export type JobDispatcher = {
@@ -353,7 +353,7 @@
 		headers['retry-after'] = Math.ceil(retryAfterMs / 1000);
 	}
 
-	if (dispatcher.isStopping()) {
+	if (dispatcher.isStopping() && isLastOnConnection(response)) {
 		headers.connection = 'close';
 	}
 
--- a/packages/platform/src/tests/caller-server.test.ts
+++ b/packages/platform/src/tests/caller-server.test.ts
@@ -1,5 +1,6 @@
 import {request, type IncomingMessage, type Server} from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {connect, type AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type DesiredState, type PoolAnswer} from '@verbenarouter/core';
 import {afterEach, describe, expect, it} from 'vitest';
 import {
@@ -138,7 +139,47 @@
 	});
 });
 
+/** Sends two submissions in one segment, and returns what the server sends until it closes or 500 ms have passed. */
+async function submitPipelined(): Promise<string> {
+	const {port} = callerServer!.address() as AddressInfo;
+	const socket = connect(port, '127.0.0.1');
+	socket.setEncoding('utf8');
+	let received = '';
+	socket.on('data', (text: string) => {
+		received += text;
+	});
+	const {body} = submission;
+	socket.write(
+		['aa', 'ab']
+			.map(
+				(suffix) =>
+					`POST /plans/00000000000000${suffix} HTTP/1.1\r\nhost: kitchen.example\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
+			)
+			.join(''),
+	);
+	await sleep(500);
+	socket.destroy();
+	return received;
+}
+
 describe('a request that arrives while the process stops', () => {
+	it('is answered also if its connection has another request before it', async () => {
+		const openRequests = new OpenRequests();
+		await listen(
+			createDispatcher({
+				isStopping: () => true,
+				async submit() {
+					await sleep(50);
+					return {kind: 'completed'};
+				},
+			}).dispatcher,
+			openRequests,
+		);
+		const received = await submitPipelined();
+		expect(received.split('HTTP/1.1 200').length - 1).toBe(2);
+		expect(openRequests.readCount).toBe(0);
+	});
+
 	it('is refused at once with the time that it needs known, whatever its method', async () => {
 		const asked: string[] = [];
 		const {dispatcher, rejected} = createDispatcher({
