Judge workers by run times without the leader's own lateness

Cause: a leader that read no reports for 450 ms took that time for run time, so that a sound worker counted as slow, and the learned run times rose.

Ends from a report that was requested before that change neither pace nor estimates, and ongoing runs are judged, as slow or as stuck, only by reports requested since.

With it, in the same file: a caller that has left ends its job only at the receiver that has the job now.

Ruled out: subtracting the stall from run times, since the run may have ended at any moment of it.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -2,6 +2,7 @@
 import {type DesiredState, type QueueSetting} from './desired-state.js';
 import {type RunTimeEstimator} from './run-time-estimator.js';
 import {findInfeasibility, projectJobLastStartMs} from './pool-admission.js';
+import {LeaderStall} from './leader-stall.js';
 import {type PoolDecision} from './pool-decision.js';
 import {
 	unionZones,
@@ -133,6 +134,7 @@
 	#desiredState: DesiredState | undefined;
 	/** Time of the latest call, for listener methods that get no time. */
 	#now = 0;
+	readonly #stall = new LeaderStall();
 	/** Time of the last tick, or of the claim of the first zone. */
 	#tickedAtMs: number | undefined;
 	/** Whether waiting tasks may have become placeable since the last attempt to place them. */
@@ -211,6 +213,7 @@
 		this.#now = now;
 		if (this.pool.zones.length === 0) {
 			this.#tickedAtMs = now;
+			this.#stall.restart(now);
 		}
 
 		this.pool.claimZone(zone, token, now);
@@ -322,11 +325,22 @@
 		this.#placeWaitingTasks(now);
 	}
 
-	/** Ends a job whose caller has left or cancelled it. Returns whether the job was known and had no answer. */
-	cancel(id: string, reason: 'caller-left' | 'cancelled', now: number) {
+	/**
+	 * Ends a job whose caller has cancelled it, or has left its receiver `from`. Returns whether the job was known and had no
+	 * answer. A caller that has left another receiver is ignored: it has sent the job again.
+	 */
+	cancel(
+		id: string,
+		reason: 'caller-left' | 'cancelled',
+		from: string,
+		now: number,
+	): boolean {
 		this.#now = now;
 		const job = this.#jobs.get(id);
-		if (job === undefined) {
+		if (
+			job === undefined ||
+			(reason === 'caller-left' && job.receiver !== from)
+		) {
 			return false;
 		}
 
@@ -370,6 +384,18 @@
 		}
 	}
 
+	/** Does the same for all receivers that `isReachable` does not accept. */
+	markUnreachableReceivers(
+		isReachable: (receiver: string) => boolean,
+		now: number,
+	): void {
+		for (const job of this.#jobs.values()) {
+			if (!isReachable(job.receiver)) {
+				job.receiverLostAtMs ??= now;
+			}
+		}
+	}
+
 	/** Handles the outcome of a start command. */
 	handleStartOutcome(
 		workerId: string,
@@ -404,6 +430,7 @@
 		now: number,
 	): void {
 		this.#now = now;
+		this.#stall.observe(now);
 		this.pool.handleHoldOutcome(workerId, hold, outcome, now);
 		this.#placeWaitingTasks(now);
 	}
@@ -419,9 +446,13 @@
 		}
 
 		this.#tickedAtMs = now;
+		this.#stall.recordTick(now);
 		this.pool.tick(now);
 		// The runs of a worker whose report is missing may have ended: this process may have been late to read it.
-		for (const worker of this.pool.workers.filter(({isSynced}) => isSynced)) {
+		for (const worker of this.pool.workers.filter(
+			({isSynced, reportRequestedAtMs}) =>
+				isSynced && this.#stall.isTimely(reportRequestedAtMs),
+		)) {
 			for (const run of worker.runs.values()) {
 				worker.pace.recordOngoingRun(
 					(now - run.orderedAtMs) / Math.max(1, run.expectedMs),
@@ -1166,13 +1197,21 @@
 		);
 	}
 
-	/** Updates the worker's health and pace, and the run time estimates, from a run that succeeded. */
+	/**
+	 * Updates the worker's health from a run that succeeded, and its pace and the run time estimates unless this process
+	 * may have read the end late.
+	 */
 	#recordRunTime(
 		run: WorkerRun,
 		worker: PoolWorker,
 		ranMs: number,
 		job: ScheduledJob | undefined,
 	): void {
+		if (!this.#stall.isTimely(worker.reportRequestedAtMs)) {
+			worker.health.recordCompletion(undefined, run.expectedMs);
+			return;
+		}
+
 		worker.health.recordCompletion(ranMs, run.expectedMs);
 		this.pool.recordEndedRun(
 			worker,
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -125,6 +125,8 @@
 	nextHoldAtMs = 0;
 	/** Time of the last report. */
 	reportedAtMs = Number.NEGATIVE_INFINITY;
+	/** Time at which the hold command of the last report was sent. */
+	reportRequestedAtMs = Number.NEGATIVE_INFINITY;
 	/** Failed hold commands and unsent start commands since the last report. */
 	contactFailures = 0;
 	/** Sequence number of the last end that the pool has handled. */
--- a/packages/core/src/target-health.ts
+++ b/packages/core/src/target-health.ts
@@ -71,11 +71,15 @@
 		);
 	}
 
-	/** Records a completed task, which makes the target healthy again. */
-	recordCompletion(ranMs: number, expectedMs: number): void {
+	/** Records a completed task, which makes the target healthy again; its run time is `undefined` if it is unknown. */
+	recordCompletion(ranMs: number | undefined, expectedMs: number): void {
 		this.#consecutiveFailures = 0;
 		this.#lastFailedJob = undefined;
 		this.#ejectionMs = 0;
+		if (ranMs === undefined) {
+			return;
+		}
+
 		this.#slowdownSamples += 1;
 		this.#meanSlowdown +=
 			(ranMs / Math.max(1, expectedMs) - this.#meanSlowdown) * slowdownWeight;
--- a/packages/core/src/tests/leaders-model.ts
+++ b/packages/core/src/tests/leaders-model.ts
@@ -583,7 +583,7 @@
 		if (reason === 'moved') {
 			this.scheduler.release(id, from, this.#now);
 		} else {
-			this.scheduler.cancel(id, reason, this.#now);
+			this.scheduler.cancel(id, reason, from, this.#now);
 		}
 	}
 
--- a/packages/core/src/tests/pool-scheduler.test.ts
+++ b/packages/core/src/tests/pool-scheduler.test.ts
@@ -219,9 +219,9 @@
 
 	it('is stopped when its caller leaves', () => {
 		const fixture = createFixtureWithRun();
-		expect(fixture.scheduler.cancel('j1', 'caller-left', startMs + 50)).toBe(
-			true,
-		);
+		expect(
+			fixture.scheduler.cancel('j1', 'caller-left', 'r1', startMs + 50),
+		).toBe(true);
 		expect(fixture.stops).toHaveLength(1);
 		expect(fixture.answers[0]?.answer).toEqual({
 			kind: 'may-have-run',
@@ -261,7 +261,7 @@
 			fixture.receiveReport('w1', startMs + number, {
 				ended: [{number: 2 * number, task, run: 1, how: 'failed'}],
 			});
-			fixture.scheduler.cancel(id, 'cancelled', startMs + number);
+			fixture.scheduler.cancel(id, 'cancelled', 'r1', startMs + number);
 			fixture.receiveReport('w1', startMs + number, {
 				ended: [{number: 2 * number + 1, task, run: 2, how: 'stopped'}],
 			});
@@ -405,6 +405,29 @@
 	});
 });
 
+describe('caller that has left', () => {
+	it('ends its job only at the receiver that has it, as the caller may have sent it again elsewhere', () => {
+		const fixture = new SchedulerFixture();
+		fixture.leadIdleWorkers([workerFixture('w1')], startMs);
+		const job = poolJobFixture('j1');
+		fixture.scheduler.submit(job, 'r1', false, startMs);
+		fixture.scheduler.submit(
+			{...job, attempt: 'entry/again'},
+			'r2',
+			false,
+			startMs + 10,
+		);
+		expect(
+			fixture.scheduler.cancel('j1', 'caller-left', 'r1', startMs + 20),
+		).toBe(false);
+		expect(fixture.stops).toEqual([]);
+		expect(fixture.scheduler.jobCount).toBe(1);
+		expect(
+			fixture.scheduler.cancel('j1', 'caller-left', 'r2', startMs + 30),
+		).toBe(true);
+	});
+});
+
 describe('refused attempt', () => {
 	it('starts nothing when its message is delivered again, while a new attempt of the caller runs', () => {
 		const fixture = new SchedulerFixture();
@@ -413,7 +436,7 @@
 		fixture.scheduler.submit(long, 'r1', false, startMs);
 		fixture.scheduler.submit(poolJobFixture('j1'), 'r1', false, startMs + 1);
 		expect(fixture.answers).toMatchObject([{answer: {kind: 'not-run'}}]);
-		fixture.scheduler.cancel('long', 'cancelled', startMs + 2);
+		fixture.scheduler.cancel('long', 'cancelled', 'r1', startMs + 2);
 		const ended = [1, 2].map((number) => ({
 			number,
 			task: `long.0.0.${number - 1}`,
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -728,6 +728,7 @@
 
 		worker.contactFailures = 0;
 		worker.reportedAtMs = now;
+		worker.reportRequestedAtMs = sentAtMs;
 		worker.nextHoldAtMs = now;
 		const newEnds = report.ended.filter(
 			({number}) => number > worker.lastHandledEndNumber,
