Leave a zone whose leader stops to an entry VM of the zone

Cause: a claim considers only candidates that have sent a heartbeat in the 120 ms before the zone lost its leader. The followers of a zone send heartbeats to other zones every 400 ms or more, while the stopping leader, which is no candidate, sends them every 100 ms and shows that the zone is reachable. So to another zone the zone looked alive and without candidates, and was claimed 50 ms after the stop.

Change: with a leader for each zone, an entry VM claims no zone of others while an entry VM of that zone is live which does not stop. The successor that a leader names is waited for 400 ms while it is live, by others of the zone too.

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -96,6 +96,8 @@
 	warmUpMs: 3000,
 	mergeDelayMs: 1500,
 	maxExcludedMs: 1000,
+	/** Time for which the named successor of a zone that is handed over is waited for, if it is live. */
+	readonly handOverMs: number;
 };
 
 /**
@@ -115,6 +117,7 @@
 			readonly zone: string;
 			readonly reason:
 				'outranked' | 'yielded' | 'stopping' | 'isolated' | 'unreachable';
+	handOverMs: 400,
 	  };
 
 /** The entry VM that leads a zone, and its fencing token. */
@@ -394,21 +397,14 @@
 	}
 
 	/**
-	 * Hands each zone over to the best live candidate, and stops claiming zones; a zone without a candidate is kept.
+	 * Hands each zone over to the best live candidate, and stops claiming zones; a zone without a candidate is kept until
+	 * there is one.
 	 */
 	stop(now: number): readonly LeadershipChange[] {
 		this.#isStopping = true;
-		return [...this.#ledZones.keys()].flatMap((zone) => {
-			const successor = this.#rankCandidates(zone, now).find(
-				({name}) => name !== this.#self.name,
-			);
-			if (successor === undefined) {
-				return [];
-			}
-
-			this.#successors.set(zone, successor.name);
-			return this.#drop(zone, 'stopping');
-		});
+		return [...this.#ledZones.keys()].flatMap((zone) =>
+			this.#handOver(zone, now),
+		);
 	}
 
 	/**
@@ -506,7 +502,7 @@
 				now,
 				leaderlessSinceMs - this.#settings.candidateStaggerMs,
 			) &&
-			now >= this.#earliestClaimMs(leaderlessSinceMs, position, now)
+			now >= this.#earliestClaimMs(zone, leaderlessSinceMs, position, now)
 			? this.#claim(zone, now)
 			: [];
 	}
@@ -517,6 +513,10 @@
 		now: number,
 	): number {
 		const {
+		if (this.#isStopping) {
+			return this.#handOver(zone, now);
+		}
+
 			leaderCheckMs,
 			candidateStaggerMs,
 			startGraceMs,
@@ -526,6 +526,19 @@
 		return Math.max(
 			(this.#startedAtMs ?? now) +
 				(this.#peers.size === 0 ? noPeersGraceMs : startGraceMs),
+	/** Hands a zone over to the best live candidate, if there is one, because this process shuts down. */
+	#handOver(zone: string, now: number): readonly LeadershipChange[] {
+		const successor = this.#rankCandidates(zone, now).find(
+			({name}) => name !== this.#self.name,
+		);
+		if (successor === undefined) {
+			return [];
+		}
+
+		this.#successors.set(zone, successor.name);
+		return this.#drop(zone, 'stopping');
+	}
+
 			leaderlessSinceMs +
 				leaderCheckMs +
 				position * candidateStaggerMs +
@@ -557,6 +570,15 @@
 			this.#self.zone === zone ||
 			[...this.#peers.values()].some(
 				(peer) =>
+		// The entry VMs of a zone send heartbeats to other zones rarely, so a live one that has sent none lately may claim it.
+		if (
+			this.#scope === 'zone' &&
+			this.#self.zone !== zone &&
+			this.livePeers(now).some((peer) => peer.zone === zone && !peer.isStopping)
+		) {
+			return [];
+		}
+
 					peer.heartbeat.zone === zone &&
 					peer.lastHeartbeatAtMs >= heartbeatSinceMs &&
 					this.#isLive(peer, now),
@@ -574,6 +596,7 @@
 			...(this.#isStopping ? [] : [{...this.#self, isWarm: this.#isWarm}]),
 			...[...this.#peers.values()]
 				.filter(
+		zone: string,
 					(peer) =>
 						this.#isLive(peer, now) &&
 						peer.lastHeartbeatAtMs >= heartbeatSinceMs &&
@@ -584,13 +607,19 @@
 		const inZone = allCandidates.filter((candidate) => candidate.zone === zone);
 		const isRegional =
 			this.#scope === 'region' && allCandidates.some(({isWarm}) => isWarm);
+			handOverMs,
 		if (this.#scope === 'zone' && inZone.length > 0) {
+		const hasLiveSuccessor = this.livePeers(now).some(({yields}) => {
+			const successor = yields[zone];
+			return successor !== undefined && this.isPeerLive(successor, now);
+		});
 			return inZone.toSorted((left, right) => compareCandidates(left, right));
 		}
 
 		// One leader should lead the whole region, while leaders of zones should share the zones without entry VMs.
 		const direction = this.#scope === 'region' ? 1 : -1;
 		return (
+				(hasLiveSuccessor ? handOverMs : 0) +
 			isRegional || inZone.length === 0 ? allCandidates : inZone
 		).toSorted(
 			(left, right) =>
--- a/packages/core/src/tests/leadership.test.ts
+++ b/packages/core/src/tests/leadership.test.ts
@@ -489,6 +489,46 @@
 	});
 });
 
+describe('a zone whose leader stops', () => {
+	const stopping = heartbeatFixture('a1', {
+		isStopping: true,
+		yields: {'zone-a': 'a2'},
+	});
+	const successor = heartbeatFixture('a2', {intervalMs: 2000});
+
+	it('is claimed by no entry VM of another zone while one of its own is live, though that sends heartbeats rarely', () => {
+		const leadership = createZonalLeadership('b1', 'zone-b');
+		const leading = {...stopping, leads: {'zone-a': 5}, yields: {}};
+		simulate(leadership, 0, 1000, [leading, successor]);
+		expect(simulate(leadership, 1020, 2500, [stopping])).toEqual([]);
+	});
+
+	it('is handed over once a candidate is live, if none was when the stop began', () => {
+		const leadership = createZonalLeadership('a1');
+		simulate(leadership, 0, 1000);
+		expect(leadership.stop(1000)).toEqual([]);
+		const candidate = heartbeatFixture('a2');
+		leadership.receiveHeartbeat(candidate, 1100);
+		expect(leadership.tick(1100)).toEqual([
+			{kind: 'dropped', zone: 'zone-a', reason: 'stopping'},
+		]);
+		expect(leadership.successors.get('zone-a')).toBe('a2');
+	});
+
+	it('is left to the successor that its leader has named, as long as that is live', () => {
+		const leadership = createZonalLeadership('a3');
+		const leading = {...stopping, leads: {'zone-a': 5}, yields: {}};
+		simulate(leadership, 0, 1000, [leading, successor]);
+		const {handOverMs} = defaultLeadershipSettings;
+		expect(simulate(leadership, 1020, 1000 + handOverMs, [stopping])).toEqual(
+			[],
+		);
+		expect(
+			simulate(leadership, 1020 + handOverMs, 2000 + handOverMs, [stopping]),
+		).toEqual(['zone-a']);
+	});
+});
+
 describe('Leadership of a process that read no messages for a time', () => {
 	const leader = heartbeatFixture('entry-2', {
 		processorShare: 2,
