--- a/packages/core/src/event-loop-delay.ts
+++ b/packages/core/src/event-loop-delay.ts
@@ -3,20 +3,24 @@
 
 /** Tracks how late the event loop of this process runs, from the times at which a periodic check has run. */
 export class EventLoopDelay {
-	readonly #intervalMs: number;
+	#intervalMs: number;
 	#lastCheckMs: number | undefined;
 	#checkBeforeLastMs: number | undefined;
 	/** Delays within the window that no later one exceeds, the largest first. */
 	#peaks: ReadonlyArray<{readonly atMs: number; readonly delayMs: number}> = [];
 
-	/** `intervalMs` is the interval for which the check is scheduled. */
+	/** `intervalMs` is the interval for which the first check is scheduled. */
 	constructor(intervalMs: number) {
 		this.#intervalMs = intervalMs;
 	}
 
-	/** Records that the check runs now; returns by how much it is late, in milliseconds. */
-	recordCheck(now: number): number {
+	/**
+	 * Records that the check runs now; returns by how much it is late, in milliseconds. `nextIntervalMs` is the time until
+	 * the next check, if it changes.
+	 */
+	recordCheck(now: number, nextIntervalMs = this.#intervalMs): number {
 		const delayMs = this.#computeOverdueMs(now);
+		this.#intervalMs = nextIntervalMs;
 		this.#checkBeforeLastMs = this.#lastCheckMs;
 		this.#lastCheckMs = now;
 		this.#peaks = [
--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -34,10 +34,28 @@
 	readonly scope?: PoolScope;
 	/** Free thousandths of a core of each zone that the sender leads, for jobs that other zones have refused. */
 	readonly spareMillis?: Readonly<Record<string, number>>;
+	/** Whether the sender is a candidate of its zone; absent from the last build, whose entry VMs all are. */
+	readonly isCandidate?: boolean;
+	/** Leaders that are live for the sender, itself included, for peers that are not connected to them; sent by candidates. */
+	readonly leaders?: readonly ReportedLeader[];
 	/** Entry VMs that appear in heartbeats, without those that only the store lists; empty in most heartbeats. */
 	readonly members: readonly MemberAddress[];
 };
 
+/** The leader of a zone as another entry VM reports it. */
+export type ReportedLeader = {
+	/** Zone that the leader leads. */
+	readonly zone: string;
+	/** Name of the leader. */
+	readonly name: string;
+	/** `host:port` of the leader's peer interface. */
+	readonly address: string;
+	/** Fencing token of the leader. */
+	readonly token: number;
+	/** Free thousandths of a core of the zone, for jobs that other zones have refused; absent if the leader reports none. */
+	readonly spareMillis?: number;
+};
+
 /** The address of an entry VM. */
 export type MemberAddress = {
 	/** Name of the entry VM. */
@@ -46,6 +64,10 @@
 	readonly zone: string;
 	/** `host:port` of the entry VM's peer interface. */
 	readonly address: string;
+	/** Processor time that the entry VM may use, as a fraction of one core; absent from the last build. */
+	readonly processorShare?: number;
+	/** Milliseconds since the entry VM's newest heartbeat to any other; absent from the last build. */
+	readonly ageMs?: number;
 };
 
 /** Workers that one leader places tasks on: those of the whole region or of a single zone. */
@@ -74,6 +96,8 @@
 	 * alive.
 	 */
 	readonly isolatedGraceMs: number;
+	/** Time for which the named successor of a zone that is handed over is waited for, if it is live. */
+	readonly handOverMs: number;
 	/** Time as a leader after which a process is warm. While no process is warm, each zone has its own leader. */
 	readonly warmUpMs: number;
 	/** Time for which another leader must have been live before this one hands its zones over to it. */
@@ -93,11 +117,10 @@
 	startGraceMs: 200,
 	noPeersGraceMs: 600,
 	isolatedGraceMs: 1500,
+	handOverMs: 400,
 	warmUpMs: 3000,
 	mergeDelayMs: 1500,
 	maxExcludedMs: 1000,
-	/** Time for which the named successor of a zone that is handed over is waited for, if it is live. */
-	readonly handOverMs: number;
 };
 
 /**
@@ -117,7 +140,6 @@
 			readonly zone: string;
 			readonly reason:
 				'outranked' | 'yielded' | 'stopping' | 'isolated' | 'unreachable';
-	handOverMs: 400,
 	  };
 
 /** The entry VM that leads a zone, and its fencing token. */
@@ -167,6 +189,13 @@
 	readonly #successors = new Map<string, string>();
 	readonly #leaderlessSinceMs = new Map<string, number>();
 	#scope: PoolScope = 'zone';
+	/** Whether this entry VM may claim a zone that no leader hands over to it. */
+	#isCandidate = true;
+	/** Entry VMs of the own zone that may claim it too, and from which no heartbeat has arrived yet. */
+	#unheardCandidates: ReadonlyArray<
+		Pick<Heartbeat, 'name' | 'zone' | 'processorShare'>
+	> = [];
+
 	#startedAtMs: number | undefined;
 	#highestToken = 0;
 	#isStopping = false;
@@ -213,6 +242,20 @@
 		this.#scope = scope;
 	}
 
+	/**
+	 * Sets whether this entry VM is a candidate of its zone, and the other candidates of the zone from which nothing has been
+	 * heard yet; a better one of them is waited for as if it were live.
+	 */
+	setCandidacy(
+		isCandidate: boolean,
+		unheardCandidates: ReadonlyArray<
+			Pick<Heartbeat, 'name' | 'zone' | 'processorShare'>
+		>,
+	): void {
+		this.#isCandidate = isCandidate;
+		this.#unheardCandidates = unheardCandidates;
+	}
+
 	/** Whether a heartbeat changes any state of its sender that an election depends on. */
 	hasChanged(heartbeat: Heartbeat, now: number): boolean {
 		const peer = this.#peers.get(heartbeat.name);
@@ -222,6 +265,7 @@
 			peer.heartbeat.incarnation !== heartbeat.incarnation ||
 			peer.heartbeat.isStopping !== heartbeat.isStopping ||
 			peer.heartbeat.isWarm !== heartbeat.isWarm ||
+			peer.heartbeat.isCandidate !== heartbeat.isCandidate ||
 			!isShallowEqual(peer.heartbeat.leads, heartbeat.leads) ||
 			!isShallowEqual(peer.heartbeat.hears, heartbeat.hears) ||
 			!isShallowEqual(peer.heartbeat.yields, heartbeat.yields)
@@ -319,6 +363,16 @@
 			: leader;
 	}
 
+	/** Finds the leader of a zone that is live for a peer, if none is live here; of several, the one with the highest token. */
+	findReportedLeader(zone: string, now: number): ReportedLeader | undefined {
+		return this.livePeers(now)
+			.flatMap(({leaders = []}) => leaders)
+			.filter(
+				(leader) => leader.zone === zone && leader.name !== this.#self.name,
+			)
+			.toSorted((left, right) => right.token - left.token)[0];
+	}
+
 	/** Whether this process is warm, and so fast enough to lead a whole region. */
 	get isWarm(): boolean {
 		return this.#isWarm;
@@ -459,6 +513,10 @@
 			return [];
 		}
 
+		if (this.#isStopping) {
+			return this.#handOver(zone, now);
+		}
+
 		const successor = this.#findSuccessor(zone, now);
 		if (successor === undefined) {
 			return [];
@@ -468,6 +526,19 @@
 		return this.#drop(zone, 'yielded');
 	}
 
+	/** Hands a zone over to the best live candidate, if there is one, because this process shuts down. */
+	#handOver(zone: string, now: number): readonly LeadershipChange[] {
+		const successor = this.#rankCandidates(zone, now).find(
+			({name}) => name !== this.#self.name,
+		);
+		if (successor === undefined) {
+			return [];
+		}
+
+		this.#successors.set(zone, successor.name);
+		return this.#drop(zone, 'stopping');
+	}
+
 	#tickLeaderless(zone: string, now: number): readonly LeadershipChange[] {
 		const leaderlessSinceMs = this.#leaderlessSinceMs.get(zone) ?? now;
 		this.#leaderlessSinceMs.set(zone, leaderlessSinceMs);
@@ -481,9 +552,17 @@
 			return this.#claim(zone, now);
 		}
 
+		if (!this.#isCandidate) {
+			return [];
+		}
+
+		// Only heartbeats at the fast interval show the loss of a leader soon: other peers hear one for longer.
 		const isLeaderLiveElsewhere = [...this.#peers.values()].some(
 			(peer) =>
 				this.#isLive(peer, now) &&
+				(this.#scope === 'region' ||
+					peer.heartbeat.zone === zone ||
+					Object.keys(peer.heartbeat.leads).length > 0) &&
 				peer.lastHeartbeatAtMs > leaderlessSinceMs &&
 				peer.heartbeat.hears[zone] !== undefined,
 		);
@@ -491,6 +570,15 @@
 			return [];
 		}
 
+		// The entry VMs of a zone send heartbeats to other zones rarely, so a live one that has sent none lately may claim it.
+		if (
+			this.#scope === 'zone' &&
+			this.#self.zone !== zone &&
+			this.livePeers(now).some((peer) => peer.zone === zone && !peer.isStopping)
+		) {
+			return [];
+		}
+
 		const position = this.#rankCandidates(
 			zone,
 			now,
@@ -508,40 +596,30 @@
 	}
 
 	#earliestClaimMs(
+		zone: string,
 		leaderlessSinceMs: number,
 		position: number,
 		now: number,
 	): number {
 		const {
-		if (this.#isStopping) {
-			return this.#handOver(zone, now);
-		}
-
 			leaderCheckMs,
 			candidateStaggerMs,
 			startGraceMs,
 			noPeersGraceMs,
 			isolatedGraceMs,
+			handOverMs,
 		} = this.#settings;
+		const hasLiveSuccessor = this.livePeers(now).some(({yields}) => {
+			const successor = yields[zone];
+			return successor !== undefined && this.isPeerLive(successor, now);
+		});
 		return Math.max(
 			(this.#startedAtMs ?? now) +
 				(this.#peers.size === 0 ? noPeersGraceMs : startGraceMs),
-	/** Hands a zone over to the best live candidate, if there is one, because this process shuts down. */
-	#handOver(zone: string, now: number): readonly LeadershipChange[] {
-		const successor = this.#rankCandidates(zone, now).find(
-			({name}) => name !== this.#self.name,
-		);
-		if (successor === undefined) {
-			return [];
-		}
-
-		this.#successors.set(zone, successor.name);
-		return this.#drop(zone, 'stopping');
-	}
-
 			leaderlessSinceMs +
 				leaderCheckMs +
 				position * candidateStaggerMs +
+				(hasLiveSuccessor ? handOverMs : 0) +
 				(this.isIsolated(now) ? isolatedGraceMs : 0),
 		);
 	}
@@ -570,15 +648,6 @@
 			this.#self.zone === zone ||
 			[...this.#peers.values()].some(
 				(peer) =>
-		// The entry VMs of a zone send heartbeats to other zones rarely, so a live one that has sent none lately may claim it.
-		if (
-			this.#scope === 'zone' &&
-			this.#self.zone !== zone &&
-			this.livePeers(now).some((peer) => peer.zone === zone && !peer.isStopping)
-		) {
-			return [];
-		}
-
 					peer.heartbeat.zone === zone &&
 					peer.lastHeartbeatAtMs >= heartbeatSinceMs &&
 					this.#isLive(peer, now),
@@ -592,14 +661,19 @@
 		now: number,
 		heartbeatSinceMs = Number.NEGATIVE_INFINITY,
 	): readonly Candidate[] {
+		const unheard = this.#unheardCandidates
+			.filter(({name}) => !this.isPeerLive(name, now))
+			.map((candidate) => ({...candidate, isWarm: this.#isWarm}));
 		const allCandidates: readonly Candidate[] = [
-			...(this.#isStopping ? [] : [{...this.#self, isWarm: this.#isWarm}]),
+			...(this.#isStopping
+				? []
+				: [{...this.#self, isWarm: this.#isWarm}, ...unheard]),
 			...[...this.#peers.values()]
 				.filter(
-		zone: string,
 					(peer) =>
 						this.#isLive(peer, now) &&
 						peer.lastHeartbeatAtMs >= heartbeatSinceMs &&
+						peer.heartbeat.isCandidate !== false &&
 						!peer.heartbeat.isStopping,
 				)
 				.map(({heartbeat}) => heartbeat),
@@ -607,19 +681,13 @@
 		const inZone = allCandidates.filter((candidate) => candidate.zone === zone);
 		const isRegional =
 			this.#scope === 'region' && allCandidates.some(({isWarm}) => isWarm);
-			handOverMs,
 		if (this.#scope === 'zone' && inZone.length > 0) {
-		const hasLiveSuccessor = this.livePeers(now).some(({yields}) => {
-			const successor = yields[zone];
-			return successor !== undefined && this.isPeerLive(successor, now);
-		});
 			return inZone.toSorted((left, right) => compareCandidates(left, right));
 		}
 
 		// One leader should lead the whole region, while leaders of zones should share the zones without entry VMs.
 		const direction = this.#scope === 'region' ? 1 : -1;
 		return (
-				(hasLiveSuccessor ? handOverMs : 0) +
 			isRegional || inZone.length === 0 ? allCandidates : inZone
 		).toSorted(
 			(left, right) =>
@@ -646,6 +714,7 @@
 			(peer) =>
 				this.#isLive(peer, now) &&
 				!peer.heartbeat.isStopping &&
+				peer.heartbeat.isCandidate !== false &&
 				now - peer.liveSinceMs >= this.#settings.mergeDelayMs &&
 				(peer.heartbeat.scope ?? 'region') === this.#scope,
 		);
--- a/packages/core/src/tests/event-loop-delay.test.ts
+++ b/packages/core/src/tests/event-loop-delay.test.ts
@@ -35,6 +35,14 @@
 		expect(delay.recordCheck(1375)).toBe(0);
 	});
 
+	it('measures each check by the interval for which it was scheduled', () => {
+		const delay = createDelay([1000]);
+		expect(delay.recordCheck(1050, 20)).toBe(0);
+		expect(delay.recordCheck(1090)).toBe(20);
+		expect(delay.recordCheck(1110, 50)).toBe(0);
+		expect(delay.recordCheck(1160)).toBe(0);
+	});
+
 	it('includes a check that is overdue', () => {
 		expect(createDelay([0, 50]).largestMs(1000)).toBe(900);
 	});
--- a/packages/verbenarouter/src/tests/heartbeat-schedule.test.ts
+++ b/packages/core/src/tests/heartbeat-schedule.test.ts
@@ -2,11 +2,13 @@
 import {
 	HeartbeatSchedule,
 	computeHeartbeatIntervals,
-} from '../pool/heartbeat-schedule.js';
+} from '../heartbeat-schedule.js';
 
 describe('computeHeartbeatIntervals', () => {
 	it('keeps the intervals of a small installation', () => {
-		expect(computeHeartbeatIntervals(6, 20)).toEqual({
+		expect(
+			computeHeartbeatIntervals({peerCount: 6, memberCount: 6}, 20),
+		).toEqual({
 			fastMs: 100,
 			electionMs: 100,
 			slowMs: 400,
@@ -16,7 +18,10 @@
 
 	it('bounds the heartbeats that a follower sends, however many peers there are', () => {
 		for (const peerCount of [1, 6, 28, 35, 50]) {
-			const {electionMs, slowMs} = computeHeartbeatIntervals(peerCount, 0);
+			const {electionMs, slowMs} = computeHeartbeatIntervals(
+				{peerCount, memberCount: peerCount},
+				0,
+			);
 			expect((peerCount * 1000) / electionMs).toBeLessThanOrEqual(126);
 			expect((peerCount * 1000) / slowMs).toBeLessThanOrEqual(26);
 		}
@@ -25,7 +30,9 @@
 	it('lengthens the fast interval of a late process, as far as earlier versions accept', () => {
 		expect(
 			[0, 140, 150, 5000].map(
-				(delayMs) => computeHeartbeatIntervals(6, delayMs).fastMs,
+				(delayMs) =>
+					computeHeartbeatIntervals({peerCount: 6, memberCount: 6}, delayMs)
+						.fastMs,
 			),
 		).toEqual([100, 100, 400, 400]);
 	});
@@ -58,6 +65,21 @@
 		]);
 	});
 
+	it('tells when the next heartbeat is due', () => {
+		const schedule = new HeartbeatSchedule();
+		expect(schedule.nextDueMs).toBe(Number.POSITIVE_INFINITY);
+		schedule.takeDue(
+			new Map([
+				['a', 100],
+				['b', 400],
+			]),
+			1000,
+		);
+		expect(schedule.nextDueMs).toBe(1100);
+		schedule.takeDue(new Map([['b', 400]]), 1100);
+		expect(schedule.nextDueMs).toBe(1400);
+	});
+
 	it('announces a longer interval before the earlier one has passed several times', () => {
 		const schedule = new HeartbeatSchedule();
 		schedule.takeDue(new Map([['a', 100]]), 1000);
--- a/packages/core/src/tests/leadership.test.ts
+++ b/packages/core/src/tests/leadership.test.ts
@@ -529,6 +529,59 @@
 	});
 });
 
+describe('candidates of a zone', () => {
+	const lost = heartbeatFixture('a1', {leads: {'zone-a': 5}});
+
+	it('are the only entry VMs that claim it, but for a successor that its leader has named', () => {
+		const leadership = createZonalLeadership('a2');
+		leadership.setCandidacy(false, []);
+		simulate(leadership, 0, 1000, [lost]);
+		expect(simulate(leadership, 1020, 4000)).toEqual([]);
+		const yielding = heartbeatFixture('a1', {yields: {'zone-a': 'a2'}});
+		expect(simulate(leadership, 4020, 4020, [yielding])).toEqual(['zone-a']);
+	});
+
+	it('wait for a better one that they have not heard yet', () => {
+		const claimTime = (unheardName: string) => {
+			const leadership = createZonalLeadership('a2');
+			leadership.setCandidacy(true, [
+				{name: unheardName, zone: 'zone-a', processorShare: 1},
+			]);
+			const peers = [heartbeatFixture('b1', {zone: 'zone-b'})];
+			simulate(leadership, 0, 1000, [lost, ...peers]);
+			let now = 1020;
+			while (simulate(leadership, now, now, peers).length === 0) {
+				now += 20;
+			}
+
+			return now;
+		};
+
+		expect(claimTime('a0') - claimTime('a3')).toBe(candidateStaggerMs);
+	});
+
+	it('report leaders to entry VMs that are not connected to them, and the newest leader counts', () => {
+		const leadership = createZonalLeadership('a2');
+		const report = (name: string, token: number) => ({
+			zone: 'zone-b',
+			name,
+			address: `${name}:1`,
+			token,
+		});
+		leadership.receiveHeartbeat(
+			heartbeatFixture('a1', {leaders: [report('b1', 7)]}),
+			1000,
+		);
+		leadership.receiveHeartbeat(
+			heartbeatFixture('a3', {leaders: [report('b2', 8)]}),
+			1000,
+		);
+		expect(leadership.findLeader('zone-b', 1000)).toBe(undefined);
+		expect(leadership.findReportedLeader('zone-b', 1000)?.name).toBe('b2');
+		expect(leadership.findReportedLeader('zone-b', 2000)).toBe(undefined);
+	});
+});
+
 describe('Leadership of a process that read no messages for a time', () => {
 	const leader = heartbeatFixture('entry-2', {
 		processorShare: 2,
--- a/packages/peer/src/pool-link.ts
+++ b/packages/peer/src/pool-link.ts
@@ -6,6 +6,7 @@
 	type ClientDuplexStream,
 	type ServiceDefinition,
 } from '@grpc/grpc-js';
+import {type ConnectionState} from '@verbenarouter/core';
 import {type PoolMessage} from './pool-message.js';
 import {type LinkCloseCause, type PoolTraffic} from './pool-traffic.js';
 
@@ -39,7 +40,7 @@
 /** The encoded acknowledgement. */
 const acknowledgementBytes = Buffer.from(JSON.stringify({isAlive: true}));
 
-/** Joins messages into a JSON array. Receivers do not validate messages, as only entry VMs send them. */
+/** Joins messages into a JSON array. */
 function serializeBatch(batch: readonly EncodedMessage[]) {
 	const [first] = batch;
 	return batch.length === 1 && first !== undefined
@@ -48,10 +49,11 @@
 }
 
 function deserializeBatch(bytes: Uint8Array): PoolBatch {
+	const messages: unknown = JSON.parse(Buffer.from(bytes).toString('utf8'));
 	return {
-		messages: JSON.parse(
-			Buffer.from(bytes).toString('utf8'),
-		) as readonly PoolMessage[],
+		messages: (Array.isArray(messages)
+			? messages
+			: [messages]) as readonly PoolMessage[],
 		byteLength: bytes.length,
 	};
 }
@@ -123,6 +125,18 @@
 	maxReconnectMs: 400,
 };
 
+/** Messages that are still of use when they arrive late: they are held while a stream is opening. */
+const heldTypes: ReadonlySet<PoolMessage['type']> = new Set([
+	'answer',
+	'ask',
+	'progress',
+	'reply',
+]);
+/** Time for which messages are held. */
+const maxHeldMs = 500;
+/** Largest number of messages that are held for one stream; further ones are dropped. */
+const maxHeldMessages = 256;
+
 /** Number of long heartbeat intervals without an acknowledgement after which a stream is replaced. */
 const silentIntervals = 4;
 
@@ -159,6 +173,13 @@
 		| undefined;
 
 	#isOpen = false;
+	/** Whether the last stream has failed and none has opened since. */
+	#hasFailed = false;
+	#held: ReadonlyArray<{
+		readonly message: EncodedMessage;
+		readonly atMs: number;
+	}> = [];
+
 	#batch: EncodedMessage[] = [];
 	/** Number of batches on the current stream that wait for the connection to open or for the receiver to read. */
 	#unwrittenBatches = 0;
@@ -195,9 +216,32 @@
 		return this.#isOpen;
 	}
 
-	/** Sends a message at the end of the current turn of the event loop; returns false if the stream is not open. */
+	/** State of the stream. */
+	get state(): ConnectionState {
+		if (this.#isOpen) {
+			return 'open';
+		}
+
+		if (this.#hasFailed) {
+			return 'failed';
+		}
+
+		return this.#stream === undefined ? 'none' : 'opening';
+	}
+
+	/**
+	 * Sends a message at the end of the current turn of the event loop; returns false if the stream is not open. Answers and
+	 * replies are then sent once it opens, if that is soon.
+	 */
 	send(message: EncodedMessage): boolean {
 		if (!this.#isOpen) {
+			if (heldTypes.has(message.type)) {
+				const now = this.#now();
+				this.#held = [...this.#held, {message, atMs: now}]
+					.filter(({atMs}) => now - atMs <= maxHeldMs)
+					.slice(-maxHeldMessages);
+			}
+
 			return false;
 		}
 
@@ -274,6 +318,16 @@
 		this.#disconnect('removed', 0);
 	}
 
+	#sendHeld(now: number): void {
+		const held = this.#held;
+		this.#held = [];
+		for (const {message, atMs} of held) {
+			if (now - atMs <= maxHeldMs) {
+				this.#enqueue(message);
+			}
+		}
+	}
+
 	#enqueue(message: EncodedMessage): void {
 		this.#traffic.add('sent', message.type, {
 			messages: 1,
@@ -321,8 +375,10 @@
 			this.#unacknowledgedSinceMs = undefined;
 			if (!this.#isOpen) {
 				this.#isOpen = true;
+				this.#hasFailed = false;
 				this.#reconnectDelayMs = this.#settings.reconnectMs;
 				this.#openSinceMs = this.#now();
+				this.#sendHeld(this.#openSinceMs);
 				this.#onOpen();
 			}
 		});
@@ -343,6 +399,7 @@
 	#disconnect(cause: LinkCloseCause, now: number): void {
 		if (this.#stream !== undefined) {
 			this.#traffic.addClosedLink(cause);
+			this.#hasFailed = true;
 		}
 
 		const client = this.#client;
--- a/packages/peer/src/pool-mesh.ts
+++ b/packages/peer/src/pool-mesh.ts
@@ -1,4 +1,5 @@
 import {Server, type ServerDuplexStream} from '@grpc/grpc-js';
+import {type ConnectionState} from '@verbenarouter/core';
 import {bindServer} from './bind-server.js';
 import {ConnectBudget} from './connect-budget.js';
 import {
@@ -29,6 +30,13 @@
 	readonly random: () => number;
 	/** Handles a message of an entry VM that has sent a heartbeat on the same stream. */
 	readonly onMessage: (from: string, message: PoolMessage) => void;
+	/**
+	 * Returns what is wrong with a received message, `undefined` for a sound one. Others are dropped after a call of
+	 * `onInvalid`.
+	 */
+	readonly findProblem: (message: unknown) => string | undefined;
+	/** Handles a message with a problem; `from` is its sender, if it is known. */
+	readonly onInvalid: (from: string | undefined, problem: string) => void;
 	/** Handles the loss of the newest stream that an entry VM has opened. */
 	readonly onLost: (name: string, cause: PeerLossCause) => void;
 	/** Handles that the stream to an entry VM has opened. Messages sent on an earlier stream may be lost. */
@@ -103,6 +111,16 @@
 		}
 	}
 
+	/** Sets the address of an entry VM that has sent no heartbeat yet. */
+	setAddress(name: string, address: string): void {
+		this.#addressesByName.set(name, address);
+	}
+
+	/** State of the stream to an address. */
+	connectionState(address: string): ConnectionState {
+		return this.#linksByAddress.get(address)?.state ?? 'none';
+	}
+
 	/** Sends a heartbeat on each link whose address `isRecipient` accepts. */
 	sendHeartbeats(
 		message: PoolMessage & {readonly type: 'heartbeat'},
@@ -131,16 +149,14 @@
 	sendToAll(names: readonly string[], message: PoolMessage): boolean {
 		const links = names.flatMap((name) => {
 			const link = this.#findLink(name);
-			return link?.isOpen === true ? [link] : [];
+			return link === undefined ? [] : [link];
 		});
-		if (links.length > 0) {
-			const encoded = this.#encode(message);
-			for (const link of links) {
-				link.send(encoded);
-			}
+		if (links.length === 0) {
+			return false;
 		}
 
-		return links.length === names.length;
+		const encoded = this.#encode(message);
+		return links.filter((link) => link.send(encoded)).length === names.length;
 	}
 
 	/** Excludes a time for which this process did not read its sockets from the silence of its streams. */
@@ -210,6 +226,12 @@
 
 			lastReceivedAtMs = now;
 			for (const message of batch.messages) {
+				const problem = this.#options.findProblem(message);
+				if (problem !== undefined) {
+					this.#options.onInvalid(name, problem);
+					continue;
+				}
+
 				if (message.type === 'heartbeat') {
 					if (name === undefined) {
 						this.#linksByAddress.get(message.heartbeat.address)?.resetDelay();
@@ -259,15 +281,20 @@
 
 	/** Counts received messages; the bytes of a batch of several messages count as type `batch`. */
 	#countBatch({messages, byteLength}: PoolBatch): void {
-		for (const {type} of messages) {
-			this.traffic.add('received', type, {messages: 1});
+		for (const message of messages) {
+			this.traffic.add('received', readType(message), {messages: 1});
 		}
 
 		const [first] = messages;
 		this.traffic.add(
 			'received',
-			messages.length === 1 && first !== undefined ? first.type : 'batch',
+			messages.length === 1 ? readType(first) : 'batch',
 			{bytes: byteLength},
 		);
 	}
 }
+
+/** Returns the type of a received message, which may be any JSON value. */
+function readType(message: PoolMessage | undefined): string {
+	return String(message?.type);
+}
--- a/packages/peer/src/pool-message.ts
+++ b/packages/peer/src/pool-message.ts
@@ -10,6 +10,8 @@
 export type KnowledgeVersions = {
 	readonly state: number;
 	readonly workers: string;
+	/** Version of the list of entry VMs; absent in earlier versions of the program, which expect the list at intervals. */
+	readonly members?: string;
 };
 
 /** The sender's copy of the desired state and the worker entries of the platform's store. */
--- a/packages/peer/src/tests/pool-link.test.ts
+++ b/packages/peer/src/tests/pool-link.test.ts
@@ -74,6 +74,8 @@
 		address: '127.0.0.1:2',
 		now: () => 0,
 		random: () => 0.5,
+		findProblem: () => undefined,
+		onInvalid: () => undefined,
 		onMessage: () => undefined,
 		onLost: () => undefined,
 		onOpen: () => undefined,
--- a/packages/peer/src/tests/pool-mesh.test.ts
+++ b/packages/peer/src/tests/pool-mesh.test.ts
@@ -18,6 +18,8 @@
 	readonly messageSenders: string[];
 	readonly lostPeers: string[];
 	readonly lossCauses: string[];
+	/** Sender and problem of each message that was dropped. */
+	readonly invalidMessages: string[];
 	clockMs: number;
 	/** Number of streams that the mesh has opened. */
 	openCount: number;
@@ -54,12 +56,24 @@
 	const messageSenders: string[] = [];
 	const lostPeers: string[] = [];
 	const lossCauses: string[] = [];
+	const invalidMessages: string[] = [];
 	const fixture: MeshFixture = {
 		mesh: new PoolMesh({
 			name,
 			address,
 			now: () => fixture.clockMs,
 			random: () => 0.5,
+			findProblem(message) {
+				return typeof message === 'object' &&
+					message !== null &&
+					'type' in message &&
+					message.type === 'ask'
+					? 'no question'
+					: undefined;
+			},
+			onInvalid(from, problem) {
+				invalidMessages.push(`${from} ${problem}`);
+			},
 			onMessage(from) {
 				messageSenders.push(from);
 			},
@@ -75,6 +89,7 @@
 		messageSenders,
 		lostPeers,
 		lossCauses,
+		invalidMessages,
 		clockMs: 1000,
 		openCount: 0,
 		intervalMs: 100,
@@ -246,4 +261,42 @@
 		expect(receiver.lossCauses).toEqual(['closed']);
 		expect([...sender.mesh.traffic.closedLinks]).toEqual([['removed', 1]]);
 	});
+
+	it('drops a message with a problem, and delivers those before and after it', async () => {
+		const receiver = await meshFixture('receiver');
+		const sender = await meshFixture('sender');
+		sender.mesh.updateLinks([receiver.address]);
+		receiver.mesh.updateLinks([sender.address]);
+		receiver.sendHeartbeat();
+		await waitUntil(() => sender.messageSenders.length === 1);
+		sender.sendHeartbeat();
+		await waitUntil(() => sender.openCount === 1);
+		sender.mesh.send('receiver', {type: 'ask'} as never);
+		sender.mesh.send('receiver', {
+			type: 'reply',
+			question: 1,
+			value: undefined,
+		});
+		await waitUntil(() => receiver.messageSenders.length === 2);
+		expect(receiver.invalidMessages).toEqual(['sender no question']);
+		expect(receiver.lostPeers).toEqual([]);
+	});
+
+	it('delivers an answer that is sent while it opens, and drops a submission', async () => {
+		const receiver = await meshFixture('receiver');
+		const sender = await meshFixture('sender');
+		sender.mesh.setAddress('receiver', receiver.address);
+		sender.mesh.updateLinks([receiver.address]);
+		const answer = {kind: 'completed'} as const;
+		expect(sender.mesh.send('receiver', {type: 'resubmit', id: 'job-1'})).toBe(
+			false,
+		);
+		expect(
+			sender.mesh.send('receiver', {type: 'answer', id: 'job-1', answer}),
+		).toBe(false);
+		sender.sendHeartbeat();
+		await waitUntil(() => receiver.messageSenders.length === 2);
+		await sleep(50);
+		expect(receiver.messageSenders.length).toBe(2);
+	});
 });
--- a/packages/verbenarouter/src/pool/member-registry.ts
+++ b/packages/verbenarouter/src/overlay/member-registry.ts
@@ -1,5 +1,6 @@
-import {type MemberAddress} from '@verbenarouter/core';
+import {type Member, type MemberAddress} from '@verbenarouter/core';
 import {
+	nonNegativeField,
 	parseJsonObject,
 	stringField,
 	type KeyedRecord,
@@ -24,15 +25,11 @@
  * once.
  */
 export class MemberRegistry {
-	readonly #self: MemberAddress;
+	readonly #self: Member;
 	readonly #listener: RegistryListener;
 	#client: StoreClient;
 
-	constructor(
-		self: MemberAddress,
-		client: StoreClient,
-		listener: RegistryListener,
-	) {
+	constructor(self: Member, client: StoreClient, listener: RegistryListener) {
 		this.#self = self;
 		this.#client = client;
 		this.#listener = listener;
@@ -55,12 +52,13 @@
 		this.#listener.onMembersRead(
 			members.filter(({name}) => name !== this.#self.name),
 		);
-		const {name, zone, address} = this.#self;
+		const {name, zone, address, processorShare} = this.#self;
 		const isRecorded = members.some(
 			(member) =>
 				member.name === name &&
 				member.zone === zone &&
-				member.address === address,
+				member.address === address &&
+				member.processorShare === processorShare,
 		);
 		if (isRecorded) {
 			return;
@@ -69,7 +67,7 @@
 		const written = await this.#client.append(
 			membersTopic,
 			name,
-			JSON.stringify({zone, address}),
+			JSON.stringify({zone, address, processorShare}),
 		);
 		if (written.isErr()) {
 			this.#retry(written.error.message);
@@ -94,7 +92,17 @@
 	const zone = record === undefined ? undefined : stringField(record, 'zone');
 	const address =
 		record === undefined ? undefined : stringField(record, 'address');
-	return zone === undefined || address === undefined
-		? []
-		: [{name: key, zone, address}];
+	if (record === undefined || zone === undefined || address === undefined) {
+		return [];
+	}
+
+	const processorShare = nonNegativeField(record, 'processorShare');
+	return [
+		{
+			name: key,
+			zone,
+			address,
+			...(processorShare === undefined ? {} : {processorShare}),
+		},
+	];
 }
--- a/packages/verbenarouter/src/pool/daemon.ts
+++ b/packages/verbenarouter/src/pool/daemon.ts
@@ -2,7 +2,6 @@
 import {createServer} from 'node:http';
 import {type Socket} from 'node:net';
 import process from 'node:process';
-import {EventLoopDelay} from '@verbenarouter/core';
 import {
 	OpenRequests,
 	createCallerServer,
@@ -18,10 +17,12 @@
 const metricsDelayMs = 4000;
 /** Interval at which the modification time of the settings file is checked. */
 const settingsCheckIntervalMs = 1000;
-/** Interval at which the delay of the event loop is measured. */
-const delayCheckIntervalMs = 50;
-/** Interval at which a process that has started again checks whether to run its warm-up. */
+/** Interval at which a process checks whether to run its warm-up. */
 const warmUpCheckIntervalMs = 250;
+/** Time after the first start of an installation at which the candidates of each zone are known. */
+const candidatesKnownMs = 1500;
+/** Time after it in which callers are not expected yet. */
+const firstStartMs = 8000;
 /** Exit code of a process whose settings are invalid. */
 const badSettingsExitCode = 2;
 
@@ -49,10 +50,24 @@
 	}
 }
 
-/** Runs warm-up jobs once the zone is better led by this process than by its present leader. */
-function warmUpWhenDue(node: PoolNode, log: PoolLog): void {
+/**
+ * Runs warm-up jobs at the first start of an installation if this process may lead its zone, and after a restart once the
+ * zone is better led by this process than by its present leader.
+ */
+function warmUpWhenDue(
+	node: PoolNode,
+	log: PoolLog,
+	isFirstStart: boolean,
+): void {
+	const startedAtMs = monotonicNowMs();
 	const timer = setInterval(() => {
-		if (node.isWarmUpDue) {
+		const sinceStartMs = monotonicNowMs() - startedAtMs;
+		const isDueAtFirstStart =
+			isFirstStart &&
+			node.isCandidate &&
+			sinceStartMs >= candidatesKnownMs &&
+			sinceStartMs < firstStartMs;
+		if (isDueAtFirstStart || node.isWarmUpDue) {
 			clearInterval(timer);
 			void warmUp(node, log);
 		}
@@ -98,10 +113,6 @@
 	}
 
 	const {value} = settings;
-	const delay = new EventLoopDelay(delayCheckIntervalMs);
-	setInterval(() => {
-		delay.recordCheck(monotonicNowMs());
-	}, delayCheckIntervalMs);
 	const connections = new Set<Socket>();
 	const log: PoolLog = new PoolLog(
 		value.name,
@@ -118,7 +129,9 @@
 		});
 	});
 	const readProcessGauges = () => ({
-		eventLoopDelayMs: Math.round(delay.largestMs(monotonicNowMs())),
+		eventLoopDelayMs: Math.round(
+			node.eventLoopDelay.largestMs(monotonicNowMs()),
+		),
 		openConnections: connections.size,
 	});
 	const readiness = createServer((request, response) => {
@@ -139,27 +152,29 @@
 	readiness.listen(toListenOptions(value.readinessAddress));
 	metrics.listen(toListenOptions(value.metricsAddress));
 	log.write({event: 'started', tookMs: Math.round(performance.now())});
-	if (value.isFirstStart) {
-		void warmUp(node, log);
-	} else {
-		warmUpWhenDue(node, log);
-	}
+	warmUpWhenDue(node, log, value.isFirstStart);
 
 	setTimeout(() => {
 		void log.loadMetrics();
 	}, metricsDelayMs);
 	watchSettings(path, node, log);
-	process.once('SIGTERM', () => {
+	let isStopping = false;
+	process.on('SIGTERM', () => {
+		if (isStopping) {
+			return;
+		}
+
+		isStopping = true;
 		const now = monotonicNowMs();
 		const notice = {
-			sentAtMs: delay.earliestArrivalMs(now),
+			sentAtMs: node.eventLoopDelay.earliestArrivalMs(now),
 			handledAtMs: now,
 			graceMs: value.stopGraceMs,
 		};
 		new ProcessStop(notice, {
 			node,
 			log,
-			delay,
+			delay: node.eventLoopDelay,
 			callerServer,
 			openRequests,
 			readProcessGauges,
--- a/packages/verbenarouter/src/pool/knowledge-schedule.ts
+++ b/packages/verbenarouter/src/pool/knowledge-schedule.ts
@@ -24,6 +24,8 @@
 export type KnowledgePeer = {
 	readonly name: string;
 	readonly knows: KnowledgeVersions | undefined;
+	/** Whether the peer may become a leader, which is all that the list of workers is needed for. */
+	readonly needsWorkers: boolean;
 };
 
 const nothingSent: SentKnowledge = {
@@ -75,7 +77,7 @@
 
 /** Returns what a peer is to be sent now, `undefined` for nothing. */
 function findDue(
-	{knows}: KnowledgePeer,
+	{knows, needsWorkers}: KnowledgePeer,
 	sent: SentKnowledge,
 	own: KnowledgeVersions,
 	now: number,
@@ -86,7 +88,9 @@
 		known.state < own.state &&
 		(sent.state < own.state || now - sent.stateAtMs >= stateGapMs);
 	const hasWorkers =
-		known.workers !== own.workers && now - sent.workersAtMs >= workersGapMs;
+		needsWorkers &&
+		known.workers !== own.workers &&
+		now - sent.workersAtMs >= workersGapMs;
 	if (!hasState && !hasWorkers) {
 		return undefined;
 	}
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -12,20 +12,13 @@
 	isRefusedForLackOfRoom,
 	maxOverflowPatienceMs,
 	type DesiredState,
-	type Heartbeat,
 	type LeadershipChange,
-	type MemberAddress,
 	type PoolAnswer,
 	type PoolJob,
 	type PoolScope,
 	type WorkerEntry,
-	type ZoneRoom,
 } from '@verbenarouter/core';
-import {
-	PoolMesh,
-	type KnowledgeVersions,
-	type PoolMessage,
-} from '@verbenarouter/peer';
+import {type KnowledgeVersions, type PoolMessage} from '@verbenarouter/peer';
 import {
 	StoreClient,
 	WorkerClient,
@@ -34,32 +27,23 @@
 } from '@verbenarouter/platform';
 import {droppedLines} from '../logger.js';
 import {type MetricSample} from '../metrics.js';
-import {
-	HeartbeatSchedule,
-	computeHeartbeatIntervals,
-	legacySlowIntervalMs,
-	type HeartbeatIntervals,
-} from './heartbeat-schedule.js';
+import {OverlayNode, type NodeState} from '../overlay/overlay-node.js';
 import {
 	KnowledgeSchedule,
 	computeWorkersVersion,
 	type DueKnowledge,
 } from './knowledge-schedule.js';
-import {MemberRegistry} from './member-registry.js';
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {type PoolLog} from './pool-log.js';
 import {StoreFollower} from './store-follower.js';
 import {createWorkerCommandSender} from './worker-command-sender.js';
 
-/** Interval at which heartbeats include the list of known entry VMs, and the shortest one while new entry VMs appear. */
-const memberListIntervalMs = 4000;
-const minMemberListIntervalMs = 300;
-/** Time for which heartbeats include the list, so that all peers receive it. */
-const memberListDurationMs = 400;
 /** Interval at which unused connections to workers are closed. */
 const connectionCheckIntervalMs = 100;
 /** Interval at which leadership, store reads, leases, stops and deadlines are checked. */
 const tickIntervalMs = 20;
+/** The same for an entry VM that leads no zone, while its own one has a leader and no job waits for another. */
+const followerTickIntervalMs = 50;
 /**
  * Delay of the checks from which this process counts as stalled: peers are then judged only after its sockets have been read,
  * and the time does not count as their silence.
@@ -78,8 +62,6 @@
 const readerStaggerMs = 150;
 /** Interval at which store data is sent to a leader that cannot read the store, while nothing changes. */
 const knowledgeResendIntervalMs = 400;
-/** Time for which connections to an entry VM are attempted after its last heartbeat. */
-const memberRetentionMs = 120_000;
 /** Interval of checks for workers that have not registered again in time, and for unreachable zones. */
 const directoryCheckIntervalMs = 500;
 /** Time without a report after which the workers of a zone count as unreachable. */
@@ -102,22 +84,13 @@
 	'storeAddress',
 ]);
 
-/** Time for which connections to an entry VM that only the store lists are attempted; a live one answers at once. */
-const registryMemberRetentionMs = 3000;
-
-/** An entry VM that connections are opened to. */
-type KnownMember = MemberAddress & {
-	/** Time at which the entry VM is removed if it sends no heartbeat before. */
-	readonly expiresAtMs: number;
-	/** Whether the entry VM is listed only in the store and in no heartbeat yet. */
-	readonly isOnlyInRegistry: boolean;
-};
-
 /**
  * One entry VM: receives jobs from callers and submits them to the leader of its zone, and schedules the workers of the
  * zones that it leads.
  */
 export class PoolNode implements JobDispatcher {
+	/** How late the timers of this process run. */
+	readonly eventLoopDelay = new EventLoopDelay(tickIntervalMs);
 	#settings: EntrySettings;
 	readonly #log: PoolLog;
 	readonly #now: () => number;
@@ -125,15 +98,14 @@
 	readonly #scopeBySize = new ScopeBySize();
 	readonly #overflow = new ZoneOverflow();
 	readonly #scheduler: PoolScheduler;
-	readonly #mesh: PoolMesh;
+	readonly #overlayNode: OverlayNode;
 	readonly #workerClient: WorkerClient;
 	readonly #storeFollower: StoreFollower;
-	readonly #registry: MemberRegistry;
 	readonly #pendingJobs = new PendingJobs();
-	readonly #eventLoopDelay = new EventLoopDelay(tickIntervalMs);
+	/** How late this process runs, recorded also when it reads heartbeats that change an election. */
+	readonly #stallDelay = new EventLoopDelay(tickIntervalMs);
 	/** Whether the checks of a late tick wait until the sockets have been read. */
 	#areChecksDeferred = false;
-	readonly #members = new Map<string, KnownMember>();
 	/** Resolves the requests to the leader that have no reply yet, by request number. */
 	readonly #replyHandlers = new Map<number, (value: unknown) => void>();
 	/** Identifier of this process, which changes with each restart. */
@@ -152,23 +124,9 @@
 	#acceptsRequest: JobDispatcher['acceptsRequest'] | undefined;
 	#nextRequestNumber = 1;
 	#attemptCount = 0;
-	readonly #heartbeatSchedule = new HeartbeatSchedule();
-	/** Time of the last round of heartbeats to all that a change has caused. */
-	#lastRoundMs = 0;
-	/** Whether a change is to be sent to all once the gap between rounds has passed. */
-	#isRoundDue = false;
 	#lastConnectionCheckMs = 0;
-	/** Time since which heartbeats include the member list, which they do for a short time. */
-	#memberListSinceMs = 0;
-	#isMemberListChanged = false;
-	/** Names of the peers whose version accepts longer intervals among followers. */
-	readonly #peersWithSlowIntervals = new Set<string>();
 	/** Whether the election is evaluated at the end of this turn of the event loop. */
 	#isLeadershipUpdateScheduled = false;
-	/** Zones whose leader a peer has lost according to heartbeats of this turn. */
-	readonly #zonesLostByPeers = new Set<string>();
-	/** Fencing token of the live leader of each zone that has one, by zone. */
-	#liveLeaderTokens: Readonly<Record<string, number>> = {};
 	#lastDirectoryCheckMs = 0;
 	/** Workers whose entries expired while their zone was partitioned; their runs may continue. */
 	readonly #partitionedWorkers = new Map<string, WorkerEntry>();
@@ -208,7 +166,7 @@
 					if (receiver === settings.name) {
 						this.#addCompletedTasks(receiver, id, doneTasks);
 					} else {
-						this.#mesh.send(receiver, {type: 'progress', id, doneTasks});
+						this.#overlayNode.send(receiver, {type: 'progress', id, doneTasks});
 					}
 				},
 				handleFencedZone: (zone, token) => {
@@ -231,45 +189,36 @@
 				stopDurationMs: settings.workerStopMs,
 			},
 		});
-		this.#mesh = new PoolMesh({
-			name: settings.name,
-			address: settings.peerAddress,
-			now,
-			random: Math.random,
-			onMessage: (from, message) => {
-				this.#receiveMessage(from, message);
-			},
-			onLost: (name, cause) => {
-				this.#leadership.markDisconnected(name);
-				this.#scheduler.markReceiverUnreachable(name, now());
-				log.write({event: 'peer-lost', peer: name, cause});
-				this.#scheduleLeadershipUpdate();
-			},
-			onOpen: (name) => {
-				log.write({event: 'peer-open', peer: name});
-				this.#knowledgeSchedule.handleOpen(name);
-				this.#resubmitPendingJobs(
-					(pending) => this.#findLeaderFor(pending, now()) === name,
-				);
-			},
-		});
 		const client = new StoreClient(settings.storeAddress);
-		this.#registry = new MemberRegistry(
-			{
-				name: settings.name,
-				zone: settings.zone,
-				address: settings.peerAddress,
-			},
-			client,
-			{
-				onMembersRead: (members) => {
-					this.#addRegistryMembers(members);
+		this.#overlayNode = new OverlayNode({
+			settings,
+			incarnation: this.#incarnation,
+			leadership: this.#leadership,
+			eventLoopDelay: this.eventLoopDelay,
+			storeClient: client,
+			now,
+			listener: {
+				readState: (time) => this.#readState(time),
+				onMessage: (from, message) => {
+					this.#receiveMessage(from, message);
+				},
+				onLost: (name) => {
+					this.#scheduler.markReceiverUnreachable(name, now());
 				},
-				onFailure(message) {
-					log.write({event: 'registry-failed', reason: message});
+				onOpen: (name) => {
+					this.#knowledgeSchedule.handleOpen(name);
+					this.#resubmitPendingJobs(
+						(pending) => this.#findLeaderFor(pending, now()) === name,
+					);
+				},
+				onElectionChange: () => {
+					this.#scheduleLeadershipUpdate();
+				},
+				writeLog(fields) {
+					log.write(fields);
 				},
 			},
-		);
+		});
 		this.#storeFollower = new StoreFollower(
 			client,
 			{
@@ -292,12 +241,7 @@
 
 	/** Listens for peers, connects to them and starts the periodic checks. Rejects if the peer address cannot be bound. */
 	async start(): Promise<void> {
-		await this.#mesh.listen();
-		this.#updateLinks();
-		void this.#registry.register();
-		setInterval(() => {
-			this.#tick();
-		}, tickIntervalMs);
+		await this.#overlayNode.start();
 		this.#tick();
 	}
 
@@ -324,6 +268,9 @@
 			zonesLed: this.#leadership.ledZones.size,
 			workersLed: this.#scheduler.pool.workers.length,
 			peersHeard: this.#leadership.livePeers(this.#now()).length,
+			entryVmsKnown: this.#overlayNode.sizes.members,
+			peerConnections: this.#overlayNode.sizes.connections,
+			isCandidate: Number(this.#overlayNode.isCandidate),
 			desiredStateVersion: this.#desiredState?.version ?? 0,
 			storeKnowledgeAgeMs: Math.round(
 				Math.min(1e9, this.#storeFollower.dataAgeMs(this.#now())),
@@ -334,7 +281,7 @@
 
 	/** Present values of the counters of messages between entry VMs. */
 	get counters(): readonly MetricSample[] {
-		const {counts, closedLinks} = this.#mesh.traffic;
+		const {counts, closedLinks} = this.#overlayNode.traffic;
 		return [
 			...counts.flatMap(({type, direction, messages, bytes, tookMs}) => [
 				{
@@ -357,9 +304,14 @@
 		];
 	}
 
+	/** Whether this entry VM is one of those that may lead its zone. */
+	get isCandidate(): boolean {
+		return this.#overlayNode.isCandidate;
+	}
+
 	/** Whether this process should run its warm-up, so that it can lead its zone instead of a weaker machine. */
 	get isWarmUpDue(): boolean {
-		return this.#leadership.isWarmUpDue(this.#now());
+		return this.isCandidate && this.#leadership.isWarmUpDue(this.#now());
 	}
 
 	/** Marks this process as warm, so that it may lead the whole region: its scheduling code has run. */
@@ -375,7 +327,7 @@
 			this.#leadership.stop(this.#now()),
 			'stopping',
 		);
-		this.#sendHeartbeatToAll(this.#now());
+		this.#overlayNode.sendHeartbeatToAll(this.#now());
 	}
 
 	/** Answers all remaining jobs at the end of a stop; an answer informs callers better than a broken connection. */
@@ -402,12 +354,12 @@
 				JSON.stringify(settings[name]) !== JSON.stringify(this.#settings[name]),
 		);
 		this.#settings = {...this.#settings, peerSeeds: settings.peerSeeds};
-		this.#updateLinks();
+		this.#overlayNode.setSeeds(settings.peerSeeds);
 		if (changed.includes('storeAddress')) {
 			this.#settings = {...this.#settings, storeAddress: settings.storeAddress};
 			const client = new StoreClient(settings.storeAddress);
 			this.#storeFollower.setClient(client);
-			this.#registry.setClient(client);
+			this.#overlayNode.setStoreClient(client);
 		}
 
 		return changed.filter((name) => !reloadableSettings.has(name));
@@ -415,7 +367,7 @@
 
 	/** Closes all connections to peers. */
 	close(): void {
-		this.#mesh.close();
+		this.#overlayNode.close();
 	}
 
 	desiredState(): DesiredState | undefined {
@@ -500,7 +452,13 @@
 
 	async cancel(id: string): Promise<boolean> {
 		const replies = await this.#requestFromLeaders(
-			() => this.#scheduler.cancel(id, 'cancelled', this.#now()),
+			() =>
+				this.#scheduler.cancel(
+					id,
+					'cancelled',
+					this.#settings.name,
+					this.#now(),
+				),
 			(question) => ({type: 'cancel', id, reason: 'cancelled', question}),
 		);
 		return replies.includes(true);
@@ -529,9 +487,17 @@
 		this.#log.write({event: 'rejected', id, status, reason});
 	}
 
-	/** Runs the checks that are due; if this process was stalled, once it has read what arrived meanwhile. */
+	/**
+	 * Runs the checks that are due, and schedules the next ones; if this process was stalled, it first reads what arrived
+	 * meanwhile.
+	 */
 	#tick(): void {
-		const isStalled = this.#excludeStall(this.#now());
+		const intervalMs = this.#selectTickInterval();
+		setTimeout(() => {
+			this.#tick();
+		}, intervalMs);
+		this.eventLoopDelay.recordCheck(this.#now(), intervalMs);
+		const isStalled = this.#excludeStall(this.#now(), intervalMs);
 		if (this.#areChecksDeferred) {
 			return;
 		}
@@ -552,28 +518,47 @@
 		});
 	}
 
-	/** Excludes a stall of this process that ends now from the silence of peers; returns whether there was one. */
-	#excludeStall(now: number): boolean {
-		const delayMs = this.#eventLoopDelay.recordCheck(now);
+	#selectTickInterval(): number {
+		return this.#leadership.ledZones.size > 0 ||
+			this.#overlayNode.isElecting ||
+			this.#pendingJobs.all.some(
+				({withoutLeaderSinceMs}) => withoutLeaderSinceMs !== undefined,
+			)
+			? tickIntervalMs
+			: followerTickIntervalMs;
+	}
+
+	/**
+	 * Excludes a stall of this process that ends now from the silence of peers; returns whether there was one. The next check
+	 * is due in `nextIntervalMs`, if that changes.
+	 */
+	#excludeStall(now: number, nextIntervalMs?: number): boolean {
+		const delayMs = this.#stallDelay.recordCheck(now, nextIntervalMs);
 		if (delayMs < stallThresholdMs) {
 			return false;
 		}
 
-		this.#leadership.excludeStall(delayMs, now);
-		this.#mesh.excludeStall(delayMs, now);
+		this.#overlayNode.excludeStall(delayMs, now);
 		return true;
 	}
 
 	#runChecks(): void {
 		const now = this.#now();
+		this.#overlayNode.update(false, now);
 		this.#updateLeadership();
-		this.#storeFollower.setActive(this.#shouldReadStore(now));
+		const shouldRead = this.#shouldReadStore(now);
+		this.#storeFollower.setActive(
+			shouldRead,
+			shouldRead && (this.isCandidate || this.#leadership.ledZones.size > 0),
+		);
 		this.#storeFollower.tick(now);
 		if (this.#leadership.ledZones.size > 0) {
-			for (const {receiver} of this.#findUnreachableReceivers(now)) {
-				this.#scheduler.markReceiverUnreachable(receiver, now);
-			}
-
+			this.#scheduler.markUnreachableReceivers(
+				(receiver) =>
+					receiver === this.#settings.name ||
+					this.#leadership.isPeerLive(receiver, now),
+				now,
+			);
 			this.#scheduler.tick(now);
 		}
 
@@ -597,24 +582,15 @@
 		}
 
 		this.#sendMissingKnowledge(now);
-		this.#sendDueHeartbeats(now);
+		this.#overlayNode.sendDueHeartbeats(now);
 		if (now - this.#lastConnectionCheckMs >= connectionCheckIntervalMs) {
 			this.#lastConnectionCheckMs = now;
 			this.#workerClient.closeUnusedConnections();
 		}
 	}
 
-	/** Finds the entry VMs that are not live; no tasks of their jobs start until they resubmit them. */
-	#findUnreachableReceivers(
-		now: number,
-	): ReadonlyArray<{readonly receiver: string}> {
-		return [...this.#members.keys()]
-			.filter((name) => !this.#leadership.isPeerLive(name, now))
-			.map((receiver) => ({receiver}));
-	}
-
 	/**
-	 * Whether to read the store. Leaders do, and entry VMs without a leader; while a leader cannot, one follower that can
+	 * Whether to read the store. Leaders do, and entry VMs without a leader; while a leader cannot, one candidate that can
 	 * reads it on the leader's behalf.
 	 */
 	#shouldReadStore(now: number): boolean {
@@ -622,7 +598,7 @@
 			return true;
 		}
 
-		if (this.#leadersWithoutStore.size === 0) {
+		if (!this.isCandidate || this.#leadersWithoutStore.size === 0) {
 			this.#leaderWithoutStoreSinceMs = undefined;
 			return false;
 		}
@@ -630,7 +606,10 @@
 		this.#leaderWithoutStoreSinceMs ??= now;
 		const followers = this.#leadership
 			.livePeers(now)
-			.filter(({leads}) => Object.keys(leads).length === 0)
+			.filter(
+				({leads, isCandidate}) =>
+					isCandidate !== false && Object.keys(leads).length === 0,
+			)
 			.map(({name}) => name);
 		const readers = followers.filter((name) => this.#storeReaders.has(name));
 		if (this.#storeFollower.ownDataAgeMs(now) < staleStoreDataMs) {
@@ -660,13 +639,10 @@
 			this.#isLeadershipUpdateScheduled = false;
 			const now = this.#now();
 			this.#excludeStall(now);
+			this.#overlayNode.update(true, now);
 			this.#updateLeadership();
-			const isLeaderLiveHere = [...this.#zonesLostByPeers].some(
-				(zone) => this.#liveLeaderTokens[zone] !== undefined,
-			);
-			this.#zonesLostByPeers.clear();
-			if (isLeaderLiveHere) {
-				this.#sendHeartbeatToAll(now);
+			if (this.#overlayNode.takeIsLossDisputed()) {
+				this.#overlayNode.sendHeartbeatToAll(now);
 			}
 		});
 	}
@@ -676,18 +652,8 @@
 		const now = this.#now();
 		this.#updateScope(now);
 		this.#applyLeadershipChanges(this.#leadership.tick(now), 'tick');
-		const liveLeaderTokens = Object.fromEntries(
-			this.#settings.zones.flatMap((zone) => {
-				const leader = this.#leadership.findLeader(zone, now);
-				return leader === undefined ? [] : [[zone, leader.token]];
-			}),
-		);
-		const isChanged =
-			JSON.stringify(liveLeaderTokens) !==
-			JSON.stringify(this.#liveLeaderTokens);
-		this.#liveLeaderTokens = liveLeaderTokens;
-		if (isChanged) {
-			this.#sendHeartbeatToAll(now);
+		if (this.#overlayNode.refreshLeaders(now)) {
+			this.#overlayNode.sendHeartbeatToAll(now);
 		}
 
 		this.#updateOwnLeader(now);
@@ -741,7 +707,7 @@
 	#findLeaderFor({overflowZone}: PendingJob, now: number): string | undefined {
 		return overflowZone === undefined
 			? this.#leader
-			: this.#leadership.findLeader(overflowZone, now)?.name;
+			: this.#overlayNode.findLeader(overflowZone, now)?.name;
 	}
 
 	/** Applies changes of leadership to the scheduler, and sends the workers of dropped zones to their new leaders. */
@@ -756,7 +722,7 @@
 				this.#leadership.successors.get(change.zone) ??
 				this.#leadership.findLeader(change.zone, now)?.name;
 			if (change.kind === 'dropped' && newLeader !== undefined) {
-				this.#mesh.send(newLeader, {
+				this.#overlayNode.send(newLeader, {
 					type: 'hand-over',
 					workers: this.#workerEntries.filter(({zone}) => zone === change.zone),
 				});
@@ -785,146 +751,27 @@
 
 		if (changes.length > 0) {
 			this.#updateOwnLeader(now);
-			this.#sendHeartbeatToAll(now);
+			this.#overlayNode.sendHeartbeatToAll(now);
 		}
 	}
 
-	/** Creates a heartbeat; `intervalMs` is the time until the next one to the same peers. */
-	#createHeartbeat(hasMemberList: boolean, intervalMs: number): Heartbeat {
+	/** Returns what heartbeats tell of this entry VM besides its membership and leadership. */
+	#readState(now: number): NodeState {
 		return {
-			name: this.#settings.name,
-			zone: this.#settings.zone,
-			address: this.#settings.peerAddress,
-			incarnation: this.#incarnation,
-			intervalMs,
-			processorShare: this.#settings.processorShare,
 			isStopping: this.#isStopping,
-			isWarm: this.#leadership.isWarm,
-			leads: Object.fromEntries(this.#leadership.ledZones),
-			highestToken: this.#leadership.highestToken,
-			hears: this.#liveLeaderTokens,
-			yields: Object.fromEntries(this.#leadership.successors),
 			scope: this.#scope,
 			...(this.#scope === 'zone' && this.#leadership.ledZones.size > 0
-				? {spareMillis: this.#scheduler.computeSpareMillis(this.#now())}
+				? {spareMillis: this.#scheduler.computeSpareMillis(now)}
 				: {}),
-			members: hasMemberList
-				? [...this.#members.values()]
-						.filter(({isOnlyInRegistry}) => !isOnlyInRegistry)
-						.map(({name, zone, address}) => ({name, zone, address}))
-				: [],
-		};
-	}
-
-	/** Sends a heartbeat to all peers, now or once the gap since the last such round has passed. */
-	#sendHeartbeatToAll(now: number): void {
-		this.#isRoundDue = true;
-		this.#sendDueHeartbeats(now);
-	}
-
-	/** Sends heartbeats to the peers for which one is due. */
-	#sendDueHeartbeats(now: number): void {
-		const {addresses} = this.#mesh;
-		const intervals = computeHeartbeatIntervals(
-			addresses.length,
-			this.#eventLoopDelay.largestMs(now),
-		);
-		if (this.#isRoundDue && now - this.#lastRoundMs >= intervals.roundGapMs) {
-			this.#isRoundDue = false;
-			this.#lastRoundMs = now;
-			this.#heartbeatSchedule.reset();
-		}
-
-		const due = this.#heartbeatSchedule.takeDue(
-			this.#selectIntervals(addresses, intervals, now),
-			now,
-		);
-		for (const [intervalMs, recipients] of due) {
-			this.#sendHeartbeat(recipients, intervalMs, now);
-		}
-	}
-
-	/**
-	 * Selects the interval of heartbeats to each address: the fast one between a leader and the entry VMs of its zones, and
-	 * among leaders.
-	 */
-	#selectIntervals(
-		addresses: readonly string[],
-		{fastMs, electionMs, slowMs}: HeartbeatIntervals,
-		now: number,
-	): ReadonlyMap<string, number> {
-		const {ledZones} = this.#leadership;
-		const isElecting =
-			Object.keys(this.#liveLeaderTokens).length < this.#settings.zones.length;
-		const peersByAddress = new Map(
-			this.#leadership.livePeers(now).map((peer) => [peer.address, peer]),
-		);
-		const select = (address: string) => {
-			const peer = peersByAddress.get(address);
-			const isPeerLeader =
-				peer !== undefined && Object.keys(peer.leads).length > 0;
-			const isDependent =
-				peer === undefined
-					? ledZones.size > 0
-					: ledZones.has(peer.zone) ||
-						(ledZones.size > 0 && isPeerLeader) ||
-						peer.leads[this.#settings.zone] !== undefined;
-			if (isDependent) {
-				return fastMs;
-			}
-
-			if (isElecting) {
-				return electionMs;
-			}
-
-			return peer !== undefined &&
-				ledZones.size === 0 &&
-				!isPeerLeader &&
-				this.#peersWithSlowIntervals.has(peer.name)
-				? slowMs
-				: legacySlowIntervalMs;
-		};
-
-		return new Map(addresses.map((address) => [address, select(address)]));
-	}
-
-	/** Sends a heartbeat to peers, announcing the interval until the next one. */
-	#sendHeartbeat(
-		recipients: ReadonlySet<string>,
-		intervalMs: number,
-		now: number,
-	): void {
-		const sinceListMs = now - this.#memberListSinceMs;
-		if (
-			sinceListMs >=
-			(this.#isMemberListChanged
-				? memberListDurationMs + minMemberListIntervalMs
-				: memberListIntervalMs)
-		) {
-			this.#memberListSinceMs = now;
-			this.#isMemberListChanged = false;
-		}
-
-		this.#mesh.sendHeartbeats(
-			{
-				type: 'heartbeat',
-				heartbeat: this.#createHeartbeat(
-					now - this.#memberListSinceMs < memberListDurationMs,
-					intervalMs,
-				),
-				needsKnowledge:
-					this.#leadership.ledZones.size > 0 &&
-					this.#storeFollower.ownDataAgeMs(now) > staleStoreDataMs,
-				readsStore: this.#storeFollower.ownDataAgeMs(now) < staleStoreDataMs,
-				acceptsSlowIntervals: true,
-				knows: {
-					state: this.#desiredState?.version ?? 0,
-					workers: this.#receivedWorkersVersion ?? this.#workersVersion,
-				},
+			needsKnowledge:
+				this.#leadership.ledZones.size > 0 &&
+				this.#storeFollower.ownDataAgeMs(now) > staleStoreDataMs,
+			readsStore: this.#storeFollower.ownDataAgeMs(now) < staleStoreDataMs,
+			versions: {
+				state: this.#desiredState?.version ?? 0,
+				workers: this.#receivedWorkersVersion ?? this.#workersVersion,
 			},
-			(address) => recipients.has(address),
-			now,
-		);
+		};
 	}
 
 	/**
@@ -945,7 +792,7 @@
 			this.#scheduler.submit(job, from, isResubmitted, now);
 		} else {
 			this.#log.write({event: 'submission-out-of-date', id: job.id, from});
-			this.#mesh.send(from, {type: 'resubmit', id: job.id});
+			this.#overlayNode.send(from, {type: 'resubmit', id: job.id});
 		}
 	}
 
@@ -964,8 +811,12 @@
 		const now = this.#now();
 		switch (message.type) {
 			case 'heartbeat': {
-				this.#receiveHeartbeat(message.heartbeat, now);
-				this.#updatePeerVersions(from, message);
+				if (message.knows === undefined) {
+					this.#peerVersions.delete(from);
+				} else {
+					this.#peerVersions.set(from, message.knows);
+				}
+
 				this.#updateStoreReader(from, message, now);
 				break;
 			}
@@ -996,9 +847,14 @@
 					break;
 				}
 
-				const isKnown = this.#scheduler.cancel(message.id, message.reason, now);
+				const isKnown = this.#scheduler.cancel(
+					message.id,
+					message.reason,
+					from,
+					now,
+				);
 				if (message.question !== undefined) {
-					this.#mesh.send(from, {
+					this.#overlayNode.send(from, {
 						type: 'reply',
 						question: message.question,
 						value: isKnown,
@@ -1009,7 +865,7 @@
 			}
 
 			case 'ask': {
-				this.#mesh.send(from, {
+				this.#overlayNode.send(from, {
 					type: 'reply',
 					question: message.question,
 					value:
@@ -1055,79 +911,6 @@
 		}
 	}
 
-	/** Records a heartbeat and the entry VMs that it lists, and reacts at once to changes that affect an election. */
-	#receiveHeartbeat(heartbeat: Heartbeat, now: number): void {
-		const memberCount = this.#members.size;
-		const hasChanged = this.#leadership.hasChanged(heartbeat, now);
-		for (const {name, zone, address} of [heartbeat, ...heartbeat.members]) {
-			const isSenderOrNew =
-				name === heartbeat.name ||
-				this.#members.get(name)?.isOnlyInRegistry !== false;
-			if (name !== this.#settings.name && isSenderOrNew) {
-				this.#members.set(name, {
-					name,
-					zone,
-					address,
-					expiresAtMs: now + memberRetentionMs,
-					isOnlyInRegistry: false,
-				});
-			}
-		}
-
-		this.#leadership.receiveHeartbeat(heartbeat, now);
-		if (this.#members.size !== memberCount) {
-			// The next heartbeat includes the member list, so that newly connected peers receive it at once.
-			this.#isMemberListChanged = true;
-			this.#updateLinks();
-		}
-
-		if (hasChanged) {
-			for (const zone of this.#settings.zones) {
-				if (heartbeat.hears[zone] === undefined) {
-					this.#zonesLostByPeers.add(zone);
-				}
-			}
-
-			this.#scheduleLeadershipUpdate();
-		}
-	}
-
-	/** Records what a peer's version of the program supports, and which versions of the store's data it has. */
-	#updatePeerVersions(
-		name: string,
-		{knows, acceptsSlowIntervals}: PoolMessage & {readonly type: 'heartbeat'},
-	): void {
-		if (knows === undefined) {
-			this.#peerVersions.delete(name);
-		} else {
-			this.#peerVersions.set(name, knows);
-		}
-
-		if (acceptsSlowIntervals === true) {
-			this.#peersWithSlowIntervals.add(name);
-		} else {
-			this.#peersWithSlowIntervals.delete(name);
-		}
-	}
-
-	/** Connects to the entry VMs that the store lists. */
-	#addRegistryMembers(members: readonly MemberAddress[]): void {
-		const now = this.#now();
-		for (const member of members) {
-			if (!this.#members.has(member.name)) {
-				this.#members.set(member.name, {
-					...member,
-					expiresAtMs: now + registryMemberRetentionMs,
-					isOnlyInRegistry: true,
-				});
-			}
-		}
-
-		this.#log.write({event: 'registry', members: members.length});
-		this.#updateLinks();
-		this.#sendHeartbeatToAll(now);
-	}
-
 	/** Records whether a peer can read the store, and sends current store data to a leader that cannot. */
 	#updateStoreReader(
 		from: string,
@@ -1156,21 +939,6 @@
 		}
 	}
 
-	/** Removes expired members, and opens or closes connections to match the seeds and the remaining members. */
-	#updateLinks(): void {
-		const now = this.#now();
-		for (const [name, {expiresAtMs}] of this.#members) {
-			if (now > expiresAtMs) {
-				this.#members.delete(name);
-			}
-		}
-
-		this.#mesh.updateLinks([
-			...this.#settings.peerSeeds,
-			...[...this.#members.values()].map(({address}) => address),
-		]);
-	}
-
 	/** Sends the desired state and the workers to a peer. */
 	#sendKnowledge(name: string): void {
 		this.#sendKnowledgeToAll([name], {hasState: true, hasWorkers: true});
@@ -1181,7 +949,7 @@
 		names: readonly string[],
 		{hasState, hasWorkers}: DueKnowledge,
 	): void {
-		this.#mesh.sendToAll(names, {
+		this.#overlayNode.sendToAll(names, {
 			type: 'knowledge',
 			knowledge: {
 				state: hasState ? this.#desiredState : undefined,
@@ -1219,11 +987,15 @@
 			.livePeers(now)
 			.filter(
 				({name, zone, leads}) =>
-					this.#mesh.isOpen(name) &&
+					this.#overlayNode.isOpen(name) &&
 					((this.#informsZone(zone, now) && Object.keys(leads).length === 0) ||
 						(isReader && this.#leadersWithoutStore.has(name))),
 			)
-			.map(({name}) => ({name, knows: this.#peerVersions.get(name)}));
+			.map(({name, isCandidate}) => ({
+				name,
+				knows: this.#peerVersions.get(name),
+				needsWorkers: isCandidate !== false,
+			}));
 		const due = [
 			...this.#knowledgeSchedule.takeDue(peers, this.#ownVersions, now),
 		];
@@ -1364,6 +1136,10 @@
 	#sendToLeader(pending: PendingJob): void {
 		const now = this.#now();
 		const leader = this.#findLeaderFor(pending, now);
+		if (pending.overflowZone !== undefined) {
+			this.#overlayNode.useLeader(pending.overflowZone, now);
+		}
+
 		if (leader === undefined || !this.#canReach(leader)) {
 			pending.withoutLeaderSinceMs ??= now;
 			return;
@@ -1375,7 +1151,7 @@
 
 		const {earlierToken} = pending;
 		const leaderToken =
-			this.#leadership.findLeader(
+			this.#overlayNode.findLeader(
 				pending.overflowZone ?? this.#settings.zone,
 				now,
 			)?.token ?? 0;
@@ -1402,7 +1178,7 @@
 		if (leader === this.#settings.name) {
 			this.#scheduler.submit(job, leader, isResubmitted, now);
 		} else {
-			this.#mesh.send(leader, {type: 'submit', job, isResubmitted});
+			this.#overlayNode.send(leader, {type: 'submit', job, isResubmitted});
 		}
 	}
 
@@ -1412,11 +1188,11 @@
 		leader: string,
 		now: number,
 	): readonly string[] | undefined {
-		const placesByZone =
-			leader === this.#settings.name ||
-			this.#leadership
-				.livePeers(now)
-				.some(({name, scope}) => name === leader && scope !== undefined);
+		const peer = this.#leadership
+			.livePeers(now)
+			.find(({name}) => name === leader);
+		// A leader that only a candidate reports is no entry VM of the last build, whose heartbeats have no scope.
+		const placesByZone = peer === undefined || peer.scope !== undefined;
 		return this.#scope === 'zone' && placesByZone
 			? [overflowZone ?? this.#settings.zone]
 			: undefined;
@@ -1475,7 +1251,7 @@
 	}
 
 	#canReach(leader: string): boolean {
-		return leader === this.#settings.name || this.#mesh.isOpen(leader);
+		return leader === this.#settings.name || this.#overlayNode.isOpen(leader);
 	}
 
 	/** Sends an answer of this leader to the entry VM that received the job. */
@@ -1483,7 +1259,7 @@
 		if (receiver === this.#settings.name) {
 			this.#receiveAnswer(receiver, id, answer);
 		} else {
-			this.#mesh.send(receiver, {type: 'answer', id, answer});
+			this.#overlayNode.send(receiver, {type: 'answer', id, answer});
 		}
 	}
 
@@ -1511,7 +1287,7 @@
 		if (leader === this.#settings.name) {
 			this.#scheduler.release(id, leader, this.#now());
 		} else {
-			this.#mesh.send(leader, {type: 'cancel', id, reason: 'moved'});
+			this.#overlayNode.send(leader, {type: 'cancel', id, reason: 'moved'});
 		}
 	}
 
@@ -1537,7 +1313,7 @@
 		const room = this.#overflow.choose(
 			pending.job,
 			[...pending.refusedBy, leader],
-			this.#findZoneRooms(now),
+			this.#overlayNode.findZoneRooms(now),
 			now,
 		);
 		if (room === undefined) {
@@ -1556,28 +1332,16 @@
 		return true;
 	}
 
-	/** Returns the room of the zones with another leader that heeds the zones of jobs and is reachable. */
-	#findZoneRooms(now: number): readonly ZoneRoom[] {
-		return this.#leadership
-			.livePeers(now)
-			.filter(({name}) => this.#mesh.isOpen(name))
-			.flatMap(({name: leader, spareMillis = {}}) =>
-				Object.entries(spareMillis)
-					.filter(
-						([zone]) =>
-							zone !== this.#settings.zone &&
-							this.#leadership.findLeader(zone, now)?.name === leader,
-					)
-					.map(([zone, millis]) => ({zone, leader, spareMillis: millis})),
-			);
-	}
-
 	/** Cancels a job at a leader because no caller waits for it any more. */
 	#cancelAtLeader(leader: string, id: string): void {
 		if (leader === this.#settings.name) {
-			this.#scheduler.cancel(id, 'caller-left', this.#now());
+			this.#scheduler.cancel(id, 'caller-left', leader, this.#now());
 		} else {
-			this.#mesh.send(leader, {type: 'cancel', id, reason: 'caller-left'});
+			this.#overlayNode.send(leader, {
+				type: 'cancel',
+				id,
+				reason: 'caller-left',
+			});
 		}
 	}
 
@@ -1592,7 +1356,8 @@
 		const now = this.#now();
 		const leaders = new Set(
 			this.#settings.zones.flatMap((zone) => {
-				const leader = this.#leadership.findLeader(zone, now)?.name;
+				const leader = this.#overlayNode.findLeader(zone, now)?.name;
+				this.#overlayNode.useLeader(zone, now);
 				return leader === undefined ? [] : [leader];
 			}),
 		);
@@ -1623,7 +1388,7 @@
 					});
 				});
 			}, requestTimeoutMs);
-			this.#mesh.send(leader, createMessage(requestNumber));
+			this.#overlayNode.send(leader, createMessage(requestNumber));
 		});
 	}
 }
--- a/packages/verbenarouter/src/pool/store-follower.ts
+++ b/packages/verbenarouter/src/pool/store-follower.ts
@@ -46,6 +46,7 @@
 	readonly name: string;
 	/** Offset of the next read; `undefined` if the next read gets the newest record of each key. */
 	nextOffset: number | undefined;
+	isActive: boolean;
 	isReading: boolean;
 	nextReadAtMs: number;
 };
@@ -61,12 +62,12 @@
 		(name) => ({
 			name,
 			nextOffset: undefined,
+			isActive: false,
 			isReading: false,
 			nextReadAtMs: 0,
 		}),
 	);
 
-	#isActive = false;
 	#isReachable = true;
 	/** Time of the last successful read, by this process or by the peer whose workers were applied. */
 	#dataReadAtMs = Number.NEGATIVE_INFINITY;
@@ -112,26 +113,24 @@
 		this.#dataReadAtMs = now - ageMs;
 	}
 
-	/** Starts or stops following; data that was read is kept. */
-	setActive(isActive: boolean): void {
-		if (isActive && !this.#isActive) {
-			for (const topic of this.#topics) {
+	/** Starts or stops following the desired state and the list of workers; data that was read is kept. */
+	setActive(followsState: boolean, followsWorkers: boolean): void {
+		for (const topic of this.#topics) {
+			const isActive =
+				topic.name === stateTopic ? followsState : followsWorkers;
+			if (isActive && !topic.isActive) {
 				topic.nextOffset = undefined;
 				topic.nextReadAtMs = 0;
 			}
-		}
 
-		this.#isActive = isActive;
+			topic.isActive = isActive;
+		}
 	}
 
 	/** Starts the reads that are due. */
 	tick(now: number): void {
-		if (!this.#isActive) {
-			return;
-		}
-
 		for (const topic of this.#topics) {
-			if (!topic.isReading && now >= topic.nextReadAtMs) {
+			if (topic.isActive && !topic.isReading && now >= topic.nextReadAtMs) {
 				void this.#read(topic);
 			}
 		}
--- a/packages/verbenarouter/src/tests/knowledge-schedule.test.ts
+++ b/packages/verbenarouter/src/tests/knowledge-schedule.test.ts
@@ -29,10 +29,10 @@
 	it('sends only what a peer lacks by its heartbeat', () => {
 		const schedule = new KnowledgeSchedule();
 		const peers = [
-			{name: 'a', knows: own},
-			{name: 'b', knows: {state: 1, workers: 'w2'}},
-			{name: 'c', knows: {state: 3, workers: 'w1'}},
-			{name: 'd', knows: {state: 0, workers: ''}},
+			{name: 'a', needsWorkers: true, knows: own},
+			{name: 'b', needsWorkers: true, knows: {state: 1, workers: 'w2'}},
+			{name: 'c', needsWorkers: true, knows: {state: 3, workers: 'w1'}},
+			{name: 'd', needsWorkers: true, knows: {state: 0, workers: ''}},
 		];
 		expect(schedule.takeDue(peers, own, 1000)).toEqual(
 			new Map([
@@ -44,13 +44,24 @@
 		expect(schedule.takeDue(peers, own, 1020)).toEqual(new Map());
 	});
 
+	it('sends no list of workers to a peer that cannot become a leader', () => {
+		const schedule = new KnowledgeSchedule();
+		const peers = [
+			{name: 'a', needsWorkers: false, knows: {state: 1, workers: ''}},
+			{name: 'b', needsWorkers: false, knows: {state: 2, workers: ''}},
+		];
+		expect(schedule.takeDue(peers, own, 1000)).toEqual(
+			new Map([['a', {hasState: true, hasWorkers: false}]]),
+		);
+	});
+
 	it('sends a list of workers to a peer every 2 s at most, however often it changes or the stream opens', () => {
 		const schedule = new KnowledgeSchedule();
 		let count = 0;
 		for (let now = 1000; now < 11_000; now += 20) {
 			schedule.handleOpen('a');
 			const due = schedule.takeDue(
-				[{name: 'a', knows: {state: 2, workers: ''}}],
+				[{name: 'a', needsWorkers: true, knows: {state: 2, workers: ''}}],
 				{state: 2, workers: `w${now}`},
 				now,
 			);
@@ -65,7 +76,13 @@
 		const isStateDue = (knownState: number, state: number, now: number) =>
 			schedule
 				.takeDue(
-					[{name: 'a', knows: {state: knownState, workers: 'w'}}],
+					[
+						{
+							name: 'a',
+							needsWorkers: true,
+							knows: {state: knownState, workers: 'w'},
+						},
+					],
 					{state, workers: 'w'},
 					now,
 				)
@@ -81,7 +98,7 @@
 
 	it('sends all to a peer of an earlier version when its stream opens, and each change once', () => {
 		const schedule = new KnowledgeSchedule();
-		const peers = [{name: 'a', knows: undefined}];
+		const peers = [{name: 'a', needsWorkers: true, knows: undefined}];
 		expect(schedule.takeDue(peers, own, 1000)).toEqual(new Map([['a', both]]));
 		expect(schedule.takeDue(peers, own, 5000)).toEqual(new Map());
 		expect(
--- a/testing/src/pool/measure-control.ts
+++ b/testing/src/pool/measure-control.ts
@@ -1,8 +1,7 @@
-import {Buffer} from 'node:buffer';
 import {readFileSync} from 'node:fs';
-import {request} from 'node:http';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {readMetrics} from './metrics-reader.js';
 import {PoolInstallation, type PoolEntryVm} from './pool-installation.js';
 
 // Measures messages between entry VMs by type, their bytes and processor time: at the start, idle, after the leader was
@@ -21,28 +20,6 @@
 
 type Totals = ReadonlyMap<string, number>;
 
-/** Reads the metrics of an entry VM; returns an empty text if it does not respond. */
-async function readMetrics({metricsPort}: PoolEntryVm): Promise<string> {
-	return new Promise((resolve) => {
-		const outgoing = request(
-			{host: '127.0.0.1', port: metricsPort, path: '/metrics', agent: false},
-			(response) => {
-				const chunks: Uint8Array[] = [];
-				response.on('data', (chunk: Uint8Array) => {
-					chunks.push(chunk);
-				});
-				response.on('end', () => {
-					resolve(Buffer.concat(chunks).toString('utf8'));
-				});
-			},
-		);
-		outgoing.on('error', () => {
-			resolve('');
-		});
-		outgoing.end();
-	});
-}
-
 /** Returns the processor time of a process in milliseconds, 0 if it has ended. */
 function readProcessorMs({child}: PoolEntryVm): number {
 	try {
--- /dev/null
+++ b/testing/src/tests/overlay.test.ts
@@ -0,0 +1,125 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {afterEach, describe, expect, it} from 'vitest';
+import {readGauge} from '../pool/metrics-reader.js';
+import {
+	type PoolEntryVm,
+	type PoolInstallation,
+} from '../pool/pool-installation.js';
+import {collectRuns, findOverlappingTasks} from '../pool/recorded-runs.js';
+import {
+	fillZone,
+	findLeader,
+	shortJob,
+	startZonalInstallation,
+	submitPaced,
+	zonesOfRuns,
+} from '../pool/zonal-installation.js';
+
+/** With two zones, more entry VMs than are all connected to each other. */
+const entryVmsPerZone = 8;
+/** Three candidates of each zone, and the leader of another zone while jobs overflow. */
+const maxFollowerConnections = 4;
+
+let runningInstallation: PoolInstallation | undefined;
+
+afterEach(() => {
+	runningInstallation?.close();
+});
+
+async function start(): Promise<PoolInstallation> {
+	runningInstallation = await startZonalInstallation(entryVmsPerZone);
+	await sleep(2000);
+	return runningInstallation;
+}
+
+/** Parts the entry VMs of a zone into candidates and followers. */
+async function partByRole(
+	{entryVms}: PoolInstallation,
+	zone: string,
+): Promise<{
+	readonly candidates: readonly PoolEntryVm[];
+	readonly followers: readonly PoolEntryVm[];
+}> {
+	const roles = await Promise.all(
+		entryVms
+			.filter((entryVm) => entryVm.zone === zone)
+			.map(async (entryVm) => ({
+				entryVm,
+				isCandidate: (await readGauge(entryVm, 'is_candidate')) === 1,
+			})),
+	);
+	const select = (expected: boolean) =>
+		roles
+			.filter(({isCandidate}) => isCandidate === expected)
+			.map(({entryVm}) => entryVm);
+	return {candidates: select(true), followers: select(false)};
+}
+
+describe('an installation with more entry VMs than are all connected to each other', () => {
+	it('connects followers to the candidates of their zone, and serves jobs at each entry VM', async () => {
+		const installation = await start();
+		const answers = await Promise.all(
+			installation.entryVms.map(async (entryVm) =>
+				installation.submit(entryVm, installation.newId(), shortJob),
+			),
+		);
+		expect(answers.map(({status}) => status)).toEqual(answers.map(() => 200));
+		const parts = await Promise.all(
+			['a', 'b'].map(async (zone) => partByRole(installation, zone)),
+		);
+		expect(parts.map(({candidates}) => candidates.length)).toEqual([3, 3]);
+		const connections = await Promise.all(
+			parts
+				.flatMap(({followers}) => followers)
+				.map(async (follower) => readGauge(follower, 'peer_connections')),
+		);
+		expect(Math.max(...connections)).toBeLessThanOrEqual(
+			maxFollowerConnections,
+		);
+	});
+
+	it('runs jobs of a follower in the other zone while the workers of its own are busy', async () => {
+		const installation = await start();
+		const {followers} = await partByRole(installation, 'a');
+		await fillZone(installation, 'a');
+		const ids = followers.map(() => installation.newId());
+		const answers = await Promise.all(
+			ids.map(async (id, index) =>
+				installation.submit(followers[index]!, id, shortJob),
+			),
+		);
+		expect(answers.map(({status}) => status)).toEqual(ids.map(() => 200));
+		expect(ids.map((id) => [...zonesOfRuns(installation, id)])).toEqual(
+			ids.map(() => ['b']),
+		);
+	});
+
+	it('has another leader soon after all candidates of a zone are killed, and runs no task twice at the same time', async () => {
+		const installation = await start();
+		const {candidates, followers} = await partByRole(installation, 'a');
+		const pendingAnswers = submitPaced(installation, followers, 300);
+		await sleep(500);
+		for (const {child} of candidates) {
+			child.kill('SIGKILL');
+		}
+
+		const answers = await pendingAnswers;
+		expect(findOverlappingTasks(collectRuns(installation))).toEqual([]);
+		expect(answers.slice(-100).map(({status}) => status)).toEqual(
+			Array.from({length: 100}, () => 200),
+		);
+		expect(followers).toContain(findLeader(installation, 'a'));
+	});
+
+	it('gives each entry VM a new desired state through the leader of its zone', async () => {
+		const installation = await start();
+		installation.publishDesiredState(7, '/moved/');
+		await sleep(1500);
+		const versions = await Promise.all(
+			installation.entryVms.map(async (entryVm) =>
+				readGauge(entryVm, 'desired_state_version'),
+			),
+		);
+		expect(versions).toEqual(installation.entryVms.map(() => 7));
+	});
+});
