Give each worker of the test runner ports of its own

Cause: findFreePorts picked ports at random between 12,000 and 32,000, checked that they were free, and returned them for processes that bind them some time later. Test files run in four workers at a time, so two could pick the same port; the entry VM that came second could not listen and exited with code 3 before it was ready. Two tests of the catalogue are listed for that, seen once each.

Change: each worker has a range of its own and takes its ports in order, so that none is returned twice in a run.

That this was the cause in the two runs is inferred: they kept no logs.

Ruled out: ports of the ephemeral range, which outgoing connections may take between the check and the use.

--- a/testing/src/processes.ts
+++ b/testing/src/processes.ts
@@ -2,11 +2,20 @@
 import {randomInt} from 'node:crypto';
 import {createServer} from 'node:net';
 import path from 'node:path';
+import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 
 const lowestPort = 12_000;
 /** Exclusive upper bound of the ports tried; by default, Linux assigns 32768 and above to outgoing connections. */
 const upperPortBound = 32_000;
+/** Number of ranges of ports, one for each worker of the test runner. */
+const workerCount = 8;
+const portsPerWorker = (upperPortBound - lowestPort) / workerCount;
+/** Number of this worker, from 1 on; other programs use the last range. */
+const workerNumber = Number(process.env.VITEST_POOL_ID ?? workerCount);
+const firstPort =
+	lowestPort + ((workerNumber - 1) % workerCount) * portsPerWorker;
+let nextOffset = randomInt(portsPerWorker);
 
 const standInProgramPath = fileURLToPath(
 	new URL('../dist/stand-in-process.js', import.meta.url),
@@ -110,22 +119,26 @@
 
 /**
  * Finds distinct loopback ports that are free at present, below the ephemeral range so that no outgoing connection
- * occupies one before it is used.
+ * occupies one before it is used. Workers of the test runner have ranges of their own, and no port is returned twice until
+ * all of the range were: a port that is found is bound only some time later.
  */
 export async function findFreePorts(count: number): Promise<readonly number[]> {
-	const ports = new Set<number>();
-	while (ports.size < count) {
-		// eslint-disable-next-line no-await-in-loop -- a port that is found twice is used once
-		ports.add(await findFreePort());
+	const ports: number[] = [];
+	while (ports.length < count) {
+		const port = firstPort + (nextOffset % portsPerWorker);
+		nextOffset += 1;
+		// eslint-disable-next-line no-await-in-loop -- the ports are tried in their order
+		if (await isFree(port)) {
+			ports.push(port);
+		}
 	}
 
-	return [...ports];
+	return ports;
 }
 
-async function findFreePort(): Promise<number> {
-	const port = randomInt(lowestPort, upperPortBound);
+async function isFree(port: number): Promise<boolean> {
 	const server = createServer();
-	const isFree = await new Promise<boolean>((resolve) => {
+	return new Promise((resolve) => {
 		server.once('error', () => {
 			resolve(false);
 		});
@@ -135,5 +148,4 @@
 			});
 		});
 	});
-	return isFree ? port : findFreePort();
 }
