Keep the connection to another zone's leader while jobs use it, and check heartbeats with checks made once

Cause: a follower connects to the leader of another zone for 5 s after the last use, but no use counted once the leader's heartbeats had arrived, so that the connection was closed under jobs on their way: their leader then took the receiver for lost.

Change: each use counts. Of another zone only the first three replacements of its candidates are tried, since the whole zone may be cut off.

Tests: a follower whose jobs overflow for 7 s opens one connection (testing/src/tests/overlay.test.ts); the first replacements (overlay.test.ts).

--- a/packages/core/src/heartbeat-check.ts
+++ b/packages/core/src/heartbeat-check.ts
@@ -50,7 +50,9 @@
 
 /** Checks the heartbeats that other entry VMs send before anything relies on them. */
 export class HeartbeatCheck {
-	readonly #checksAt: (now: number) => Readonly<Record<string, Check>>;
+	readonly #checks: Readonly<Record<string, Check>>;
+	/** Largest fencing token that is plausible at the time of the present check. */
+	#largestToken = 0;
 
 	/** `zones` are all zones of the installation. */
 	constructor(zones: readonly string[]) {
@@ -64,51 +66,51 @@
 				Object.entries(value).every(
 					([zone, inZone]) => isZone(zone) && check(inZone),
 				);
-		const isMember: Check = (value) =>
-			findWrongField(value, {
-				name: isText,
-				zone: isZone,
-				address: isAddress,
-				processorShare: isOptional(isNumberUpTo(maxProcessorShare)),
-				ageMs: isOptional(isNumberUpTo(Number.MAX_SAFE_INTEGER)),
-			}) === undefined;
-		this.#checksAt = (now) => {
-			const isToken = isNumberUpTo((now + maxTokenLeadMs) * tokensPerMs);
-			const isLeader: Check = (value) =>
-				findWrongField(value, {
-					zone: isZone,
-					name: isText,
-					address: isAddress,
-					token: isToken,
-					spareMillis: isOptional(isNumberUpTo(Number.MAX_SAFE_INTEGER)),
-				}) === undefined;
-			return {
-				name: isText,
-				zone: isZone,
-				address: isAddress,
-				incarnation: isText,
-				intervalMs: (value) =>
-					value !== 0 && isNumberUpTo(maxIntervalMs)(value),
-				processorShare: isNumberUpTo(maxProcessorShare),
-				isStopping: isFlag,
-				isWarm: isFlag,
-				leads: isByZone(isToken),
-				highestToken: isToken,
-				hears: isByZone(isToken),
-				yields: isByZone(isText),
-				scope: isOptional((value) => value === 'region' || value === 'zone'),
-				spareMillis: isOptional(
-					isByZone(isNumberUpTo(Number.MAX_SAFE_INTEGER)),
-				),
-				isCandidate: isOptional(isFlag),
-				leaders: isOptional(isListOf(isLeader, knownZones.size)),
-				members: isListOf(isMember, maxListedMembers),
-			};
+		const isToken: Check = (value) =>
+			typeof value === 'number' && value >= 0 && value <= this.#largestToken;
+		const isCount = isNumberUpTo(Number.MAX_SAFE_INTEGER);
+		const isObjectOf =
+			(checks: Readonly<Record<string, Check>>): Check =>
+			(value) =>
+				findWrongField(value, checks) === undefined;
+		const isMember = isObjectOf({
+			name: isText,
+			zone: isZone,
+			address: isAddress,
+			processorShare: isOptional(isNumberUpTo(maxProcessorShare)),
+			ageMs: isOptional(isCount),
+		});
+		const isLeader = isObjectOf({
+			zone: isZone,
+			name: isText,
+			address: isAddress,
+			token: isToken,
+			spareMillis: isOptional(isCount),
+		});
+		this.#checks = {
+			name: isText,
+			zone: isZone,
+			address: isAddress,
+			incarnation: isText,
+			intervalMs: (value) => value !== 0 && isNumberUpTo(maxIntervalMs)(value),
+			processorShare: isNumberUpTo(maxProcessorShare),
+			isStopping: isFlag,
+			isWarm: isFlag,
+			leads: isByZone(isToken),
+			highestToken: isToken,
+			hears: isByZone(isToken),
+			yields: isByZone(isText),
+			scope: isOptional((value) => value === 'region' || value === 'zone'),
+			spareMillis: isOptional(isByZone(isCount)),
+			isCandidate: isOptional(isFlag),
+			leaders: isOptional(isListOf(isLeader, knownZones.size)),
+			members: isListOf(isMember, maxListedMembers),
 		};
 	}
 
 	/** Returns the name of the first field of a heartbeat that is missing or absurd, `undefined` for a sound heartbeat. */
 	findProblem(heartbeat: unknown, now: number): string | undefined {
-		return findWrongField(heartbeat, this.#checksAt(now));
+		this.#largestToken = (now + maxTokenLeadMs) * tokensPerMs;
+		return findWrongField(heartbeat, this.#checks);
 	}
 }
--- a/packages/core/src/overlay.ts
+++ b/packages/core/src/overlay.ts
@@ -215,11 +215,17 @@
 		now: number,
 	): readonly Member[] {
 		const ranked = this.#rank(zone);
-		return isMesh
-			? ranked
-			: ranked
-					.filter((member) => !this.#isUnreachable(member, now))
-					.slice(0, this.#settings.candidatesPerZone);
+		if (isMesh) {
+			return ranked;
+		}
+
+		const {candidatesPerZone} = this.#settings;
+		// Of another zone, which may be cut off as a whole, only the first replacements are tried: later ones connect here.
+		const eligible =
+			zone === this.#self.zone ? ranked : ranked.slice(0, 2 * candidatesPerZone);
+		return eligible
+			.filter((member) => !this.#isUnreachable(member, now))
+			.slice(0, candidatesPerZone);
 	}
 
 	#isUnreachable({name, address}: Member, now: number): boolean {
--- a/packages/core/src/tests/overlay.test.ts
+++ b/packages/core/src/tests/overlay.test.ts
@@ -145,6 +145,27 @@
 		expect(overlay.isCandidate).toBe(false);
 	});
 
+	it('tries only the first replacements of another zone, which may be cut off as a whole', () => {
+		const overlay = createOverlay('a0');
+		const failed = viewFixture(
+			addressesOf('b0', 'b1', 'b2', 'b3', 'b4', 'b5', 'b6').map((address) => [
+				address,
+				'failed',
+			]),
+		);
+		const tried = new Set<string>();
+		for (let now = 0; now < 9 * probeIntervalMs; now += 100) {
+			overlay.update(failed, now);
+			for (const address of overlay.addresses) {
+				tried.add(address);
+			}
+		}
+
+		expect(
+			[...tried].filter((address) => address.startsWith('b')).toSorted(),
+		).toEqual(addressesOf('b0', 'b1', 'b2', 'b3', 'b4', 'b5'));
+	});
+
 	it('tries the unreachable members in turn', () => {
 		const overlay = createOverlay('a6');
 		const failed = viewFixture(
--- a/packages/verbenarouter/src/overlay/overlay-node.ts
+++ b/packages/verbenarouter/src/overlay/overlay-node.ts
@@ -198,11 +198,6 @@
 		return this.#mesh.traffic;
 	}
 
-	/** Fencing token of the live leader of each zone that has one, by zone. */
-	get liveLeaderTokens(): Readonly<Record<string, number>> {
-		return this.#liveLeaderTokens;
-	}
-
 	/** Replaces the addresses at which other entry VMs may be found. */
 	setSeeds(seeds: readonly string[]): void {
 		this.#seeds = seeds;
@@ -251,10 +246,7 @@
 
 	/** Keeps a connection to the leader of a zone for some seconds, and opens one if there is none. */
 	useLeader(zone: string, now: number): void {
-		const leader =
-			this.#leadership.findLeader(zone, now) === undefined
-				? this.#leadership.findReportedLeader(zone, now)
-				: undefined;
+		const leader = this.#findLeaderAddress(zone, now);
 		if (leader === undefined) {
 			return;
 		}
@@ -504,6 +496,19 @@
 			: direct.spareMillis?.[zone];
 	}
 
+	/** Returns the address of the leader of a zone, `undefined` if there is none or it is this entry VM. */
+	#findLeaderAddress(
+		zone: string,
+		now: number,
+	): Pick<MemberAddress, 'name' | 'address'> | undefined {
+		const live = this.#leadership.findLeader(zone, now);
+		return live === undefined
+			? this.#leadership.findReportedLeader(zone, now)
+			: this.#leadership
+					.livePeers(now)
+					.find(({name}) => name === live.name);
+	}
+
 	/** Returns the leaders that are live here, for peers that are not connected to them. */
 	#listLeaders(now: number): readonly ReportedLeader[] {
 		const addresses = new Map(
--- a/testing/src/pool/zonal-installation.ts
+++ b/testing/src/pool/zonal-installation.ts
@@ -60,7 +60,7 @@
 
 /** Returns the entry VM that leads a zone: the one that has claimed it and not dropped it since. */
 export function findLeader(
-	{entryVms}: PoolInstallation,
+	{entryVms}: {readonly entryVms: readonly PoolEntryVm[]},
 	zone: string,
 ): PoolEntryVm {
 	return entryVms.find(({lines}) =>
--- a/testing/src/tests/overlay.test.ts
+++ b/testing/src/tests/overlay.test.ts
@@ -94,6 +94,34 @@
 		);
 	});
 
+	it('keeps the connection to the leader of another zone while jobs overflow to it', async () => {
+		const installation = await start();
+		const {
+			followers: [follower],
+		} = await partByRole(installation, 'a');
+		await fillZone(installation, 'a');
+		const statuses: number[] = [];
+		const lineCount = follower!.lines.length;
+		for (let index = 0; index < 18; index += 1) {
+			// eslint-disable-next-line no-await-in-loop -- one job after the other
+			const {status} = await installation.submit(
+				follower!,
+				installation.newId(),
+				{...shortJob, runMs: 400},
+			);
+			statuses.push(status);
+		}
+
+		expect(statuses).toEqual(Array.from({length: 18}, () => 200));
+		const opened = follower!.lines
+			.slice(lineCount)
+			.filter(
+				(line) =>
+					line.includes('"event":"peer-open"') && line.includes('"entry-b-'),
+			);
+		expect(opened).toHaveLength(1);
+	});
+
 	it('has another leader soon after all candidates of a zone are killed, and runs no task twice at the same time', async () => {
 		const installation = await start();
 		const {candidates, followers} = await partByRole(installation, 'a');
@@ -108,7 +136,7 @@
 		expect(answers.slice(-100).map(({status}) => status)).toEqual(
 			Array.from({length: 100}, () => 200),
 		);
-		expect(followers).toContain(findLeader(installation, 'a'));
+		expect(findLeader({entryVms: followers}, 'a')).toBeDefined();
 	});
 
 	it('gives each entry VM a new desired state through the leader of its zone', async () => {
