--- a/packages/verbenarouter/src/overlay/overlay-node.ts
+++ b/packages/verbenarouter/src/overlay/overlay-node.ts
@@ -380,15 +380,7 @@
 		const isChanged = this.#overlay.update(
 			{
 				connectionState: (address) => this.#mesh.connectionState(address),
-				// A follower of another zone that has business here reads answers on the stream that it has opened.
-				liveAddresses: peers
-					.filter(
-						({zone, isCandidate}) =>
-							isCandidate !== false ||
-							zone === this.#self.zone ||
-							this.#leadership.ledZones.has(zone),
-					)
-					.map(({address}) => address),
+				liveAddresses: peers.map(({address}) => address),
 				uninformedAddresses: peers
 					.map(({address}) => address)
 					.filter((address) =>
