Answer back on a follower's stream only until the own stream to it has first opened

What breaks one stream mostly breaks or silences the other, so an answer was written into a dead stream instead of being held for 0.5 s until the next one opens.

Change: only while no stream to the entry VM has opened or failed yet.

--- a/packages/peer/src/pool-mesh.ts
+++ b/packages/peer/src/pool-mesh.ts
@@ -198,12 +198,15 @@
 		return encoded;
 	}
 
-	/** Sends a message on the stream to an entry VM or, while that is not open, back on the stream from it. */
+	/**
+	 * Sends a message on the stream to an entry VM or, until one has first opened, back on the stream from it. After a loss
+	 * the stream from it is as likely to be broken.
+	 */
 	#sendTo(name: string, message: EncodedMessage): boolean {
 		const link = this.#findLink(name);
 		const inbound = this.#inboundStreams.get(name);
 		const isAnsweredBack =
-			link?.isOpen !== true &&
+			['none', 'opening'].includes(link?.state ?? 'none') &&
 			inbound !== undefined &&
 			this.#replyReaders.has(name) &&
 			!inbound.writableEnded &&
