Let the tests of a stopping leader show the fault on the code before

One of the three new tests of a zone whose leader stops passed on the code before the change too: the successor's last heartbeat was 20 ms old, inside the 120 ms that a claim accepts. It is now 400 ms old, as between zones.

--- a/packages/core/src/tests/leadership.test.ts
+++ b/packages/core/src/tests/leadership.test.ts
@@ -499,7 +499,8 @@
 	it('is claimed by no entry VM of another zone while one of its own is live, though that sends heartbeats rarely', () => {
 		const leadership = createZonalLeadership('b1', 'zone-b');
 		const leading = {...stopping, leads: {'zone-a': 5}, yields: {}};
-		simulate(leadership, 0, 1000, [leading, successor]);
+		simulate(leadership, 0, 600, [leading, successor]);
+		simulate(leadership, 620, 1000, [leading]);
 		expect(simulate(leadership, 1020, 2500, [stopping])).toEqual([]);
 	});
 
@@ -518,7 +519,8 @@
 	it('is left to the successor that its leader has named, as long as that is live', () => {
 		const leadership = createZonalLeadership('a3');
 		const leading = {...stopping, leads: {'zone-a': 5}, yields: {}};
-		simulate(leadership, 0, 1000, [leading, successor]);
+		simulate(leadership, 0, 600, [leading, successor]);
+		simulate(leadership, 620, 1000, [leading]);
 		const {handOverMs} = defaultLeadershipSettings;
 		expect(simulate(leadership, 1020, 1000 + handOverMs, [stopping])).toEqual(
 			[],
