Keep a leader's workers when a peer without a list answers, and serve evacuations

Requests to evacuate a zone were not read. Messages of a wrong shape, workers with an impossible port or identifier and bodies with millions of tasks ended the process.

Change: the list of workers has an age of its own. Evacuated zones are kept per zone with the position of the decision in the store's log, spread in heartbeats, and start nothing; their callers' jobs go to other zones. All messages between entry VMs are checked, and errors while one is handled are logged.

--- a/packages/core/src/heartbeat-check.ts
+++ b/packages/core/src/heartbeat-check.ts
@@ -1,5 +1,18 @@
-/** Longest name, address or identifier that a heartbeat may have. */
-const maxTextLength = 200;
+import {
+	findWrongField,
+	isAddress,
+	isCount,
+	isFlag,
+	isListOf,
+	isNumberUpTo,
+	isObjectOf,
+	isOneOf,
+	isOptional,
+	isShortText,
+	type FieldChecks,
+	type ValueCheck,
+} from './value-check.js';
+
 /** Largest number of entries in a list of members. */
 const maxListedMembers = 4096;
 /** Longest interval that a heartbeat may announce, in milliseconds. */
@@ -10,71 +23,30 @@
 const maxTokenLeadMs = 3_600_000;
 /** Fencing tokens of one millisecond. */
 const tokensPerMs = 4000;
-/** `host:port`. */
-const addressPattern = /^[^:\s]+:\d{1,5}$/v;
-
-type Check = (value: unknown) => boolean;
-
-const isText: Check = (value) =>
-	typeof value === 'string' && value !== '' && value.length <= maxTextLength;
-const isAddress: Check = (value) =>
-	isText(value) && addressPattern.test(String(value));
-const isFlag: Check = (value) => typeof value === 'boolean';
-const isOptional =
-	(check: Check): Check =>
-	(value) =>
-		value === undefined || check(value);
-const isNumberUpTo =
-	(largest: number): Check =>
-	(value) =>
-		typeof value === 'number' && value >= 0 && value <= largest;
-const isListOf =
-	(check: Check, maxLength: number): Check =>
-	(value) =>
-		Array.isArray(value) &&
-		value.length <= maxLength &&
-		value.every((item) => check(item));
-
-/** Returns the first field of an object that does not satisfy its check, `undefined` if there is none. */
-function findWrongField(
-	value: unknown,
-	checks: Readonly<Record<string, Check>>,
-): string | undefined {
-	if (typeof value !== 'object' || value === null) {
-		return 'the value itself';
-	}
-
-	const fields = value as Readonly<Record<string, unknown>>;
-	return Object.keys(checks).find((name) => !checks[name]!(fields[name]));
-}
-
+/** Largest position in the store's log; a larger one could never be superseded. */
+const maxPosition = 2 ** 50;
 /** Checks the heartbeats that other entry VMs send before anything relies on them. */
 export class HeartbeatCheck {
-	readonly #checks: Readonly<Record<string, Check>>;
+	readonly #checks: FieldChecks;
 	/** Largest fencing token that is plausible at the time of the present check. */
 	#largestToken = 0;
 
 	/** `zones` are all zones of the installation. */
 	constructor(zones: readonly string[]) {
 		const knownZones = new Set(zones);
-		const isZone: Check = (value) => knownZones.has(value as string);
+		const isZone: ValueCheck = (value) => knownZones.has(value as string);
 		const isByZone =
-			(check: Check): Check =>
+			(check: ValueCheck): ValueCheck =>
 			(value) =>
 				typeof value === 'object' &&
 				value !== null &&
 				Object.entries(value).every(
 					([zone, inZone]) => isZone(zone) && check(inZone),
 				);
-		const isToken: Check = (value) =>
+		const isToken: ValueCheck = (value) =>
 			typeof value === 'number' && value >= 0 && value <= this.#largestToken;
-		const isCount = isNumberUpTo(Number.MAX_SAFE_INTEGER);
-		const isObjectOf =
-			(checks: Readonly<Record<string, Check>>): Check =>
-			(value) =>
-				findWrongField(value, checks) === undefined;
 		const isMember = isObjectOf({
-			name: isText,
+			name: isShortText,
 			zone: isZone,
 			address: isAddress,
 			processorShare: isOptional(isNumberUpTo(maxProcessorShare)),
@@ -82,16 +54,21 @@
 		});
 		const isLeader = isObjectOf({
 			zone: isZone,
-			name: isText,
+			name: isShortText,
 			address: isAddress,
 			token: isToken,
 			spareMillis: isOptional(isCount),
 		});
+		const isEvacuation = isObjectOf({
+			zone: isZone,
+			isEvacuated: isFlag,
+			position: isNumberUpTo(maxPosition),
+		});
 		this.#checks = {
-			name: isText,
+			name: isShortText,
 			zone: isZone,
 			address: isAddress,
-			incarnation: isText,
+			incarnation: isShortText,
 			intervalMs: (value) => value !== 0 && isNumberUpTo(maxIntervalMs)(value),
 			processorShare: isNumberUpTo(maxProcessorShare),
 			isStopping: isFlag,
@@ -99,10 +76,11 @@
 			leads: isByZone(isToken),
 			highestToken: isToken,
 			hears: isByZone(isToken),
-			yields: isByZone(isText),
-			scope: isOptional((value) => value === 'region' || value === 'zone'),
+			yields: isByZone(isShortText),
+			scope: isOptional(isOneOf('region', 'zone')),
 			spareMillis: isOptional(isByZone(isCount)),
 			isCandidate: isOptional(isFlag),
+			evacuations: isOptional(isListOf(isEvacuation, knownZones.size)),
 			leaders: isOptional(isListOf(isLeader, knownZones.size)),
 			members: isListOf(isMember, maxListedMembers),
 		};
--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -1,3 +1,5 @@
+import {type ZoneEvacuation} from './zone-evacuations.js';
+
 /** A heartbeat: the state that an entry VM reports to its peers. */
 export type Heartbeat = {
 	/** Name of the sender. */
@@ -38,6 +40,8 @@
 	readonly isCandidate?: boolean;
 	/** Leaders that are live for the sender, itself included, for peers that are not connected to them; sent by candidates. */
 	readonly leaders?: readonly ReportedLeader[];
+	/** Zones that the operator has asked to evacuate, and those where the request was withdrawn; absent if there was none. */
+	readonly evacuations?: readonly ZoneEvacuation[];
 	/** Entry VMs that appear in heartbeats, without those that only the store lists; empty in most heartbeats. */
 	readonly members: readonly MemberAddress[];
 };
--- a/packages/core/src/pool-admission.ts
+++ b/packages/core/src/pool-admission.ts
@@ -22,6 +22,7 @@
 ): Infeasibility | undefined {
 	const isCandidate = (worker: PoolWorker): boolean =>
 		worker.isListed &&
+		!worker.isEvacuated &&
 		worker.entry.service === job.queue.service &&
 		job.mayRunIn(worker.entry.zone);
 	if (!allWorkers.some((worker) => isCandidate(worker))) {
--- a/packages/core/src/pool-job.ts
+++ b/packages/core/src/pool-job.ts
@@ -83,6 +83,8 @@
 	| 'worker-lost'
 	| 'leader-lost'
 	| 'caller-left'
+	/** The operator has asked that nothing more be started in the zone whose workers run a part of the job. */
+	| 'zone-evacuated'
 	/** The entry VM that received the job is shutting down and its grace period has ended. */
 	| 'stopping';
 
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -198,6 +198,21 @@
 		}
 	}
 
+	/**
+	 * Sets the zones in which nothing is started from now on. Jobs that wait for workers of these zones only are handed back
+	 * at once, so that their receivers send them to other zones.
+	 */
+	setEvacuatedZones(zones: ReadonlySet<string>, now: number): void {
+		this.#now = now;
+		this.#needsPlacement = true;
+		this.pool.setEvacuatedZones(zones);
+		for (const job of this.#listWaitingJobs()) {
+			this.#handBackIfEvacuated(job, now);
+		}
+
+		this.#placeWaitingTasks(now);
+	}
+
 	/** Applies the platform's list of workers. */
 	updateWorkers(entries: readonly WorkerEntry[], now: number): void {
 		this.#now = now;
@@ -1004,6 +1019,34 @@
 		}
 	}
 
+	/**
+	 * Answers a job whose waiting tasks may only run in evacuated zones; returns whether it did. A job that another leader may
+	 * have started waits until its runs are known, as they may complete it.
+	 */
+	#handBackIfEvacuated(job: ScheduledJob, now: number): boolean {
+		const zones = job.zones ?? this.#options.zones;
+		if (
+			job.waitingTasks.length === 0 ||
+			!zones.every((zone) => this.pool.isEvacuated(zone)) ||
+			now < this.#priorRunsSettledAtMs(job, now)
+		) {
+			return false;
+		}
+
+		this.#abandonJob(
+			job,
+			job.hasCertainlyNotRun
+				? {
+						kind: 'not-run',
+						reason: 'no-workers',
+						retryAfterMs: defaultRetryAfterMs,
+					}
+				: {kind: 'may-have-run', reason: 'zone-evacuated'},
+			now,
+		);
+		return true;
+	}
+
 	/** Drops a job whose receiver is lost, and abandons one that can no longer be answered in time. */
 	#checkJobTimeouts(job: ScheduledJob, now: number): void {
 		if (
@@ -1018,6 +1061,10 @@
 			return;
 		}
 
+		if (this.#handBackIfEvacuated(job, now)) {
+			return;
+		}
+
 		if (job.hasStarted) {
 			const cannotSettleInTime =
 				job.isIndeterminate &&
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -20,6 +20,8 @@
 	readonly labels: readonly string[];
 	/** Start time of the worker's process, in Unix milliseconds; a restart raises it. */
 	readonly bornMs: number;
+	/** Milliseconds for which the worker expected to stay slow when it wrote its entry; absent if it is warm. */
+	readonly coldMs?: number;
 };
 
 /** A run that a worker reports as running. */
@@ -109,6 +111,8 @@
 export class PoolWorker {
 	/** Whether the platform lists the worker. */
 	isListed = true;
+	/** Whether the operator has asked that nothing be started in the worker's zone. */
+	isEvacuated = false;
 	/** Runs of known jobs, by task. */
 	readonly runs = new Map<string, WorkerRun>();
 	/** Runs that no job has claimed, by task. */
@@ -145,6 +149,10 @@
 	#free: Resources | undefined;
 	#freeForCapacity: Resources | undefined;
 
+	/** Time until which the worker says that it is slow after its start, unless a run has shown otherwise. */
+	#coldUntilMs = 0;
+	/** Entry from which `#coldUntilMs` was computed. */
+	#coldFrom: Pick<WorkerEntry, 'bornMs' | 'coldMs'> | undefined;
 	readonly #handleChange: ((worker: PoolWorker) => void) | undefined;
 
 	/** `handleChange` is called after each change of the runs, the orphans or `isSynced`. */
@@ -178,6 +186,31 @@
 		return this.#bornMs;
 	}
 
+	/** Replaces the worker's entry in the platform's list. */
+	setEntry(entry: WorkerEntry, now: number): void {
+		this.entry = entry;
+		const isKnown =
+			entry.bornMs === this.#coldFrom?.bornMs &&
+			entry.coldMs === this.#coldFrom.coldMs;
+		if (!isKnown) {
+			this.#coldFrom = entry;
+			this.#coldUntilMs = now + (entry.coldMs ?? 0);
+		}
+	}
+
+	/** Whether the worker may still be slow after its start; it is tried with one task at a time until a run is not. */
+	isCold(now: number): boolean {
+		return now < this.#coldUntilMs;
+	}
+
+	/** Records an ended run by the ratio of its actual to its expected run time. */
+	recordEndedRun(ratio: number, now: number): void {
+		this.pace.recordEndedRun(ratio, now);
+		if (!this.pace.isSlow(now)) {
+			this.#coldUntilMs = 0;
+		}
+	}
+
 	/** Estimates the time on the worker's own clock; `undefined` before the worker has first sent its time. */
 	estimateClockMs(now: number): number | undefined {
 		return this.#clockOffsetMs === undefined
@@ -229,14 +262,16 @@
 		return this.#free;
 	}
 
-	/** Whether the worker may be given a task now; after failures, only one at a time. */
+	/** Whether the worker may be given a task now; while it is cold or after failures, only one at a time. */
 	canStartTask(now: number): boolean {
 		return (
 			this.isListed &&
+			!this.isEvacuated &&
 			this.isSynced &&
 			this.entry.state === 'ready' &&
 			this.contactFailures === 0 &&
 			now >= this.fullUntilMs &&
+			(!this.isCold(now) || this.runs.size === 0) &&
 			(this.health.getState(now) === 'taken' ||
 				(this.health.getState(now) === 'trial' && this.runs.size === 0))
 		);
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -151,6 +151,7 @@
 	/** Number of workers that were added. */
 	#addedCount = 0;
 	#entries: readonly WorkerEntry[] = [];
+	#evacuatedZones: ReadonlySet<string> = new Set();
 	/** Time of the last claim or drop of a zone. */
 	#zonesChangedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -193,6 +194,19 @@
 		return Math.max(0, ...[...this.#zones.values()].map(({token}) => token));
 	}
 
+	/** Whether the operator has asked that nothing be started in a zone. */
+	isEvacuated(zone: string): boolean {
+		return this.#evacuatedZones.has(zone);
+	}
+
+	/** Sets the zones in which nothing is started; runs that are active there continue. */
+	setEvacuatedZones(zones: ReadonlySet<string>): void {
+		this.#evacuatedZones = zones;
+		for (const worker of this.#workers.values()) {
+			worker.isEvacuated = zones.has(worker.entry.zone);
+		}
+	}
+
 	/** Whether any worker has an orphan, or the end of one is retained. */
 	get hasOrphans(): boolean {
 		return this.#orphanEnds.size > 0 || this.#orphanHolders.size > 0;
@@ -406,7 +420,7 @@
 			}
 
 			case 'silent': {
-				if (run.sendCount < maxStartSends) {
+				if (run.sendCount < maxStartSends && !worker.isEvacuated) {
 					this.#sendStart(run, spec, worker, now);
 				} else {
 					this.stopRun(run, worker, now);
@@ -538,7 +552,7 @@
 
 	/** Updates the pace of a worker by the ratio of an ended run's actual to its expected run time. */
 	recordEndedRun(worker: PoolWorker, ratio: number, now: number): void {
-		worker.pace.recordEndedRun(ratio, now);
+		worker.recordEndedRun(ratio, now);
 		this.#capacity.recordSlowdownFactor(worker.pace.slowdownFactor(now));
 	}
 
@@ -549,6 +563,7 @@
 				this.#handleWorkerUpdate(changed);
 			}
 		});
+		worker.isEvacuated = this.#evacuatedZones.has(entry.zone);
 		this.#workers.set(entry.id, worker);
 		this.#unsyncedWorkers.add(worker);
 		this.#workerList = undefined;
@@ -602,7 +617,8 @@
 		const hasRestarted =
 			worker.bornMs !== undefined && entry.bornMs > worker.bornMs;
 		const wasDraining = worker.entry.state === 'draining';
-		worker.entry = entry;
+		worker.setEntry(entry, now);
+		worker.isEvacuated = this.#evacuatedZones.has(entry.zone);
 		this.#capacity.update(worker);
 		if (!worker.isListed) {
 			worker.isListed = true;
--- a/packages/core/src/worker-selection.ts
+++ b/packages/core/src/worker-selection.ts
@@ -52,7 +52,7 @@
 const slowdownCostMillis = 20_000;
 /** Cost, in thousandths of a core, of a worker on another rack than the task's data. */
 const otherRackCostMillis = 100_000;
-/** Cost, in thousandths of a core, of a worker that is slow beyond the error of estimates, so that it is chosen last. */
+/** Cost, in thousandths of a core, of a worker that is cold or slow beyond the error of estimates, so that it is chosen last. */
 const slowWorkerCostMillis = 200_000;
 
 /**
@@ -122,7 +122,7 @@
 	return (
 		leftoverMillis +
 		computeSlowdownCost(worker.pace.slowdownFactor(now)) +
-		(worker.pace.isSlow(now) ? slowWorkerCostMillis : 0) +
+		(worker.pace.isSlow(now) || worker.isCold(now) ? slowWorkerCostMillis : 0) +
 		(task.rack === undefined || worker.entry.labels.includes(task.rack)
 			? 0
 			: otherRackCostMillis)
--- a/packages/core/src/zone-overflow.ts
+++ b/packages/core/src/zone-overflow.ts
@@ -43,6 +43,9 @@
 		readonly atMs: number;
 	}> = [];
 
+	/** Number of jobs for which a zone without room was chosen. */
+	#substituteCount = 0;
+
 	constructor(settings: OverflowSettings = defaultOverflowSettings) {
 		this.#settings = settings;
 	}
@@ -82,6 +85,24 @@
 		return best?.room;
 	}
 
+	/**
+	 * Chooses the zone for a job whose own zone takes none: the one with the most room left, also if that is too little, as
+	 * the job may wait there. Zones without any room take turns.
+	 */
+	chooseSubstitute(
+		job: Pick<PoolJob, 'tasks'>,
+		rooms: readonly ZoneRoom[],
+		now: number,
+	): ZoneRoom | undefined {
+		const withRoom = this.choose(job, [], rooms, now);
+		if (withRoom !== undefined || rooms.length === 0) {
+			return withRoom;
+		}
+
+		this.#substituteCount += 1;
+		return rooms[this.#substituteCount % rooms.length];
+	}
+
 	#computeLeftMillis({zone, spareMillis}: ZoneRoom): number {
 		return this.#recent
 			.filter((sent) => sent.zone === zone)
--- a/packages/platform/src/caller-server.ts
+++ b/packages/platform/src/caller-server.ts
@@ -44,6 +44,8 @@
 
 /** Time for which a caller waits in total, if the request has no valid `x-deadline-ms` header. */
 const defaultCallerTimeoutMs = 30_000;
+/** Longest time for which a caller waits. */
+const maxCallerTimeoutMs = 86_400_000;
 /** Limit of a request's body while no desired state is known. */
 const defaultMaxBodyBytes = 262_144;
 /** Delay after which a caller retries if the dispatcher has no desired state or no leader. */
@@ -288,7 +290,7 @@
 function parseCallerTimeoutMs(request: IncomingMessage): number {
 	const callerTimeoutMs = Number(request.headers['x-deadline-ms']);
 	return Number.isFinite(callerTimeoutMs) && callerTimeoutMs > 0
-		? callerTimeoutMs
+		? Math.min(callerTimeoutMs, maxCallerTimeoutMs)
 		: defaultCallerTimeoutMs;
 }
 
--- a/packages/platform/src/decode.ts
+++ b/packages/platform/src/decode.ts
@@ -60,3 +60,15 @@
 	const value = record[name];
 	return Array.isArray(value) ? (value as readonly unknown[]) : [];
 }
+
+const maxPort = 65_535;
+
+/** Whether a value is a text `host:port` with a port that a connection can have. */
+export function isHostAndPort(value: unknown): value is string {
+	const match =
+		typeof value === 'string'
+			? /^[^:\s]+:(?<port>\d{1,5})$/v.exec(value)
+			: null;
+	const port = Number(match?.groups?.port ?? 0);
+	return port > 0 && port <= maxPort;
+}
--- a/packages/platform/src/entry-settings.ts
+++ b/packages/platform/src/entry-settings.ts
@@ -1,5 +1,6 @@
 import {parse, printParseErrorCode, type ParseError} from 'jsonc-parser';
 import {err, ok, type Result} from 'neverthrow';
+import {isHostAndPort} from './decode.js';
 
 /** Settings of an entry VM. The platform fills them into deploy/settings.jsonc. */
 export type EntrySettings = {
@@ -53,8 +54,6 @@
 
 const isNonEmptyString = (value: unknown): value is string =>
 	typeof value === 'string' && value !== '';
-const isHostAndPort = (value: unknown): boolean =>
-	isNonEmptyString(value) && /^[^:\s]+:\d{1,5}$/v.test(value);
 
 const fieldChecks: Readonly<
 	Record<
--- a/packages/platform/src/http-exchange.ts
+++ b/packages/platform/src/http-exchange.ts
@@ -65,19 +65,27 @@
 	): Promise<HttpExchangeOutcome> {
 		const {method, path, headers, body, timeoutMs} = exchangeRequest;
 		return new Promise((resolve) => {
-			const clientRequest = openRequest({
-				agent: this.#agent,
-				host: this.#host,
-				port: this.#port,
-				method,
-				path,
-				headers: {
-					...headers,
-					...(body === undefined
-						? {}
-						: {'content-length': Buffer.byteLength(body)}),
-				},
-			});
+			let clientRequest: ClientRequest;
+			try {
+				clientRequest = openRequest({
+					agent: this.#agent,
+					host: this.#host,
+					port: this.#port,
+					method,
+					path,
+					headers: {
+						...headers,
+						...(body === undefined
+							? {}
+							: {'content-length': Buffer.byteLength(body)}),
+					},
+				});
+			} catch (error: unknown) {
+				// Node throws on a port or a header value that cannot be sent; both may come from records of other programs.
+				resolve({kind: 'not-sent', message: String(error)});
+				return;
+			}
+
 			const pendingExchange = new PendingExchange(
 				clientRequest,
 				timeoutMs,
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,6 +4,7 @@
 export * from './decode.js';
 export * from './desired-state-record.js';
 export * from './entry-settings.js';
+export * from './evacuation-record.js';
 export * from './http-exchange.js';
 export * from './job-record.js';
 export * from './warm-up-simulation.js';
--- a/packages/platform/src/job-record.ts
+++ b/packages/platform/src/job-record.ts
@@ -23,6 +23,8 @@
 
 /** Maximum number of tasks of a job. */
 const maxTasks = 10_000;
+/** Largest amount of a resource and longest estimate in milliseconds; entry VMs refuse larger ones from each other. */
+const maxAmount = 1e9;
 /** Maximum length of a job's spec, in UTF-16 code units. */
 const maxSpecLength = 4000;
 
@@ -80,12 +82,15 @@
 			return err(decoded.error);
 		}
 
+		// Checked for each step: a small body may ask for more tasks than there is memory.
+		if (tasks.length + decoded.value.length > maxTasks) {
+			return decodeError('malformed', `steps: over ${maxTasks} tasks`);
+		}
+
 		tasks.push(...decoded.value);
 	}
 
-	return tasks.length > maxTasks
-		? decodeError('malformed', `steps: over ${maxTasks} tasks`)
-		: ok({id, queue: queue.name, spec, tasks, waitedMs: 0, patienceMs});
+	return ok({id, queue: queue.name, spec, tasks, waitedMs: 0, patienceMs});
 }
 
 function decodeStep(
@@ -111,11 +116,14 @@
 		count === undefined ||
 		!Number.isInteger(count) ||
 		count > maxTasks ||
-		declaredMs === undefined
+		declaredMs === undefined ||
+		[declaredMs, ...Object.values(resources)].some(
+			(amount) => amount > maxAmount,
+		)
 	) {
 		return decodeError(
 			'malformed',
-			`steps[${stepIndex}]: count, cpu, memMb, gpu and estimatedMs must be numbers of at least 0`,
+			`steps[${stepIndex}]: count, cpu, memMb, gpu and estimatedMs must be numbers from 0 to ${maxAmount}`,
 		);
 	}
 
--- a/packages/platform/src/tests/http-exchange.test.ts
+++ b/packages/platform/src/tests/http-exchange.test.ts
@@ -141,4 +141,22 @@
 		expect([first.kind, second.kind]).toEqual(['silent', 'not-sent']);
 		expect(requests()).toBe(1);
 	});
+
+	// Both come from records that other programs write; the error that Node throws ended the process.
+	it.each([
+		['a port that no connection can have', '127.0.0.1:99999', {}],
+		[
+			'a header value that cannot be sent',
+			'127.0.0.1:9',
+			{'x-expect-instance': 'i-1\n\u0100'},
+		],
+	])(
+		'reports a request with %s as not sent',
+		async (_case, address, headers) => {
+			const client = new HttpHostClient(address, 1);
+			clients.push(client);
+			const outcome = await client.exchange({...request, headers});
+			expect(outcome.kind).toBe('not-sent');
+		},
+	);
 });
--- a/packages/platform/src/worker-record.ts
+++ b/packages/platform/src/worker-record.ts
@@ -1,12 +1,16 @@
 import {type Resources, type WorkerEntry} from '@verbenarouter/core';
 import {
 	asRecord,
+	isHostAndPort,
 	listField,
 	nonNegativeField,
 	parseJsonObject,
 	stringField,
 } from './decode.js';
 
+/** Characters that the header with the identifier of a worker may have. */
+const headerValuePattern = /^[\u0021-\u007E]+$/v;
+
 /** Decodes a worker's record in the platform's store; `undefined` if it is invalid, as other programs write records too. */
 export function decodeWorker(
 	id: string,
@@ -23,6 +27,7 @@
 	const state = stringField(record, 'state');
 	const capacity = decodeResources(asRecord(record.capacity));
 	const bornMs = nonNegativeField(record, 'born', 0);
+	const coldMs = nonNegativeField(record, 'coldRemainingMs', 0);
 	if (
 		service === undefined ||
 		address === undefined ||
@@ -30,7 +35,8 @@
 		(state !== 'ready' && state !== 'draining') ||
 		capacity === undefined ||
 		bornMs === undefined ||
-		!/^[^:\s]+:\d{1,5}$/v.test(address)
+		!isHostAndPort(address) ||
+		!headerValuePattern.test(id)
 	) {
 		return undefined;
 	}
@@ -43,6 +49,7 @@
 		state,
 		capacity,
 		bornMs,
+		...(coldMs === undefined || coldMs === 0 ? {} : {coldMs}),
 		labels: listField(record, 'labels').filter(
 			(label) => typeof label === 'string',
 		),
--- a/packages/verbenarouter/src/overlay/overlay-node.ts
+++ b/packages/verbenarouter/src/overlay/overlay-node.ts
@@ -4,6 +4,7 @@
 	MemberListSchedule,
 	Overlay,
 	computeHeartbeatIntervals,
+	findMessageProblem,
 	selectHeartbeatInterval,
 	toMember,
 	type EventLoopDelay,
@@ -42,7 +43,7 @@
 /** What an entry VM tells others of itself besides its membership and the zones that it leads. */
 export type NodeState = Pick<
 	Heartbeat,
-	'isStopping' | 'scope' | 'spareMillis'
+	'isStopping' | 'scope' | 'spareMillis' | 'evacuations'
 > & {
 	readonly needsKnowledge: boolean;
 	readonly readsStore: boolean;
@@ -430,7 +431,7 @@
 		}
 
 		if (message.type !== 'heartbeat') {
-			return undefined;
+			return findMessageProblem(message);
 		}
 
 		const field = this.#heartbeatCheck.findProblem(
--- a/packages/verbenarouter/src/pool/job-explanation.ts
+++ b/packages/verbenarouter/src/pool/job-explanation.ts
@@ -156,7 +156,12 @@
 	const resubmitted = lines.filter(
 		({event, reason}) => event === 'admitted' && reason === 'resubmitted',
 	);
+	const rerouted = lines.filter(({event}) => event === 'rerouted');
 	return [
+		...rerouted.map(
+			({zone}) =>
+				`; sent to zone ${String(zone)}, as its own zone is evacuated`,
+		),
 		...failedRuns.map(
 			(line) => `; run on ${String(line.worker)} ended: ${String(line.reason)}`,
 		),
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -6,17 +6,20 @@
 	ObjectiveOrder,
 	PoolScheduler,
 	ScopeBySize,
+	ZoneEvacuations,
 	ZoneOverflow,
 	computeAnswerWindowMs,
 	defaultWorkerPoolSettings,
 	isRefusedForLackOfRoom,
 	maxOverflowPatienceMs,
 	type DesiredState,
+	type EvacuationChange,
 	type LeadershipChange,
 	type PoolAnswer,
 	type PoolJob,
 	type PoolScope,
 	type WorkerEntry,
+	type ZoneRoom,
 } from '@verbenarouter/core';
 import {type KnowledgeVersions, type PoolMessage} from '@verbenarouter/peer';
 import {
@@ -55,6 +58,8 @@
 const maxResendDelayMs = 900;
 /** Age of the store data from which a leader requests it from its peers. */
 const staleStoreDataMs = 700;
+/** Age that is reported for a list of workers that was never read; JSON has no infinite numbers. */
+const maxReportedAgeMs = 1e12;
 /**
  * Delay between successive followers before they start to read the store for a leader that cannot, so that only one
  * does.
@@ -97,6 +102,7 @@
 	readonly #leadership: Leadership;
 	readonly #scopeBySize = new ScopeBySize();
 	readonly #overflow = new ZoneOverflow();
+	readonly #evacuations: ZoneEvacuations;
 	readonly #scheduler: PoolScheduler;
 	readonly #overlayNode: OverlayNode;
 	readonly #workerClient: WorkerClient;
@@ -151,12 +157,16 @@
 		this.#now = now;
 		this.#incarnation = `${settings.name}-${Math.floor(now())}`;
 		this.#leadership = new Leadership(settings, settings.zones);
+		this.#evacuations = new ZoneEvacuations(settings.zones);
 		this.#workerClient = new WorkerClient(now);
 		this.#scheduler = new PoolScheduler({
 			commandSender: createWorkerCommandSender(
 				this.#workerClient,
 				() => this.#scheduler,
 				now,
+				(error) => {
+					this.#logError('worker-command', error);
+				},
 			),
 			output: {
 				sendAnswer: (receiver, id, answer) => {
@@ -200,7 +210,12 @@
 			listener: {
 				readState: (time) => this.#readState(time),
 				onMessage: (from, message) => {
-					this.#receiveMessage(from, message);
+					// One message that cannot be handled must not end the process.
+					try {
+						this.#receiveMessage(from, message);
+					} catch (error: unknown) {
+						this.#logError(`message ${message.type} of ${from}`, error);
+					}
 				},
 				onLost: (name) => {
 					this.#scheduler.markReceiverUnreachable(name, now());
@@ -225,6 +240,13 @@
 				onStateRead: (state) => {
 					this.#applyDesiredState(state, 'store');
 				},
+				onEvacuationsRead: (read) => {
+					this.#handleEvacuationChanges(
+						this.#evacuations.applyRead(read),
+						'store',
+					);
+				},
+				evacuationPosition: () => this.#evacuations.position,
 				onWorkersRead: () => {
 					this.#refreshWorkers('store');
 				},
@@ -235,6 +257,7 @@
 					log.write({event: 'store', isReachable, reason});
 				},
 			},
+			settings.zones,
 			now,
 		);
 	}
@@ -272,8 +295,9 @@
 			peerConnections: this.#overlayNode.sizes.connections,
 			isCandidate: Number(this.#overlayNode.isCandidate),
 			desiredStateVersion: this.#desiredState?.version ?? 0,
+			zonesEvacuated: this.#evacuations.evacuatedZones.size,
 			storeKnowledgeAgeMs: Math.round(
-				Math.min(1e9, this.#storeFollower.dataAgeMs(this.#now())),
+				Math.min(1e9, this.#storeFollower.workersAgeMs(this.#now())),
 			),
 			logLinesDropped: droppedLines.count,
 		};
@@ -503,7 +527,7 @@
 		}
 
 		if (!isStalled) {
-			this.#runChecks();
+			this.#tryRunChecks();
 			return;
 		}
 
@@ -513,7 +537,7 @@
 			setImmediate(() => {
 				this.#areChecksDeferred = false;
 				this.#excludeStall(this.#now());
-				this.#runChecks();
+				this.#tryRunChecks();
 			});
 		});
 	}
@@ -542,6 +566,14 @@
 		return true;
 	}
 
+	#tryRunChecks(): void {
+		try {
+			this.#runChecks();
+		} catch (error: unknown) {
+			this.#logError('periodic checks', error);
+		}
+	}
+
 	#runChecks(): void {
 		const now = this.#now();
 		this.#overlayNode.update(false, now);
@@ -612,7 +644,7 @@
 			)
 			.map(({name}) => name);
 		const readers = followers.filter((name) => this.#storeReaders.has(name));
-		if (this.#storeFollower.ownDataAgeMs(now) < staleStoreDataMs) {
+		if (this.#storeFollower.ownWorkersAgeMs(now) < staleStoreDataMs) {
 			return readers.every((name) => name > this.#settings.name);
 		}
 
@@ -697,7 +729,7 @@
 
 		this.#resubmitPendingJobs(
 			(pending) =>
-				pending.overflowZone !== undefined &&
+				(pending.overflowZone !== undefined || this.#isOwnZoneEvacuated) &&
 				(pending.withoutLeaderSinceMs !== undefined ||
 					this.#findLeaderFor(pending, now) !== pending.sentTo),
 		);
@@ -763,10 +795,13 @@
 			...(this.#scope === 'zone' && this.#leadership.ledZones.size > 0
 				? {spareMillis: this.#scheduler.computeSpareMillis(now)}
 				: {}),
+			...(this.#evacuations.entries.length > 0
+				? {evacuations: this.#evacuations.entries}
+				: {}),
 			needsKnowledge:
 				this.#leadership.ledZones.size > 0 &&
-				this.#storeFollower.ownDataAgeMs(now) > staleStoreDataMs,
-			readsStore: this.#storeFollower.ownDataAgeMs(now) < staleStoreDataMs,
+				this.#storeFollower.ownWorkersAgeMs(now) > staleStoreDataMs,
+			readsStore: this.#storeFollower.ownWorkersAgeMs(now) < staleStoreDataMs,
 			versions: {
 				state: this.#desiredState?.version ?? 0,
 				workers: this.#receivedWorkersVersion ?? this.#workersVersion,
@@ -817,6 +852,10 @@
 					this.#peerVersions.set(from, message.knows);
 				}
 
+				this.#handleEvacuationChanges(
+					this.#evacuations.merge(message.heartbeat.evacuations ?? []),
+					from,
+				);
 				this.#updateStoreReader(from, message, now);
 				break;
 			}
@@ -889,12 +928,21 @@
 				}
 
 				if (workers !== undefined) {
-					if (ageMs < this.#storeFollower.dataAgeMs(now)) {
-						this.#storeFollower.applyPeerWorkers(workers, ageMs, now);
+					const isNewer = this.#storeFollower.applyPeerWorkers(
+						workers,
+						{
+							ageMs,
+							...(versions === undefined ? {} : {version: versions.workers}),
+						},
+						now,
+					);
+					if (isNewer) {
 						this.#refreshWorkers(from);
 					}
 
-					this.#receivedWorkersVersion = versions?.workers;
+					if (versions?.workers !== '') {
+						this.#receivedWorkersVersion = versions?.workers;
+					}
 				}
 
 				break;
@@ -930,7 +978,7 @@
 
 		this.#leadersWithoutStore.add(from);
 		if (
-			this.#storeFollower.ownDataAgeMs(now) < staleStoreDataMs &&
+			this.#storeFollower.ownWorkersAgeMs(now) < staleStoreDataMs &&
 			now - (this.#lastKnowledgeSentMs.get(from) ?? 0) >=
 				knowledgeResendIntervalMs
 		) {
@@ -939,6 +987,14 @@
 		}
 	}
 
+	#logError(during: string, error: unknown): void {
+		this.#log.write({
+			event: 'unexpected-error',
+			during,
+			error: error instanceof Error ? error.stack : String(error),
+		});
+	}
+
 	/** Sends the desired state and the workers to a peer. */
 	#sendKnowledge(name: string): void {
 		this.#sendKnowledgeToAll([name], {hasState: true, hasWorkers: true});
@@ -949,13 +1005,17 @@
 		names: readonly string[],
 		{hasState, hasWorkers}: DueKnowledge,
 	): void {
+		const ageMs = this.#storeFollower.workersAgeMs(this.#now());
 		this.#overlayNode.sendToAll(names, {
 			type: 'knowledge',
 			knowledge: {
 				state: hasState ? this.#desiredState : undefined,
-				workers: hasWorkers ? this.#workerEntries : undefined,
+				workers:
+					hasWorkers && Number.isFinite(ageMs)
+						? this.#workerEntries
+						: undefined,
 				versions: this.#ownVersions,
-				ageMs: this.#storeFollower.dataAgeMs(this.#now()),
+				ageMs: Math.min(ageMs, maxReportedAgeMs),
 			},
 		});
 	}
@@ -973,12 +1033,13 @@
 	 */
 	#sendMissingKnowledge(now: number): void {
 		const {ledZones} = this.#leadership;
+		const hasWorkers = Number.isFinite(this.#storeFollower.workersAgeMs(now));
 		const isReader =
 			this.#leadersWithoutStore.size > 0 &&
-			this.#storeFollower.ownDataAgeMs(now) < staleStoreDataMs;
+			this.#storeFollower.ownWorkersAgeMs(now) < staleStoreDataMs;
 		if (
 			(ledZones.size === 0 && !isReader) ||
-			!Number.isFinite(this.#storeFollower.dataAgeMs(now))
+			(this.#desiredState === undefined && !hasWorkers)
 		) {
 			return;
 		}
@@ -994,7 +1055,7 @@
 			.map(({name, isCandidate}) => ({
 				name,
 				knows: this.#peerVersions.get(name),
-				needsWorkers: isCandidate !== false,
+				needsWorkers: hasWorkers && isCandidate !== false,
 			}));
 		const due = [
 			...this.#knowledgeSchedule.takeDue(peers, this.#ownVersions, now),
@@ -1050,6 +1111,32 @@
 		this.#sendMissingKnowledge(this.#now());
 	}
 
+	/** Applies a change of the evacuated zones to the scheduler, and tells all peers at once. */
+	#handleEvacuationChanges(
+		changes: readonly EvacuationChange[],
+		source: string,
+	): void {
+		if (changes.length === 0) {
+			return;
+		}
+
+		for (const change of changes) {
+			this.#log.write({event: 'evacuation', ...change, source});
+		}
+
+		const now = this.#now();
+		this.#scheduler.setEvacuatedZones(this.#evacuations.evacuatedZones, now);
+		this.#overlayNode.sendHeartbeatToAll(now);
+	}
+
+	/** Whether the operator has asked that nothing be started in this entry VM's zone while each zone has its own leader. */
+	get #isOwnZoneEvacuated(): boolean {
+		return (
+			this.#scope === 'zone' &&
+			this.#evacuations.evacuatedZones.has(this.#settings.zone)
+		);
+	}
+
 	/** Updates the workers from the directory, and passes them on if they have changed. */
 	#refreshWorkers(source: string): void {
 		const entries = this.#storeFollower.directory.entries(this.#now());
@@ -1135,6 +1222,11 @@
 	/** Submits a job to the leader, or marks it as unsent while none is reachable. */
 	#sendToLeader(pending: PendingJob): void {
 		const now = this.#now();
+		if (!this.#avoidEvacuatedZone(pending, now)) {
+			pending.withoutLeaderSinceMs ??= now;
+			return;
+		}
+
 		const leader = this.#findLeaderFor(pending, now);
 		if (pending.overflowZone !== undefined) {
 			this.#overlayNode.useLeader(pending.overflowZone, now);
@@ -1168,12 +1260,12 @@
 			...(earlierToken === undefined ? {} : {earlierToken}),
 			...(doneTasks.length > 0 ? {doneTasks} : {}),
 			...(zones === undefined ? {} : {zones}),
-			...(refusedBy.length > 0
-				? {
-						refusingZones: refusedBy.length,
+			...(refusedBy.length > 0 ? {refusingZones: refusedBy.length} : {}),
+			...(pending.overflowZone === undefined
+				? {}
+				: {
 						patienceMs: Math.min(pending.job.patienceMs, maxOverflowPatienceMs),
-					}
-				: {}),
+					}),
 		};
 		if (leader === this.#settings.name) {
 			this.#scheduler.submit(job, leader, isResubmitted, now);
@@ -1182,6 +1274,47 @@
 		}
 	}
 
+	/**
+	 * Directs a job that no leader has had yet to another zone while the workers of the own one are to get nothing. Returns
+	 * false if the job has to wait until a leader of another zone is known.
+	 */
+	#avoidEvacuatedZone(pending: PendingJob, now: number): boolean {
+		if (
+			!this.#isOwnZoneEvacuated ||
+			pending.overflowZone !== undefined ||
+			pending.sentTo !== undefined ||
+			this.#evacuations.evacuatedZones.size === this.#settings.zones.length
+		) {
+			return true;
+		}
+
+		const room = this.#overflow.chooseSubstitute(
+			pending.job,
+			this.#findZoneRooms(now),
+			now,
+		);
+		if (room === undefined) {
+			return false;
+		}
+
+		pending.overflowZone = room.zone;
+		this.#log.write({
+			event: 'rerouted',
+			id: pending.job.id,
+			reason: 'zone-evacuated',
+			...room,
+		});
+		return true;
+	}
+
+	/** Returns the room in the other zones that are not evacuated. */
+	#findZoneRooms(now: number): readonly ZoneRoom[] {
+		const {evacuatedZones} = this.#evacuations;
+		return this.#overlayNode
+			.findZoneRooms(now)
+			.filter(({zone}) => !evacuatedZones.has(zone));
+	}
+
 	/** Returns the zones in which a leader is to place a job; `undefined` for all zones. */
 	#findZonesForJob(
 		{overflowZone}: PendingJob,
@@ -1310,12 +1443,16 @@
 			return false;
 		}
 
-		const room = this.#overflow.choose(
-			pending.job,
-			[...pending.refusedBy, leader],
-			this.#overlayNode.findZoneRooms(now),
-			now,
-		);
+		const rooms = this.#findZoneRooms(now);
+		const room =
+			this.#isOwnZoneEvacuated && pending.overflowZone === undefined
+				? this.#overflow.chooseSubstitute(pending.job, rooms, now)
+				: this.#overflow.choose(
+						pending.job,
+						[...pending.refusedBy, leader],
+						rooms,
+						now,
+					);
 		if (room === undefined) {
 			return false;
 		}
--- a/packages/verbenarouter/src/pool/store-follower.ts
+++ b/packages/verbenarouter/src/pool/store-follower.ts
@@ -1,10 +1,12 @@
 import {
 	WorkerDirectory,
 	type DesiredState,
+	type EvacuationRead,
 	type WorkerEntry,
 } from '@verbenarouter/core';
 import {
 	decodeDesiredState,
+	decodeEvacuations,
 	decodeWorker,
 	type KeyedRecordPage,
 	type StoreClient,
@@ -16,14 +18,21 @@
 export type StoreListener = {
 	/** Receives each desired state that is read, also one that was read before. */
 	onStateRead(state: DesiredState): void;
+	/** Receives the operator's requests to evacuate zones that one read has returned. */
+	onEvacuationsRead(read: EvacuationRead): void;
+	/** Returns the position up to which the operator's requests are known here. */
+	evacuationPosition(): number;
 	/** Called after `directory` was updated from the store. */
 	onWorkersRead(): void;
-	/** Receives the topic and key of a malformed worker record or desired state, which is ignored. */
+	/** Receives the topic and key of a record that is ignored: a malformed one, or a request for an unknown zone. */
 	onRecordIgnored(topic: string, key: string): void;
 	/** Called when the store becomes reachable or unreachable; `reason` is the topic that was read or the error. */
 	onReachabilityChange(isReachable: boolean, reason: string): void;
 };
 
+/** The calls to the store that the follower makes. */
+export type StoreReader = Pick<StoreClient, 'read' | 'readNewest' | 'close'>;
+
 /** Store topic and key of the desired state. */
 const stateTopic = 'keyed.op';
 const stateKey = 'config';
@@ -38,6 +47,8 @@
  * live longer than this.
  */
 const expiredEntriesAgeMs = 2000;
+/** Largest number of ignored requests that are reported. */
+const maxReportedKeys = 100;
 /** Delay after a failed read. */
 const retryDelayMs = 200;
 
@@ -55,9 +66,13 @@
 export class StoreFollower {
 	/** The workers, as read from the store or received from peers. */
 	readonly directory = new WorkerDirectory();
-	#client: StoreClient;
+	#client: StoreReader;
 	readonly #listener: StoreListener;
 	readonly #now: () => number;
+	/** Names of all zones of the installation. */
+	readonly #zones: readonly string[];
+	/** Keys of ignored requests, each of which is reported once. */
+	readonly #reportedKeys = new Set<string>();
 	readonly #topics: readonly Topic[] = [stateTopic, workersTopic].map(
 		(name) => ({
 			name,
@@ -69,29 +84,38 @@
 	);
 
 	#isReachable = true;
-	/** Time of the last successful read, by this process or by the peer whose workers were applied. */
-	#dataReadAtMs = Number.NEGATIVE_INFINITY;
-	/** Time of the last successful read by this process. */
-	#ownDataReadAtMs = Number.NEGATIVE_INFINITY;
+	/**
+	 * Time at which the list of workers was last read, by this process or by the peer whose list was applied. Reads of the
+	 * desired state do not count: an entry VM that follows only this one has no list.
+	 */
+	#workersReadAtMs = Number.NEGATIVE_INFINITY;
+	/** Time at which this process last read the list of workers. */
+	#ownWorkersReadAtMs = Number.NEGATIVE_INFINITY;
 
-	constructor(client: StoreClient, listener: StoreListener, now: () => number) {
+	constructor(
+		client: StoreReader,
+		listener: StoreListener,
+		zones: readonly string[],
+		now: () => number,
+	) {
 		this.#client = client;
 		this.#listener = listener;
+		this.#zones = zones;
 		this.#now = now;
 	}
 
-	/** Returns the age in milliseconds of the store's data, read here or received from a peer; infinite if there is none. */
-	dataAgeMs(now: number): number {
-		return now - this.#dataReadAtMs;
+	/** Returns the age in milliseconds of the list of workers, read here or received from a peer; infinite if there is none. */
+	workersAgeMs(now: number): number {
+		return now - this.#workersReadAtMs;
 	}
 
-	/** Returns the time in milliseconds since the last successful read by this process; infinite before the first. */
-	ownDataAgeMs(now: number): number {
-		return now - this.#ownDataReadAtMs;
+	/** Returns the time in milliseconds since this process last read the list of workers; infinite before the first read. */
+	ownWorkersAgeMs(now: number): number {
+		return now - this.#ownWorkersReadAtMs;
 	}
 
 	/** Replaces the client after the store's address has changed, and reads both topics anew. */
-	setClient(client: StoreClient): void {
+	setClient(client: StoreReader): void {
 		this.#client.close();
 		this.#client = client;
 		for (const topic of this.#topics) {
@@ -99,18 +123,27 @@
 		}
 	}
 
-	/** Replaces the worker list by the one that another entry VM has, which was read `ageMs` milliseconds ago. */
+	/**
+	 * Replaces the list of workers by the one that another entry VM has, which was read `ageMs` milliseconds ago, if that is
+	 * newer; returns whether it is. `version` is the version that the sender gives it, empty if the sender has no list:
+	 * the last build sends an empty list then.
+	 */
 	applyPeerWorkers(
 		workers: readonly WorkerEntry[],
-		ageMs: number,
+		{ageMs, version}: {readonly ageMs: number; readonly version?: string},
 		now: number,
-	): void {
-		if (this.dataAgeMs(now) > expiredEntriesAgeMs) {
+	): boolean {
+		if (version === '' || ageMs >= this.workersAgeMs(now)) {
+			return false;
+		}
+
+		if (this.workersAgeMs(now) > expiredEntriesAgeMs) {
 			this.directory.handleStoreReconnect(now);
 		}
 
 		this.directory.replaceAll(workers, now);
-		this.#dataReadAtMs = now - ageMs;
+		this.#workersReadAtMs = now - ageMs;
+		return true;
 	}
 
 	/** Starts or stops following the desired state and the list of workers; data that was read is kept. */
@@ -139,6 +172,7 @@
 	async #read(topic: Topic): Promise<void> {
 		topic.isReading = true;
 		const isSnapshot = topic.nextOffset === undefined;
+		const positionAtStart = this.#listener.evacuationPosition();
 		const result =
 			topic.nextOffset === undefined
 				? await this.#client.readNewest(topic.name)
@@ -156,13 +190,13 @@
 				: topic.name === workersTopic
 					? workersReadIntervalMs
 					: 0);
-		this.#handleResult(topic, isSnapshot, result, now);
+		this.#handleResult(topic, {isSnapshot, positionAtStart}, result, now);
 		this.tick(now);
 	}
 
 	#handleResult(
 		topic: Topic,
-		isSnapshot: boolean,
+		readStart: Pick<EvacuationRead, 'isSnapshot' | 'positionAtStart'>,
 		result: Result<KeyedRecordPage, StoreFailure>,
 		now: number,
 	): void {
@@ -178,13 +212,17 @@
 		}
 
 		this.#setReachable(true, topic.name, now);
-		this.#dataReadAtMs = now;
-		this.#ownDataReadAtMs = now;
+		if (topic.name === workersTopic) {
+			this.#workersReadAtMs = now;
+			this.#ownWorkersReadAtMs = now;
+		}
+
 		topic.nextOffset = result.value.nextOffset;
 		if (topic.name === stateTopic) {
 			this.#handleStateRecords(result.value);
-		} else if (isSnapshot || result.value.records.length > 0) {
-			this.#handleWorkerRecords(result.value, isSnapshot, now);
+			this.#handleEvacuationRecords(result.value, readStart);
+		} else if (readStart.isSnapshot || result.value.records.length > 0) {
+			this.#handleWorkerRecords(result.value, readStart.isSnapshot, now);
 		}
 	}
 
@@ -201,6 +239,28 @@
 		}
 	}
 
+	#handleEvacuationRecords(
+		{records, nextOffset}: KeyedRecordPage,
+		readStart: Pick<EvacuationRead, 'isSnapshot' | 'positionAtStart'>,
+	): void {
+		const {changes, unknownKeys} = decodeEvacuations(records, this.#zones);
+		for (const key of unknownKeys) {
+			if (
+				!this.#reportedKeys.has(key) &&
+				this.#reportedKeys.size < maxReportedKeys
+			) {
+				this.#reportedKeys.add(key);
+				this.#listener.onRecordIgnored(stateTopic, key);
+			}
+		}
+
+		this.#listener.onEvacuationsRead({
+			...readStart,
+			records: changes,
+			endOffset: nextOffset,
+		});
+	}
+
 	#handleWorkerRecords(
 		{records}: KeyedRecordPage,
 		isSnapshot: boolean,
--- a/packages/verbenarouter/src/pool/warm-up.ts
+++ b/packages/verbenarouter/src/pool/warm-up.ts
@@ -92,7 +92,12 @@
 	const client = new WorkerClient(now);
 	const resolvers = new Map<string, (answer: PoolAnswer) => void>();
 	const scheduler: PoolScheduler = new PoolScheduler({
-		commandSender: createWorkerCommandSender(client, () => scheduler, now),
+		commandSender: createWorkerCommandSender(
+			client,
+			() => scheduler,
+			now,
+			throwError,
+		),
 		output: {
 			sendAnswer(_receiver, id, answer) {
 				resolvers.get(id)?.(answer);
@@ -184,3 +189,8 @@
 		});
 	});
 }
+
+/** Ends the warm-up with an error that handling a command has caused. */
+function throwError(error: unknown): never {
+	throw error;
+}
--- a/packages/verbenarouter/src/pool/worker-command-sender.ts
+++ b/packages/verbenarouter/src/pool/worker-command-sender.ts
@@ -7,13 +7,26 @@
 
 /**
  * Creates a sender that sends a scheduler's commands with a client and passes their outcomes to the scheduler. `now`
- * reads a monotonic clock in milliseconds.
+ * reads a monotonic clock in milliseconds. `onError` receives an error while an outcome was handled; its worker is judged
+ * by the next report.
  */
 export function createWorkerCommandSender(
 	client: WorkerClient,
 	scheduler: () => PoolScheduler,
 	now: () => number,
+	onError: (error: unknown) => void,
 ): WorkerCommandSender {
+	const forwardOutcome = async (
+		call: Promise<CommandOutcome>,
+		handleOutcome: (outcome: CommandOutcome) => void,
+	): Promise<void> => {
+		try {
+			handleOutcome(await call);
+		} catch (error: unknown) {
+			onError(error);
+		}
+	};
+
 	return {
 		hold({worker, ...command}) {
 			const sent = {sentAtMs: now(), fencingToken: command.fencingToken};
@@ -39,10 +52,3 @@
 		},
 	};
 }
-
-async function forwardOutcome(
-	call: Promise<CommandOutcome>,
-	handleOutcome: (outcome: CommandOutcome) => void,
-): Promise<void> {
-	handleOutcome(await call);
-}
--- /dev/null
+++ b/packages/verbenarouter/src/tests/store-follower.test.ts
@@ -0,0 +1,125 @@
+import {type WorkerEntry} from '@verbenarouter/core';
+import {type KeyedRecord} from '@verbenarouter/platform';
+import {ok} from 'neverthrow';
+import {describe, expect, it} from 'vitest';
+import {StoreFollower, type StoreReader} from '../pool/store-follower.js';
+
+const now = 50_000;
+
+function workerFixture(id: string): WorkerEntry {
+	return {
+		id,
+		service: 'menu',
+		address: '127.0.0.1:1',
+		zone: 'a',
+		state: 'ready',
+		capacity: {processorMillis: 1, memoryMb: 1, accelerators: 0},
+		labels: [],
+		bornMs: 1,
+	};
+}
+
+/** A store in which each topic has these records; reads of later ones never return. */
+function storeFixture(
+	records: ReadonlyMap<string, readonly KeyedRecord[]> = new Map(),
+): StoreReader {
+	return {
+		readNewest: async (topic) =>
+			ok({records: records.get(topic) ?? [], nextOffset: 7}),
+		read: async () =>
+			new Promise(() => {
+				// No record follows.
+			}),
+		close() {
+			// There is nothing to close.
+		},
+	};
+}
+
+function followerFixture(store: StoreReader): {
+	readonly follower: StoreFollower;
+	readonly ignoredKeys: string[];
+	readonly evacuatedZones: string[];
+} {
+	const ignoredKeys: string[] = [];
+	const evacuatedZones: string[] = [];
+	const follower = new StoreFollower(
+		store,
+		{
+			onStateRead: () => undefined,
+			onWorkersRead: () => undefined,
+			onReachabilityChange: () => undefined,
+			onRecordIgnored(_topic, key) {
+				ignoredKeys.push(key);
+			},
+			onEvacuationsRead({records}) {
+				evacuatedZones.push(...records.map(({zone}) => zone));
+			},
+			evacuationPosition: () => 0,
+		},
+		['a', 'b'],
+		() => now,
+	);
+	return {follower, ignoredKeys, evacuatedZones};
+}
+
+async function readOnce(
+	follower: StoreFollower,
+	followsWorkers: boolean,
+): Promise<void> {
+	follower.setActive(true, followsWorkers);
+	follower.tick(now);
+	await new Promise((resolve) => {
+		setImmediate(resolve);
+	});
+}
+
+describe('StoreFollower', () => {
+	// A follower that read only the desired state sent an empty list to a new leader, which dropped all of its workers.
+	it('has no list of workers after it has read only the desired state', async () => {
+		const {follower} = followerFixture(storeFixture());
+		await readOnce(follower, false);
+		expect(follower.workersAgeMs(now)).toBe(Number.POSITIVE_INFINITY);
+		expect(follower.ownWorkersAgeMs(now)).toBe(Number.POSITIVE_INFINITY);
+		await readOnce(follower, true);
+		expect(follower.ownWorkersAgeMs(now)).toBe(0);
+	});
+
+	it('applies the list of a peer only if the peer has one and it is newer', () => {
+		const {follower} = followerFixture(storeFixture());
+		const ids = () => follower.directory.entries(now).map(({id}) => id);
+		const list = [workerFixture('w1'), workerFixture('w2')];
+		expect(
+			follower.applyPeerWorkers(list, {ageMs: 500, version: '2-1'}, now),
+		).toBe(true);
+		expect(follower.applyPeerWorkers([], {ageMs: 3, version: ''}, now)).toBe(
+			false,
+		);
+		expect(
+			follower.applyPeerWorkers([list[0]!], {ageMs: 600, version: '1-1'}, now),
+		).toBe(false);
+		expect(ids()).toEqual(['w1', 'w2']);
+		expect(follower.workersAgeMs(now)).toBe(500);
+	});
+
+	it('passes on requests to evacuate known zones, and reports one for an unknown zone once', async () => {
+		const {follower, ignoredKeys, evacuatedZones} = followerFixture(
+			storeFixture(
+				new Map([
+					[
+						'keyed.op',
+						[
+							{key: 'evacuate/b', value: '{}'},
+							{key: 'evacuate/x', value: '{}'},
+							{key: 'evacuate/', value: 'no JSON'},
+							{key: 'evacuate/x', value: '{}'},
+						],
+					],
+				]),
+			),
+		);
+		await readOnce(follower, false);
+		expect(evacuatedZones).toEqual(['b']);
+		expect(ignoredKeys).toEqual(['evacuate/x', 'evacuate/']);
+	});
+});
