Learn the speed of kinds of workers and the tails of run times

Cause: the pace of a worker returned to 1 within seconds, so that workers of slow hardware looked as good as others after each pause, and a new leader knew nothing. Where a few tasks take seven times as long as estimated, each of them marked its worker as slow for seconds, and runs were stopped at six times their estimate although they were nearly done.

Change: run times are learned per kind and size of worker, and a worker's pace returns to that of its kind. Queues with rare long runs are detected; in them one long run says nothing about its worker and is not stopped. Leaders tell candidates and each other what they have learned once a second, where kinds or tails differ.

--- a/packages/core/src/message-check.ts
+++ b/packages/core/src/message-check.ts
@@ -17,6 +17,8 @@
 const maxListLength = 100_000;
 /** Longest time in a message, in milliseconds. */
 const maxDurationMs = 1e9;
+/** Largest logarithm of a ratio of run times. */
+const maxLogRatio = 10;
 /** Largest amount of a resource. */
 const maxAmount = 1e9;
 
@@ -99,6 +101,24 @@
 	ageMs: isCount,
 });
 
+const isLogRatio = (value: unknown): boolean =>
+	typeof value === 'number' && Math.abs(value) <= maxLogRatio;
+
+const isLearned = isObjectOf({
+	kinds: isListOf(
+		isObjectOf({kind: isText, logRatio: isLogRatio, count: isCount}),
+		maxListLength,
+	),
+	tails: isListOf(
+		isObjectOf({
+			queue: isText,
+			longShare: isNumberUpTo(1),
+			largestRatio: isNumberUpTo(maxAmount),
+		}),
+		maxListLength,
+	),
+});
+
 /** Checks of the messages between entry VMs, by message type; heartbeats have a check of their own. */
 const checksByType: Readonly<Record<string, FieldChecks>> = {
 	submit: {job: isJob, isResubmitted: isFlag},
@@ -114,6 +134,7 @@
 	ask: {question: isCount, about: isOneOf('state', 'pending'), name: isText},
 	reply: {question: isCount},
 	knowledge: {knowledge: isKnowledge},
+	learned: {learned: isLearned},
 	'hand-over': {workers: isListOf(isWorker, maxListLength)},
 };
 
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -1,6 +1,8 @@
 import {type WorkerSelectionPolicy} from './worker-selection.js';
 import {type DesiredState, type QueueSetting} from './desired-state.js';
 import {type RunTimeEstimator} from './run-time-estimator.js';
+import {RunTimeTails, type QueueTail} from './run-time-tail.js';
+import {kindOf, type KindSlowdown} from './worker-kind-speed.js';
 import {
 	findInfeasibility,
 	projectJobLastStartMs,
@@ -97,6 +99,16 @@
 	readonly poolSettings?: WorkerPoolSettings;
 };
 
+/** What leaders learn and tell each other. */
+export type LearnedSpeeds = {
+	readonly kinds: readonly KindSlowdown[];
+	readonly tails: readonly QueueTail[];
+};
+
+/** Ratio of the time that a run has taken to its expected time from which it is overdue. */
+const overdueRatio = 3;
+/** Multiple of the longest recent runs of a queue with rare long runs from which a run counts as stuck. */
+const tailStuckMargin = 1.5;
 const defaultRetryAfterMs = 2000;
 /**
  * Time in milliseconds without a tick after which a successor may have claimed zones: four intervals of heartbeats, less
@@ -140,6 +152,7 @@
 	/** Jobs without an answer that had runs when they were given up, with the time; the runs may take a while to stop. */
 	readonly #stoppedJobs = new Map<string, number>();
 	readonly #typicalTasks = new TypicalTasks();
+	readonly #tails = new RunTimeTails();
 	#desiredState: DesiredState | undefined;
 	/** Time of the latest call, for listener methods that get no time. */
 	#now = 0;
@@ -515,13 +528,7 @@
 			({isSynced, reportRequestedAtMs}) =>
 				isSynced && this.#stall.isTimely(reportRequestedAtMs),
 		)) {
-			for (const run of worker.runs.values()) {
-				worker.pace.recordOngoingRun(
-					(now - run.orderedAtMs) / Math.max(1, run.expectedMs),
-					now,
-				);
-				this.#stopRunIfStuck(run, worker, now);
-			}
+			this.#judgeOngoingRuns(worker, now);
 		}
 
 		for (const job of this.#jobs.values()) {
@@ -532,6 +539,20 @@
 		this.#placeWaitingTasks(now);
 	}
 
+	/** Returns what this leader has learned of kinds of workers and of queues, for other leaders. */
+	exportLearned(): LearnedSpeeds {
+		return {
+			kinds: this.pool.kindSpeeds.export(),
+			tails: this.#tails.export(),
+		};
+	}
+
+	/** Applies what another leader has learned, where this one knows little itself. */
+	importLearned({kinds, tails}: LearnedSpeeds): void {
+		this.pool.kindSpeeds.import(kinds);
+		this.#tails.import(tails);
+	}
+
 	/** Handles the end of a run that the scheduler has sent a start command for, or has adopted. */
 	handleRunEnd(run: WorkerRun, outcome: RunOutcome, worker: PoolWorker): void {
 		this.#needsPlacement = true;
@@ -616,6 +637,26 @@
 		});
 	}
 
+	/**
+	 * Updates the pace of a worker by its ongoing runs, and stops those that seem stuck. A single long run of a queue that has
+	 * rare long runs says nothing about its worker; two at once do.
+	 */
+	#judgeOngoingRuns(worker: PoolWorker, now: number): void {
+		const runs = [...worker.runs.values()].map((run) => ({
+			run,
+			ratio: (now - run.orderedAtMs) / Math.max(1, run.expectedMs),
+			hasTail: this.#tails.hasTail(this.#jobs.get(run.jobId)?.queue.name ?? ''),
+		}));
+		const overdueCount = runs.filter(({ratio}) => ratio >= overdueRatio).length;
+		for (const {run, ratio, hasTail} of runs) {
+			if (!hasTail || overdueCount > 1) {
+				worker.pace.recordOngoingRun(ratio, now);
+			}
+
+			this.#stopRunIfStuck(run, worker, now);
+		}
+	}
+
 	/** Drops the oldest answers and closed attempts beyond the retention time or the largest number. */
 	#evictExpiredAnswers(now: number): void {
 		const {answerRetentionMs, maxRetainedAnswers} = this.#settings;
@@ -1162,8 +1203,13 @@
 	 * waits. A task is stopped only once for this, because its estimate may be wrong.
 	 */
 	#stopRunIfStuck(run: WorkerRun, worker: PoolWorker, now: number): void {
-		const {stuckFactor, minStuckMs} = this.#settings;
+		const {minStuckMs} = this.#settings;
 		const ranMs = now - run.orderedAtMs;
+		const queue = this.#jobs.get(run.jobId)?.queue.name ?? '';
+		const stuckFactor = Math.max(
+			this.#settings.stuckFactor,
+			tailStuckMargin * this.#tails.largestRatio(queue),
+		);
 		if (
 			run.state !== 'running' ||
 			ranMs < Math.max(minStuckMs, stuckFactor * run.expectedMs)
@@ -1319,9 +1365,14 @@
 		}
 
 		worker.health.recordCompletion(ranMs, run.expectedMs);
+		const ratio = Math.max(0.01, ranMs) / Math.max(1, run.expectedMs);
+		const queue = job?.queue.name ?? '';
+		const logSlowdown = this.pool.kindSpeeds.logSlowdown(kindOf(worker.entry));
+		this.#tails.record(queue, ratio / Math.exp(logSlowdown));
 		this.pool.recordEndedRun(
 			worker,
-			ranMs / Math.max(1, run.expectedMs),
+			ratio,
+			this.#tails.hasTail(queue),
 			this.#now,
 		);
 		const task = job?.tasks.find(({task: {name}}) => name === run.task);
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -204,8 +204,8 @@
 	}
 
 	/** Records an ended run by the ratio of its actual to its expected run time. */
-	recordEndedRun(ratio: number, now: number): void {
-		this.pace.recordEndedRun(ratio, now);
+	recordEndedRun(ratio: number, now: number, hasTail = false): void {
+		this.pace.recordEndedRun(ratio, now, hasTail);
 		if (!this.pace.isSlow(now)) {
 			this.#coldUntilMs = 0;
 		}
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -8,6 +8,7 @@
 	type WorkerReport,
 	type WorkerRun,
 } from './pool-worker.js';
+import {WorkerKindSpeeds, kindOf} from './worker-kind-speed.js';
 import {
 	type CommandOutcome,
 	type SentHold,
@@ -135,6 +136,8 @@
  * have ended.
  */
 export class WorkerPool {
+	/** Learned speeds of the kinds of workers. */
+	readonly kindSpeeds = new WorkerKindSpeeds();
 	readonly #commandSender: WorkerCommandSender;
 	readonly #listener: WorkerPoolListener;
 	readonly #settings: WorkerPoolSettings;
@@ -541,7 +544,10 @@
 		}
 
 		this.#capacity.resetSlowdownFactors(
-			this.workers.map(({pace}) => pace.slowdownFactor(now)),
+			this.workers.map(({entry, pace}) => {
+				pace.setBaseline(this.kindSpeeds.logSlowdown(kindOf(entry)));
+				return pace.leastSlowdownFactor(now);
+			}),
 		);
 		for (const [task, {reportedAtMs}] of this.#orphanEnds) {
 			if (now - reportedAtMs > this.#settings.orphanEndRetentionMs) {
@@ -550,10 +556,19 @@
 		}
 	}
 
-	/** Updates the pace of a worker by the ratio of an ended run's actual to its expected run time. */
-	recordEndedRun(worker: PoolWorker, ratio: number, now: number): void {
-		worker.recordEndedRun(ratio, now);
-		this.#capacity.recordSlowdownFactor(worker.pace.slowdownFactor(now));
+	/**
+	 * Updates the pace of a worker and its kind by the ratio of an ended run's actual to its expected run time. `hasTail` is
+	 * whether rare runs of its queue take many times as long on any worker.
+	 */
+	recordEndedRun(
+		worker: PoolWorker,
+		ratio: number,
+		hasTail: boolean,
+		now: number,
+	): void {
+		this.kindSpeeds.record(kindOf(worker.entry), ratio);
+		worker.recordEndedRun(ratio, now, hasTail);
+		this.#capacity.recordSlowdownFactor(worker.pace.leastSlowdownFactor(now));
 	}
 
 	#addWorker(entry: WorkerEntry): PoolWorker {
@@ -564,6 +579,7 @@
 			}
 		});
 		worker.isEvacuated = this.#evacuatedZones.has(entry.zone);
+		worker.pace.setBaseline(this.kindSpeeds.logSlowdown(kindOf(entry)));
 		this.#workers.set(entry.id, worker);
 		this.#unsyncedWorkers.add(worker);
 		this.#workerList = undefined;
--- a/packages/peer/src/pool-message.ts
+++ b/packages/peer/src/pool-message.ts
@@ -1,6 +1,7 @@
 import {
 	type DesiredState,
 	type Heartbeat,
+	type LearnedSpeeds,
 	type PoolAnswer,
 	type PoolJob,
 	type WorkerEntry,
@@ -90,5 +91,7 @@
 			readonly value: string | number | boolean | undefined;
 	  }
 	| {readonly type: 'knowledge'; readonly knowledge: StoreKnowledge}
+	/** What a leader has learned of run times, for those that may lead after it and for other leaders. */
+	| {readonly type: 'learned'; readonly learned: LearnedSpeeds}
 	/** Workers of zones whose leadership the sender hands over; the store may currently not list all of them. */
 	| {readonly type: 'hand-over'; readonly workers: readonly WorkerEntry[]};
--- a/packages/peer/src/pool-traffic.ts
+++ b/packages/peer/src/pool-traffic.ts
@@ -29,6 +29,7 @@
 	ask: true,
 	reply: true,
 	knowledge: true,
+	learned: true,
 	'hand-over': true,
 	acknowledgement: true,
 	batch: true,
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -83,6 +83,8 @@
 
 /** Age up to which the room and the waits of the led zones are not computed anew. */
 const zoneReportMs = 40;
+/** Interval at which a leader sends what it has learned of run times. */
+const learnedIntervalMs = 1000;
 /** Time without room after which new room is announced at once; shorter ones would cost a heartbeat each under full load. */
 const minFullMs = 300;
 /** Delay of a submission that a leader has asked for again: longer than the interval of heartbeats to leaders. */
@@ -155,6 +157,8 @@
 	#workersVersion = '';
 	#zoneReport: Pick<NodeState, 'spareMillis' | 'waits'> = {};
 	#zoneReportedAtMs = Number.NEGATIVE_INFINITY;
+	/** Time at which what was learned was last sent to others. */
+	#learnedSentAtMs = 0;
 	/** Time since which no led zone has room for jobs of other zones; `undefined` while one has. */
 	#fullSinceMs: number | undefined;
 	/** Version of the list of workers that a peer has sent since the last read of the store. */
@@ -630,6 +634,7 @@
 		}
 
 		this.#announceRegainedRoom(now);
+		this.#sendLearned(now);
 		this.#sendMissingKnowledge(now);
 		this.#overlayNode.sendDueHeartbeats(now);
 		if (now - this.#lastConnectionCheckMs >= connectionCheckIntervalMs) {
@@ -817,6 +822,32 @@
 		return this.#zoneReport;
 	}
 
+	/** Sends what this leader has learned of run times to candidates of its zones and to other leaders, if there is anything. */
+	#sendLearned(now: number): void {
+		if (
+			this.#leadership.ledZones.size === 0 ||
+			now - this.#learnedSentAtMs < learnedIntervalMs
+		) {
+			return;
+		}
+
+		this.#learnedSentAtMs = now;
+		const learned = this.#scheduler.exportLearned();
+		const names = this.#leadership
+			.livePeers(now)
+			.filter(
+				({name, isCandidate}) =>
+					isCandidate === true && this.#overlayNode.isOpen(name),
+			)
+			.map(({name}) => name);
+		if (
+			names.length > 0 &&
+			(learned.kinds.length > 1 || learned.tails.length > 0)
+		) {
+			this.#overlayNode.sendToAll(names, {type: 'learned', learned});
+		}
+	}
+
 	/**
 	 * Tells the peers at once that the led zones have room again after a time without any: jobs that other zones refuse would
 	 * be refused for good until the next heartbeat.
@@ -1013,6 +1044,11 @@
 				break;
 			}
 
+			case 'learned': {
+				this.#scheduler.importLearned(message.learned);
+				break;
+			}
+
 			case 'hand-over': {
 				for (const worker of message.workers) {
 					this.#storeFollower.directory.addUnlisted(worker, now);
