Guarantee each queue a part of its fair share, and give up what is of no use

Cause: strict priority let a flood of the most urgent queue take all room; a started job kept its precedence and an indeterminate one its place after any answer of theirs could be of use to a caller.

Demand and starts of each queue are metrics.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,6 +11,7 @@
 export * from './limit-resource.js';
 export * from './machine.js';
 export * from './snapshot-schedule.js';
+export * from './queue-shares.js';
 export * from './rate-share.js';
 export * from './share-ledger.js';
 export * from './share-message.js';
--- a/packages/core/src/pool-queue.ts
+++ b/packages/core/src/pool-queue.ts
@@ -1,6 +1,10 @@
+import {type QueueShares} from './queue-shares.js';
+
 /** Properties of a job that its place in the queue and its admission depend on. Times are in milliseconds. */
 export type QueuedJob = {
 	readonly id: string;
+	/** Name of the queue that the job was submitted to. */
+	readonly queueName: string;
 	/** 0 is the most urgent. */
 	readonly priority: number;
 	readonly arrivedAtMs: number;
@@ -18,6 +22,8 @@
 /** The order in which waiting jobs start. */
 export type QueueOrder = {
 	readonly name: string;
+	/** Shares of the queues that the order depends on; absent if it depends on none. */
+	readonly shares?: QueueShares | undefined;
 	/** Returns a negative number if `left` starts before `right`. */
 	compare(left: QueuedJob, right: QueuedJob, now: number): number;
 };
@@ -34,23 +40,40 @@
 }
 
 /**
- * Puts started jobs first, since a job is complete only when its last task ends; then jobs that can still meet their
- * objective. Within each group, jobs go by priority and then by latest start. Serves more callers in time when the load
- * exceeds the capacity of the pool.
+ * Puts started jobs first, since a job is complete only when its last task ends, unless no answer of theirs can be of use any
+ * more; then jobs that can still meet their objective. Within each group, jobs of queues with a claim go first, then jobs by
+ * priority and by latest start. Serves more callers in time when the load exceeds the capacity of the pool.
  */
 export class ObjectiveOrder implements QueueOrder {
+	/** `shares` decides which queues have a claim; without it none has. */
+	constructor(readonly shares?: QueueShares) {}
+
 	get name(): string {
 		return 'objective';
 	}
 
 	compare(left: QueuedJob, right: QueuedJob, now: number): number {
 		return (
-			Number(right.hasStarted) - Number(left.hasStarted) ||
+			Number(isWorthFinishing(right, now)) -
+				Number(isWorthFinishing(left, now)) ||
 			Number(isLate(left, now)) - Number(isLate(right, now)) ||
+			Number(this.#hasClaim(right, now)) - Number(this.#hasClaim(left, now)) ||
 			left.priority - right.priority ||
 			left.latestObjectiveStartMs - right.latestObjectiveStartMs
 		);
 	}
+
+	#hasClaim({queueName}: QueuedJob, now: number): boolean {
+		return this.shares?.hasClaim(queueName, now) ?? false;
+	}
+}
+
+/** Whether a job has started and its caller can still use an answer. */
+function isWorthFinishing(
+	{hasStarted, latestUsefulStartMs}: QueuedJob,
+	now: number,
+): boolean {
+	return hasStarted && now <= latestUsefulStartMs;
 }
 
 /** Whether a job can no longer meet its latency objective. */
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -732,6 +732,11 @@
 			now,
 		);
 		scheduledJob.isIndeterminate = isResubmitted;
+		this.#options.queueOrder.shares?.recordDemand(
+			queue.name,
+			scheduledJob.waitingCoreMs,
+			now,
+		);
 		this.#typicalTasks.record(queue.service, toProjectedTasks(scheduledJob));
 		const wasSubmittedUnderOtherToken =
 			job.leaderToken !== undefined && job.leaderToken !== this.pool.token;
@@ -1089,6 +1094,11 @@
 				reportAgeMs: Math.round(now - worker.reportedAtMs),
 			},
 		});
+		this.#options.queueOrder.shares?.recordStart(
+			job.queue.name,
+			(task.task.needs.processorMillis / 1000) * task.expectedMs,
+			now,
+		);
 		this.pool.startRun(createRun(job, task, now), job.job.spec, worker, now);
 	}
 
--- a/packages/core/src/scheduled-job.ts
+++ b/packages/core/src/scheduled-job.ts
@@ -99,6 +99,10 @@
 		return this.job.id;
 	}
 
+	get queueName(): string {
+		return this.queue.name;
+	}
+
 	get priority(): number {
 		return this.queue.priority;
 	}
@@ -131,8 +135,11 @@
 
 	get latestFirstStartMs(): number {
 		if (this.isIndeterminate) {
-			// An indeterminate job cannot be answered `not-run`, so it may use the whole time for which its caller waits.
-			return this.callerDeadlineMs - this.longestTaskMs - submissionDelayMs;
+			// An indeterminate job cannot be answered `not-run`, so it may start as long as its answer is of use.
+			return Math.min(
+				this.latestUsefulStartMs,
+				this.callerDeadlineMs - this.longestTaskMs - submissionDelayMs,
+			);
 		}
 
 		return this.isDelayedByFailover
--- a/packages/core/src/tests/pool-overload.test.ts
+++ b/packages/core/src/tests/pool-overload.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {ArrivalOrder} from '../pool-queue.js';
+import {ArrivalOrder, ObjectiveOrder, type QueuedJob} from '../pool-queue.js';
 import {
 	SchedulerFixture,
 	poolJobFixture,
@@ -121,6 +121,34 @@
 	});
 });
 
+describe('ObjectiveOrder', () => {
+	const jobFixture = (id: string, change: Partial<QueuedJob>): QueuedJob => ({
+		id,
+		queueName: 'macro-check',
+		priority: 0,
+		arrivedAtMs: startMs,
+		latestObjectiveStartMs: startMs + 100,
+		latestUsefulStartMs: startMs + 400,
+		latestFirstStartMs: startMs + 100,
+		waitingCoreMs: 1,
+		hasStarted: false,
+		...change,
+	});
+
+	// A wide job that a fault has delayed took room from jobs that could still be answered in time.
+	it('puts a started job behind others once its answer can be of no use any more', () => {
+		const started = jobFixture('started', {hasStarted: true});
+		const fresh = jobFixture('fresh', {
+			arrivedAtMs: startMs + 450,
+			latestObjectiveStartMs: startMs + 550,
+			latestUsefulStartMs: startMs + 850,
+		});
+		const order = new ObjectiveOrder();
+		expect(order.compare(started, fresh, startMs + 390)).toBeLessThan(0);
+		expect(order.compare(started, fresh, startMs + 460)).toBeGreaterThan(0);
+	});
+});
+
 describe('spare capacity of zones', () => {
 	it('is what is free on the workers of each zone, and nothing while a task waits for them', () => {
 		const fixture = new SchedulerFixture(['zone-a', 'zone-b']);
--- a/packages/core/src/tests/scheduler-failover.test.ts
+++ b/packages/core/src/tests/scheduler-failover.test.ts
@@ -341,6 +341,8 @@
 			const fixture = leadZones('zone-a');
 			const job = poolJobFixture('j1', 1, {
 				patienceMs: 60_000,
+				// Long enough that an answer is still of use after the leases.
+				runMs: 1000,
 				...(jobZones === undefined ? {} : {zones: jobZones}),
 			});
 			fixture.scheduler.submit(job, 'r1', true, startMs + 10);
@@ -351,6 +353,17 @@
 		}
 	});
 
+	it('answers an indeterminate job at once if its answer could no longer be of use after the leases', () => {
+		const fixture = leadZones('zone-a');
+		const job = poolJobFixture('j1', 1, {patienceMs: 60_000, runMs: 100});
+		fixture.scheduler.submit(job, 'r1', true, startMs + 10);
+		fixture.tickUntil(startMs + 20, startMs + 100);
+		expect(fixture.starts).toEqual([]);
+		expect(fixture.answers).toMatchObject([
+			{answer: {kind: 'may-have-run', reason: 'leader-lost'}},
+		]);
+	});
+
 	it('does not wait for workers outside the zones of an indeterminate job', () => {
 		const fixture = leadZones('zone-a');
 		fixture.scheduler.startLeadingZone('zone-b', 8, startMs);
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -5,6 +5,7 @@
 	LearnedTimeEstimator,
 	ObjectiveOrder,
 	PoolScheduler,
+	QueueShares,
 	ScopeBySize,
 	ZoneEvacuations,
 	ZoneOverflow,
@@ -111,6 +112,7 @@
 	readonly #scopeBySize = new ScopeBySize();
 	readonly #overflow = new ZoneOverflow();
 	readonly #evacuations: ZoneEvacuations;
+	readonly #queueShares = new QueueShares();
 	readonly #scheduler: PoolScheduler;
 	readonly #overlayNode: OverlayNode;
 	readonly #workerClient: WorkerClient;
@@ -216,7 +218,7 @@
 				},
 			},
 			estimates: new LearnedTimeEstimator(),
-			queueOrder: new ObjectiveOrder(),
+			queueOrder: new ObjectiveOrder(this.#queueShares),
 			workerSelection: new BestFit(),
 			zones: settings.zones,
 			poolSettings: {
@@ -346,6 +348,20 @@
 					value: tookMs,
 				},
 			]),
+			...this.#queueShares.usage.flatMap(
+				({queue, demandCoreMs, startedCoreMs}) => [
+					{
+						name: 'queue_demand_core_ms_total',
+						labels: {queue},
+						value: Math.round(demandCoreMs),
+					},
+					{
+						name: 'queue_started_core_ms_total',
+						labels: {queue},
+						value: Math.round(startedCoreMs),
+					},
+				],
+			),
 			...[...closedLinks].map(([cause, value]) => ({
 				name: 'peer_streams_closed_total',
 				labels: {cause},
