--- a/packages/verbenarouter/src/pool/daemon.ts
+++ b/packages/verbenarouter/src/pool/daemon.ts
@@ -82,7 +82,7 @@
 				node,
 				log,
 				// After a restart callers need the processor.
-				isDueAtFirstStart && node.hasZonalLeaders
+				isDueAtFirstStart && node.isLargeInstallation
 					? zonalWarmUpLoad
 					: startupWarmUpLoad,
 			);
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -10,9 +10,9 @@
 	ZoneEvacuations,
 	ZoneOverflow,
 	computeAnswerWindowMs,
-	defaultScopeSettings,
 	defaultWorkerPoolSettings,
 	isRefusedForLackOfRoom,
+	defaultOverlaySettings,
 	maxOverflowPatienceMs,
 	type DesiredState,
 	type EvacuationChange,
@@ -375,9 +375,12 @@
 		return this.#overlayNode.isCandidate;
 	}
 
-	/** Whether so many workers are listed that each zone has its own leader. */
-	get hasZonalLeaders(): boolean {
-		return this.#workerEntries.length >= defaultScopeSettings.minZonalWorkers;
+	/**
+	 * Whether the installation has so many entry VMs that only some are candidates: then a leader has the load of many. Their
+	 * number is known in a process's first second, that of the workers only later.
+	 */
+	get isLargeInstallation(): boolean {
+		return this.#overlayNode.sizes.members > defaultOverlaySettings.maxMeshSize;
 	}
 
 	/** Whether this process should run its warm-up, so that it can lead its zone instead of a weaker machine. */
--- a/packages/verbenarouter/src/pool/warm-up.ts
+++ b/packages/verbenarouter/src/pool/warm-up.ts
@@ -44,7 +44,7 @@
 };
 
 /**
- * The same for an entry VM that may lead a zone of many workers. A job takes 5 ms of processor after 375 warm-up jobs instead
+ * The same for a candidate of a large installation. A job takes 5 ms of processor after 375 warm-up jobs instead
  * of 8 after 150, and the first second of traffic brings a zone's leader a hundred jobs. Tasks wait for workers, so that
  * the projections of waits are warm too.
  */
