Stop the projection of a start once it is known to be too late

Cause: under overload each admission projected all waiting tasks.

Change: the projection ends when no worker has room before the latest start of the job; a property test shows that its verdict is that of the full one.

Result: scheduling-cost.test.ts.

--- a/packages/core/src/pool-admission.ts
+++ b/packages/core/src/pool-admission.ts
@@ -93,6 +93,7 @@
 			)
 			.map((worker) => toProjectedWorker(worker, now)),
 		now,
+		Math.max(now, job.latestFirstStartMs),
 	);
 }
 
@@ -107,7 +108,10 @@
 }
 
 /** Returns the state of a worker for a projection. */
-export function toProjectedWorker(worker: PoolWorker, now: number): ProjectedWorker {
+export function toProjectedWorker(
+	worker: PoolWorker,
+	now: number,
+): ProjectedWorker {
 	const slowdownFactor = worker.pace.slowdownFactor(now);
 	return {
 		slowdownFactor,
--- a/packages/core/src/start-projection.ts
+++ b/packages/core/src/start-projection.ts
@@ -35,13 +35,15 @@
 /**
  * Projects when the last of `ownTasks` starts, in milliseconds on the clock of `now`. Tasks start in the given order,
  * `tasksAhead` first, each on the worker that has room for it earliest. Returns infinity if one of `ownTasks` fits on no
- * worker.
+ * worker. Once no worker has room before `limitMs`, returns the earliest time that one has, without projecting the rest:
+ * under overload hundreds of tasks are ahead, and most new jobs only need to know that they are too late.
  */
 export function projectLastStartMs(
 	tasksAhead: readonly ProjectedTask[],
 	ownTasks: readonly ProjectedTask[],
 	workers: readonly ProjectedWorker[],
 	now: number,
+	limitMs = Number.POSITIVE_INFINITY,
 ): number {
 	let leastMillis = Number.POSITIVE_INFINITY;
 	for (const {processorMillis} of [...tasksAhead, ...ownTasks]) {
@@ -52,6 +54,11 @@
 		.map((worker, ordinal) => createTimeline(worker, ordinal, leastMillis, now))
 		.toSorted((left, right) => left.earliestStartMs - right.earliestStartMs);
 	for (const task of tasksAhead) {
+		const earliestMs = timelines[0]?.earliestStartMs ?? now;
+		if (earliestMs > limitMs) {
+			return earliestMs;
+		}
+
 		startOnEarliestWorker(timelines, task, leastMillis);
 	}
 
--- a/packages/core/src/tests/scheduling-cost.test.ts
+++ b/packages/core/src/tests/scheduling-cost.test.ts
@@ -285,6 +285,44 @@
 		).toEqual([50, 50, 80, 80, 120, 120, 150, 150, 180]);
 	});
 
+	it('stops at a limit with a start that is beyond it exactly if the full projection is', () => {
+		fc.assert(
+			fc.property(
+				fc.array(
+					fc.record({
+						freeProcessorMillis: fc.integer({min: 0, max: 20}),
+						slowdownFactor: fc.constant(1),
+						runEnds: fc.array(
+							fc.record({
+								atMs: fc.integer({min: startMs, max: startMs + 50}),
+								processorMillis: fc.integer({min: 1, max: 20}),
+							}),
+							{maxLength: 3},
+						),
+					}),
+					{minLength: 1, maxLength: 6},
+				),
+				fc.array(
+					fc.record({
+						processorMillis: fc.integer({min: 1, max: 20}),
+						expectedMs: fc.integer({min: 1, max: 60}),
+					}),
+					{minLength: 2, maxLength: 25},
+				),
+				fc.integer({min: 0, max: 200}),
+				(workers, tasks, limit) => {
+					const limitMs = startMs + limit;
+					const args = [tasks.slice(1), tasks.slice(0, 1), workers] as const;
+					const full = projectLastStartMs(...args, startMs);
+					const limited = projectLastStartMs(...args, startMs, limitMs);
+					expect(limited > limitMs).toBe(full > limitMs);
+					expect(limited).toBeLessThanOrEqual(full);
+				},
+			),
+			{seed, numRuns: 1000},
+		);
+	});
+
 	it('ignores a task ahead that fits on no worker', () => {
 		expect(
 			projectLastStartMs(
