--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -8,21 +8,17 @@
 	QueueShares,
 	ScopeBySize,
 	ZoneEvacuations,
-	ZoneOverflow,
 	computeAnswerWindowMs,
 	defaultWorkerPoolSettings,
-	isRefusedForLackOfRoom,
 	defaultOverlaySettings,
 	maxOverflowPatienceMs,
 	type DesiredState,
 	type EvacuationChange,
 	type LeadershipChange,
-	type OverflowJob,
 	type PoolAnswer,
 	type PoolJob,
 	type PoolScope,
 	type WorkerEntry,
-	type ZoneRoom,
 } from '@verbenarouter/core';
 import {type KnowledgeVersions, type PoolMessage} from '@verbenarouter/peer';
 import {
@@ -43,6 +39,12 @@
 import {type PoolLog} from './pool-log.js';
 import {StoreFollower} from './store-follower.js';
 import {createWorkerCommandSender} from './worker-command-sender.js';
+import {
+	ZoneRouter,
+	defaultRunMs,
+	isOwnZoneEvacuated,
+	type ZoneView,
+} from './zone-router.js';
 
 /** Interval at which unused connections to workers are closed. */
 const connectionCheckIntervalMs = 100;
@@ -78,8 +80,6 @@
 const retryMs = 1000;
 /** Longest time for which a request waits for the first desired state; a new process reads it in a tenth of that. */
 const firstStateTimeoutMs = 400;
-/** Assumed run time of tasks without an estimate, and lower bound for a job's longest task. */
-const defaultRunMs = 50;
 /** Longest time for which a request to the leader waits for its reply. */
 const requestTimeoutMs = 800;
 
@@ -110,7 +110,7 @@
 	readonly #now: () => number;
 	readonly #leadership: Leadership;
 	readonly #scopeBySize = new ScopeBySize();
-	readonly #overflow = new ZoneOverflow();
+	readonly #zoneRouter: ZoneRouter;
 	readonly #evacuations: ZoneEvacuations;
 	readonly #queueShares = new QueueShares();
 	readonly #scheduler: PoolScheduler;
@@ -174,6 +174,13 @@
 		this.#incarnation = `${settings.name}-${Math.floor(now())}`;
 		this.#leadership = new Leadership(settings, settings.zones);
 		this.#evacuations = new ZoneEvacuations(settings.zones);
+		this.#zoneRouter = new ZoneRouter(
+			this.#pendingJobs,
+			(time) => this.#readZoneView(time),
+			(fields) => {
+				log.write(fields);
+			},
+		);
 		this.#workerClient = new WorkerClient(now);
 		this.#scheduler = new PoolScheduler({
 			commandSender: createWorkerCommandSender(
@@ -779,9 +786,14 @@
 			this.#resubmitPendingJobs(({overflowZone}) => overflowZone === undefined);
 		}
 
+		const isHomeClosed = isOwnZoneEvacuated({
+			ownZone: this.#settings.zone,
+			scope: this.#scope,
+			evacuatedZones: this.#evacuations.evacuatedZones,
+		});
 		this.#resubmitPendingJobs(
 			(pending) =>
-				(pending.overflowZone !== undefined || this.#isOwnZoneEvacuated) &&
+				(pending.overflowZone !== undefined || isHomeClosed) &&
 				(pending.withoutLeaderSinceMs !== undefined ||
 					this.#findLeaderFor(pending, now) !== pending.sentTo),
 		);
@@ -1260,14 +1272,6 @@
 		this.#overlayNode.sendHeartbeatToAll(now);
 	}
 
-	/** Whether the operator has asked that nothing be started in this entry VM's zone while each zone has its own leader. */
-	get #isOwnZoneEvacuated(): boolean {
-		return (
-			this.#scope === 'zone' &&
-			this.#evacuations.evacuatedZones.has(this.#settings.zone)
-		);
-	}
-
 	/** Updates the workers from the directory, and passes them on if they have changed. */
 	#refreshWorkers(source: string): void {
 		const entries = this.#storeFollower.directory.entries(this.#now());
@@ -1353,12 +1357,11 @@
 	/** Submits a job to the leader, or marks it as unsent while none is reachable. */
 	#sendToLeader(pending: PendingJob): void {
 		const now = this.#now();
-		if (!this.#avoidEvacuatedZone(pending, now)) {
+		if (!this.#zoneRouter.prepare(pending, now)) {
 			pending.withoutLeaderSinceMs ??= now;
 			return;
 		}
 
-		this.#balanceZones(pending, now);
 		const leader = this.#findLeaderFor(pending, now);
 		if (pending.overflowZone !== undefined) {
 			this.#overlayNode.useLeader(pending.overflowZone, now);
@@ -1406,98 +1409,17 @@
 		}
 	}
 
-	/**
-	 * Directs a job that no leader has had yet to another zone while the workers of the own one are to get nothing. Returns
-	 * false if the job has to wait until a leader of another zone is known.
-	 */
-	#avoidEvacuatedZone(pending: PendingJob, now: number): boolean {
-		if (
-			!this.#isOwnZoneEvacuated ||
-			pending.overflowZone !== undefined ||
-			pending.sentTo !== undefined ||
-			this.#evacuations.evacuatedZones.size === this.#settings.zones.length
-		) {
-			return true;
-		}
-
-		const room = this.#overflow.chooseSubstitute(
-			pending.job,
-			this.#findZoneRooms(now),
-			now,
-		);
-		if (room === undefined) {
-			return false;
-		}
-
-		pending.overflowZone = room.zone;
-		this.#log.write({
-			event: 'rerouted',
-			id: pending.job.id,
-			reason: 'zone-evacuated',
-			zone: room.zone,
-			leader: room.leader,
-			spareMillis: room.spareMillis,
-		});
-		return true;
-	}
-
-	/** Returns what the choice of another zone needs to know of a job. */
-	#toOverflowJob({job, receivedAtMs}: PendingJob, now: number): OverflowJob {
-		const queue = this.#desiredState?.queues.find(
-			({name}) => name === job.queue,
-		);
-		const longestMs = Math.max(
-			...job.tasks.map(({declaredMs}) => declaredMs),
-			defaultRunMs,
-		);
-		return queue === undefined
-			? job
-			: {
-					tasks: job.tasks,
-					service: queue.service,
-					slackMs:
-						(queue.stretch - 1) * longestMs +
-						queue.latencyMs -
-						(now - receivedAtMs),
-				};
-	}
-
-	/** Directs a job that no leader has had yet to a zone with room while it would wait for long in its own one. */
-	#balanceZones(pending: PendingJob, now: number): void {
-		if (
-			this.#scope !== 'zone' ||
-			this.#isOwnZoneEvacuated ||
-			pending.overflowZone !== undefined ||
-			pending.sentTo !== undefined ||
-			pending.refusedBy.length > 0
-		) {
-			return;
-		}
-
-		const room = this.#overflow.chooseBeforeRefusal(
-			this.#toOverflowJob(pending, now),
-			this.#overlayNode.findOwnZoneWaits(now),
-			this.#findZoneRooms(now),
-			now,
-		);
-		if (room !== undefined) {
-			pending.overflowZone = room.zone;
-			this.#log.write({
-				event: 'balanced',
-				id: pending.job.id,
-				zone: room.zone,
-				leader: room.leader,
-				spareMillis: room.spareMillis,
-			});
-		}
-	}
-
-	/** Returns the room in the other zones that are not evacuated. */
-	#findZoneRooms(now: number): readonly ZoneRoom[] {
-		const {evacuatedZones} = this.#evacuations;
-		return this.#overlayNode
-			.findZoneRooms(now)
-			.filter(({zone}) => !evacuatedZones.has(zone));
+	/** Returns what the choice of a zone depends on. */
+	#readZoneView(now: number): ZoneView {
+		return {
+			ownZone: this.#settings.zone,
+			zoneCount: this.#settings.zones.length,
+			scope: this.#scope,
+			desiredState: this.#desiredState,
+			evacuatedZones: this.#evacuations.evacuatedZones,
+			rooms: this.#overlayNode.findZoneRooms(now),
+			ownWaits: this.#overlayNode.findOwnZoneWaits(now),
+		};
 	}
 
 	/** Returns the zones in which a leader is to place a job; `undefined` for all zones. */
@@ -1609,63 +1531,23 @@
 		}
 	}
 
-	/**
-	 * Submits a job that its leader has refused for lack of room to the leader of a zone that has room; returns whether
-	 * there is one.
-	 */
+	/** Submits a job that its leader has refused to the leader of another zone, if one can run it; returns whether it did. */
 	#sendToOtherZone(
 		pending: PendingJob,
 		leader: string,
 		answer: PoolAnswer,
 	): boolean {
-		const now = this.#now();
-		if (
-			this.#scope !== 'zone' ||
-			pending.hasLostCaller ||
-			!isRefusedForLackOfRoom(answer) ||
-			!this.#pendingJobs.isRefusedForCertain(pending, leader)
-		) {
-			return false;
-		}
-
-		if (
-			pending.overflowZone !== undefined &&
-			pending.refusedBy.length === 0 &&
-			!this.#isOwnZoneEvacuated
-		) {
-			// The job went to the other zone before its own one was asked.
-			this.#pendingJobs.redirect(pending, leader, undefined);
+		const isRedirected = this.#zoneRouter.redirectRefused(
+			pending,
+			leader,
+			answer,
+			this.#now(),
+		);
+		if (isRedirected) {
 			this.#sendToLeader(pending);
-			return true;
 		}
 
-		const rooms = this.#findZoneRooms(now);
-		const job = this.#toOverflowJob(pending, now);
-		const room =
-			this.#isOwnZoneEvacuated && pending.overflowZone === undefined
-				? this.#overflow.chooseSubstitute(job, rooms, now)
-				: this.#overflow.choose(
-						job,
-						[...pending.refusedBy, leader],
-						rooms,
-						now,
-					);
-		if (room === undefined) {
-			return false;
-		}
-
-		this.#log.write({
-			event: 'overflow',
-			id: pending.job.id,
-			refusedBy: leader,
-			zone: room.zone,
-			leader: room.leader,
-			spareMillis: room.spareMillis,
-			waitedMs: Math.round(now - pending.receivedAtMs),
-		});
-		this.#pendingJobs.redirect(pending, leader, room.zone);
-		this.#sendToLeader(pending);
-		return true;
+		return isRedirected;
 	}
 
 	/** Cancels a job at a leader because no caller waits for it any more. */
--- /dev/null
+++ b/packages/verbenarouter/src/pool/zone-router.ts
@@ -0,0 +1,202 @@
+import {
+	ZoneOverflow,
+	isRefusedForLackOfRoom,
+	type DesiredState,
+	type OverflowJob,
+	type PoolAnswer,
+	type PoolScope,
+	type ServiceWaits,
+	type ZoneRoom,
+} from '@verbenarouter/core';
+import {type LogFields} from '../logger.js';
+import {type PendingJob, type PendingJobs} from './pending-jobs.js';
+
+/** What the choice of a zone depends on at present. */
+export type ZoneView = {
+	/** Zone of this entry VM. */
+	readonly ownZone: string;
+	/** Number of zones of the installation. */
+	readonly zoneCount: number;
+	readonly scope: PoolScope;
+	readonly desiredState: DesiredState | undefined;
+	readonly evacuatedZones: ReadonlySet<string>;
+	/** Room in the other zones, as their leaders report it. */
+	readonly rooms: readonly ZoneRoom[];
+	/** Waits in the own zone, as its leader reports them to this entry VM; `undefined` if it leads the zone itself. */
+	readonly ownWaits: ServiceWaits | undefined;
+};
+
+/** Assumed run time of tasks without an estimate, and lower bound for a job's longest task, in milliseconds. */
+export const defaultRunMs = 50;
+
+/** Directs the jobs of one receiver to other zones: while its own is evacuated, about to be full, or has refused them. */
+export class ZoneRouter {
+	readonly #overflow = new ZoneOverflow();
+	readonly #pendingJobs: PendingJobs;
+	readonly #readView: (now: number) => ZoneView;
+	readonly #writeLog: (fields: LogFields) => void;
+
+	constructor(
+		pendingJobs: PendingJobs,
+		readView: (now: number) => ZoneView,
+		writeLog: (fields: LogFields) => void,
+	) {
+		this.#pendingJobs = pendingJobs;
+		this.#readView = readView;
+		this.#writeLog = writeLog;
+	}
+
+	/**
+	 * Directs a job that no leader has had yet to another zone if its own one is evacuated or about to be full. Returns false
+	 * if the job has to wait until a leader of another zone is known.
+	 */
+	prepare(pending: PendingJob, now: number): boolean {
+		if (pending.overflowZone !== undefined || pending.sentTo !== undefined) {
+			return true;
+		}
+
+		const view = this.#readView(now);
+		if (!isOwnZoneEvacuated(view)) {
+			this.#balance(pending, view, now);
+			return true;
+		}
+
+		if (view.evacuatedZones.size === view.zoneCount) {
+			return true;
+		}
+
+		const room = this.#overflow.chooseSubstitute(
+			pending.job,
+			findOpenRooms(view),
+			now,
+		);
+		if (room === undefined) {
+			return false;
+		}
+
+		pending.overflowZone = room.zone;
+		this.#log('rerouted', pending, room, {reason: 'zone-evacuated'});
+		return true;
+	}
+
+	/**
+	 * Directs a job that a leader has refused for lack of room to the leader of a zone that can run it; returns whether there
+	 * is one, which the job is then to be sent to.
+	 */
+	redirectRefused(
+		pending: PendingJob,
+		leader: string,
+		answer: PoolAnswer,
+		now: number,
+	): boolean {
+		const view = this.#readView(now);
+		if (
+			view.scope !== 'zone' ||
+			pending.hasLostCaller ||
+			!isRefusedForLackOfRoom(answer) ||
+			!this.#pendingJobs.isRefusedForCertain(pending, leader)
+		) {
+			return false;
+		}
+
+		const isEvacuated = isOwnZoneEvacuated(view);
+		const wasAtHome = pending.overflowZone === undefined;
+		if (!wasAtHome && pending.refusedBy.length === 0 && !isEvacuated) {
+			// The job went to the other zone before its own one was asked.
+			this.#pendingJobs.redirect(pending, leader, undefined);
+			return true;
+		}
+
+		const rooms = findOpenRooms(view);
+		const job = toOverflowJob(pending, view, now);
+		const room =
+			isEvacuated && wasAtHome
+				? this.#overflow.chooseSubstitute(job, rooms, now)
+				: this.#overflow.choose(
+						job,
+						[...pending.refusedBy, leader],
+						rooms,
+						now,
+					);
+		if (room === undefined) {
+			return false;
+		}
+
+		this.#log('overflow', pending, room, {
+			refusedBy: leader,
+			waitedMs: Math.round(now - pending.receivedAtMs),
+		});
+		this.#pendingJobs.redirect(pending, leader, room.zone);
+		return true;
+	}
+
+	/** Directs a job to a zone with room while it would wait for long in its own one. */
+	#balance(pending: PendingJob, view: ZoneView, now: number): void {
+		if (view.scope !== 'zone' || pending.refusedBy.length > 0) {
+			return;
+		}
+
+		const room = this.#overflow.chooseBeforeRefusal(
+			toOverflowJob(pending, view, now),
+			view.ownWaits,
+			findOpenRooms(view),
+			now,
+		);
+		if (room !== undefined) {
+			pending.overflowZone = room.zone;
+			this.#log('balanced', pending, room, {});
+		}
+	}
+
+	#log(
+		event: string,
+		{job}: PendingJob,
+		{zone, leader, spareMillis}: ZoneRoom,
+		details: Readonly<Record<string, string | number>>,
+	): void {
+		this.#writeLog({
+			event,
+			id: job.id,
+			zone,
+			leader,
+			spareMillis,
+			...details,
+		});
+	}
+}
+
+/** Whether the operator has asked that nothing be started in the own zone while each zone has its own leader. */
+export function isOwnZoneEvacuated({
+	scope,
+	ownZone,
+	evacuatedZones,
+}: Pick<ZoneView, 'scope' | 'ownZone' | 'evacuatedZones'>): boolean {
+	return scope === 'zone' && evacuatedZones.has(ownZone);
+}
+
+function findOpenRooms({rooms, evacuatedZones}: ZoneView): readonly ZoneRoom[] {
+	return rooms.filter(({zone}) => !evacuatedZones.has(zone));
+}
+
+/** Returns what the choice of another zone needs to know of a job. */
+function toOverflowJob(
+	{job, receivedAtMs}: PendingJob,
+	{desiredState}: ZoneView,
+	now: number,
+): OverflowJob {
+	const queue = desiredState?.queues.find(({name}) => name === job.queue);
+	const longestMs = Math.max(
+		...job.tasks.map(({declaredMs}) => declaredMs),
+		defaultRunMs,
+	);
+	return queue === undefined
+		? job
+		: {
+				tasks: job.tasks,
+				service: queue.service,
+				slackMs:
+					(queue.stretch - 1) * longestMs +
+					queue.latencyMs -
+					(now - receivedAtMs),
+			};
+}
