--- /dev/null
+++ b/packages/verbenarouter/src/tests/zone-router.test.ts
@@ -0,0 +1,142 @@
+import {
+	type DesiredState,
+	type PoolAnswer,
+	type ZoneRoom,
+} from '@verbenarouter/core';
+import {describe, expect, it} from 'vitest';
+import {PendingJobs, type PendingJob} from '../pool/pending-jobs.js';
+import {ZoneRouter, type ZoneView} from '../pool/zone-router.js';
+
+const now = 1000;
+const refusal: PoolAnswer = {kind: 'not-run', reason: 'overloaded'};
+
+const desiredState: DesiredState = {
+	version: 1,
+	services: ['menu'],
+	limits: {bodyBytes: 1, headerBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1},
+	queues: [
+		{
+			name: 'macro-check',
+			host: '',
+			pathPrefix: '/',
+			service: 'menu',
+			priority: 0,
+			mostAttempts: 1,
+			stretch: 1.6,
+			latencyMs: 60,
+		},
+	],
+};
+
+function roomFixture(zone: string, spareMillis: number): ZoneRoom {
+	return {zone, leader: `leader-${zone}`, spareMillis};
+}
+
+/** A router in zone a with one job of one task of 8 cores and 100 ms, whose slack is 120 ms. */
+function routerFixture(change: Partial<ZoneView>): {
+	readonly router: ZoneRouter;
+	readonly jobs: PendingJobs;
+	readonly pending: PendingJob;
+	readonly events: string[];
+} {
+	const jobs = new PendingJobs();
+	const events: string[] = [];
+	const view: ZoneView = {
+		ownZone: 'a',
+		zoneCount: 3,
+		scope: 'zone',
+		desiredState,
+		evacuatedZones: new Set(),
+		rooms: [],
+		ownWaits: undefined,
+		...change,
+	};
+	const router = new ZoneRouter(
+		jobs,
+		() => view,
+		({event}) => {
+			events.push(event);
+		},
+	);
+	const {pending} = jobs.add(
+		{
+			id: 'j1',
+			queue: 'macro-check',
+			spec: '',
+			attempt: 'entry/1',
+			waitedMs: 0,
+			patienceMs: 1500,
+			tasks: [
+				{
+					name: 'j1.0.0.0',
+					needs: {processorMillis: 8000, memoryMb: 1, accelerators: 0},
+					declaredMs: 100,
+				},
+			],
+		},
+		() => undefined,
+		now,
+	);
+	return {router, jobs, pending, events};
+}
+
+describe('ZoneRouter', () => {
+	it('sends jobs of an evacuated zone to an open one, also if that reports no room', () => {
+		const {router, pending, events} = routerFixture({
+			evacuatedZones: new Set(['a', 'b']),
+			rooms: [roomFixture('b', 90_000), roomFixture('c', 0)],
+		});
+		expect(router.prepare(pending, now)).toBe(true);
+		expect([pending.overflowZone, events]).toEqual(['c', ['rerouted']]);
+	});
+
+	it('lets a job wait while no leader of an open zone is known, but not if all zones are evacuated', () => {
+		const some = routerFixture({evacuatedZones: new Set(['a'])});
+		expect(some.router.prepare(some.pending, now)).toBe(false);
+		const all = routerFixture({evacuatedZones: new Set(['a', 'b', 'c'])});
+		expect(all.router.prepare(all.pending, now)).toBe(true);
+		expect(all.pending.overflowZone).toBeUndefined();
+	});
+
+	it('sends a job that left its zone before a refusal home after the other zone has refused it', () => {
+		const {router, jobs, pending, events} = routerFixture({
+			ownWaits: {menu: {narrowMs: 100, wideMs: 100}},
+			rooms: [roomFixture('b', 20_000)],
+		});
+		router.prepare(pending, now);
+		expect([pending.overflowZone, events]).toEqual(['b', ['balanced']]);
+		jobs.markSent(pending, {name: 'leader-b', token: 1}, ['b']);
+		expect(router.redirectRefused(pending, 'leader-b', refusal, now)).toBe(
+			true,
+		);
+		expect(pending.overflowZone).toBeUndefined();
+		router.prepare(pending, now);
+		expect(pending.overflowZone).toBeUndefined();
+	});
+
+	it('keeps jobs at home under one leader for all zones, and while the wait there is short', () => {
+		for (const change of [
+			{scope: 'region' as const},
+			{ownWaits: {menu: {narrowMs: 50, wideMs: 50}}},
+		]) {
+			const {router, pending} = routerFixture({
+				ownWaits: {menu: {narrowMs: 100, wideMs: 100}},
+				rooms: [roomFixture('b', 20_000)],
+				...change,
+			});
+			expect(router.prepare(pending, now)).toBe(true);
+			expect(pending.overflowZone).toBeUndefined();
+		}
+	});
+
+	it('redirects no job that more than one leader may have', () => {
+		const {router, jobs, pending} = routerFixture({
+			rooms: [roomFixture('b', 20_000)],
+		});
+		jobs.markSent(pending, {name: 'leader-a', token: 1}, ['a']);
+		jobs.markSent(pending, {name: 'leader-a', token: 1}, ['a']);
+		expect(router.redirectRefused(pending, 'leader-a', refusal, now)).toBe(
+			false,
+		);
+	});
+});
