--- a/packages/core/src/message-check.ts
+++ b/packages/core/src/message-check.ts
@@ -15,8 +15,8 @@
 
 /** Largest number of tasks of a job, and of workers, queues or services in a list. */
 const maxListLength = 100_000;
-/** Longest time in a message, in milliseconds. */
-const maxDurationMs = 1e9;
+/** Longest time in a message, in milliseconds; projected waits add up estimates of 1e9 ms at most. */
+const maxDurationMs = 1e15;
 /** Largest logarithm of a ratio of run times. */
 const maxLogRatio = 10;
 /** Largest amount of a resource. */
--- a/packages/verbenarouter/src/pool/daemon.ts
+++ b/packages/verbenarouter/src/pool/daemon.ts
@@ -10,12 +10,7 @@
 import {PoolLog} from './pool-log.js';
 import {PoolNode} from './pool-node.js';
 import {ProcessStop} from './process-stop.js';
-import {
-	runWarmUpJobs,
-	startupWarmUpLoad,
-	zonalWarmUpLoad,
-	type WarmUpLoad,
-} from './warm-up.js';
+import {startupWarmUpLoad, runWarmUpJobs} from './warm-up.js';
 import {monotonicNowMs} from './monotonic-clock.js';
 
 /** Delay after the start before the metrics module is loaded, so that loading does not delay the first answers. */
@@ -41,14 +36,10 @@
 }
 
 /** Runs warm-up jobs, after which this process may lead the whole region. */
-async function warmUp(
-	node: PoolNode,
-	log: PoolLog,
-	load: WarmUpLoad,
-): Promise<void> {
+async function warmUp(node: PoolNode, log: PoolLog): Promise<void> {
 	const startedAtMs = monotonicNowMs();
 	try {
-		await runWarmUpJobs(load);
+		await runWarmUpJobs(startupWarmUpLoad);
 		node.setWarm();
 		log.write({
 			event: 'rehearsed',
@@ -78,14 +69,7 @@
 			sinceStartMs < firstStartMs;
 		if (isDueAtFirstStart || node.isWarmUpDue) {
 			clearInterval(timer);
-			void warmUp(
-				node,
-				log,
-				// After a restart callers need the processor.
-				isDueAtFirstStart && node.isLargeInstallation
-					? zonalWarmUpLoad
-					: startupWarmUpLoad,
-			);
+			void warmUp(node, log);
 		}
 	}, warmUpCheckIntervalMs);
 }
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -10,7 +10,6 @@
 	ZoneEvacuations,
 	computeAnswerWindowMs,
 	defaultWorkerPoolSettings,
-	defaultOverlaySettings,
 	maxOverflowPatienceMs,
 	type DesiredState,
 	type EvacuationChange,
@@ -84,7 +83,7 @@
 const requestTimeoutMs = 800;
 
 /** Age up to which the room and the waits of the led zones are not computed anew. */
-const zoneReportMs = 40;
+const zoneReportMs = 80;
 /** Interval at which a leader sends what it has learned of run times. */
 const learnedIntervalMs = 1000;
 /** Time without room after which new room is announced at once; shorter ones would cost a heartbeat each under full load. */
@@ -382,14 +381,6 @@
 		return this.#overlayNode.isCandidate;
 	}
 
-	/**
-	 * Whether the installation has so many entry VMs that only some are candidates: then a leader has the load of many. Their
-	 * number is known in a process's first second, that of the workers only later.
-	 */
-	get isLargeInstallation(): boolean {
-		return this.#overlayNode.sizes.members > defaultOverlaySettings.maxMeshSize;
-	}
-
 	/** Whether this process should run its warm-up, so that it can lead its zone instead of a weaker machine. */
 	get isWarmUpDue(): boolean {
 		return this.isCandidate && this.#leadership.isWarmUpDue(this.#now());
--- a/packages/verbenarouter/src/pool/warm-up.ts
+++ b/packages/verbenarouter/src/pool/warm-up.ts
@@ -28,8 +28,6 @@
 	readonly concurrency: number;
 	/** Pause in milliseconds after each job, in which the process can handle other work. */
 	readonly pauseMs: number;
-	/** Number of simulated workers. */
-	readonly workerCount: number;
 };
 
 /**
@@ -40,24 +38,13 @@
 	jobCount: 150,
 	concurrency: 6,
 	pauseMs: 5,
-	workerCount: 6,
-};
-
-/**
- * The same for a candidate of a large installation. A job takes 5 ms of processor after 375 warm-up jobs instead
- * of 8 after 150, and the first second of traffic brings a zone's leader a hundred jobs. Tasks wait for workers, so that
- * the projections of waits are warm too.
- */
-export const zonalWarmUpLoad: WarmUpLoad = {
-	jobCount: 400,
-	concurrency: 12,
-	pauseMs: 5,
-	workerCount: 24,
 };
 
 const host = 'rehearsal';
 const pathPrefix = '/jobs/';
 const zone = 'rehearsal';
+/** Number of simulated workers. */
+const workerCount = 6;
 /** Interval at which the scheduler checks leases and deadlines. */
 const tickIntervalMs = 20;
 /** Time limit of each warm-up request. */
@@ -98,7 +85,6 @@
 	jobCount,
 	concurrency,
 	pauseMs,
-	workerCount,
 }: WarmUpLoad): Promise<void> {
 	const now = () => performance.now();
 	const workers = new SimulatedWorkers();
--- a/testing/src/measure-scheduler.ts
+++ b/testing/src/measure-scheduler.ts
@@ -135,9 +135,9 @@
 				counts[kind === 'completed' ? 'completed' : 'refused'] += 1;
 			},
 			sendUntouched() {
-			throw new Error('unexpected report of an untouched job');
-		},
-		sendCompletedTasks() {
+				throw new Error('unexpected report of an untouched job');
+			},
+			sendCompletedTasks() {
 				throw new Error('no zone is handed over in this measurement');
 			},
 			handleFencedZone() {
