Part the exchange of store data and the reports of zones from PoolNode

Cause: both hold the faults that were traced last, an empty list of workers and a room that was announced late, and no test reached them without processes. A worker that had shown to be warm became cold again with its next entry.

A worker's process stays warm once a run was not slow.

--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -156,6 +156,8 @@
 	#coldUntilMs = 0;
 	/** Entry from which `#coldUntilMs` was computed. */
 	#coldFrom: Pick<WorkerEntry, 'bornMs' | 'coldMs'> | undefined;
+	/** Start time of the process of which a run was not slow, so that its later entries do not make it cold again. */
+	#warmBornMs: number | undefined;
 	readonly #handleChange: ((worker: PoolWorker) => void) | undefined;
 
 	/** `handleChange` is called after each change of the runs, the orphans or `isSynced`. */
@@ -199,7 +201,8 @@
 			entry.coldMs === this.#coldFrom.coldMs;
 		if (!isKnown) {
 			this.#coldFrom = entry;
-			this.#coldUntilMs = now + (entry.coldMs ?? 0);
+			this.#coldUntilMs =
+				entry.bornMs === this.#warmBornMs ? 0 : now + (entry.coldMs ?? 0);
 		}
 	}
 
@@ -213,6 +216,7 @@
 		this.pace.recordEndedRun(ratio, now, hasTail);
 		if (!this.pace.isSlow(now)) {
 			this.#coldUntilMs = 0;
+			this.#warmBornMs = this.entry.bornMs;
 		}
 	}
 
--- a/packages/core/src/tests/zone-evacuations.test.ts
+++ b/packages/core/src/tests/zone-evacuations.test.ts
@@ -277,5 +277,14 @@
 			startMs + 442,
 		);
 		expect(fixture.starts.length).toBeGreaterThan(2);
+		// The worker still counts down its cold time in each entry that it writes.
+		const worker = fixture.scheduler.pool.findWorker('w1')!;
+		worker.setEntry(workerFixture('w1', {coldMs: 2500}), startMs + 450);
+		expect(worker.isCold(startMs + 450)).toBe(false);
+		worker.setEntry(
+			workerFixture('w1', {coldMs: 4000, bornMs: 2}),
+			startMs + 460,
+		);
+		expect(worker.isCold(startMs + 460)).toBe(true);
 	});
 });
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -14,6 +14,7 @@
 	type DesiredState,
 	type EvacuationChange,
 	type LeadershipChange,
+	type LearnedSpeeds,
 	type PoolAnswer,
 	type PoolJob,
 	type PoolScope,
@@ -30,14 +31,16 @@
 import {type MetricSample} from '../metrics.js';
 import {OverlayNode, type NodeState} from '../overlay/overlay-node.js';
 import {
-	KnowledgeSchedule,
-	computeWorkersVersion,
-	type DueKnowledge,
-} from './knowledge-schedule.js';
+	KnowledgeExchange,
+	staleStoreDataMs,
+	type KnowledgeView,
+} from './knowledge-exchange.js';
+import {computeWorkersVersion} from './knowledge-schedule.js';
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {type PoolLog} from './pool-log.js';
 import {StoreFollower} from './store-follower.js';
 import {createWorkerCommandSender} from './worker-command-sender.js';
+import {ZoneReporter} from './zone-reporter.js';
 import {
 	ZoneRouter,
 	defaultRunMs,
@@ -60,17 +63,6 @@
 const maxFirstSendDelayMs = 900;
 /** Longest time for which a job that a lost leader may have started waits for the next leader; a failover takes less. */
 const maxResendDelayMs = 900;
-/** Age of the store data from which a leader requests it from its peers. */
-const staleStoreDataMs = 700;
-/** Age that is reported for a list of workers that was never read; JSON has no infinite numbers. */
-const maxReportedAgeMs = 1e12;
-/**
- * Delay between successive followers before they start to read the store for a leader that cannot, so that only one
- * does.
- */
-const readerStaggerMs = 150;
-/** Interval at which store data is sent to a leader that cannot read the store, while nothing changes. */
-const knowledgeResendIntervalMs = 400;
 /** Interval of checks for workers that have not registered again in time, and for unreachable zones. */
 const directoryCheckIntervalMs = 500;
 /** Time without a report after which the workers of a zone count as unreachable. */
@@ -82,12 +74,6 @@
 /** Longest time for which a request to the leader waits for its reply. */
 const requestTimeoutMs = 800;
 
-/** Age up to which the room and the waits of the led zones are not computed anew. */
-const zoneReportMs = 80;
-/** Interval at which a leader sends what it has learned of run times. */
-const learnedIntervalMs = 1000;
-/** Time without room after which new room is announced at once; shorter ones would cost a heartbeat each under full load. */
-const minFullMs = 300;
 /** Delay of a submission that a leader has asked for again: longer than the interval of heartbeats to leaders. */
 const resubmitDelayMs = 120;
 
@@ -145,26 +131,11 @@
 	#lastDirectoryCheckMs = 0;
 	/** Workers whose entries expired while their zone was partitioned; their runs may continue. */
 	readonly #partitionedWorkers = new Map<string, WorkerEntry>();
-	/** Names of the leaders that cannot read the store. */
-	readonly #leadersWithoutStore = new Set<string>();
-	/** Time since which some leader cannot read the store. */
-	#leaderWithoutStoreSinceMs: number | undefined;
-	/** Names of the peers that have recently read the store themselves. */
-	readonly #storeReaders = new Set<string>();
-	/** Time at which store data was last sent to each leader that cannot read the store. */
-	readonly #lastKnowledgeSentMs = new Map<string, number>();
-	readonly #knowledgeSchedule = new KnowledgeSchedule();
-	/** Versions that peers announce, by name; without those of peers that announce none. */
-	readonly #peerVersions = new Map<string, KnowledgeVersions>();
+	readonly #knowledgeExchange: KnowledgeExchange;
 	#workersVersion = '';
-	#zoneReport: Pick<NodeState, 'spareMillis' | 'waits'> = {};
-	#zoneReportedAtMs = Number.NEGATIVE_INFINITY;
-	/** Time at which what was learned was last sent to others. */
-	#learnedSentAtMs = 0;
-	/** Time since which no led zone has room for jobs of other zones; `undefined` while one has. */
-	#fullSinceMs: number | undefined;
 	/** Version of the list of workers that a peer has sent since the last read of the store. */
 	#receivedWorkersVersion: string | undefined;
+	readonly #zoneReporter: ZoneReporter;
 
 	constructor(settings: EntrySettings, log: PoolLog, now: () => number) {
 		this.#settings = settings;
@@ -180,6 +151,16 @@
 				log.write(fields);
 			},
 		);
+		this.#knowledgeExchange = new KnowledgeExchange({
+			name: settings.name,
+			readView: (time) => this.#readKnowledgeView(time),
+			isOpen: (name) => this.#overlayNode.isOpen(name),
+			hasLeader: (zone, time) =>
+				this.#leadership.findLeader(zone, time) !== undefined,
+			send: (names, knowledge) => {
+				this.#overlayNode.sendToAll(names, {type: 'knowledge', knowledge});
+			},
+		});
 		this.#workerClient = new WorkerClient(now);
 		this.#scheduler = new PoolScheduler({
 			commandSender: createWorkerCommandSender(
@@ -233,6 +214,15 @@
 				stopDurationMs: settings.workerStopMs,
 			},
 		});
+		this.#zoneReporter = new ZoneReporter({
+			scheduler: this.#scheduler,
+			announce: (time) => {
+				this.#overlayNode.sendHeartbeatToAll(time);
+			},
+			sendLearned: (learned, time) => {
+				this.#sendLearned(learned, time);
+			},
+		});
 		const client = new StoreClient(settings.storeAddress);
 		this.#overlayNode = new OverlayNode({
 			settings,
@@ -255,7 +245,7 @@
 					this.#scheduler.markReceiverUnreachable(name, now());
 				},
 				onOpen: (name) => {
-					this.#knowledgeSchedule.handleOpen(name);
+					this.#knowledgeExchange.handleOpen(name);
 					this.#resubmitPendingJobs(
 						(pending) => this.#findLeaderFor(pending, now()) === name,
 					);
@@ -626,7 +616,7 @@
 		const now = this.#now();
 		this.#overlayNode.update(false, now);
 		this.#updateLeadership();
-		const shouldRead = this.#shouldReadStore(now);
+		const shouldRead = this.#knowledgeExchange.shouldReadStore(now);
 		this.#storeFollower.setActive(
 			shouldRead,
 			shouldRead && (this.isCandidate || this.#leadership.ledZones.size > 0),
@@ -661,9 +651,11 @@
 			);
 		}
 
-		this.#announceRegainedRoom(now);
-		this.#sendLearned(now);
-		this.#sendMissingKnowledge(now);
+		if (this.#scope === 'zone' && this.#leadership.ledZones.size > 0) {
+			this.#zoneReporter.update(now);
+		}
+
+		this.#knowledgeExchange.sendDue(now);
 		this.#overlayNode.sendDueHeartbeats(now);
 		if (now - this.#lastConnectionCheckMs >= connectionCheckIntervalMs) {
 			this.#lastConnectionCheckMs = now;
@@ -671,42 +663,6 @@
 		}
 	}
 
-	/**
-	 * Whether to read the store. Leaders do, and entry VMs without a leader; while a leader cannot, one candidate that can
-	 * reads it on the leader's behalf.
-	 */
-	#shouldReadStore(now: number): boolean {
-		if (this.#leadership.ledZones.size > 0 || this.#leader === undefined) {
-			return true;
-		}
-
-		if (!this.isCandidate || this.#leadersWithoutStore.size === 0) {
-			this.#leaderWithoutStoreSinceMs = undefined;
-			return false;
-		}
-
-		this.#leaderWithoutStoreSinceMs ??= now;
-		const followers = this.#leadership
-			.livePeers(now)
-			.filter(
-				({leads, isCandidate}) =>
-					isCandidate !== false && Object.keys(leads).length === 0,
-			)
-			.map(({name}) => name);
-		const readers = followers.filter((name) => this.#storeReaders.has(name));
-		if (this.#storeFollower.ownWorkersAgeMs(now) < staleStoreDataMs) {
-			return readers.every((name) => name > this.#settings.name);
-		}
-
-		const position = followers.filter(
-			(name) => name < this.#settings.name,
-		).length;
-		return (
-			readers.length === 0 &&
-			now - this.#leaderWithoutStoreSinceMs >= position * readerStaggerMs
-		);
-	}
-
 	/**
 	 * Evaluates the election once the messages that have arrived are read, however many of them change it, and informs peers
 	 * that have lost a leader which is live here before they claim its zone.
@@ -818,9 +774,7 @@
 			if (change.kind === 'claimed') {
 				this.#restoreWorkersOfZone(change.zone, now);
 				this.#scheduler.startLeadingZone(change.zone, change.token, now);
-				// The first room after a claim is announced at once, however soon the workers report.
-				this.#fullSinceMs = Number.NEGATIVE_INFINITY;
-				this.#zoneReportedAtMs = Number.NEGATIVE_INFINITY;
+				this.#zoneReporter.handleClaim();
 				if (this.#desiredState !== undefined) {
 					this.#scheduler.applyDesiredState(this.#desiredState);
 				}
@@ -845,30 +799,8 @@
 		}
 	}
 
-	/** Returns the room and the waits of the led zones. Several heartbeats of one moment share them. */
-	#computeZoneReport(now: number): Pick<NodeState, 'spareMillis' | 'waits'> {
-		if (now - this.#zoneReportedAtMs >= zoneReportMs) {
-			this.#zoneReportedAtMs = now;
-			this.#zoneReport = {
-				spareMillis: this.#scheduler.computeSpareMillis(now),
-				waits: this.#scheduler.projectZoneWaits(now),
-			};
-		}
-
-		return this.#zoneReport;
-	}
-
-	/** Sends what this leader has learned of run times to candidates of its zones and to other leaders, if there is anything. */
-	#sendLearned(now: number): void {
-		if (
-			this.#leadership.ledZones.size === 0 ||
-			now - this.#learnedSentAtMs < learnedIntervalMs
-		) {
-			return;
-		}
-
-		this.#learnedSentAtMs = now;
-		const learned = this.#scheduler.exportLearned();
+	/** Sends what this leader has learned of run times to the candidates that it is connected to. */
+	#sendLearned(learned: LearnedSpeeds, now: number): void {
 		const names = this.#leadership
 			.livePeers(now)
 			.filter(
@@ -876,46 +808,18 @@
 					isCandidate === true && this.#overlayNode.isOpen(name),
 			)
 			.map(({name}) => name);
-		if (
-			names.length > 0 &&
-			(learned.kinds.length > 1 || learned.tails.length > 0)
-		) {
+		if (names.length > 0) {
 			this.#overlayNode.sendToAll(names, {type: 'learned', learned});
 		}
 	}
 
-	/**
-	 * Tells the peers at once that the led zones have room again after a time without any: jobs that other zones refuse would
-	 * be refused for good until the next heartbeat.
-	 */
-	#announceRegainedRoom(now: number): void {
-		if (this.#scope !== 'zone' || this.#leadership.ledZones.size === 0) {
-			return;
-		}
-
-		const {spareMillis = {}} =
-			this.#fullSinceMs === undefined
-				? this.#zoneReport
-				: this.#computeZoneReport(now);
-		const hasRoom = Object.values(spareMillis).some((millis) => millis > 0);
-		if (!hasRoom) {
-			this.#fullSinceMs ??= now;
-		} else if (this.#fullSinceMs !== undefined) {
-			if (now - this.#fullSinceMs >= minFullMs) {
-				this.#overlayNode.sendHeartbeatToAll(now);
-			}
-
-			this.#fullSinceMs = undefined;
-		}
-	}
-
 	/** Returns what heartbeats tell of this entry VM besides its membership and leadership. */
 	#readState(now: number): NodeState {
 		return {
 			isStopping: this.#isStopping,
 			scope: this.#scope,
 			...(this.#scope === 'zone' && this.#leadership.ledZones.size > 0
-				? this.#computeZoneReport(now)
+				? this.#zoneReporter.read(now)
 				: {}),
 			...(this.#evacuations.entries.length > 0
 				? {evacuations: this.#evacuations.entries}
@@ -969,17 +873,11 @@
 		const now = this.#now();
 		switch (message.type) {
 			case 'heartbeat': {
-				if (message.knows === undefined) {
-					this.#peerVersions.delete(from);
-				} else {
-					this.#peerVersions.set(from, message.knows);
-				}
-
 				this.#handleEvacuationChanges(
 					this.#evacuations.merge(message.heartbeat.evacuations ?? []),
 					from,
 				);
-				this.#updateStoreReader(from, message, now);
+				this.#knowledgeExchange.recordHeartbeat(from, message, now);
 				break;
 			}
 
@@ -1096,34 +994,6 @@
 		}
 	}
 
-	/** Records whether a peer can read the store, and sends current store data to a leader that cannot. */
-	#updateStoreReader(
-		from: string,
-		{needsKnowledge, readsStore}: PoolMessage & {readonly type: 'heartbeat'},
-		now: number,
-	): void {
-		if (readsStore) {
-			this.#storeReaders.add(from);
-		} else {
-			this.#storeReaders.delete(from);
-		}
-
-		if (!needsKnowledge) {
-			this.#leadersWithoutStore.delete(from);
-			return;
-		}
-
-		this.#leadersWithoutStore.add(from);
-		if (
-			this.#storeFollower.ownWorkersAgeMs(now) < staleStoreDataMs &&
-			now - (this.#lastKnowledgeSentMs.get(from) ?? 0) >=
-				knowledgeResendIntervalMs
-		) {
-			this.#lastKnowledgeSentMs.set(from, now);
-			this.#sendKnowledge(from);
-		}
-	}
-
 	#logError(during: string, error: unknown): void {
 		this.#log.write({
 			event: 'unexpected-error',
@@ -1132,29 +1002,19 @@
 		});
 	}
 
-	/** Sends the desired state and the workers to a peer. */
-	#sendKnowledge(name: string): void {
-		this.#sendKnowledgeToAll([name], {hasState: true, hasWorkers: true});
-	}
-
-	/** Sends the desired state, the workers or both to peers. */
-	#sendKnowledgeToAll(
-		names: readonly string[],
-		{hasState, hasWorkers}: DueKnowledge,
-	): void {
-		const ageMs = this.#storeFollower.workersAgeMs(this.#now());
-		this.#overlayNode.sendToAll(names, {
-			type: 'knowledge',
-			knowledge: {
-				state: hasState ? this.#desiredState : undefined,
-				workers:
-					hasWorkers && Number.isFinite(ageMs)
-						? this.#workerEntries
-						: undefined,
-				versions: this.#ownVersions,
-				ageMs: Math.min(ageMs, maxReportedAgeMs),
-			},
-		});
+	/** Returns what this entry VM knows of the store's data and of its peers. */
+	#readKnowledgeView(now: number): KnowledgeView {
+		return {
+			isCandidate: this.isCandidate,
+			ledZones: this.#leadership.ledZones,
+			hasOwnLeader: this.#leader !== undefined,
+			peers: this.#leadership.livePeers(now),
+			desiredState: this.#desiredState,
+			workers: this.#workerEntries,
+			workersAgeMs: this.#storeFollower.workersAgeMs(now),
+			ownWorkersAgeMs: this.#storeFollower.ownWorkersAgeMs(now),
+			versions: this.#ownVersions,
+		};
 	}
 
 	get #ownVersions(): KnowledgeVersions {
@@ -1164,71 +1024,6 @@
 		};
 	}
 
-	/**
-	 * Sends the desired state and the workers to the peers that lack them: as a leader to the followers of its zones and of
-	 * zones without a leader, and as a reader of the store or a candidate to leaders that cannot read it.
-	 */
-	#sendMissingKnowledge(now: number): void {
-		const {ledZones} = this.#leadership;
-		const hasWorkerList = Number.isFinite(
-			this.#storeFollower.workersAgeMs(now),
-		);
-		// While nobody can read the store, a process that has restarted and leads knows less than the candidates around it.
-		const informsLeaders =
-			this.isCandidate && this.#leadersWithoutStore.size > 0;
-		const isReader =
-			this.#leadersWithoutStore.size > 0 &&
-			this.#storeFollower.ownWorkersAgeMs(now) < staleStoreDataMs;
-		if (
-			(ledZones.size === 0 && !isReader && !informsLeaders) ||
-			(this.#desiredState === undefined && !hasWorkerList)
-		) {
-			return;
-		}
-
-		const peers = this.#leadership
-			.livePeers(now)
-			.filter(
-				({name, zone, leads}) =>
-					this.#overlayNode.isOpen(name) &&
-					((this.#informsZone(zone, now) && Object.keys(leads).length === 0) ||
-						((isReader || informsLeaders) &&
-							this.#leadersWithoutStore.has(name))),
-			)
-			.map(({name, isCandidate}) => ({
-				name,
-				knows: this.#peerVersions.get(name),
-				needsWorkers: hasWorkerList && isCandidate !== false,
-			}));
-		const due = [
-			...this.#knowledgeSchedule.takeDue(peers, this.#ownVersions, now),
-		];
-		for (const [hasState, hasWorkers] of [
-			[true, true],
-			[true, false],
-			[false, true],
-		] as const) {
-			const names = due
-				.filter(
-					([, knowledge]) =>
-						knowledge.hasState === hasState &&
-						knowledge.hasWorkers === hasWorkers,
-				)
-				.map(([name]) => name);
-			if (names.length > 0) {
-				this.#sendKnowledgeToAll(names, {hasState, hasWorkers});
-			}
-		}
-	}
-
-	/** Whether this entry VM informs the entry VMs of a zone: as their leader, or if they have none. */
-	#informsZone(zone: string, now: number): boolean {
-		return (
-			this.#leadership.ledZones.has(zone) ||
-			this.#leadership.findLeader(zone, now) === undefined
-		);
-	}
-
 	/** Applies a desired state from the store or a peer unless it is older than the present one or the same. */
 	#applyDesiredState(state: DesiredState, source: string): void {
 		if (
@@ -1251,7 +1046,7 @@
 		}
 
 		this.#stateWaiters.clear();
-		this.#sendMissingKnowledge(this.#now());
+		this.#knowledgeExchange.sendDue(this.#now());
 	}
 
 	/** Applies a change of the evacuated zones to the scheduler, and tells all peers at once. */
