Log why runs are lost with their workers, and what ran beside them

Change: a refused connection is distinguished from other connections that fail, and logged once for each worker (`refusing`); the end of a lost run has its cause and the number of other runs on the worker, a start the number of lost runs before it; a changed capacity is logged (`resized`); `explain` prints the task and the cause of each lost run. No decision depends on them yet. Result: the tests of core, of the HTTP client and of explain pass.

--- a/packages/core/src/pool-job.ts
+++ b/packages/core/src/pool-job.ts
@@ -107,6 +107,15 @@
 	};
 }
 
+/** Whether two amounts of resources are equal. */
+export function isEqualAmount(left: Resources, right: Resources): boolean {
+	return (
+		left.processorMillis === right.processorMillis &&
+		left.memoryMb === right.memoryMb &&
+		left.accelerators === right.accelerators
+	);
+}
+
 /** Whether a task with these needs fits into the free resources. */
 export function fitsWithin(needs: Resources, free: Resources): boolean {
 	return (
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -570,6 +570,12 @@
 			inputs: {
 				ranMs: Math.round(ranMs),
 				expectedMs: Math.round(run.expectedMs),
+				...(run.lossCause === undefined
+					? {}
+					: {
+							cause: run.lossCause,
+							otherRuns: worker.runs.size,
+						}),
 			},
 		});
 		if (outcome === 'done') {
@@ -633,6 +639,12 @@
 			inputs: {
 				runs: worker.runs.size,
 				reportAgeMs: Math.round(Math.min(1e9, this.#now - worker.reportedAtMs)),
+				...(change === 'resized'
+					? {
+							capacityMillis: worker.entry.capacity.processorMillis,
+							freeMillis: worker.free.processorMillis,
+						}
+					: {}),
 			},
 		});
 	}
@@ -1096,6 +1108,7 @@
 				needsMillis: task.task.needs.processorMillis,
 				expectedMs: Math.round(task.expectedMs),
 				reportAgeMs: Math.round(now - worker.reportedAtMs),
+				...(task.lostRunCount === 0 ? {} : {lostRuns: task.lostRunCount}),
 			},
 		});
 		this.#options.queueOrder.shares?.recordStart(
@@ -1128,6 +1141,7 @@
 		this.#waitingJobs.add(job);
 		task.avoidedWorker = worker.entry.id;
 		task.failureCount += outcome === 'failed' ? 1 : 0;
+		task.lostRunCount += outcome === 'lapsed' ? 1 : 0;
 		if (task.failureCount >= job.queue.mostAttempts) {
 			this.#abandonJob(job, {kind: 'failed', reason: 'attempts-used-up'}, now);
 		}
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -40,6 +40,17 @@
  */
 export type RunEndStatus = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken';
 
+/**
+ * Why a run ended as `lapsed`.
+ *
+ * - `crashed`: the worker's process has ended; it refuses connections, or has started anew.
+ * - `unreachable`: commands to the worker fail; its process may have ended or be behind a partition.
+ * - `not-extended`: the leader has not extended the lease in time.
+ * - `reported`: the worker itself reports that the lease expired.
+ */
+export type RunLossCause =
+	'crashed' | 'unreachable' | 'not-extended' | 'reported';
+
 /** The end of a run that a worker reports. */
 export type ReportedEnd = {
 	/** Sequence number, which rises by one with each end and starts again when the worker's process restarts. */
@@ -82,6 +93,8 @@
 	sendCount: number;
 	/** Time at which the newest start or stop command was sent. */
 	lastSentAtMs: number;
+	/** Why the run was lost; `undefined` unless it has ended as `lapsed`. */
+	lossCause?: RunLossCause;
 };
 
 /** A run that a worker reports and that no job has claimed yet. */
@@ -136,6 +149,8 @@
 	reportRequestedAtMs = Number.NEGATIVE_INFINITY;
 	/** Failed hold commands and unsent start commands since the last report. */
 	contactFailures = 0;
+	/** Whether the worker's host has refused a connection since the last report. */
+	isRefusingConnections = false;
 	/** Sequence number of the last end that the pool has handled. */
 	lastHandledEndNumber = 0;
 	/** Time from which the platform has listed the worker as draining. */
--- a/packages/core/src/scheduled-job.ts
+++ b/packages/core/src/scheduled-job.ts
@@ -13,6 +13,8 @@
 	/** Number of the latest known run; 0 before the first. */
 	latestRun: number;
 	failureCount: number;
+	/** Number of runs that this leader has lost with their workers. */
+	lostRunCount: number;
 	/** Whether a run of the task was stopped because it took many times as long as expected. */
 	wasStuck: boolean;
 	/** Identifier of the worker where the last run ended without success; a retry prefers other workers. */
@@ -85,6 +87,7 @@
 			worker: undefined,
 			latestRun: 0,
 			failureCount: 0,
+			lostRunCount: 0,
 			wasStuck: false,
 			avoidedWorker: undefined,
 		}));
--- a/packages/core/src/worker-command.ts
+++ b/packages/core/src/worker-command.ts
@@ -64,7 +64,11 @@
 			readonly clockMs?: number;
 	  }
 	/** No connection could be opened, so the worker has not received the command. */
-	| {readonly kind: 'not-sent'}
+	| {
+			readonly kind: 'not-sent';
+			/** Whether the worker's host refused the connection: no process listens at the worker's address. */
+			readonly isRefused?: boolean;
+	  }
 	/** No answer: the worker may have executed the command, or may still execute it. */
 	| {readonly kind: 'silent'};
 
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -4,10 +4,12 @@
 	type ReportedEnd,
 	type ReportedRun,
 	type RunEndStatus,
+	type RunLossCause,
 	type WorkerEntry,
 	type WorkerReport,
 	type WorkerRun,
 } from './pool-worker.js';
+import {isEqualAmount} from './pool-job.js';
 import {WorkerKindSpeeds} from './worker-kind-speed.js';
 import {
 	type CommandOutcome,
@@ -50,6 +52,8 @@
  * - `gone`: the platform no longer lists the worker.
  * - `restarted`: the worker's process has been restarted.
  * - `set-aside`: the worker receives no tasks for a while because of failures.
+ * - `refusing`: the worker's host refuses connections, as the worker's process has ended.
+ * - `resized`: the worker's capacity has changed while its process runs.
  */
 export type WorkerStatusChange =
 	| 'synced'
@@ -58,7 +62,9 @@
 	| 'draining'
 	| 'gone'
 	| 'restarted'
-	| 'set-aside';
+	| 'set-aside'
+	| 'refusing'
+	| 'resized';
 
 /** Settings of a worker pool. */
 export type WorkerPoolSettings = {
@@ -419,7 +425,7 @@
 			}
 
 			case 'not-sent': {
-				this.#handleCommandFailure(worker, now);
+				this.#handleCommandFailure(worker, outcome, now);
 				this.#endRun(
 					worker,
 					run,
@@ -506,7 +512,7 @@
 			worker.nextHoldAtMs = now + maxHoldRetryMs;
 			this.#listener.handleFencedZone(worker.entry.zone, fencingToken);
 		} else {
-			this.#handleCommandFailure(worker, now);
+			this.#handleCommandFailure(worker, outcome, now);
 		}
 	}
 
@@ -640,6 +646,9 @@
 		const hasRestarted =
 			worker.bornMs !== undefined && entry.bornMs > worker.bornMs;
 		const wasDraining = worker.entry.state === 'draining';
+		const isResized =
+			entry.bornMs === worker.entry.bornMs &&
+			!isEqualAmount(entry.capacity, worker.entry.capacity);
 		worker.setEntry(entry, now);
 		worker.isEvacuated = this.#evacuatedZones.has(entry.zone);
 		this.#capacity.update(worker);
@@ -648,6 +657,10 @@
 			worker.isSynced = false;
 		}
 
+		if (isResized) {
+			this.#listener.handleWorkerChange(worker, 'resized');
+		}
+
 		if (entry.state === 'draining' && !wasDraining) {
 			worker.drainingSinceMs = now;
 			this.#listener.handleWorkerChange(worker, 'draining');
@@ -766,6 +779,7 @@
 		}
 
 		worker.contactFailures = 0;
+		worker.isRefusingConnections = false;
 		worker.reportedAtMs = now;
 		worker.reportRequestedAtMs = sentAtMs;
 		worker.nextHoldAtMs = now;
@@ -791,6 +805,10 @@
 		const run = worker.runs.get(end.task);
 		this.#removeOrphan(worker, end.task);
 		if (run?.run === end.run) {
+			if (end.how === 'lapsed') {
+				run.lossCause = 'reported';
+			}
+
 			this.#endRun(worker, run, end.how, now);
 		} else if (run === undefined && !this.#listener.tryAdoptEnd(end)) {
 			this.#retainOrphanEnd(end, now);
@@ -877,12 +895,26 @@
 		// The report lists the runs whose start commands the new process has executed, and waiting tasks adopt them from it.
 		// All other runs are assumed to have ended with the earlier process.
 		for (const run of worker.runs.values()) {
+			run.lossCause = 'crashed';
 			this.#endRun(worker, run, 'lapsed', now);
 		}
 	}
 
-	#handleCommandFailure(worker: PoolWorker, now: number): void {
+	#handleCommandFailure(
+		worker: PoolWorker,
+		outcome: CommandOutcome,
+		now: number,
+	): void {
 		worker.contactFailures += 1;
+		if (
+			outcome.kind === 'not-sent' &&
+			outcome.isRefused === true &&
+			!worker.isRefusingConnections
+		) {
+			worker.isRefusingConnections = true;
+			this.#listener.handleWorkerChange(worker, 'refusing');
+		}
+
 		worker.nextHoldAtMs =
 			now +
 			(worker.contactFailures === 1
@@ -903,7 +935,9 @@
 			return;
 		}
 
+		const lossCause = findLossCause(worker);
 		for (const run of worker.runs.values()) {
+			run.lossCause = lossCause;
 			this.#endRun(worker, run, 'lapsed', now);
 		}
 	}
@@ -1001,3 +1035,15 @@
 		});
 	}
 }
+
+/** Returns why a worker's runs end whose lease has expired without a report. */
+function findLossCause({
+	isRefusingConnections,
+	contactFailures,
+}: PoolWorker): RunLossCause {
+	if (isRefusingConnections) {
+		return 'crashed';
+	}
+
+	return contactFailures >= maxContactFailures ? 'unreachable' : 'not-extended';
+}
--- a/packages/platform/src/http-exchange.ts
+++ b/packages/platform/src/http-exchange.ts
@@ -14,7 +14,12 @@
 			readonly body: Uint8Array;
 	  }
 	/** The request was not sent, so it has had no effect. */
-	| {readonly kind: 'not-sent'; readonly message: string}
+	| {
+			readonly kind: 'not-sent';
+			readonly message: string;
+			/** Whether the host has refused the connection, as no process listens on the port. */
+			readonly isRefused: boolean;
+	  }
 	/** No complete response: the request may have been executed, or may still be executed. */
 	| {readonly kind: 'silent'; readonly message: string};
 
@@ -82,7 +87,11 @@
 				});
 			} catch (error: unknown) {
 				// Node throws on a port or a header value that cannot be sent; both may come from records of other programs.
-				resolve({kind: 'not-sent', message: String(error)});
+				resolve({
+					kind: 'not-sent',
+					message: String(error),
+					isRefused: false,
+				});
 				return;
 			}
 
@@ -142,11 +151,11 @@
 		this.#request.on('response', (response) => {
 			this.#readResponse(response);
 		});
-		this.#request.on('error', (error) => {
-			this.#settle({
-				kind: this.#mayBeSent ? 'silent' : 'not-sent',
-				message: String(error),
-			});
+		this.#request.on('error', (error: NodeJS.ErrnoException) => {
+			this.#settleWithoutResponse(
+				String(error),
+				error.code === 'ECONNREFUSED',
+			);
 		});
 	}
 
@@ -196,10 +205,18 @@
 
 		const message = `no response within ${Math.round(waitedMs)} ms`;
 		// If the request still waits for a connection, `destroy` removes it from the agent's queue, so it is never sent.
-		this.#settle({kind: this.#mayBeSent ? 'silent' : 'not-sent', message});
+		this.#settleWithoutResponse(message, false);
 		this.#request.destroy();
 	}
 
+	#settleWithoutResponse(message: string, isRefused: boolean): void {
+		this.#settle(
+			this.#mayBeSent
+				? {kind: 'silent', message}
+				: {kind: 'not-sent', message, isRefused},
+		);
+	}
+
 	#settle(exchange: HttpExchangeOutcome): void {
 		if (!this.#isSettled) {
 			this.#isSettled = true;
--- a/packages/platform/src/tests/http-exchange.test.ts
+++ b/packages/platform/src/tests/http-exchange.test.ts
@@ -126,10 +126,13 @@
 		expect(await client.exchange(request)).toMatchObject({kind: 'silent'});
 	});
 
-	it('is not sent if no server listens on the port', async () => {
+	it('is refused, and not sent, if no server listens on the port', async () => {
 		const {client} = await clientFixture(sendResponse);
 		servers[0]!.close();
-		expect(await client.exchange(request)).toMatchObject({kind: 'not-sent'});
+		expect(await client.exchange(request)).toMatchObject({
+			kind: 'not-sent',
+			isRefused: true,
+		});
 	});
 
 	it('is never sent if all connections are in use until its timeout', async () => {
@@ -139,6 +142,7 @@
 			client.exchange(shortTimeoutRequest),
 		]);
 		expect([first.kind, second.kind]).toEqual(['silent', 'not-sent']);
+		expect(second).toMatchObject({isRefused: false});
 		expect(requests()).toBe(1);
 	});
 
--- a/packages/platform/src/worker-client.ts
+++ b/packages/platform/src/worker-client.ts
@@ -157,8 +157,12 @@
 	exchange: HttpExchangeOutcome,
 	isReport: boolean,
 ): CommandOutcome {
-	if (exchange.kind !== 'answered') {
-		return {kind: exchange.kind};
+	if (exchange.kind === 'not-sent') {
+		return {kind: 'not-sent', isRefused: exchange.isRefused};
+	}
+
+	if (exchange.kind === 'silent') {
+		return {kind: 'silent'};
 	}
 
 	const record = parseJsonObject(decodeUtf8(exchange.body)) ?? {};
--- a/packages/verbenarouter/src/pool/job-explanation.ts
+++ b/packages/verbenarouter/src/pool/job-explanation.ts
@@ -148,6 +148,14 @@
 		: `; last task started after ${lastStartMs} ms; longest run took ${longest.inputs?.ranMs ?? '?'} ms (${longest.inputs?.expectedMs ?? '?'} ms expected) on ${String(longest.worker)}`;
 }
 
+/** Describes a run that did not complete; for a run that was lost with its worker, also why and what ran beside it. */
+function describeFailedRun({worker, task, reason, inputs}: LogLine): string {
+	const end = `run on ${String(worker)} ended: ${String(reason)}`;
+	return inputs?.cause === undefined
+		? end
+		: `${end} (task ${String(task)}, worker ${inputs.cause}, ${inputs.otherRuns ?? '?'} other runs)`;
+}
+
 /** Describes what delayed a job: runs that did not complete, and resubmissions to another leader. */
 function describeDelays(lines: readonly LogLine[]): string {
 	const failedRuns = lines.filter(
@@ -162,9 +170,7 @@
 			({zone}) =>
 				`; sent to zone ${String(zone)}, as its own zone is evacuated`,
 		),
-		...failedRuns.map(
-			(line) => `; run on ${String(line.worker)} ended: ${String(line.reason)}`,
-		),
+		...failedRuns.map((line) => `; ${describeFailedRun(line)}`),
 		...resubmitted.map(({entryVm}) => `; resubmitted to leader ${entryVm}`),
 	].join('');
 }
