Show by tests that a task may crash any number of workers

The stand-in of a worker learns to crash with a task: its connections end, its port refuses, and 2.5 s later it starts again and knows nothing of before.

--- a/packages/platform/src/http-exchange.ts
+++ b/packages/platform/src/http-exchange.ts
@@ -152,10 +152,7 @@
 			this.#readResponse(response);
 		});
 		this.#request.on('error', (error: NodeJS.ErrnoException) => {
-			this.#settleWithoutResponse(
-				String(error),
-				error.code === 'ECONNREFUSED',
-			);
+			this.#settleWithoutResponse(String(error), error.code === 'ECONNREFUSED');
 		});
 	}
 
--- a/testing/src/pool/open-connection.ts
+++ b/testing/src/pool/open-connection.ts
@@ -34,7 +34,7 @@
 			'POST',
 			testQueue.prefix + id,
 			JSON.stringify({
-				spec: formatTaskSpec(runMs, 100),
+				spec: formatTaskSpec({runMs, needsMillis: 100, crashesWorker: false}),
 				bestEffort: true,
 				steps: [{count: 1, cpu: 100, memMb: 1, estimatedMs: runMs}],
 			}),
--- a/testing/src/pool/pool-installation.ts
+++ b/testing/src/pool/pool-installation.ts
@@ -7,7 +7,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {findFreePorts} from '../processes.js';
 import {StoreStandIn} from './store-stand-in.js';
-import {WorkerStandIn} from './worker-stand-in.js';
+import {WorkerStandIn, type TaskBehavior} from './worker-stand-in.js';
 
 /** Size and settings of an installation. */
 export type PoolInstallationOptions = {
@@ -16,6 +16,8 @@
 	readonly workersPerZone: number;
 	/** Capacity of each worker in thousandths of a processor. */
 	readonly processorMillis: number;
+	/** Whether the workers refuse starts beyond their capacity; true by default. */
+	readonly guardsCapacity?: boolean;
 	/** Whether the peer seeds in the settings are running entry VMs; true by default. */
 	readonly hasLiveSeeds?: boolean;
 	/** Arguments of Node.js before the path of the program. */
@@ -59,9 +61,13 @@
 const targetLatencyMs = 5000;
 const service = 'menu';
 
-/** Formats a task specification for the workers' stand-in: run time in milliseconds and processor need in thousandths. */
-export function formatTaskSpec(runMs: number, needsMillis: number): string {
-	return `${runMs} ${needsMillis}`;
+/** Formats a task specification for the workers' stand-in, which the tasks of a job share. */
+export function formatTaskSpec({
+	runMs,
+	needsMillis,
+	crashesWorker,
+}: TaskBehavior): string {
+	return `${runMs} ${needsMillis} ${crashesWorker ? 1 : 0}`;
 }
 
 /** Installation of entry VM processes, with stand-ins for the store and the workers of the users' platform. */
@@ -86,8 +92,14 @@
 						service,
 						processorMillis: options.processorMillis,
 						parseTaskSpec(spec) {
-							const [runMs = 0, needsMillis = 0] = spec.split(' ').map(Number);
-							return {runMs, needsMillis};
+							const [runMs = 0, needsMillis = 0, crashesWorker = 0] = spec
+								.split(' ')
+								.map(Number);
+							return {runMs, needsMillis, crashesWorker: crashesWorker === 1};
+						},
+						guardsCapacity: options.guardsCapacity ?? true,
+						onRestart: () => {
+							this.registerWorkers();
 						},
 					}),
 			),
@@ -210,7 +222,12 @@
 						targetLatencyMs,
 					},
 				],
-				services: [{name: service}],
+				services: [
+					{
+						name: service,
+						rejectsOverload: this.#options.guardsCapacity ?? true,
+					},
+				],
 				limits: {},
 			}),
 		);
@@ -231,10 +248,15 @@
 			count,
 			runMs,
 			needsMillis,
+			crashesWorker = false,
+			deadlineMs = 5000,
 		}: {
 			readonly count: number;
 			readonly runMs: number;
 			readonly needsMillis: number;
+			readonly crashesWorker?: boolean;
+			/** Time in milliseconds for which the caller waits. */
+			readonly deadlineMs?: number;
 		},
 	): Promise<PoolHttpResponse> {
 		return sendRequest(
@@ -242,10 +264,11 @@
 			'POST',
 			testQueue.prefix + id,
 			JSON.stringify({
-				spec: formatTaskSpec(runMs, needsMillis),
+				spec: formatTaskSpec({runMs, needsMillis, crashesWorker}),
 				bestEffort: true,
 				steps: [{count, cpu: needsMillis, memMb: 64, estimatedMs: runMs}],
 			}),
+			{deadlineMs},
 		);
 	}
 
--- a/testing/src/pool/worker-stand-in.ts
+++ b/testing/src/pool/worker-stand-in.ts
@@ -14,7 +14,7 @@
 	readonly startedAtMs: number;
 	/** `undefined` while the run is in progress. */
 	endedAtMs: number | undefined;
-	/** `done`, `stopped` or `lapsed` (the lease expired); `undefined` while the run is in progress. */
+	/** `done`, `stopped`, `lapsed` (the lease expired) or `crashed` (the worker did); `undefined` while the run is in progress. */
 	outcome: string | undefined;
 };
 
@@ -35,15 +35,27 @@
 	readonly service: string;
 	/** Capacity in thousandths of a processor. */
 	readonly processorMillis: number;
-	/** Parses a task's specification into its run time in milliseconds and its need in thousandths of a processor. */
-	readonly parseTaskSpec: (spec: string) => {
-		readonly runMs: number;
-		readonly needsMillis: number;
-	};
+	/** Parses a task's specification. */
+	readonly parseTaskSpec: (spec: string) => TaskBehavior;
+	/** Whether starts beyond the capacity are refused; true by default. */
+	readonly guardsCapacity?: boolean;
+	/** Called when the worker has started again after a crash. */
+	readonly onRestart?: () => void;
+};
+
+/** What a task does on the worker that starts it. */
+export type TaskBehavior = {
+	/** Time in milliseconds until the task ends, or until it crashes its worker. */
+	readonly runMs: number;
+	/** Thousandths of a processor that it uses. */
+	readonly needsMillis: number;
+	readonly crashesWorker: boolean;
 };
 
 const maxLeaseMs = 1000;
 const stopDelayMs = 10;
+/** Time from a crash until the worker listens again, under the same identifier and address. */
+const restartDelayMs = 2500;
 
 /** Stand-in for a worker of the users' platform: runs tasks by waiting, under a lease and fencing tokens. */
 export class WorkerStandIn {
@@ -52,8 +64,14 @@
 	/** State in the registry record; a draining worker still accepts runs. */
 	state: 'ready' | 'draining' = 'ready';
 	/** Start time since the Unix epoch, sent in each response as `born`. */
-	readonly bornMs = Date.now();
-	readonly #server: Server;
+	bornMs = Date.now();
+	/** Capacity in thousandths of a processor, which may change while the worker runs. */
+	processorMillis: number;
+	/** Largest use of the processor so far at the start of a run, less the capacity at that time. */
+	largestExcessMillis = Number.NEGATIVE_INFINITY;
+	#server: Server;
+	#port = 0;
+	#restartTimer: NodeJS.Timeout | undefined;
 	readonly #runningTasks = new Map<string, RunningTask>();
 	/** Number of the last stopped or ended run of each task; neither it nor an earlier run may start. */
 	readonly #tombstones = new Map<string, number>();
@@ -68,26 +86,59 @@
 	readonly #pendingHolds = new Set<() => void>();
 
 	constructor(readonly options: WorkerStandInOptions) {
-		this.#server = createServer((request, response) => {
-			void this.#handleRequest(request, response);
-		});
+		this.processorMillis = options.processorMillis;
+		this.#server = this.#createServer();
 	}
 
 	/** Listens on a loopback port that the system assigns. */
 	async listen(): Promise<void> {
 		await new Promise<void>((resolve) => {
-			this.#server.listen(0, '127.0.0.1', resolve);
+			this.#server.listen(this.#port, '127.0.0.1', resolve);
+		});
+		this.#port = (this.#server.address() as AddressInfo).port;
+	}
+
+	/** Ends the worker's process: all runs and connections end, and it starts again a while later and knows nothing of before. */
+	crash(): void {
+		this.#closeServer();
+		for (const {record} of this.#runningTasks.values()) {
+			record.endedAtMs = performance.now();
+			record.outcome = 'crashed';
+		}
+
+		this.#runningTasks.clear();
+		this.#tombstones.clear();
+		this.#pendingHolds.clear();
+		this.#unacknowledgedRuns = [];
+		this.#nextSequence = 1;
+		this.#fencingToken = 0;
+		this.#leaseUntilMs = 0;
+		this.#restartTimer = setTimeout(() => {
+			void this.#startAgain();
+		}, restartDelayMs);
+	}
+
+	async #startAgain(): Promise<void> {
+		this.bornMs = Date.now();
+		this.#server = this.#createServer();
+		await this.listen();
+		this.options.onRestart?.();
+	}
+
+	#createServer(): Server {
+		return createServer((request, response) => {
+			void this.#handleRequest(request, response);
 		});
 	}
 
 	/** Host and port of the listening worker. */
 	get address(): string {
-		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+		return `127.0.0.1:${this.#port}`;
 	}
 
 	/** Record of the worker in the registry topic of the store, as JSON. */
 	get registryRecord(): string {
-		const {service, zone, processorMillis} = this.options;
+		const {service, zone} = this.options;
 		return JSON.stringify({
 			service,
 			address: this.address,
@@ -95,7 +146,7 @@
 			version: 'v1',
 			slots: 8,
 			state: this.state,
-			capacity: {cpu: processorMillis, memMb: 131_072},
+			capacity: {cpu: this.processorMillis, memMb: 131_072},
 			labels: ['a', 'r1-1'],
 			born: this.bornMs,
 			sequence: 1,
@@ -104,6 +155,11 @@
 
 	/** Cancels all timers and closes the server with its connections. */
 	close(): void {
+		clearTimeout(this.#restartTimer);
+		this.#closeServer();
+	}
+
+	#closeServer(): void {
 		clearTimeout(this.#leaseTimer);
 		for (const {timer} of this.#runningTasks.values()) {
 			clearTimeout(timer);
@@ -217,16 +273,21 @@
 			return;
 		}
 
-		const {runMs, needsMillis} = this.options.parseTaskSpec(String(body.spec));
+		const {runMs, needsMillis, crashesWorker} = this.options.parseTaskSpec(
+			String(body.spec),
+		);
 		const usedMillis = [...this.#runningTasks.values()].reduce(
 			(sum, running) => sum + running.needsMillis,
 			0,
 		);
-		if (usedMillis + needsMillis > this.options.processorMillis) {
+		const excessMillis = usedMillis + needsMillis - this.processorMillis;
+		if (excessMillis > 0 && this.options.guardsCapacity !== false) {
 			this.#respond(response, 409, {reason: 'room'});
 			return;
 		}
 
+		this.largestExcessMillis = Math.max(this.largestExcessMillis, excessMillis);
+
 		const record: RecordedRun = {
 			task,
 			run,
@@ -239,7 +300,11 @@
 			record,
 			needsMillis,
 			timer: setTimeout(() => {
-				this.#finishRun(task, 'done');
+				if (crashesWorker) {
+					this.crash();
+				} else {
+					this.#finishRun(task, 'done');
+				}
 			}, runMs),
 		});
 		this.#respond(response, 200, {});
--- a/testing/src/pool/zonal-installation.ts
+++ b/testing/src/pool/zonal-installation.ts
@@ -87,7 +87,11 @@
 		'POST',
 		testQueue.prefix + installation.newId(),
 		JSON.stringify({
-			spec: formatTaskSpec(blockingMs, 1000),
+			spec: formatTaskSpec({
+				runMs: blockingMs,
+				needsMillis: 1000,
+				crashesWorker: false,
+			}),
 			bestEffort: true,
 			steps: [
 				{count: workersPerZone, cpu: 1000, memMb: 64, estimatedMs: blockingMs},
--- /dev/null
+++ b/testing/src/tests/crashing-tasks.test.ts
@@ -0,0 +1,111 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {afterEach, describe, expect, it} from 'vitest';
+import {PoolInstallation, type PoolEntryVm} from '../pool/pool-installation.js';
+import {collectRuns} from '../pool/recorded-runs.js';
+
+let runningInstallation: PoolInstallation | undefined;
+
+afterEach(() => {
+	runningInstallation?.close();
+});
+
+/** Starts an installation of two zones with one leader, and submits a job whose only task crashes each worker. */
+async function crashingJobFixture() {
+	const installation = new PoolInstallation({
+		zones: ['a', 'b'],
+		entryVmsPerZone: 2,
+		workersPerZone: 4,
+		processorMillis: 64_000,
+	});
+	runningInstallation = installation;
+	await installation.start();
+	// Leaders that start at once merge after 1.5 s.
+	await sleep(2500);
+	const leader = findLeader(installation);
+	const [receiver, other] = installation.entryVms.filter(
+		(entryVm) => entryVm !== leader,
+	);
+	const id = installation.newId();
+	const submit = async (entryVm: PoolEntryVm) =>
+		installation.submit(entryVm, id, {
+			count: 1,
+			runMs: 10,
+			needsMillis: 1000,
+			crashesWorker: true,
+			deadlineMs: 12_000,
+		});
+	return {
+		installation,
+		leader,
+		receiver: receiver!,
+		other: other!,
+		submit,
+		startCount: () => collectRuns(installation).length,
+	};
+}
+
+function findLeader({entryVms}: PoolInstallation): PoolEntryVm {
+	return entryVms.find(
+		({lines}) =>
+			lines
+				.findLast((line) => line.includes('"event":"leadership"'))
+				?.includes('"kind":"claimed"') === true,
+	)!;
+}
+
+async function waitForStarts(
+	startCount: () => number,
+	count: number,
+): Promise<void> {
+	while (startCount() < count) {
+		// eslint-disable-next-line no-await-in-loop -- polls one after another
+		await sleep(20);
+	}
+}
+
+describe('a task that crashes workers', () => {
+	it('is started twice, and its caller learns that the job has failed', async () => {
+		const {submit, receiver, startCount} = await crashingJobFixture();
+		const {status, body} = await submit(receiver);
+		expect([startCount(), status, body]).toEqual([
+			2,
+			200,
+			'{"state":"failed"}',
+		]);
+	});
+
+	it.each(['SIGKILL', 'SIGTERM'] as const)(
+		'is started twice if its leader gets %s between the two crashes',
+		async (signal) => {
+			const {submit, receiver, leader, startCount} = await crashingJobFixture();
+			const answer = submit(receiver);
+			await waitForStarts(startCount, 1);
+			await sleep(500);
+			leader.child.kill(signal);
+			const {body} = await answer;
+			expect([startCount(), body]).toEqual([2, '{"state":"failed"}']);
+		},
+	);
+
+	it('is started twice if its receiver is killed and the caller sends the job to another entry VM', async () => {
+		const {submit, receiver, other, startCount} = await crashingJobFixture();
+		const lost = submit(receiver);
+		await waitForStarts(startCount, 1);
+		await sleep(500);
+		receiver.child.kill('SIGKILL');
+		await lost;
+		await sleep(1300);
+		const {body} = await submit(other);
+		expect([startCount(), body]).toEqual([2, '{"state":"failed"}']);
+	});
+
+	it('is not started again for a copy that arrives at a new leader after the answer', async () => {
+		const {submit, receiver, other, leader, startCount} =
+			await crashingJobFixture();
+		await submit(receiver);
+		leader.child.kill('SIGKILL');
+		await sleep(1300);
+		const {body} = await submit(other);
+		expect([startCount(), body]).toEqual([2, '{"state":"failed"}']);
+	});
+});
