Give up tasks under which two workers have crashed, wherever their job is

Cause: only runs that a worker reports as failed counted as attempts. A run that ended with its worker put the task back into the queue without limit, and what one leader knew of a task was lost when its job changed hands. Class of fault: a retry without a budget of its own, and a limit kept by the one process that a failure replaces. Change: lost runs are kept by task in a register. A worker that refuses connections or has started anew has crashed; this is recorded at once, not when the lease ends, and also for runs of jobs that were given up and for runs that no job has claimed. Leaders send new records to the receivers, the other leaders and the candidates, and receivers send them on with the job; records are merged as sets, so that one crash counts once. Two crashes, or three lost runs of any kind, end the job: `failed` if workers crashed, else `may-have-run`. Of several tasks on a crashed worker, those under suspicion before are suspected alone. A process that restarts, or a copy that arrives elsewhere, gets the same answer.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -41,6 +41,7 @@
 export * from './message-check.js';
 export * from './member-list.js';
 export * from './overlay.js';
+export * from './lost-runs.js';
 export * from './pool-job.js';
 export * from './pool-queue.js';
 export * from './pool-scheduler.js';
--- /dev/null
+++ b/packages/core/src/lost-runs.ts
@@ -0,0 +1,146 @@
+import {parseJobId} from './pool-job.js';
+
+/** A run whose worker was lost before the run was known to have ended. */
+export type LostRun = {
+	/** Name of the task. */
+	readonly task: string;
+	/** Number of the run among the runs of its task. */
+	readonly run: number;
+	/** Identifier of the worker. */
+	readonly worker: string;
+	/** Whether the task may have crashed the worker. */
+	readonly isSuspect: boolean;
+};
+
+/**
+ * What the lost runs of a task mean for its next start.
+ *
+ * - `sound`: the task is not under suspicion.
+ * - `suspect`: a worker crashed under the task, which may be the cause.
+ * - `crashing`: as many workers crashed under the task as it may cost.
+ * - `unlucky`: as many runs of the task were lost as it may cost, but it is not known to crash workers.
+ */
+export type CrashSuspicion = 'sound' | 'suspect' | 'crashing' | 'unlucky';
+
+/** Crashes of workers under a task, as their possible cause, after which it is not started again. */
+const maxSuspectedCrashes = 2;
+/** Lost runs of a task after which it is not started again, whatever the cause. */
+const maxLostRuns = 3;
+/** Time in milliseconds for which a lost run is remembered after its job was last heard of; copies of a request come sooner. */
+const retentionMs = 60_000;
+/** Largest number of jobs whose lost runs are remembered. */
+const maxJobs = 5000;
+
+type JobRecord = {
+	readonly lostRuns: readonly LostRun[];
+	readonly updatedAtMs: number;
+};
+
+/**
+ * The runs that were lost with their workers, by job. Entry VMs merge each other's records, so that a task which crashes
+ * workers is recognized whichever leader started it.
+ */
+export class LostRunRegister {
+	readonly #jobs = new Map<string, JobRecord>();
+
+	/** Adds lost runs, also those that other entry VMs report; returns the ones that were not known yet. */
+	record(lostRuns: readonly LostRun[], now: number): readonly LostRun[] {
+		const added: LostRun[] = [];
+		for (const lostRun of lostRuns) {
+			const jobId = parseJobId(lostRun.task);
+			const known = this.#jobs.get(jobId)?.lostRuns ?? [];
+			const previous = known.find((other) => isSameRun(other, lostRun));
+			// Within a crash, suspicion is only ever added: a leader that sees less of the worker may not suspect the task.
+			if (
+				previous === undefined ||
+				(lostRun.isSuspect && !previous.isSuspect)
+			) {
+				added.push(lostRun);
+				this.#jobs.delete(jobId);
+				this.#jobs.set(jobId, {
+					lostRuns: [...known.filter((other) => other !== previous), lostRun],
+					updatedAtMs: now,
+				});
+			}
+		}
+
+		this.#evict(now);
+		return added;
+	}
+
+	/** Returns the lost runs of a job's tasks. */
+	ofJob(jobId: string): readonly LostRun[] {
+		return this.#jobs.get(jobId)?.lostRuns ?? [];
+	}
+
+	/** Returns what the lost runs of a task mean for its next start. */
+	assess(task: string): CrashSuspicion {
+		const lostRuns = this.ofJob(parseJobId(task)).filter(
+			(lostRun) => lostRun.task === task,
+		);
+		const crashCount = lostRuns.filter(({isSuspect}) => isSuspect).length;
+		if (crashCount >= maxSuspectedCrashes) {
+			return 'crashing';
+		}
+
+		if (lostRuns.length >= maxLostRuns) {
+			return 'unlucky';
+		}
+
+		return crashCount > 0 ? 'suspect' : 'sound';
+	}
+
+	/**
+	 * Adds the runs of a worker that has crashed or cannot be reached; returns the ones that were not known yet. After a
+	 * crash, the tasks that were under suspicion before are suspected alone; if there is none, all are.
+	 */
+	recordWorkerLoss(
+		runs: ReadonlyArray<{readonly task: string; readonly run: number}>,
+		worker: string,
+		hasCrashed: boolean,
+		now: number,
+	): readonly LostRun[] {
+		const newRuns = runs
+			.map(({task, run}) => ({task, run, worker}))
+			.filter(
+				(lostRun) =>
+					!this.ofJob(parseJobId(lostRun.task)).some((other) =>
+						isSameRun(other, lostRun),
+					),
+			);
+		const suspects = new Set(
+			newRuns
+				.map(({task}) => task)
+				.filter((task) => this.assess(task) !== 'sound'),
+		);
+		return this.record(
+			newRuns.map((lostRun) => ({
+				...lostRun,
+				isSuspect:
+					hasCrashed && (suspects.size === 0 || suspects.has(lostRun.task)),
+			})),
+			now,
+		);
+	}
+
+	#evict(now: number): void {
+		for (const [jobId, {updatedAtMs}] of this.#jobs) {
+			if (now - updatedAtMs <= retentionMs && this.#jobs.size <= maxJobs) {
+				return;
+			}
+
+			this.#jobs.delete(jobId);
+		}
+	}
+}
+
+function isSameRun(
+	left: Pick<LostRun, 'task' | 'run' | 'worker'>,
+	right: Pick<LostRun, 'task' | 'run' | 'worker'>,
+): boolean {
+	return (
+		left.task === right.task &&
+		left.run === right.run &&
+		left.worker === right.worker
+	);
+}
--- a/packages/core/src/message-check.ts
+++ b/packages/core/src/message-check.ts
@@ -38,6 +38,16 @@
 	rack: isOptional(isText),
 });
 
+const isLostRuns = isListOf(
+	isObjectOf({
+		task: isShortText,
+		run: isCount,
+		worker: isShortText,
+		isSuspect: isFlag,
+	}),
+	maxListLength,
+);
+
 const isJob = isObjectOf({
 	id: isShortText,
 	queue: isText,
@@ -51,6 +61,7 @@
 	refusingZones: isOptional(isCount),
 	leaderToken: isOptional(isCount),
 	earlierToken: isOptional(isCount),
+	lostRuns: isOptional(isLostRuns),
 });
 
 const isAnswer = isObjectOf({
@@ -126,6 +137,7 @@
 	resubmit: {id: isShortText, attempt: isOptional(isShortText)},
 	untouched: {id: isShortText, attempt: isShortText},
 	progress: {id: isShortText, doneTasks: isTextList},
+	'lost-runs': {lostRuns: isLostRuns},
 	cancel: {
 		id: isShortText,
 		reason: isOneOf('caller-left', 'cancelled', 'moved'),
--- a/packages/core/src/pool-decision.ts
+++ b/packages/core/src/pool-decision.ts
@@ -10,7 +10,7 @@
 			readonly inputs: Readonly<Record<string, number | string>>;
 	  }
 	| {
-			readonly event: 'placed' | 'run-ended' | 'run-stuck';
+			readonly event: 'placed' | 'run-ended' | 'run-stuck' | 'run-lost';
 			readonly id: string;
 			readonly task: string;
 			readonly run: number;
--- a/packages/core/src/pool-job.ts
+++ b/packages/core/src/pool-job.ts
@@ -1,3 +1,5 @@
+import {type LostRun} from './lost-runs.js';
+
 /** Resources that a task needs while it runs, or that a worker has. */
 export type Resources = {
 	/** Thousandths of a core. */
@@ -49,12 +51,18 @@
 	readonly leaderToken?: number;
 	/** Highest fencing token of the leaders that the receiver submitted the job to before; absent if there was none. */
 	readonly earlierToken?: number;
+	/** Runs of the job that leaders have reported as lost with their workers; leaders of the last build ignore them. */
+	readonly lostRuns?: readonly LostRun[];
 };
 
 /** How a job ended, or why it did not run. */
 export type PoolAnswer =
 	| {readonly kind: 'completed'}
-	| {readonly kind: 'failed'; readonly reason: 'attempts-used-up'}
+	| {
+			readonly kind: 'failed';
+			/** `workers-crashed`: workers crashed under a task, which is not started again. */
+			readonly reason: 'attempts-used-up' | 'workers-crashed';
+	  }
 	| {readonly kind: 'cancelled'}
 	/** No task has started, and none will start. */
 	| {
@@ -98,6 +106,11 @@
 		: [...new Set([...left, ...right])];
 }
 
+/** Returns the identifier of the job that a task belongs to: the part of the task's name before the first dot. */
+export function parseJobId(taskName: string): string {
+	return taskName.slice(0, taskName.indexOf('.'));
+}
+
 /** Adds two amounts of resources. */
 export function addResources(left: Resources, right: Resources): Resources {
 	return {
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -10,8 +10,10 @@
 	toProjectedWorker,
 } from './pool-admission.js';
 import {LeaderStall} from './leader-stall.js';
+import {LostRunRegister, type LostRun} from './lost-runs.js';
 import {type PoolDecision} from './pool-decision.js';
 import {
+	parseJobId,
 	unionZones,
 	type NotRunReason,
 	type PoolAnswer,
@@ -21,6 +23,7 @@
 import {
 	type ReportedEnd,
 	type ReportedRun,
+	type RunLossCause,
 	type PoolWorker,
 	type WorkerEntry,
 	type WorkerRun,
@@ -57,6 +60,11 @@
 	): void;
 	/** Tells the receiver of a job without an answer that this leader gives it up and has started none of its tasks. */
 	sendUntouched(receiver: string, id: string, attempt: string): void;
+	/** Tells the receivers of the jobs, and entry VMs that may get the jobs, which runs were lost with their workers. */
+	sendLostRuns(
+		receivers: readonly string[],
+		lostRuns: readonly LostRun[],
+	): void;
 	/** Handles that a worker of a zone has refused a fencing token because it has received a higher one. */
 	handleFencedZone(zone: string, token: number): void;
 	/** Writes a decision to the log. */
@@ -153,6 +161,7 @@
 	readonly #stoppedJobs = new Map<string, number>();
 	readonly #typicalTasks = new TypicalTasks();
 	readonly #tails = new RunTimeTails();
+	readonly #lostRuns = new LostRunRegister();
 	#desiredState: DesiredState | undefined;
 	/** Time of the latest call, for listener methods that get no time. */
 	#now = 0;
@@ -364,6 +373,7 @@
 			return;
 		}
 
+		this.importLostRuns(job.lostRuns ?? [], now);
 		const retainedAnswer = this.#retainedAnswers.get(job.id);
 		if (retainedAnswer !== undefined) {
 			this.#logJobDecision('joined', job.id, 'answered', {});
@@ -395,6 +405,16 @@
 			return;
 		}
 
+		const lossAnswer = this.#findLossAnswer(job.tasks.map(({name}) => name));
+		if (lossAnswer !== undefined) {
+			this.#logJobDecision('refused', job.id, lossAnswer.reason, {
+				queue: job.queue,
+				lostRuns: this.#lostRuns.ofJob(job.id).length,
+			});
+			this.#options.output.sendAnswer(receiver, job.id, lossAnswer);
+			return;
+		}
+
 		this.#needsPlacement = true;
 		this.#admitOrRefuse(job, queue, receiver, isResubmitted, now);
 		this.#placeWaitingTasks(now);
@@ -553,6 +573,50 @@
 		this.#tails.import(tails);
 	}
 
+	/** Applies the lost runs that another entry VM has reported. */
+	importLostRuns(lostRuns: readonly LostRun[], now: number): void {
+		this.#now = now;
+		this.#giveUpAfterLosses(this.#lostRuns.record(lostRuns, now), now);
+	}
+
+	/** Records the runs of a worker that is lost, and gives up the jobs whose tasks may not be started again. */
+	handleWorkerLoss(
+		worker: PoolWorker,
+		cause: Extract<RunLossCause, 'crashed' | 'unreachable'>,
+	): void {
+		const lostRuns = this.#lostRuns.recordWorkerLoss(
+			[...worker.runs.values(), ...worker.orphans.values()],
+			worker.entry.id,
+			cause === 'crashed',
+			this.#now,
+		);
+		for (const {task, run, isSuspect} of lostRuns) {
+			this.#options.output.logDecision({
+				event: 'run-lost',
+				id: parseJobId(task),
+				task,
+				run,
+				worker: worker.entry.id,
+				reason: cause,
+				inputs: {
+					suspicion: this.#lostRuns.assess(task),
+					isSuspect: isSuspect ? 1 : 0,
+					otherRuns: lostRuns.length - 1,
+				},
+			});
+		}
+
+		if (lostRuns.length > 0) {
+			const receivers = lostRuns.flatMap(({task}) => {
+				const job = this.#jobs.get(parseJobId(task));
+				return job === undefined ? [] : [job.receiver];
+			});
+			this.#options.output.sendLostRuns([...new Set(receivers)], lostRuns);
+		}
+
+		this.#giveUpAfterLosses(lostRuns, this.#now);
+	}
+
 	/** Handles the end of a run that the scheduler has sent a start command for, or has adopted. */
 	handleRunEnd(run: WorkerRun, outcome: RunOutcome, worker: PoolWorker): void {
 		this.#needsPlacement = true;
@@ -673,6 +737,37 @@
 		}
 	}
 
+	/** Gives up the jobs of lost runs whose tasks may not be started again. */
+	#giveUpAfterLosses(lostRuns: readonly LostRun[], now: number): void {
+		for (const jobId of new Set(lostRuns.map(({task}) => parseJobId(task)))) {
+			const job = this.#jobs.get(jobId);
+			const answer = this.#findLossAnswer(
+				(job?.tasks ?? [])
+					.filter(({state}) => state !== 'done')
+					.map(({task}) => task.name),
+			);
+			if (job !== undefined && answer !== undefined) {
+				this.#abandonJob(job, answer, now);
+			}
+		}
+	}
+
+	/** Returns the answer of a job that has one of these tasks, if a task may not be started again after its lost runs. */
+	#findLossAnswer(
+		taskNames: readonly string[],
+	): Extract<PoolAnswer, {kind: 'failed' | 'may-have-run'}> | undefined {
+		const suspicions = new Set(
+			taskNames.map((task) => this.#lostRuns.assess(task)),
+		);
+		if (suspicions.has('crashing')) {
+			return {kind: 'failed', reason: 'workers-crashed'};
+		}
+
+		return suspicions.has('unlucky')
+			? {kind: 'may-have-run', reason: 'worker-lost'}
+			: undefined;
+	}
+
 	/** Drops the oldest answers and closed attempts beyond the retention time or the largest number. */
 	#evictExpiredAnswers(now: number): void {
 		const {answerRetentionMs, maxRetainedAnswers} = this.#settings;
@@ -748,6 +843,10 @@
 			now,
 		);
 		scheduledJob.isIndeterminate = isResubmitted;
+		for (const {task: name, run} of this.#lostRuns.ofJob(job.id)) {
+			scheduledJob.skipRunNumbers(name, run);
+		}
+
 		this.#options.queueOrder.shares?.recordDemand(
 			queue.name,
 			scheduledJob.waitingCoreMs,
@@ -1095,6 +1194,9 @@
 		task.state = 'placed';
 		task.worker = worker.entry.id;
 		task.latestRun += 1;
+		const lostRunCount = this.#lostRuns
+			.ofJob(job.id)
+			.filter((lostRun) => lostRun.task === task.task.name).length;
 		this.#options.output.logDecision({
 			event: 'placed',
 			id: job.id,
@@ -1108,7 +1210,7 @@
 				needsMillis: task.task.needs.processorMillis,
 				expectedMs: Math.round(task.expectedMs),
 				reportAgeMs: Math.round(now - worker.reportedAtMs),
-				...(task.lostRunCount === 0 ? {} : {lostRuns: task.lostRunCount}),
+				...(lostRunCount === 0 ? {} : {lostRuns: lostRunCount}),
 			},
 		});
 		this.#options.queueOrder.shares?.recordStart(
@@ -1141,7 +1243,6 @@
 		this.#waitingJobs.add(job);
 		task.avoidedWorker = worker.entry.id;
 		task.failureCount += outcome === 'failed' ? 1 : 0;
-		task.lostRunCount += outcome === 'lapsed' ? 1 : 0;
 		if (task.failureCount >= job.queue.mostAttempts) {
 			this.#abandonJob(job, {kind: 'failed', reason: 'attempts-used-up'}, now);
 		}
@@ -1453,8 +1554,3 @@
 		left.zones === undefined || left.zones.some((zone) => right.mayRunIn(zone))
 	);
 }
-
-/** Returns the identifier of the job that a task belongs to: the part of the task's name before the first dot. */
-export function parseJobId(taskName: string): string {
-	return taskName.slice(0, taskName.indexOf('.'));
-}
--- a/packages/core/src/scheduled-job.ts
+++ b/packages/core/src/scheduled-job.ts
@@ -13,8 +13,6 @@
 	/** Number of the latest known run; 0 before the first. */
 	latestRun: number;
 	failureCount: number;
-	/** Number of runs that this leader has lost with their workers. */
-	lostRunCount: number;
 	/** Whether a run of the task was stopped because it took many times as long as expected. */
 	wasStuck: boolean;
 	/** Identifier of the worker where the last run ended without success; a retry prefers other workers. */
@@ -87,7 +85,6 @@
 			worker: undefined,
 			latestRun: 0,
 			failureCount: 0,
-			lostRunCount: 0,
 			wasStuck: false,
 			avoidedWorker: undefined,
 		}));
@@ -178,6 +175,14 @@
 		this.earlierToken = Math.max(this.earlierToken, earlierToken);
 	}
 
+	/** Numbers the next run of a task after one that another leader started. */
+	skipRunNumbers(taskName: string, run: number): void {
+		const task = this.tasks.find(({task}) => task.name === taskName);
+		if (task !== undefined) {
+			task.latestRun = Math.max(task.latestRun, run);
+		}
+	}
+
 	/** Whether no task of the job can have started, so that the job may be answered `not-run`. */
 	get hasCertainlyNotRun(): boolean {
 		return !this.hasStarted && !this.isIndeterminate;
--- a/packages/core/src/tests/leaders-model.ts
+++ b/packages/core/src/tests/leaders-model.ts
@@ -433,6 +433,9 @@
 				sendUntouched() {
 					// The receivers of the model do not use it.
 				},
+				sendLostRuns() {
+					// Workers of the model do not crash.
+				},
 				sendCompletedTasks() {
 					// Jobs of the model have one task each.
 				},
--- a/packages/core/src/tests/pool-fixtures.ts
+++ b/packages/core/src/tests/pool-fixtures.ts
@@ -1,5 +1,6 @@
 import {BestFit} from '../worker-selection.js';
 import {type DesiredState} from '../desired-state.js';
+import {type LostRun} from '../lost-runs.js';
 import {DeclaredTimeEstimator} from '../run-time-estimator.js';
 import {type PoolAnswer, type PoolJob} from '../pool-job.js';
 import {ObjectiveOrder, type QueueOrder} from '../pool-queue.js';
@@ -114,6 +115,11 @@
 		readonly attempt: string;
 	}> = [];
 
+	readonly lostRunReports: Array<{
+		readonly receivers: readonly string[];
+		readonly lostRuns: readonly LostRun[];
+	}> = [];
+
 	readonly scheduler: PoolScheduler;
 
 	constructor(
@@ -146,6 +152,9 @@
 				sendUntouched: (receiver, id, attempt) => {
 					this.untouchedReports.push({receiver, id, attempt});
 				},
+				sendLostRuns: (receivers, lostRuns) => {
+					this.lostRunReports.push({receivers, lostRuns});
+				},
 				handleFencedZone: (zone, token) => {
 					this.fencedZones.push({zone, token});
 				},
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -38,6 +38,14 @@
 	tryAdoptEnd(end: ReportedEnd): boolean;
 	/** Handles the refusal of a fencing token by a worker that has received a higher one. */
 	handleFencedZone(zone: string, token: number): void;
+	/**
+	 * Handles that a worker's process has ended, or that the leases of its runs have expired while it could not be reached;
+	 * called before the runs end.
+	 */
+	handleWorkerLoss(
+		worker: PoolWorker,
+		cause: Extract<RunLossCause, 'crashed' | 'unreachable'>,
+	): void;
 	/** Handles a change of a worker's status. */
 	handleWorkerChange(worker: PoolWorker, change: WorkerStatusChange): void;
 };
@@ -888,6 +896,7 @@
 
 	#handleRestart(worker: PoolWorker, now: number): void {
 		this.#listener.handleWorkerChange(worker, 'restarted');
+		this.#listener.handleWorkerLoss(worker, 'crashed');
 		for (const task of worker.orphans.keys()) {
 			this.#removeOrphan(worker, task);
 		}
@@ -913,6 +922,7 @@
 		) {
 			worker.isRefusingConnections = true;
 			this.#listener.handleWorkerChange(worker, 'refusing');
+			this.#listener.handleWorkerLoss(worker, 'crashed');
 		}
 
 		worker.nextHoldAtMs =
@@ -936,6 +946,10 @@
 		}
 
 		const lossCause = findLossCause(worker);
+		if (lossCause === 'crashed' || lossCause === 'unreachable') {
+			this.#listener.handleWorkerLoss(worker, lossCause);
+		}
+
 		for (const run of worker.runs.values()) {
 			run.lossCause = lossCause;
 			this.#endRun(worker, run, 'lapsed', now);
--- a/packages/peer/src/pool-message.ts
+++ b/packages/peer/src/pool-message.ts
@@ -2,6 +2,7 @@
 	type DesiredState,
 	type Heartbeat,
 	type LearnedSpeeds,
+	type LostRun,
 	type PoolAnswer,
 	type PoolJob,
 	type WorkerEntry,
@@ -68,6 +69,11 @@
 			readonly id: string;
 			readonly doneTasks: readonly string[];
 	  }
+	/**
+	 * Tells the receivers of jobs, and entry VMs that may get the jobs, which runs were lost with their workers. Entry VMs of
+	 * the last build ignore it.
+	 */
+	| {readonly type: 'lost-runs'; readonly lostRuns: readonly LostRun[]}
 	| {
 			readonly type: 'cancel';
 			readonly id: string;
--- a/packages/peer/src/pool-traffic.ts
+++ b/packages/peer/src/pool-traffic.ts
@@ -25,6 +25,7 @@
 	progress: true,
 	resubmit: true,
 	untouched: true,
+	'lost-runs': true,
 	cancel: true,
 	ask: true,
 	reply: true,
--- a/packages/verbenarouter/src/pool/pending-jobs.ts
+++ b/packages/verbenarouter/src/pool/pending-jobs.ts
@@ -1,5 +1,7 @@
 import {
+	parseJobId,
 	unionZones,
+	type LostRun,
 	type PoolAnswer,
 	type PoolJob,
 	type ZoneLeader,
@@ -30,6 +32,8 @@
 	withoutLeaderSinceMs: number | undefined;
 	/** Names of the tasks that leaders have reported as completed. */
 	doneTasks: readonly string[];
+	/** Runs that leaders have reported as lost with their workers. */
+	lostRuns: readonly LostRun[];
 	/** Delivers the answer to each caller that waits for the job. */
 	readonly resolvers: Array<(answer: PoolAnswer) => void>;
 };
@@ -79,6 +83,7 @@
 			zones: [],
 			withoutLeaderSinceMs: now,
 			doneTasks: [],
+			lostRuns: [],
 			resolvers: [resolve],
 		};
 		this.#jobs.set(job.id, pending);
@@ -191,6 +196,16 @@
 		pending.earlierToken = undefined;
 	}
 
+	/** Keeps the lost runs of pending jobs for the next leaders. */
+	recordLostRuns(lostRuns: readonly LostRun[]): void {
+		for (const lostRun of lostRuns) {
+			const pending = this.#jobs.get(parseJobId(lostRun.task));
+			if (pending !== undefined) {
+				pending.lostRuns = [...pending.lostRuns, lostRun];
+			}
+		}
+	}
+
 	/** Removes a job without an answer. */
 	remove(id: string): PendingJob | undefined {
 		const pending = this.#jobs.get(id);
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -15,6 +15,7 @@
 	type EvacuationChange,
 	type LeadershipChange,
 	type LearnedSpeeds,
+	type LostRun,
 	type PoolAnswer,
 	type PoolJob,
 	type PoolScope,
@@ -189,6 +190,9 @@
 						this.#overlayNode.send(receiver, {type: 'untouched', id, attempt});
 					}
 				},
+				sendLostRuns: (receivers, lostRuns) => {
+					this.#sendLostRuns(receivers, lostRuns);
+				},
 				handleFencedZone: (zone, token) => {
 					this.#applyLeadershipChanges(
 						this.#leadership.handleTokenRefusal(
@@ -813,6 +817,28 @@
 		}
 	}
 
+	/**
+	 * Sends lost runs to the receivers of the jobs, to all leaders, to which a caller's copy may go, and to the candidates
+	 * that may succeed this leader.
+	 */
+	#sendLostRuns(
+		receivers: readonly string[],
+		lostRuns: readonly LostRun[],
+	): void {
+		this.#pendingJobs.recordLostRuns(lostRuns);
+		const peers = this.#leadership
+			.livePeers(this.#now())
+			.filter(
+				({isCandidate, leads}) =>
+					isCandidate !== false || Object.keys(leads).length > 0,
+			)
+			.map(({name}) => name);
+		const names = [...new Set([...receivers, ...peers])].filter(
+			(name) => name !== this.#settings.name && this.#overlayNode.isOpen(name),
+		);
+		this.#overlayNode.sendToAll(names, {type: 'lost-runs', lostRuns});
+	}
+
 	/** Returns what heartbeats tell of this entry VM besides its membership and leadership. */
 	#readState(now: number): NodeState {
 		return {
@@ -910,6 +936,12 @@
 				break;
 			}
 
+			case 'lost-runs': {
+				this.#pendingJobs.recordLostRuns(message.lostRuns);
+				this.#scheduler.importLostRuns(message.lostRuns, now);
+				break;
+			}
+
 			case 'cancel': {
 				if (message.reason === 'moved') {
 					this.#scheduler.release(message.id, from, now);
@@ -1182,13 +1214,14 @@
 			{name: leader, token: leaderToken},
 			this.#findZonesForJob(pending, leader, now),
 		);
-		const {doneTasks, zones, refusedBy} = pending;
+		const {doneTasks, zones, refusedBy, lostRuns} = pending;
 		const job = {
 			...pending.job,
 			waitedMs: now - pending.receivedAtMs,
 			leaderToken,
 			...(earlierToken === undefined ? {} : {earlierToken}),
 			...(doneTasks.length > 0 ? {doneTasks} : {}),
+			...(lostRuns.length > 0 ? {lostRuns} : {}),
 			...(zones === undefined ? {} : {zones}),
 			...(refusedBy.length > 0 ? {refusingZones: refusedBy.length} : {}),
 			...(pending.overflowZone === undefined
--- a/packages/verbenarouter/src/pool/warm-up.ts
+++ b/packages/verbenarouter/src/pool/warm-up.ts
@@ -105,6 +105,7 @@
 			},
 			sendCompletedTasks: () => undefined,
 			sendUntouched: () => undefined,
+			sendLostRuns: () => undefined,
 			handleFencedZone: () => undefined,
 			logDecision(decision) {
 				JSON.stringify(decision);
--- a/testing/src/measure-scheduler.ts
+++ b/testing/src/measure-scheduler.ts
@@ -137,6 +137,9 @@
 			sendUntouched() {
 				throw new Error('unexpected report of an untouched job');
 			},
+			sendLostRuns() {
+				throw new Error('no worker is lost in this measurement');
+			},
 			sendCompletedTasks() {
 				throw new Error('no zone is handed over in this measurement');
 			},
--- a/testing/src/pool/worker-stand-in.ts
+++ b/testing/src/pool/worker-stand-in.ts
@@ -118,19 +118,6 @@
 		}, restartDelayMs);
 	}
 
-	async #startAgain(): Promise<void> {
-		this.bornMs = Date.now();
-		this.#server = this.#createServer();
-		await this.listen();
-		this.options.onRestart?.();
-	}
-
-	#createServer(): Server {
-		return createServer((request, response) => {
-			void this.#handleRequest(request, response);
-		});
-	}
-
 	/** Host and port of the listening worker. */
 	get address(): string {
 		return `127.0.0.1:${this.#port}`;
@@ -159,6 +146,19 @@
 		this.#closeServer();
 	}
 
+	async #startAgain(): Promise<void> {
+		this.bornMs = Date.now();
+		this.#server = this.#createServer();
+		await this.listen();
+		this.options.onRestart?.();
+	}
+
+	#createServer(): Server {
+		return createServer((request, response) => {
+			void this.#handleRequest(request, response);
+		});
+	}
+
 	#closeServer(): void {
 		clearTimeout(this.#leaseTimer);
 		for (const {timer} of this.#runningTasks.values()) {
