Start a task that may crash its worker alone where possible

What callers saw: the second start of a deadly task took down the tasks beside it too, and after two such crashes an innocent task would be given up with it. Cause: best fit places a task where the least is left over, beside others, whatever is known of it; and all tasks on a crashed worker were suspected. Change: after a first crash only the runs that had started within 100 ms of the newest one are suspected. A suspected task goes to an idle worker, else to one with few runs, and never beside another suspect; other tasks avoid its worker while there is room elsewhere. Ruled out: keeping a worker free until it is idle.

--- a/packages/core/src/lost-runs.ts
+++ b/packages/core/src/lost-runs.ts
@@ -26,11 +26,24 @@
 const maxSuspectedCrashes = 2;
 /** Lost runs of a task after which it is not started again, whatever the cause. */
 const maxLostRuns = 3;
+/**
+ * Time in milliseconds by which a run may have started before the newest one on its worker and still count as a possible
+ * cause of a crash: tasks that crash workers do so when they start, and tasks that were started together are not told apart.
+ */
+const startCrashWindowMs = 100;
 /** Time in milliseconds for which a lost run is remembered after its job was last heard of; copies of a request come sooner. */
 const retentionMs = 60_000;
 /** Largest number of jobs whose lost runs are remembered. */
 const maxJobs = 5000;
 
+/** A run on a worker that is lost. */
+export type ActiveRun = {
+	readonly task: string;
+	readonly run: number;
+	/** Time at which the run was started, or first heard of. */
+	readonly startedAtMs: number;
+};
+
 type JobRecord = {
 	readonly lostRuns: readonly LostRun[];
 	readonly updatedAtMs: number;
@@ -90,34 +103,42 @@
 		return crashCount > 0 ? 'suspect' : 'sound';
 	}
 
+	/** Whether a task may crash the worker that starts it next. */
+	isSuspect(task: string): boolean {
+		return this.assess(task) !== 'sound';
+	}
+
 	/**
 	 * Adds the runs of a worker that has crashed or cannot be reached; returns the ones that were not known yet. After a
-	 * crash, the tasks that were under suspicion before are suspected alone; if there is none, all are.
+	 * crash, the tasks that were under suspicion before are suspected alone; if there is none, the newest runs are.
 	 */
 	recordWorkerLoss(
-		runs: ReadonlyArray<{readonly task: string; readonly run: number}>,
+		runs: readonly ActiveRun[],
 		worker: string,
 		hasCrashed: boolean,
 		now: number,
 	): readonly LostRun[] {
-		const newRuns = runs
-			.map(({task, run}) => ({task, run, worker}))
-			.filter(
-				(lostRun) =>
-					!this.ofJob(parseJobId(lostRun.task)).some((other) =>
-						isSameRun(other, lostRun),
-					),
-			);
-		const suspects = new Set(
-			newRuns
-				.map(({task}) => task)
-				.filter((task) => this.assess(task) !== 'sound'),
+		const newRuns = runs.filter(
+			({task, run}) =>
+				!this.ofJob(parseJobId(task)).some((other) =>
+					isSameRun(other, {task, run, worker}),
+				),
+		);
+		const earlierSuspects = newRuns.filter(({task}) => this.isSuspect(task));
+		const newestStartMs = Math.max(
+			...newRuns.map(({startedAtMs}) => startedAtMs),
 		);
+		const isSuspect = (run: ActiveRun): boolean =>
+			hasCrashed &&
+			(earlierSuspects.length > 0
+				? earlierSuspects.includes(run)
+				: newestStartMs - run.startedAtMs <= startCrashWindowMs);
 		return this.record(
-			newRuns.map((lostRun) => ({
-				...lostRun,
-				isSuspect:
-					hasCrashed && (suspects.size === 0 || suspects.has(lostRun.task)),
+			newRuns.map((run) => ({
+				task: run.task,
+				run: run.run,
+				worker,
+				isSuspect: isSuspect(run),
 			})),
 			now,
 		);
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -1,4 +1,7 @@
-import {type WorkerSelectionPolicy} from './worker-selection.js';
+import {
+	type WorkerCandidates,
+	type WorkerSelectionPolicy,
+} from './worker-selection.js';
 import {type DesiredState, type QueueSetting} from './desired-state.js';
 import {type RunTimeEstimator} from './run-time-estimator.js';
 import {RunTimeTails, type QueueTail} from './run-time-tail.js';
@@ -585,7 +588,7 @@
 		cause: Extract<RunLossCause, 'crashed' | 'unreachable'>,
 	): void {
 		const lostRuns = this.#lostRuns.recordWorkerLoss(
-			[...worker.runs.values(), ...worker.orphans.values()],
+			worker.activeRuns,
 			worker.entry.id,
 			cause === 'crashed',
 			this.#now,
@@ -1007,6 +1010,7 @@
 		task.latestRun = run;
 		worker.addRun({
 			...createRun(job, task, now),
+			isSuspect: this.#lostRuns.isSuspect(task.task.name),
 			state: 'running',
 			confirmedAtMs: now,
 			sendCount: 1,
@@ -1137,20 +1141,16 @@
 		const latestEndMs = job.latestFirstStartMs + job.longestTaskMs;
 		let hasPlacedTask = false;
 		for (const task of largestFirst) {
+			const isAllowed = ({entry, pace}: PoolWorker): boolean =>
+				job.mayRunIn(entry.zone) &&
+				entry.id !== task.avoidedWorker &&
+				(job.hasStarted ||
+					now + task.expectedMs * pace.slowdownFactor(now) <= latestEndMs);
 			const worker =
-				this.#options.workerSelection.choose(
-					task.task,
-					candidates,
-					({entry, pace}) =>
-						job.mayRunIn(entry.zone) &&
-						entry.id !== task.avoidedWorker &&
-						(job.hasStarted ||
-							now + task.expectedMs * pace.slowdownFactor(now) <= latestEndMs),
-					now,
-				) ??
+				this.#chooseWorker(task, candidates, isAllowed, now) ??
 				(this.#isOnlyAvoidedWorkerAvailable(job, task, now)
-					? this.#options.workerSelection.choose(
-							task.task,
+					? this.#chooseWorker(
+							task,
 							candidates,
 							({entry}) => job.mayRunIn(entry.zone),
 							now,
@@ -1165,6 +1165,39 @@
 		return hasPlacedTask;
 	}
 
+	/**
+	 * Chooses the worker of a task. One that may crash its worker goes to an idle one if possible, else to one with few runs,
+	 * and never to one that runs another such task: a crash would leave both under suspicion.
+	 */
+	#chooseWorker(
+		{task}: ScheduledTask,
+		candidates: WorkerCandidates,
+		isAllowed: (worker: PoolWorker) => boolean,
+		now: number,
+	): PoolWorker | undefined {
+		const {workerSelection} = this.#options;
+		if (!this.#lostRuns.isSuspect(task.name)) {
+			return workerSelection.choose(task, candidates, isAllowed, now);
+		}
+
+		for (const maxOtherRuns of [0, 1, Number.POSITIVE_INFINITY]) {
+			const worker = workerSelection.choose(
+				task,
+				candidates,
+				(candidate) =>
+					!candidate.hasSuspect &&
+					candidate.activeRuns.length <= maxOtherRuns &&
+					isAllowed(candidate),
+				now,
+			);
+			if (worker !== undefined) {
+				return worker;
+			}
+		}
+
+		return undefined;
+	}
+
 	/** Whether a task of a started job has no available worker but the one that it should avoid. */
 	#isOnlyAvoidedWorkerAvailable(
 		job: ScheduledJob,
@@ -1218,7 +1251,15 @@
 			(task.task.needs.processorMillis / 1000) * task.expectedMs,
 			now,
 		);
-		this.pool.startRun(createRun(job, task, now), job.job.spec, worker, now);
+		this.pool.startRun(
+			{
+				...createRun(job, task, now),
+				isSuspect: this.#lostRuns.isSuspect(task.task.name),
+			},
+			job.job.spec,
+			worker,
+			now,
+		);
 	}
 
 	/** Returns a task whose run ended without success to the waiting ones, or ends its job after too many failures. */
@@ -1545,6 +1586,7 @@
 		omissions: 0,
 		sendCount: 0,
 		lastSentAtMs: now,
+		isSuspect: false,
 	};
 }
 
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -1,3 +1,4 @@
+import {type ActiveRun} from './lost-runs.js';
 import {addResources, fitsWithin, type Resources} from './pool-job.js';
 import {TargetHealth} from './target-health.js';
 import {kindOf} from './worker-kind-speed.js';
@@ -93,6 +94,8 @@
 	sendCount: number;
 	/** Time at which the newest start or stop command was sent. */
 	lastSentAtMs: number;
+	/** Whether the task may crash the worker, as workers crashed under it before. */
+	readonly isSuspect: boolean;
 	/** Why the run was lost; `undefined` unless it has ended as `lapsed`. */
 	lossCause?: RunLossCause;
 };
@@ -163,6 +166,7 @@
 	#clockOffsetMs: number | undefined;
 	#bornMs: number | undefined;
 	#used: Resources = {processorMillis: 0, memoryMb: 0, accelerators: 0};
+	#hasSuspect = false;
 	/** Cached free resources, computed for `#freeForCapacity`; read far more often than they change. */
 	#free: Resources | undefined;
 	#freeForCapacity: Resources | undefined;
@@ -301,6 +305,27 @@
 		);
 	}
 
+	/** The runs of known jobs and those that no job has claimed. */
+	get activeRuns(): readonly ActiveRun[] {
+		return [
+			...[...this.runs.values()].map(({task, run, orderedAtMs}) => ({
+				task,
+				run,
+				startedAtMs: orderedAtMs,
+			})),
+			...[...this.orphans.values()].map(({task, run, foundAtMs}) => ({
+				task,
+				run,
+				startedAtMs: foundAtMs,
+			})),
+		];
+	}
+
+	/** Whether a task runs here that may crash the worker. */
+	get hasSuspect(): boolean {
+		return this.#hasSuspect;
+	}
+
 	/** Whether the needs of a task fit into the free resources. */
 	hasRoomFor(needs: Resources): boolean {
 		return fitsWithin(needs, this.free);
@@ -346,6 +371,7 @@
 		}
 
 		this.#used = used;
+		this.#hasSuspect = [...this.runs.values()].some(({isSuspect}) => isSuspect);
 		this.#free = undefined;
 		this.#handleChange?.(this);
 	}
--- a/packages/core/src/tests/crashing-tasks.test.ts
+++ b/packages/core/src/tests/crashing-tasks.test.ts
@@ -11,11 +11,15 @@
 );
 const patientJob = poolJobFixture('deadly', 1, {patienceMs: 60_000});
 
-/** Confirms a run's start, ends its worker's process at once, and lets its lease expire; returns the time after. */
+/**
+ * Confirms a run's start, ends its worker's process at once, and lets its lease expire; returns the time after. Meanwhile
+ * jobs with one long task each are submitted.
+ */
 function crashAfterStart(
 	fixture: SchedulerFixture,
 	runIndex: number,
 	now: number,
+	longJobs: readonly string[] = [],
 ): number {
 	const start = fixture.starts[runIndex]!;
 	fixture.answerStart(start, now);
@@ -29,6 +33,24 @@
 			atMs,
 		);
 		fixture.scheduler.tick(atMs);
+		if (atMs === now + 40) {
+			for (const id of longJobs) {
+				fixture.scheduler.submit(
+					poolJobFixture(id, 1, {runMs: 5000}),
+					'r1',
+					false,
+					atMs,
+				);
+			}
+		}
+
+		for (const other of fixture.starts) {
+			if (other.worker.id !== start.worker.id) {
+				fixture.receiveReport(other.worker.id, atMs, {
+					running: [{task: other.task, run: other.run}],
+				});
+			}
+		}
 	}
 
 	return afterMs;
@@ -71,4 +93,26 @@
 		expect(fixture.starts).toHaveLength(2);
 		expect(fixture.answers.at(-1)).toMatchObject({answer: {kind: 'failed'}});
 	});
+
+	it('starts again on an idle worker, and other tasks go to other workers', () => {
+		const fixture = new SchedulerFixture();
+		fixture.leadIdleWorkers(workers.slice(0, 4), startMs);
+		fixture.scheduler.submit(patientJob, 'r1', false, startMs);
+		const now = crashAfterStart(fixture, 0, startMs, ['long']);
+		const [first, long, second] = fixture.starts;
+		expect([first!.worker.id, long!.worker.id]).not.toContain(
+			second!.worker.id,
+		);
+		fixture.scheduler.submit(poolJobFixture('next'), 'r1', false, now);
+		expect(fixture.starts.at(-1)!.worker.id).toBe(long!.worker.id);
+	});
+
+	it('is not started on a worker that runs another such task', () => {
+		const fixture = new SchedulerFixture();
+		fixture.leadIdleWorkers(workers.slice(0, 2), startMs);
+		const twoTasks = poolJobFixture('deadly', 2, {patienceMs: 60_000});
+		fixture.scheduler.submit(twoTasks, 'r1', false, startMs);
+		crashAfterStart(fixture, 0, startMs);
+		expect(fixture.starts).toHaveLength(3);
+	});
 });
--- a/packages/core/src/tests/lost-runs.test.ts
+++ b/packages/core/src/tests/lost-runs.test.ts
@@ -3,13 +3,13 @@
 
 const now = 1000;
 
-/** Creates the first run of the only task of a job. */
-function runFixture(jobId: string, run = 1) {
-	return {task: `${jobId}.0.0.0`, run};
+/** Creates a run of the only task of a job. */
+function runFixture(jobId: string, run = 1, startedAtMs = now) {
+	return {task: `${jobId}.0.0.0`, run, startedAtMs};
 }
 
 describe('lost runs', () => {
-	it('suspect every task on a crashed worker at first, and only earlier suspects after that', () => {
+	it('suspect tasks that started together at a first crash, and only earlier suspects after that', () => {
 		const register = new LostRunRegister();
 		register.recordWorkerLoss(
 			[runFixture('a'), runFixture('b')],
@@ -28,6 +28,20 @@
 		);
 	});
 
+	it('do not suspect a task that had run for long beside the one that crashed the worker', () => {
+		const register = new LostRunRegister();
+		register.recordWorkerLoss(
+			[runFixture('old', 1, now - 500), runFixture('new')],
+			'w1',
+			true,
+			now,
+		);
+		expect(['old', 'new'].map((id) => register.assess(`${id}.0.0.0`))).toEqual([
+			'sound',
+			'suspect',
+		]);
+	});
+
 	it('suspect no task of a worker that cannot be reached, but bound its losses', () => {
 		const register = new LostRunRegister();
 		const suspicions = ['w1', 'w2', 'w3'].map((worker, index) => {
--- a/packages/core/src/worker-selection.ts
+++ b/packages/core/src/worker-selection.ts
@@ -55,6 +55,9 @@
 /** Cost, in thousandths of a core, of a worker that is cold or slow beyond the error of estimates, so that it is chosen last. */
 const slowWorkerCostMillis = 200_000;
 
+/** Cost, in thousandths of a core, of a worker that a task beside the new one may crash. */
+const suspectCostMillis = 150_000;
+
 /**
  * Places a task on the worker that it leaves with the least processor capacity unused, so that large tasks find room on
  * others; slow workers and workers on other racks cost extra. Suits loads whose tasks need a third to a half of a worker.
@@ -125,7 +128,8 @@
 		(worker.pace.isSlow(now) || worker.isCold(now) ? slowWorkerCostMillis : 0) +
 		(task.rack === undefined || worker.entry.labels.includes(task.rack)
 			? 0
-			: otherRackCostMillis)
+			: otherRackCostMillis) +
+		(worker.hasSuspect ? suspectCostMillis : 0)
 	);
 }
 
