Notice a worker's capacity that changes while it runs

What callers would see: after a worker shrank, its leader went on placing tasks by the old capacity, so that a worker that guards it refuses them and one that does not is overfilled (LIMIT); after it grew again, the room stayed unused, and a job that fits only then was refused for good. Cause: the list of workers was compared and versioned by identifier, state, start and address. A record whose only change is the capacity was read and thrown away until something else in the list changed. Class of fault: a cache whose key leaves out a part of its value. Change: comparison and version use one description with all that a leader depends on and that may change. A job that fits into the capacity that a worker has had since its start is refused as overloaded, with the time to retry after, and waiting tasks are placed as soon as the list changes.

--- a/packages/core/src/pool-admission.ts
+++ b/packages/core/src/pool-admission.ts
@@ -14,7 +14,10 @@
 	readonly workers: number;
 };
 
-/** Returns why a job cannot run on the listed workers of its service in its zones, or `undefined` if it can. */
+/**
+ * Returns why a job cannot run on the listed workers of its service in its zones, or `undefined` if it can. A job that fits
+ * into the capacity that a worker has had is not refused for good, as that capacity may come back.
+ */
 export function findInfeasibility(
 	job: ScheduledJob,
 	allWorkers: readonly PoolWorker[],
@@ -32,7 +35,7 @@
 	const canFit = job.tasks.every(({task: {needs}}) =>
 		allWorkers.some(
 			(worker) =>
-				isCandidate(worker) && fitsWithin(needs, worker.entry.capacity),
+				isCandidate(worker) && fitsWithin(needs, worker.largestCapacity),
 		),
 	);
 	const countCandidates = (): number =>
--- a/packages/core/src/pool-job.ts
+++ b/packages/core/src/pool-job.ts
@@ -120,6 +120,15 @@
 	};
 }
 
+/** Returns the larger amount of each resource. */
+export function maxResources(left: Resources, right: Resources): Resources {
+	return {
+		processorMillis: Math.max(left.processorMillis, right.processorMillis),
+		memoryMb: Math.max(left.memoryMb, right.memoryMb),
+		accelerators: Math.max(left.accelerators, right.accelerators),
+	};
+}
+
 /** Whether two amounts of resources are equal. */
 export function isEqualAmount(left: Resources, right: Resources): boolean {
 	return (
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -288,6 +288,7 @@
 	/** Applies the platform's list of workers. */
 	updateWorkers(entries: readonly WorkerEntry[], now: number): void {
 		this.#now = now;
+		this.#needsPlacement = true;
 		this.pool.updateEntries(entries, now);
 		this.#placeWaitingTasks(now);
 	}
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -1,5 +1,10 @@
 import {type ActiveRun} from './lost-runs.js';
-import {addResources, fitsWithin, type Resources} from './pool-job.js';
+import {
+	addResources,
+	fitsWithin,
+	maxResources,
+	type Resources,
+} from './pool-job.js';
 import {TargetHealth} from './target-health.js';
 import {kindOf} from './worker-kind-speed.js';
 import {WorkerPace} from './worker-pace.js';
@@ -128,6 +133,8 @@
 export class PoolWorker {
 	/** Kind and size of the worker, see {@link kindOf}. */
 	kind: string;
+	/** Largest capacity that the worker has had since its process started; its present one may be smaller for a while. */
+	largestCapacity: Resources;
 	/** Whether the platform lists the worker. */
 	isListed = true;
 	/** Whether the operator has asked that nothing be started in the worker's zone. */
@@ -188,6 +195,7 @@
 	) {
 		this.#handleChange = handleChange;
 		this.kind = kindOf(entry);
+		this.largestCapacity = entry.capacity;
 	}
 
 	/**
@@ -213,6 +221,10 @@
 
 	/** Replaces the worker's entry in the platform's list. */
 	setEntry(entry: WorkerEntry, now: number): void {
+		this.largestCapacity =
+			entry.bornMs === this.entry.bornMs
+				? maxResources(this.largestCapacity, entry.capacity)
+				: entry.capacity;
 		this.entry = entry;
 		this.kind = kindOf(entry);
 		const isKnown =
--- a/packages/verbenarouter/src/pool/knowledge-schedule.ts
+++ b/packages/verbenarouter/src/pool/knowledge-schedule.ts
@@ -101,16 +101,26 @@
 		: {hasState, hasWorkers};
 }
 
-/** Computes a version of a list of workers that depends on their state, incarnation and address, but not on their order. */
+/** Computes a version of a list of workers that depends on {@link describeWorker} of each, but not on their order. */
 export function computeWorkersVersion(workers: readonly WorkerEntry[]): string {
 	const sum = workers.reduce(
-		(total, {id, state, bornMs, address}) =>
-			(total + hashText(`${id} ${state} ${bornMs} ${address}`)) % hashModulus,
+		(total, worker) => (total + hashText(describeWorker(worker))) % hashModulus,
 		0,
 	);
 	return `${workers.length}-${sum}`;
 }
 
+/** Returns a text that differs for two entries of a worker if a leader has to treat it differently: all that may change. */
+export function describeWorker({
+	id,
+	state,
+	bornMs,
+	address,
+	capacity: {processorMillis, memoryMb, accelerators},
+}: WorkerEntry): string {
+	return `${id} ${state} ${bornMs} ${address} ${processorMillis} ${memoryMb} ${accelerators}`;
+}
+
 const hashModulus = 2 ** 40;
 const hashFactor = 4099;
 
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -36,7 +36,7 @@
 	staleStoreDataMs,
 	type KnowledgeView,
 } from './knowledge-exchange.js';
-import {computeWorkersVersion} from './knowledge-schedule.js';
+import {computeWorkersVersion, describeWorker} from './knowledge-schedule.js';
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {type PoolLog} from './pool-log.js';
 import {StoreFollower} from './store-follower.js';
@@ -1446,7 +1446,7 @@
 	return typeof state === 'object' ? state.kind : state;
 }
 
-/** Whether two lists have the same workers with the same state, incarnation and address, in any order. */
+/** Whether two lists have the same workers, with equal entries as far as leaders depend on them, in any order. */
 function hasEqualWorkers(
 	left: readonly WorkerEntry[],
 	right: readonly WorkerEntry[],
@@ -1454,12 +1454,11 @@
 	const rightById = new Map(right.map((entry) => [entry.id, entry]));
 	return (
 		left.length === right.length &&
-		left.every(({id, state, bornMs, address}) => {
-			const other = rightById.get(id);
+		left.every((entry) => {
+			const other = rightById.get(entry.id);
 			return (
-				other?.state === state &&
-				other.bornMs === bornMs &&
-				other.address === address
+				other === entry ||
+				(other !== undefined && describeWorker(other) === describeWorker(entry))
 			);
 		})
 	);
--- a/packages/verbenarouter/src/tests/knowledge-schedule.test.ts
+++ b/packages/verbenarouter/src/tests/knowledge-schedule.test.ts
@@ -129,7 +129,15 @@
 			[workerFixture('a'), workerFixture('b', {state: 'draining'})],
 			[workerFixture('a'), workerFixture('b', {bornMs: 2})],
 			[workerFixture('a'), workerFixture('b', {address: '127.0.0.1:2'})],
+			...(['processorMillis', 'memoryMb', 'accelerators'] as const).map(
+				(resource) => [
+					workerFixture('a'),
+					workerFixture('b', {
+						capacity: {...workerFixture('b').capacity, [resource]: 2},
+					}),
+				],
+			),
 		].map((workers) => computeWorkersVersion(workers));
-		expect(new Set([version, ...others]).size).toBe(6);
+		expect(new Set([version, ...others]).size).toBe(9);
 	});
 });
