Put no other task at risk for an answer that is of no use any more

What callers saw: with the starts of a deadly task limited to two, the second one still took down a worker with tasks beside it, 1.2 s after the request, when the answer of a quick job is far beyond three times its objective. Change: once the answer of its job is of no use, a suspected task starts on an idle worker only. Where most workers are busy its caller gets `may-have-run` at its deadline; where there is room the task still runs. Result: the test fails before (second start beside a long run) and passes now.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -1,7 +1,4 @@
-import {
-	type WorkerCandidates,
-	type WorkerSelectionPolicy,
-} from './worker-selection.js';
+import {type WorkerSelectionPolicy} from './worker-selection.js';
 import {type DesiredState, type QueueSetting} from './desired-state.js';
 import {type RunTimeEstimator} from './run-time-estimator.js';
 import {RunTimeTails, type QueueTail} from './run-time-tail.js';
@@ -1134,7 +1131,6 @@
 			}
 		}
 
-		const candidates = this.pool.capacity.candidates(job.queue.service);
 		const largestFirst = job.waitingTasks.toSorted(
 			(left, right) =>
 				right.task.needs.processorMillis - left.task.needs.processorMillis,
@@ -1148,11 +1144,11 @@
 				(job.hasStarted ||
 					now + task.expectedMs * pace.slowdownFactor(now) <= latestEndMs);
 			const worker =
-				this.#chooseWorker(task, candidates, isAllowed, now) ??
+				this.#chooseWorker(job, task, isAllowed, now) ??
 				(this.#isOnlyAvoidedWorkerAvailable(job, task, now)
 					? this.#chooseWorker(
+							job,
 							task,
-							candidates,
 							({entry}) => job.mayRunIn(entry.zone),
 							now,
 						)
@@ -1168,20 +1164,24 @@
 
 	/**
 	 * Chooses the worker of a task. One that may crash its worker goes to an idle one if possible, else to one with few runs,
-	 * and never to one that runs another such task: a crash would leave both under suspicion.
+	 * and never to one that runs another such task: a crash would leave both under suspicion. Once an answer is of no use any
+	 * more, the runs of others are not put at risk for it.
 	 */
 	#chooseWorker(
+		job: ScheduledJob,
 		{task}: ScheduledTask,
-		candidates: WorkerCandidates,
 		isAllowed: (worker: PoolWorker) => boolean,
 		now: number,
 	): PoolWorker | undefined {
 		const {workerSelection} = this.#options;
+		const candidates = this.pool.capacity.candidates(job.queue.service);
 		if (!this.#lostRuns.isSuspect(task.name)) {
 			return workerSelection.choose(task, candidates, isAllowed, now);
 		}
 
-		for (const maxOtherRuns of [0, 1, Number.POSITIVE_INFINITY]) {
+		const maxOtherRunCounts =
+			now > job.latestUsefulStartMs ? [0] : [0, 1, Number.POSITIVE_INFINITY];
+		for (const maxOtherRuns of maxOtherRunCounts) {
 			const worker = workerSelection.choose(
 				task,
 				candidates,
--- a/packages/core/src/tests/crashing-tasks.test.ts
+++ b/packages/core/src/tests/crashing-tasks.test.ts
@@ -115,4 +115,15 @@
 		crashAfterStart(fixture, 0, startMs);
 		expect(fixture.starts).toHaveLength(3);
 	});
+
+	it('puts no other task at risk once its answer is of no use any more', () => {
+		const fixture = new SchedulerFixture();
+		fixture.leadIdleWorkers(workers.slice(0, 2), startMs);
+		fixture.scheduler.submit(patientJob, 'r1', false, startMs);
+		crashAfterStart(fixture, 0, startMs, ['long']);
+		expect(fixture.starts.map(({task}) => task)).toEqual([
+			'deadly.0.0.0',
+			'long.0.0.0',
+		]);
+	});
 });
