Place nothing beside unknown runs on workers that do not guard their capacity

Cause: a run that no job has claimed counted with an assumed need or with what it used in the last half second, and after a restart the capacity of the earlier process counted until the store's entry was read. A worker that guards its capacity corrects both by refusing; one that doesn't is overfilled. Class of fault: an estimate where a bound is needed. Change: the services whose workers guard nothing are read from the desired state. Their workers get no start while a run there has unknown needs or while their entry is older than their process. Runs that are being stopped count until their end is listed, as before.

--- a/packages/core/src/desired-state.ts
+++ b/packages/core/src/desired-state.ts
@@ -38,6 +38,8 @@
 	readonly queues: readonly QueueSetting[];
 	/** Names of the services whose workers run tasks. */
 	readonly services: readonly string[];
+	/** Services whose workers start whatever they are told to, also beyond their capacity; absent for none. */
+	readonly unguardedServices?: readonly string[];
 	/** Limits on the requests of callers. */
 	readonly limits: RequestLimits;
 };
--- a/packages/core/src/message-check.ts
+++ b/packages/core/src/message-check.ts
@@ -97,6 +97,7 @@
 	version: isCount,
 	queues: isListOf(isQueue, maxListLength),
 	services: isTextList,
+	unguardedServices: isOptional(isTextList),
 	limits: isObjectOf({
 		bodyBytes: isCount,
 		headerBytes: isCount,
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -264,6 +264,7 @@
 			state.version > this.#desiredState.version
 		) {
 			this.#desiredState = state;
+			this.pool.setUnguardedServices(state.unguardedServices ?? []);
 		}
 	}
 
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -139,6 +139,8 @@
 	isListed = true;
 	/** Whether the operator has asked that nothing be started in the worker's zone. */
 	isEvacuated = false;
+	/** Whether the worker refuses starts beyond its capacity. */
+	guardsCapacity = true;
 	/** Runs of known jobs, by task. */
 	readonly runs = new Map<string, WorkerRun>();
 	/** Runs that no job has claimed, by task. */
@@ -311,6 +313,7 @@
 			this.entry.state === 'ready' &&
 			this.contactFailures === 0 &&
 			now >= this.fullUntilMs &&
+			(this.guardsCapacity || this.#isRoomCertain) &&
 			(!this.isCold(now) || this.runs.size === 0) &&
 			(this.health.getState(now) === 'taken' ||
 				(this.health.getState(now) === 'trial' && this.runs.size === 0))
@@ -338,6 +341,17 @@
 		return this.#hasSuspect;
 	}
 
+	/**
+	 * Whether the free resources are not merely estimated: the needs of runs that no job has claimed are unknown, and so is
+	 * the capacity of a process that is newer than the worker's entry.
+	 */
+	get #isRoomCertain(): boolean {
+		return (
+			this.orphans.size === 0 &&
+			(this.#bornMs === undefined || this.entry.bornMs >= this.#bornMs)
+		);
+	}
+
 	/** Whether the needs of a task fit into the free resources. */
 	hasRoomFor(needs: Resources): boolean {
 		return fitsWithin(needs, this.free);
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -169,6 +169,7 @@
 	#addedCount = 0;
 	#entries: readonly WorkerEntry[] = [];
 	#evacuatedZones: ReadonlySet<string> = new Set();
+	#unguardedServices: readonly string[] = [];
 	/** Time of the last claim or drop of a zone. */
 	#zonesChangedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -224,6 +225,14 @@
 		}
 	}
 
+	/** Sets the services whose workers start whatever they are told to, also beyond their capacity. */
+	setUnguardedServices(services: readonly string[]): void {
+		this.#unguardedServices = services;
+		for (const worker of this.#workers.values()) {
+			worker.guardsCapacity = !services.includes(worker.entry.service);
+		}
+	}
+
 	/** Whether any worker has an orphan, or the end of one is retained. */
 	get hasOrphans(): boolean {
 		return this.#orphanEnds.size > 0 || this.#orphanHolders.size > 0;
@@ -600,6 +609,7 @@
 			}
 		});
 		worker.isEvacuated = this.#evacuatedZones.has(entry.zone);
+		worker.guardsCapacity = !this.#unguardedServices.includes(entry.service);
 		worker.pace.setBaseline(this.kindSpeeds.logSlowdown(worker.kind));
 		this.#workers.set(entry.id, worker);
 		this.#unsyncedWorkers.add(worker);
--- a/packages/platform/src/desired-state-record.ts
+++ b/packages/platform/src/desired-state-record.ts
@@ -27,15 +27,23 @@
 	}
 
 	const limits = asRecord(record.limits) ?? {};
+	const services = listField(record, 'services').flatMap((service) => {
+		const fields = asRecord(service) ?? {};
+		const name = stringField(fields, 'name');
+		return name === undefined
+			? []
+			: [{name, isUnguarded: fields.rejectsOverload === false}];
+	});
+	const unguardedServices = services
+		.filter(({isUnguarded}) => isUnguarded)
+		.map(({name}) => name);
 	return {
 		version,
 		queues: listField(record, 'routes').flatMap((route) =>
 			decodeQueue(asRecord(route)),
 		),
-		services: listField(record, 'services').flatMap((service) => {
-			const name = stringField(asRecord(service) ?? {}, 'name');
-			return name === undefined ? [] : [name];
-		}),
+		services: services.map(({name}) => name),
+		...(unguardedServices.length > 0 ? {unguardedServices} : {}),
 		limits: {
 			bodyBytes:
 				nonNegativeField(limits, 'maxBodyBytes', defaultMaxBodyBytes) ??
--- a/packages/platform/src/tests/records.test.ts
+++ b/packages/platform/src/tests/records.test.ts
@@ -92,12 +92,17 @@
 		const text = JSON.stringify({
 			version: 7,
 			routes: [{name: 'r-1', service: 's', pathPrefix: '/q/'}, {name: 3}, 4],
-			services: [{name: 's'}],
+			services: [
+				{name: 's', rejectsOverload: true},
+				{name: 'open', rejectsOverload: false},
+				{name: 'silent'},
+			],
 		});
 		expect(decodeDesiredState(text)).toMatchObject({
 			version: 7,
 			queues: [{name: 'r-1', stretch: 1, mostAttempts: 1}],
-			services: ['s'],
+			services: ['s', 'open', 'silent'],
+			unguardedServices: ['open'],
 		});
 	});
 
