Suspect a task of a crash only if the worker had confirmed its start

Cause: its first start was sent to i-7ef7af6b10 in the moment in which the worker crashed, and never arrived; the refused connections that followed counted as a crash under it. Change: a run takes part in the blame for a crash only if the worker has confirmed its start, by its answer or in a report. Result: a test with a start without an answer fails before (`failed` after one crash) and passes now.

--- a/packages/core/src/lost-runs.ts
+++ b/packages/core/src/lost-runs.ts
@@ -42,6 +42,8 @@
 	readonly run: number;
 	/** Time at which the run was started, or first heard of. */
 	readonly startedAtMs: number;
+	/** Whether the worker has confirmed the start; a command that reached the worker too late has crashed nothing. */
+	readonly isConfirmed: boolean;
 };
 
 type JobRecord = {
@@ -126,10 +128,13 @@
 		);
 		const earlierSuspects = newRuns.filter(({task}) => this.isSuspect(task));
 		const newestStartMs = Math.max(
-			...newRuns.map(({startedAtMs}) => startedAtMs),
+			...newRuns
+				.filter(({isConfirmed}) => isConfirmed)
+				.map(({startedAtMs}) => startedAtMs),
 		);
 		const isSuspect = (run: ActiveRun): boolean =>
 			hasCrashed &&
+			run.isConfirmed &&
 			(earlierSuspects.length > 0
 				? earlierSuspects.includes(run)
 				: newestStartMs - run.startedAtMs <= startCrashWindowMs);
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -1011,6 +1011,7 @@
 			...createRun(job, task, now),
 			isSuspect: this.#lostRuns.isSuspect(task.task.name),
 			state: 'running',
+			isConfirmed: true,
 			confirmedAtMs: now,
 			sendCount: 1,
 		});
@@ -1588,6 +1589,7 @@
 		omissions: 0,
 		sendCount: 0,
 		lastSentAtMs: now,
+		isConfirmed: false,
 		isSuspect: false,
 	};
 }
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -93,6 +93,8 @@
 	readonly orderedAtMs: number;
 	/** Time at which the worker confirmed the start command or, while `stopping`, the stop command; `undefined` before. */
 	confirmedAtMs: number | undefined;
+	/** Whether the worker has confirmed the start, whatever has become of the run since. */
+	isConfirmed: boolean;
 	/** Reports in a row, requested after the confirmation, that list the run neither as running nor as ended. */
 	omissions: number;
 	/** Number of times that the start command was sent. */
@@ -323,15 +325,19 @@
 	/** The runs of known jobs and those that no job has claimed. */
 	get activeRuns(): readonly ActiveRun[] {
 		return [
-			...[...this.runs.values()].map(({task, run, orderedAtMs}) => ({
-				task,
-				run,
-				startedAtMs: orderedAtMs,
-			})),
+			...[...this.runs.values()].map(
+				({task, run, orderedAtMs, isConfirmed}) => ({
+					task,
+					run,
+					startedAtMs: orderedAtMs,
+					isConfirmed,
+				}),
+			),
 			...[...this.orphans.values()].map(({task, run, foundAtMs}) => ({
 				task,
 				run,
 				startedAtMs: foundAtMs,
+				isConfirmed: true,
 			})),
 		];
 	}
--- a/packages/core/src/tests/crashing-tasks.test.ts
+++ b/packages/core/src/tests/crashing-tasks.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, it} from 'vitest';
+import {type CommandOutcome} from '../worker-command.js';
 import {
 	SchedulerFixture,
 	poolJobFixture,
@@ -20,9 +21,15 @@
 	runIndex: number,
 	now: number,
 	longJobs: readonly string[] = [],
+	startOutcome?: CommandOutcome,
 ): number {
 	const start = fixture.starts[runIndex]!;
-	fixture.answerStart(start, now);
+	for (const other of fixture.starts.filter(
+		({worker}) => worker.id === start.worker.id,
+	)) {
+		fixture.answerStart(other, now, startOutcome);
+	}
+
 	const hold = {sentAtMs: now, fencingToken: fixture.scheduler.pool.token};
 	const afterMs = now + 1400;
 	for (let atMs = now + 20; atMs <= afterMs; atMs += 20) {
@@ -126,4 +133,14 @@
 			'long.0.0.0',
 		]);
 	});
+
+	it('is not blamed for a crash before which the worker did not confirm its start', () => {
+		const fixture = new SchedulerFixture();
+		fixture.leadIdleWorkers(workers.slice(0, 3), startMs);
+		fixture.scheduler.submit(patientJob, 'r1', false, startMs);
+		const now = crashAfterStart(fixture, 0, startMs, [], {kind: 'silent'});
+		crashAfterStart(fixture, fixture.starts.length - 1, now);
+		expect(fixture.answers).toEqual([]);
+		expect(fixture.starts.map(({run}) => run)).toEqual([1, 1, 2, 3]);
+	});
 });
--- a/packages/core/src/tests/lost-runs.test.ts
+++ b/packages/core/src/tests/lost-runs.test.ts
@@ -5,7 +5,7 @@
 
 /** Creates a run of the only task of a job. */
 function runFixture(jobId: string, run = 1, startedAtMs = now) {
-	return {task: `${jobId}.0.0.0`, run, startedAtMs};
+	return {task: `${jobId}.0.0.0`, run, startedAtMs, isConfirmed: true};
 }
 
 describe('lost runs', () => {
--- a/packages/core/src/tests/scheduling-cost.test.ts
+++ b/packages/core/src/tests/scheduling-cost.test.ts
@@ -68,6 +68,7 @@
 					omissions: 0,
 					sendCount: 1,
 					lastSentAtMs: startMs,
+					isConfirmed: true,
 					isSuspect: false,
 				});
 			}
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -430,8 +430,7 @@
 
 		switch (outcome.kind) {
 			case 'done': {
-				run.state = 'running';
-				run.confirmedAtMs ??= now;
+				confirmStart(run, now);
 				this.#expediteHold(worker, now);
 				break;
 			}
@@ -749,8 +748,7 @@
 		if (run.sendCount > 1) {
 			// An earlier copy of the command may have started the run, or may still start it.
 			if (reason === 'old-run') {
-				run.state = 'running';
-				run.confirmedAtMs = now;
+				confirmStart(run, now);
 			} else {
 				this.stopRun(run, worker, now);
 			}
@@ -862,9 +860,9 @@
 			const run = worker.runs.get(reportedRun.task);
 			if (run?.run === reportedRun.run) {
 				run.omissions = 0;
+				run.isConfirmed = true;
 				if (run.state === 'ordered') {
-					run.state = 'running';
-					run.confirmedAtMs ??= now;
+					confirmStart(run, now);
 				}
 			} else if (
 				!worker.orphans.has(reportedRun.task) &&
@@ -1060,6 +1058,13 @@
 	}
 }
 
+/** Records that the worker has confirmed the start of a run. */
+function confirmStart(run: WorkerRun, now: number): void {
+	run.state = 'running';
+	run.isConfirmed = true;
+	run.confirmedAtMs ??= now;
+}
+
 /** Returns why a worker's runs end whose lease has expired without a report. */
 function findLossCause({
 	isRefusingConnections,
