Stop runs of jobs that are over as soon as a leader finds them

What callers would see: after a job with a deadly task was given up, its other tasks that a later leader finds on workers ran on for 0.7 s as runs that some job may still claim, and on a worker without room others waited. Cause: the leader kept every run without a job for the delay within which receivers send their jobs again, also if it knew that the job was over. Change: a run whose job has been answered, or has used up what it may cost in workers, is stopped at once, also if the news come from another leader while the run is kept. Result: the test finds no stop within 20 ms before and one now.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -690,6 +690,15 @@
 		return true;
 	}
 
+	isJobOver(task: string): boolean {
+		const jobId = parseJobId(task);
+		return (
+			!this.#jobs.has(jobId) &&
+			(this.#retainedAnswers.has(jobId) ||
+				this.#hasGivenUp(jobId))
+		);
+	}
+
 	/** Passes on that a worker has refused the fencing token of a zone. */
 	handleFencedZone(zone: string, token: number): void {
 		this.#options.output.handleFencedZone(zone, token);
@@ -743,6 +752,10 @@
 	#giveUpAfterLosses(lostRuns: readonly LostRun[], now: number): void {
 		for (const jobId of new Set(lostRuns.map(({task}) => parseJobId(task)))) {
 			const job = this.#jobs.get(jobId);
+			if (this.#hasGivenUp(jobId)) {
+				this.pool.abandonOrphans(jobId);
+			}
+
 			const answer = this.#findLossAnswer(
 				(job?.tasks ?? [])
 					.filter(({state}) => state !== 'done')
@@ -754,6 +767,15 @@
 		}
 	}
 
+	/** Whether a task of a job may not be started again after its lost runs. */
+	#hasGivenUp(jobId: string): boolean {
+		return (
+			this.#findLossAnswer(
+				this.#lostRuns.ofJob(jobId).map(({task}) => task),
+			) !== undefined
+		);
+	}
+
 	/** Returns the answer of a job that has one of these tasks, if a task may not be started again after its lost runs. */
 	#findLossAnswer(
 		taskNames: readonly string[],
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -114,6 +114,8 @@
 	readonly needs: Resources;
 	/** Time at which a report first listed the run. */
 	readonly foundAtMs: number;
+	/** Whether the job has been answered or given up, so that none will claim the run. */
+	isAbandoned: boolean;
 	/** Time at which the newest stop command was sent; 0 before. */
 	stopSentAtMs: number;
 };
@@ -375,8 +377,12 @@
 		this.#updateUsed();
 	}
 
-	/** Adds an orphan, and counts its reported or assumed needs as used. */
-	addOrphan({task, run, processorMillis}: ReportedRun, now: number): void {
+	/** Adds an orphan, and counts its reported or assumed needs as used. `isAbandoned` is whether no job will claim it. */
+	addOrphan(
+		{task, run, processorMillis}: ReportedRun,
+		isAbandoned: boolean,
+		now: number,
+	): void {
 		this.orphans.set(task, {
 			task,
 			run,
@@ -385,6 +391,7 @@
 					? assumedOrphanNeeds
 					: {...assumedOrphanNeeds, processorMillis},
 			foundAtMs: now,
+			isAbandoned,
 			stopSentAtMs: 0,
 		});
 		this.#updateUsed();
--- a/packages/core/src/tests/crashing-tasks.test.ts
+++ b/packages/core/src/tests/crashing-tasks.test.ts
@@ -143,4 +143,24 @@
 		expect(fixture.answers).toEqual([]);
 		expect(fixture.starts.map(({run}) => run)).toEqual([1, 1, 2, 3]);
 	});
+
+	it('leaves no run of its job on workers that a later leader finds', () => {
+		const fixture = new SchedulerFixture();
+		fixture.scheduler.importLostRuns(
+			['w8', 'w9'].map((worker, index) => ({
+				task: 'deadly.0.0.0',
+				run: index + 1,
+				worker,
+				isSuspect: true,
+			})),
+			startMs,
+		);
+		fixture.scheduler.updateWorkers([workerFixture('w1')], startMs);
+		fixture.scheduler.startLeadingZone('zone-a', 7, startMs);
+		fixture.receiveReport('w1', startMs + 5, {
+			running: [{task: 'deadly.0.0.1', run: 1}],
+		});
+		fixture.scheduler.tick(startMs + 20);
+		expect(fixture.stops).toMatchObject([{task: 'deadly.0.0.1'}]);
+	});
 });
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -9,7 +9,7 @@
 	type WorkerReport,
 	type WorkerRun,
 } from './pool-worker.js';
-import {isEqualAmount} from './pool-job.js';
+import {isEqualAmount, parseJobId} from './pool-job.js';
 import {WorkerKindSpeeds} from './worker-kind-speed.js';
 import {
 	type CommandOutcome,
@@ -36,6 +36,8 @@
 	tryAdoptRun(run: ReportedRun, worker: PoolWorker): boolean;
 	/** Offers the reported end of a run that the pool has no record of; returns whether a job has adopted it. */
 	tryAdoptEnd(end: ReportedEnd): boolean;
+	/** Whether the job of a task has been answered or given up, so that its runs are of no use. */
+	isJobOver(task: string): boolean;
 	/** Handles the refusal of a fencing token by a worker that has received a higher one. */
 	handleFencedZone(zone: string, token: number): void;
 	/**
@@ -463,6 +465,17 @@
 		}
 	}
 
+	/** Has the runs of a job that no job has claimed stopped without delay, as the job is over. */
+	abandonOrphans(jobId: string): void {
+		for (const [task, holders] of this.#orphanHolders) {
+			if (parseJobId(task) === jobId) {
+				for (const worker of holders) {
+					worker.orphans.get(task)!.isAbandoned = true;
+				}
+			}
+		}
+	}
+
 	/** Sends the command to stop a run; the listener receives its end. */
 	stopRun(run: WorkerRun, worker: PoolWorker, now: number): void {
 		const token = this.#zones.get(worker.entry.zone)?.token;
@@ -636,7 +649,7 @@
 	}
 
 	#addOrphan(worker: PoolWorker, run: ReportedRun, now: number): void {
-		worker.addOrphan(run, now);
+		worker.addOrphan(run, this.#listener.isJobOver(run.task), now);
 		this.#orphanHolders.set(
 			run.task,
 			new Set([...(this.#orphanHolders.get(run.task) ?? []), worker]),
@@ -982,7 +995,8 @@
 
 		for (const orphan of worker.orphans.values()) {
 			const isStopDue =
-				now - orphan.foundAtMs >= this.#settings.orphanStopDelayMs &&
+				(orphan.isAbandoned ||
+					now - orphan.foundAtMs >= this.#settings.orphanStopDelayMs) &&
 				now - orphan.stopSentAtMs >= this.#settings.stopRetryMs;
 			if (isStopDue) {
 				orphan.stopSentAtMs = now;
