Answer callers at once who leave before a lost run can be repeated

What callers saw: a job whose worker had crashed was held until its caller's deadline, though its task could not start again before the lease of the lost run had ended and would not end in time. Change: when a worker crashes, jobs whose callers leave before the lease ends and the task has run again are answered `may-have-run` at once.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -617,6 +617,7 @@
 		}
 
 		this.#giveUpAfterLosses(lostRuns, this.#now);
+		this.#answerJobsWithoutTimeToRetry(worker);
 	}
 
 	/** Handles the end of a run that the scheduler has sent a start command for, or has adopted. */
@@ -694,8 +695,7 @@
 		const jobId = parseJobId(task);
 		return (
 			!this.#jobs.has(jobId) &&
-			(this.#retainedAnswers.has(jobId) ||
-				this.#hasGivenUp(jobId))
+			(this.#retainedAnswers.has(jobId) || this.#hasGivenUp(jobId))
 		);
 	}
 
@@ -767,6 +767,25 @@
 		}
 	}
 
+	/** Answers the jobs whose callers leave before a run that was lost with a worker could be repeated: its lease has to end first. */
+	#answerJobsWithoutTimeToRetry(worker: PoolWorker): void {
+		for (const {jobId, task: name, expectedMs} of worker.runs.values()) {
+			const job = this.#jobs.get(jobId);
+			if (
+				job?.tasks.some(
+					(task) => task.task.name === name && task.worker === worker.entry.id,
+				) === true &&
+				worker.leaseExpiresByMs + expectedMs > job.callerDeadlineMs
+			) {
+				this.#abandonJob(
+					job,
+					{kind: 'may-have-run', reason: 'worker-lost'},
+					this.#now,
+				);
+			}
+		}
+	}
+
 	/** Whether a task of a job may not be started again after its lost runs. */
 	#hasGivenUp(jobId: string): boolean {
 		return (
--- a/packages/core/src/tests/crashing-tasks.test.ts
+++ b/packages/core/src/tests/crashing-tasks.test.ts
@@ -163,4 +163,21 @@
 		fixture.scheduler.tick(startMs + 20);
 		expect(fixture.stops).toMatchObject([{task: 'deadly.0.0.1'}]);
 	});
+
+	it('leaves no caller waiting who will have left before the task can run again', () => {
+		const fixture = new SchedulerFixture();
+		fixture.leadIdleWorkers(workers, startMs);
+		const job = poolJobFixture('hurried', 1, {patienceMs: 1200});
+		fixture.scheduler.submit(job, 'r1', false, startMs);
+		fixture.answerStart(fixture.starts[0]!, startMs + 5);
+		fixture.scheduler.handleHoldOutcome(
+			'w1',
+			{sentAtMs: startMs, fencingToken: fixture.scheduler.pool.token},
+			{kind: 'not-sent', isRefused: true},
+			startMs + 20,
+		);
+		expect(fixture.answers).toMatchObject([
+			{answer: {kind: 'may-have-run', reason: 'worker-lost'}},
+		]);
+	});
 });
