Add a soak of workers that crash and change their capacity

A tenth of the callers' jobs or less crash the workers that start them, workers guard nothing and shrink and grow, entry VMs are killed or stopped in series and overlapping, and callers send a request without a result once more to another entry VM. Checked after each seed: no task has two runs at once; none is started three times more after three crashes; no start brings a worker over the capacity that counts; `failed` only with two crashes under one task; no job is refused and run.

--- a/testing/src/pool/late-process.ts
+++ b/testing/src/pool/late-process.ts
@@ -34,11 +34,7 @@
 	graceMs: number,
 ): Promise<{readonly isKilled: boolean; readonly tookMs: number}> {
 	const startedAtMs = performance.now();
-	const ended = new Promise<void>((resolve) => {
-		child.once('exit', () => {
-			resolve();
-		});
-	});
+	const ended = waitForExit(child);
 	const killTimer = setTimeout(() => {
 		child.kill('SIGKILL');
 	}, graceMs);
@@ -50,3 +46,18 @@
 		tookMs: performance.now() - startedAtMs,
 	};
 }
+
+/** Ends a process without a warning. Resolves when it has ended. */
+export async function killProcess(child: ChildProcess): Promise<void> {
+	const ended = waitForExit(child);
+	child.kill('SIGKILL');
+	await ended;
+}
+
+async function waitForExit(child: ChildProcess): Promise<void> {
+	return new Promise((resolve) => {
+		child.once('exit', () => {
+			resolve();
+		});
+	});
+}
--- a/testing/src/pool/open-connection.ts
+++ b/testing/src/pool/open-connection.ts
@@ -6,6 +6,7 @@
 	type PoolEntryVm,
 	type PoolHttpResponse,
 } from './pool-installation.js';
+import {type TaskBehavior} from './worker-stand-in.js';
 
 /** A request to an entry VM and how it ended; status 0 is a connection that ended without a complete answer. */
 export type SentRequest = {
@@ -28,15 +29,21 @@
 		await this.send('GET', testQueue.prefix, '', '');
 	}
 
-	/** Submits a job of one task. */
-	async submit(id: string, runMs: number): Promise<SentRequest> {
+	/** Submits a job of equal tasks, by default of one. */
+	async submit(
+		id: string,
+		task: TaskBehavior,
+		count = 1,
+	): Promise<SentRequest> {
 		return this.send(
 			'POST',
 			testQueue.prefix + id,
 			JSON.stringify({
-				spec: formatTaskSpec({runMs, needsMillis: 100, crashesWorker: false}),
+				spec: formatTaskSpec(task),
 				bestEffort: true,
-				steps: [{count: 1, cpu: 100, memMb: 1, estimatedMs: runMs}],
+				steps: [
+					{count, cpu: task.needsMillis, memMb: 1, estimatedMs: task.runMs},
+				],
 			}),
 			id,
 		);
--- a/testing/src/pool/worker-stand-in.ts
+++ b/testing/src/pool/worker-stand-in.ts
@@ -65,10 +65,18 @@
 	state: 'ready' | 'draining' = 'ready';
 	/** Start time since the Unix epoch, sent in each response as `born`. */
 	bornMs = Date.now();
-	/** Capacity in thousandths of a processor, which may change while the worker runs. */
-	processorMillis: number;
-	/** Largest use of the processor so far at the start of a run, less the capacity at that time. */
+	/** Number of times that a task has ended the worker's process. */
+	crashCount = 0;
+	/** Largest use of the processor so far at the start of a run, less the capacity that counted then. */
 	largestExcessMillis = Number.NEGATIVE_INFINITY;
+	/** Present capacity in thousandths of a processor. */
+	#processorMillis: number;
+	/** Former capacities that still count, as leaders may not have heard of the change. */
+	#formerCapacities: ReadonlyArray<{
+		readonly processorMillis: number;
+		readonly untilMs: number;
+	}> = [];
+
 	#server: Server;
 	#port = 0;
 	#restartTimer: NodeJS.Timeout | undefined;
@@ -86,7 +94,7 @@
 	readonly #pendingHolds = new Set<() => void>();
 
 	constructor(readonly options: WorkerStandInOptions) {
-		this.processorMillis = options.processorMillis;
+		this.#processorMillis = options.processorMillis;
 		this.#server = this.#createServer();
 	}
 
@@ -98,8 +106,21 @@
 		this.#port = (this.#server.address() as AddressInfo).port;
 	}
 
+	/** Changes the capacity while the worker runs; the former one counts for `noticeMs` more if it was larger. */
+	resize(processorMillis: number, noticeMs: number): void {
+		this.#formerCapacities = [
+			...this.#formerCapacities,
+			{
+				processorMillis: this.#processorMillis,
+				untilMs: this.#clockMs + noticeMs,
+			},
+		];
+		this.#processorMillis = processorMillis;
+	}
+
 	/** Ends the worker's process: all runs and connections end, and it starts again a while later and knows nothing of before. */
 	crash(): void {
+		this.crashCount += 1;
 		this.#closeServer();
 		for (const {record} of this.#runningTasks.values()) {
 			record.endedAtMs = performance.now();
@@ -133,7 +154,7 @@
 			version: 'v1',
 			slots: 8,
 			state: this.state,
-			capacity: {cpu: this.processorMillis, memMb: 131_072},
+			capacity: {cpu: this.#processorMillis, memMb: 131_072},
 			labels: ['a', 'r1-1'],
 			born: this.bornMs,
 			sequence: 1,
@@ -169,6 +190,15 @@
 		this.#server.close();
 	}
 
+	get #countedCapacityMillis(): number {
+		return Math.max(
+			this.#processorMillis,
+			...this.#formerCapacities
+				.filter(({untilMs}) => this.#clockMs < untilMs)
+				.map(({processorMillis}) => processorMillis),
+		);
+	}
+
 	/** Monotonic clock of the worker in milliseconds, by which the requests give their deadlines. */
 	get #clockMs(): number {
 		return Math.floor(performance.now());
@@ -280,12 +310,17 @@
 			(sum, running) => sum + running.needsMillis,
 			0,
 		);
-		const excessMillis = usedMillis + needsMillis - this.processorMillis;
-		if (excessMillis > 0 && this.options.guardsCapacity !== false) {
+		const neededMillis = usedMillis + needsMillis;
+		if (
+			neededMillis > this.#processorMillis &&
+			this.options.guardsCapacity !== false
+		) {
 			this.#respond(response, 409, {reason: 'room'});
 			return;
 		}
 
+		const excessMillis = neededMillis - this.#countedCapacityMillis;
+
 		this.largestExcessMillis = Math.max(this.largestExcessMillis, excessMillis);
 
 		const record: RecordedRun = {
--- a/testing/src/soak/main.ts
+++ b/testing/src/soak/main.ts
@@ -1,14 +1,27 @@
 #!/usr/bin/env node
-/** Command-line tool that stops and restarts entry VMs under load, one seed after another. */
+/** Command-line tool that runs a soak, one seed after another: planned stops, or workers in trouble. */
 import {mkdirSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
-import {runStopSoak, type StopSoakResult} from './stop-soak.js';
+import {type SoakResult} from './soak-support.js';
+import {runStopSoak} from './stop-soak.js';
+import {runWorkerSoak} from './worker-soak.js';
 
 const options = await yargs(hideBin(process.argv))
 	.scriptName('soak')
+	.option('kind', {
+		choices: ['stops', 'workers'] as const,
+		default: 'stops' as const,
+		describe:
+			'stops: entry VMs are stopped and paused; workers: tasks crash workers, capacities change, entry VMs are killed or stopped',
+	})
+	.option('workers', {
+		type: 'number',
+		default: 5,
+		describe: 'Workers in each of two zones, for the kind workers',
+	})
 	.option('first-seed', {type: 'number', default: 1})
 	.option('seeds', {type: 'number', default: 10})
 	.option('seconds', {
@@ -36,14 +49,17 @@
 
 async function runSeed(
 	seed: number,
-): Promise<Pick<StopSoakResult, 'failures' | 'lines'>> {
+): Promise<Pick<SoakResult, 'failures' | 'lines'>> {
+	const size = {
+		seed,
+		durationMs: options.seconds * 1000,
+		entryVmsPerZone: options['entry-vms'],
+		connectionsPerEntryVm: options.connections,
+	};
 	try {
-		return await runStopSoak({
-			seed,
-			durationMs: options.seconds * 1000,
-			entryVmsPerZone: options['entry-vms'],
-			connectionsPerEntryVm: options.connections,
-		});
+		return options.kind === 'stops'
+			? await runStopSoak(size)
+			: await runWorkerSoak({...size, workersPerZone: options.workers});
 	} catch (error: unknown) {
 		return {failures: [`seed ${seed} not run: ${String(error)}`], lines: []};
 	}
--- a/testing/src/soak/stop-soak.ts
+++ b/testing/src/soak/stop-soak.ts
@@ -17,6 +17,7 @@
 	type PoolEntryVm,
 } from '../pool/pool-installation.js';
 import {collectRuns, findOverlappingTasks} from '../pool/recorded-runs.js';
+import {between, groupBy, type SoakResult} from './soak-support.js';
 
 /** Size of a soak of planned stops. */
 export type StopSoakOptions = {
@@ -29,19 +30,12 @@
 };
 
 /** What one seed has shown. */
-export type StopSoakResult = {
-	readonly seed: number;
-	readonly requestCount: number;
+export type StopSoakResult = SoakResult & {
 	readonly stopCount: number;
 	/** Stops that SIGKILL ended, with their pauses and their log lines. */
 	readonly killed: readonly string[];
-	/** Number of requests by HTTP status; 0 is a connection that ended without an answer. */
-	readonly statuses: Readonly<Record<string, number>>;
 	/** Requests whose connection was open and closed without an answer over 200 ms later; also unread ones. */
 	readonly closedLate: readonly string[];
-	readonly failures: readonly string[];
-	/** Log lines of the entry VMs, kept if there are failures. */
-	readonly lines: readonly string[];
 };
 
 const stopGraceMs = 6000;
@@ -121,7 +115,11 @@
 		const runMs = Math.round(between(runTimeMs, random()));
 		// eslint-disable-next-line no-await-in-loop -- one request after another
 		const request = await (isPost
-			? connection.submit(id, runMs)
+			? connection.submit(id, {
+					runMs,
+					needsMillis: 100,
+					crashesWorker: false,
+				})
 			: connection.send(method, testQueue.prefix + id, '', id));
 		sent.push(request);
 		// eslint-disable-next-line no-await-in-loop
@@ -289,25 +287,3 @@
 			atMs <= stop.endedAtMs,
 	);
 }
-
-function between(
-	{min, max}: {readonly min: number; readonly max: number},
-	share: number,
-): number {
-	return min + (max - min) * share;
-}
-
-function groupBy<T, Key>(
-	values: readonly T[],
-	keyOf: (value: T) => Key,
-): ReadonlyMap<Key, readonly T[]> {
-	const groups = new Map<Key, T[]>();
-	for (const value of values) {
-		const key = keyOf(value);
-		const group = groups.get(key) ?? [];
-		group.push(value);
-		groups.set(key, group);
-	}
-
-	return groups;
-}
