Keep what is known of a worker's speed while its capacity is smaller

What operators would see: after a worker shrank, its run times were judged as those of a kind without data, and each capacity that it ever had was kept as a kind of its own. Cause: the kind of a worker was computed from its present capacity. Change: the kind is that of the largest capacity since the process started. Result: the test fails before (a/20000 instead of a/64000).

--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -135,7 +135,7 @@
 
 /** The leader's record of one worker: its runs, orphans, lease, clock, health and pace. */
 export class PoolWorker {
-	/** Kind and size of the worker, see {@link kindOf}. */
+	/** Kind and size of the worker, see {@link kindOf}; stays the same while the capacity is smaller for a while. */
 	kind: string;
 	/** Largest capacity that the worker has had since its process started; its present one may be smaller for a while. */
 	largestCapacity: Resources;
@@ -232,7 +232,10 @@
 				? maxResources(this.largestCapacity, entry.capacity)
 				: entry.capacity;
 		this.entry = entry;
-		this.kind = kindOf(entry);
+		this.kind = kindOf({
+			labels: entry.labels,
+			capacity: this.largestCapacity,
+		});
 		const isKnown =
 			entry.bornMs === this.#coldFrom?.bornMs &&
 			entry.coldMs === this.#coldFrom.coldMs;
--- a/packages/core/src/tests/changing-capacity.test.ts
+++ b/packages/core/src/tests/changing-capacity.test.ts
@@ -66,4 +66,12 @@
 			{answer: {kind: 'not-run', reason: 'overloaded', retryAfterMs: 1000}},
 		]);
 	});
+
+	it('stays of the kind whose speed is known', () => {
+		const fixture = new SchedulerFixture();
+		fixture.leadIdleWorkers([entryFixture(64_000)], startMs);
+		const {kind} = fixture.scheduler.pool.findWorker('w1')!;
+		fixture.scheduler.updateWorkers([entryFixture(20_000)], startMs + 10);
+		expect(fixture.scheduler.pool.findWorker('w1')!.kind).toBe(kind);
+	});
 });
