Count failed runs of an earlier leader as attempts

What callers would see: a task that a worker reported as failed was started again by the next leader although its queue allows one attempt. Cause: the end of a run that another leader had started was adopted without its failure; found while looking for limits that are lost when a job changes hands. A number of a run could also fall behind one that was used for a lost run. Change: adopted failures count, and the job ends when they reach the limit; the number of the next run never falls. Open: failures that the earlier leader had already acknowledged are not known to the next one. Result: the test starts the task again before, and does not now.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -684,6 +684,7 @@
 		}
 
 		this.#adoptEndedRun(job, task, reportedEnd);
+		this.#giveUpIfAttemptsAreUsedUp(job, this.#now);
 		if (job.isComplete) {
 			this.#answerJob(job, {kind: 'completed'}, this.#now);
 		}
@@ -966,6 +967,7 @@
 				longestMs: Math.round(scheduledJob.longestTaskMs),
 			},
 		);
+		this.#giveUpIfAttemptsAreUsedUp(scheduledJob, now);
 		if (scheduledJob.isComplete) {
 			this.#answerJob(scheduledJob, {kind: 'completed'}, now);
 		}
@@ -1031,7 +1033,8 @@
 		{run, how}: Pick<ReportedEnd, 'run' | 'how'>,
 	): void {
 		job.hasStarted = true;
-		task.latestRun = run;
+		task.latestRun = Math.max(task.latestRun, run);
+		task.failureCount += how === 'failed' ? 1 : 0;
 		task.state = how === 'done' ? 'done' : 'waiting';
 		this.#logJobDecision('adopted', job.id, how, {task: task.task.name, run});
 	}
@@ -1168,6 +1171,11 @@
 				this.#adoptOrphan(job, task, now);
 			}
 
+			this.#giveUpIfAttemptsAreUsedUp(job, now);
+			if (this.#jobs.get(job.id) !== job) {
+				return false;
+			}
+
 			if (job.isComplete) {
 				this.#answerJob(job, {kind: 'completed'}, now);
 				return false;
@@ -1328,7 +1336,15 @@
 		this.#waitingJobs.add(job);
 		task.avoidedWorker = worker.entry.id;
 		task.failureCount += outcome === 'failed' ? 1 : 0;
-		if (task.failureCount >= job.queue.mostAttempts) {
+		this.#giveUpIfAttemptsAreUsedUp(job, now);
+	}
+
+	/** Ends a job of which a task has failed as often as its queue allows. */
+	#giveUpIfAttemptsAreUsedUp(job: ScheduledJob, now: number): void {
+		if (
+			this.#jobs.get(job.id) === job &&
+			job.tasks.some(({failureCount}) => failureCount >= job.queue.mostAttempts)
+		) {
 			this.#abandonJob(job, {kind: 'failed', reason: 'attempts-used-up'}, now);
 		}
 	}
--- a/packages/core/src/tests/scheduler-failover.test.ts
+++ b/packages/core/src/tests/scheduler-failover.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {
 	SchedulerFixture,
+	desiredStateFixture,
 	poolJobFixture,
 	workerFixture,
 } from './pool-fixtures.js';
@@ -45,6 +46,26 @@
 		]);
 	});
 
+	it('counts a failed run of an earlier leader as an attempt', () => {
+		const fixture = new SchedulerFixture();
+		const state = desiredStateFixture(2);
+		fixture.scheduler.applyDesiredState({
+			...state,
+			queues: state.queues.map((queue) => ({...queue, mostAttempts: 1})),
+		});
+		fixture.scheduler.updateWorkers([workerFixture('w1')], startMs);
+		fixture.scheduler.startLeadingZone('zone-a', 7, startMs);
+		fixture.receiveReport('w1', startMs + 5, {
+			ended: [{number: 1, task: 'j1.0.0.0', run: 1, how: 'failed'}],
+		});
+		fixture.scheduler.submit(poolJobFixture('j1'), 'r1', true, startMs + 10);
+		fixture.tickUntil(startMs + 20, startMs + 100);
+		expect(fixture.starts).toEqual([]);
+		expect(fixture.answers).toMatchObject([
+			{answer: {kind: 'failed', reason: 'attempts-used-up'}},
+		]);
+	});
+
 	it('adopts the latest run of a task when workers list ends of earlier runs', () => {
 		const fixture = new SchedulerFixture();
 		fixture.scheduler.updateWorkers(
