--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -1,4 +1,5 @@
 import {type WorkerSelectionPolicy} from './worker-selection.js';
+import {AnsweredJobs, type AnswerRetention} from './answered-jobs.js';
 import {type DesiredState, type QueueSetting} from './desired-state.js';
 import {type RunTimeEstimator} from './run-time-estimator.js';
 import {RunTimeTails, type QueueTail} from './run-time-tail.js';
@@ -72,13 +73,9 @@
 };
 
 /** Settings of the scheduler. Times are in milliseconds. */
-export type SchedulerSettings = {
+export type SchedulerSettings = AnswerRetention & {
 	/** Time after which the jobs of an unreachable receiver are abandoned. */
 	readonly receiverTimeoutMs: number;
-	/** Time for which answers are retained for copies of a request that arrive late. */
-	readonly answerRetentionMs: number;
-	/** Largest number of retained answers, and of retained attempts without a result. */
-	readonly maxRetainedAnswers: number;
 	/** Multiple of the expected run time from which a run counts as stuck; few runs of sound workers take as long. */
 	readonly stuckFactor: number;
 	/** Shortest run time from which a run counts as stuck. */
@@ -145,20 +142,7 @@
 	readonly #jobs = new Map<string, ScheduledJob>();
 	/** All jobs with waiting tasks, and some whose last waiting task was placed or that were answered. */
 	readonly #waitingJobs = new Set<ScheduledJob>();
-	/** Attempts that were answered `not-run` or `may-have-run`, with the time of the answer. */
-	readonly #closedAttempts = new Map<
-		string,
-		{readonly mayHaveRun: boolean; readonly atMs: number}
-	>();
-
-	/** Answers of completed, failed and cancelled jobs by job identifier, with the time of the answer. */
-	readonly #retainedAnswers = new Map<
-		string,
-		{readonly answer: PoolAnswer; readonly atMs: number}
-	>();
-
-	/** Jobs without an answer that had runs when they were given up, with the time; the runs may take a while to stop. */
-	readonly #stoppedJobs = new Map<string, number>();
+	readonly #answeredJobs: AnsweredJobs;
 	readonly #typicalTasks = new TypicalTasks();
 	readonly #tails = new RunTimeTails();
 	readonly #lostRuns = new LostRunRegister();
@@ -174,6 +158,7 @@
 	constructor(options: SchedulerOptions) {
 		this.#options = options;
 		this.#settings = options.settings ?? defaultSchedulerSettings;
+		this.#answeredJobs = new AnsweredJobs(this.#settings);
 		this.pool = new WorkerPool(
 			options.commandSender,
 			this,
@@ -348,7 +333,7 @@
 			return job.hasStarted ? 'running' : 'queued';
 		}
 
-		return this.#retainedAnswers.get(id)?.answer;
+		return this.#answeredJobs.findAnswer(id);
 	}
 
 	/**
@@ -362,7 +347,7 @@
 		now: number,
 	): void {
 		this.#now = now;
-		const closedAttempt = this.#closedAttempts.get(job.attempt);
+		const closedAttempt = this.#answeredJobs.findClosedAttempt(job.attempt);
 		if (closedAttempt !== undefined) {
 			// This attempt has been answered. A resubmitted job may have run under another leader since then.
 			this.#refuseJob(
@@ -376,10 +361,10 @@
 		}
 
 		this.importLostRuns(job.lostRuns ?? [], now);
-		const retainedAnswer = this.#retainedAnswers.get(job.id);
+		const retainedAnswer = this.#answeredJobs.findAnswer(job.id);
 		if (retainedAnswer !== undefined) {
 			this.#logJobDecision('joined', job.id, 'answered', {});
-			this.#options.output.sendAnswer(receiver, job.id, retainedAnswer.answer);
+			this.#options.output.sendAnswer(receiver, job.id, retainedAnswer);
 			return;
 		}
 
@@ -557,7 +542,7 @@
 			this.#checkJobTimeouts(job, now);
 		}
 
-		this.#evictExpiredAnswers(now);
+		this.#answeredJobs.evict(now);
 		this.#placeWaitingTasks(now);
 	}
 
@@ -696,7 +681,8 @@
 		const jobId = parseJobId(task);
 		return (
 			!this.#jobs.has(jobId) &&
-			(this.#retainedAnswers.has(jobId) || this.#hasGivenUp(jobId))
+			(this.#answeredJobs.findAnswer(jobId) !== undefined ||
+				this.#hasGivenUp(jobId))
 		);
 	}
 
@@ -812,38 +798,6 @@
 			: undefined;
 	}
 
-	/** Drops the oldest answers and closed attempts beyond the retention time or the largest number. */
-	#evictExpiredAnswers(now: number): void {
-		const {answerRetentionMs, maxRetainedAnswers} = this.#settings;
-		for (const [id, {atMs}] of this.#retainedAnswers) {
-			if (
-				now - atMs <= answerRetentionMs &&
-				this.#retainedAnswers.size <= maxRetainedAnswers
-			) {
-				break;
-			}
-
-			this.#retainedAnswers.delete(id);
-		}
-
-		for (const [id, atMs] of this.#stoppedJobs) {
-			if (now - atMs > answerRetentionMs) {
-				this.#stoppedJobs.delete(id);
-			}
-		}
-
-		for (const [attempt, {atMs}] of this.#closedAttempts) {
-			if (
-				now - atMs <= answerRetentionMs &&
-				this.#closedAttempts.size <= maxRetainedAnswers
-			) {
-				break;
-			}
-
-			this.#closedAttempts.delete(attempt);
-		}
-	}
-
 	/** Tells the receivers of jobs that this leader drops what the next leader has to know of them. */
 	#handOverJobs(jobs: Iterable<ScheduledJob>): void {
 		const dropped = [...jobs];
@@ -903,7 +857,7 @@
 			scheduledJob.markUnsettled(job.earlierToken ?? 0, now);
 		}
 
-		if (this.#stoppedJobs.has(job.id)) {
+		if (this.#answeredJobs.hadRuns(job.id)) {
 			this.#adoptStoppingRuns(scheduledJob);
 		}
 
@@ -1517,7 +1471,7 @@
 				workerId === undefined ? undefined : this.pool.findWorker(workerId);
 			const run = worker?.runs.get(task.name);
 			if (worker !== undefined && run !== undefined) {
-				this.#stoppedJobs.set(job.id, now);
+				this.#answeredJobs.recordStop(job.id, now);
 				if (run.state !== 'stopping') {
 					this.pool.stopRun(run, worker, now);
 				}
@@ -1528,15 +1482,7 @@
 	/** Sends the one answer of a job. Retains the answer, or the attempt if there is no result, for copies of the request. */
 	#answerJob(job: ScheduledJob, answer: PoolAnswer, now: number): void {
 		this.#jobs.delete(job.id);
-		if (answer.kind === 'not-run' || answer.kind === 'may-have-run') {
-			this.#closedAttempts.set(job.job.attempt, {
-				mayHaveRun: answer.kind === 'may-have-run',
-				atMs: now,
-			});
-		} else {
-			this.#retainedAnswers.set(job.id, {answer, atMs: now});
-		}
-
+		this.#answeredJobs.recordAnswer(job.id, job.job.attempt, answer, now);
 		this.#options.output.sendAnswer(job.receiver, job.id, answer);
 	}
 
@@ -1552,31 +1498,25 @@
 			...inputs,
 			queue: job.queue,
 		});
+		const answer: PoolAnswer = mayHaveRun
+			? {kind: 'may-have-run', reason: 'leader-lost'}
+			: {
+					kind: 'not-run',
+					reason,
+					...(reason === 'cannot-fit' || reason === 'queue-unknown'
+						? {}
+						: {
+								retryAfterMs:
+									typeof inputs.retryAfterMs === 'number'
+										? inputs.retryAfterMs
+										: defaultRetryAfterMs,
+							}),
+				};
 		if (!mayHaveRun) {
-			this.#closedAttempts.set(job.attempt, {
-				mayHaveRun: false,
-				atMs: this.#now,
-			});
+			this.#answeredJobs.recordAnswer(job.id, job.attempt, answer, this.#now);
 		}
 
-		this.#options.output.sendAnswer(
-			receiver,
-			job.id,
-			mayHaveRun
-				? {kind: 'may-have-run', reason: 'leader-lost'}
-				: {
-						kind: 'not-run',
-						reason,
-						...(reason === 'cannot-fit' || reason === 'queue-unknown'
-							? {}
-							: {
-									retryAfterMs:
-										typeof inputs.retryAfterMs === 'number'
-											? inputs.retryAfterMs
-											: defaultRetryAfterMs,
-								}),
-					},
-		);
+		this.#options.output.sendAnswer(receiver, job.id, answer);
 	}
 
 	/**
