Send lost runs to receivers that can only be answered back

What callers would see: with more than twelve entry VMs, a receiver of another zone has a stream to the leader but the leader has none of its own to it. Lost runs were sent on own open streams only, so that such a receiver could not hand them to the next leader. Change: the recipients are chosen by their roles, and the mesh answers back where it can.

--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -37,6 +37,7 @@
 	type KnowledgeView,
 } from './knowledge-exchange.js';
 import {computeWorkersVersion, describeWorker} from './knowledge-schedule.js';
+import {selectLossRecipients} from './loss-recipients.js';
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {type PoolLog} from './pool-log.js';
 import {StoreFollower} from './store-follower.js';
@@ -817,26 +818,20 @@
 		}
 	}
 
-	/**
-	 * Sends lost runs to the receivers of the jobs, to all leaders, to which a caller's copy may go, and to the candidates
-	 * that may succeed this leader.
-	 */
+	/** Keeps lost runs for the jobs received here, and sends them to the entry VMs that have to know of them. */
 	#sendLostRuns(
 		receivers: readonly string[],
 		lostRuns: readonly LostRun[],
 	): void {
 		this.#pendingJobs.recordLostRuns(lostRuns);
-		const peers = this.#leadership
-			.livePeers(this.#now())
-			.filter(
-				({isCandidate, leads}) =>
-					isCandidate !== false || Object.keys(leads).length > 0,
-			)
-			.map(({name}) => name);
-		const names = [...new Set([...receivers, ...peers])].filter(
-			(name) => name !== this.#settings.name && this.#overlayNode.isOpen(name),
+		this.#overlayNode.sendToAll(
+			selectLossRecipients(
+				receivers,
+				this.#leadership.livePeers(this.#now()),
+				this.#settings.name,
+			),
+			{type: 'lost-runs', lostRuns},
 		);
-		this.#overlayNode.sendToAll(names, {type: 'lost-runs', lostRuns});
 	}
 
 	/** Returns what heartbeats tell of this entry VM besides its membership and leadership. */
