Take no room from a worker that has refused it twice

What callers would see: between the moment in which a worker that guards its capacity shrinks and that in which its entry is read, up to 2 s, its leader sent it a start every 50 ms; each was refused, and each task went back to the queue. Cause: a refusal for lack of room paused the worker for the time of a stop, as if only a run that is about to end were in the way. Change: after a second refusal in a row the worker gets no more than what it runs, until its entry shows another capacity or 2 s have passed.

--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -2,6 +2,7 @@
 import {
 	addResources,
 	fitsWithin,
+	isEqualAmount,
 	maxResources,
 	type Resources,
 } from './pool-job.js';
@@ -126,6 +127,10 @@
  * Longest time from sending a command until it takes effect on a worker; network links themselves add only milliseconds.
  */
 const maxCommandDelayMs = 150;
+/** Refusals for lack of room in a row from which the worker has less room than its entry says. */
+const minRoomRefusals = 2;
+/** Longest time in milliseconds until a changed capacity is in the worker's entry and has been read. */
+const entryDelayMs = 2000;
 /** Resources that an orphan is assumed to use where the worker does not report them. */
 const assumedOrphanNeeds: Resources = {
 	processorMillis: 27_000,
@@ -180,6 +185,12 @@
 	#bornMs: number | undefined;
 	#used: Resources = {processorMillis: 0, memoryMb: 0, accelerators: 0};
 	#hasSuspect = false;
+	/** Starts in a row that the worker has refused for lack of room. */
+	#roomRefusals = 0;
+	/** Capacity that the worker has shown by refusals, while its entry still has a larger one. */
+	#roomLimit:
+		{readonly processorMillis: number; readonly untilMs: number} | undefined;
+
 	/** Cached free resources, computed for `#freeForCapacity`; read far more often than they change. */
 	#free: Resources | undefined;
 	#freeForCapacity: Resources | undefined;
@@ -227,6 +238,13 @@
 
 	/** Replaces the worker's entry in the platform's list. */
 	setEntry(entry: WorkerEntry, now: number): void {
+		if (
+			entry.bornMs !== this.entry.bornMs ||
+			!isEqualAmount(entry.capacity, this.entry.capacity)
+		) {
+			this.#setRoomLimit(undefined);
+		}
+
 		this.largestCapacity =
 			entry.bornMs === this.entry.bornMs
 				? maxResources(this.largestCapacity, entry.capacity)
@@ -302,7 +320,11 @@
 		if (this.#free === undefined || this.#freeForCapacity !== capacity) {
 			this.#freeForCapacity = capacity;
 			this.#free = {
-				processorMillis: capacity.processorMillis - this.#used.processorMillis,
+				processorMillis:
+					Math.min(
+						capacity.processorMillis,
+						this.#roomLimit?.processorMillis ?? Number.POSITIVE_INFINITY,
+					) - this.#used.processorMillis,
 				memoryMb: capacity.memoryMb - this.#used.memoryMb,
 				accelerators: capacity.accelerators - this.#used.accelerators,
 			};
@@ -311,6 +333,43 @@
 		return this.#free;
 	}
 
+	/**
+	 * Records that the worker has refused a run, which still counts as used, for lack of room. After a second refusal in a
+	 * row it gets no more than what it has, until its entry shows another capacity or enough time has passed.
+	 */
+	recordRoomRefusal(now: number): void {
+		this.#roomRefusals += 1;
+		if (this.#roomRefusals >= minRoomRefusals) {
+			this.#setRoomLimit({
+				processorMillis: this.#used.processorMillis - 1,
+				untilMs: now + entryDelayMs,
+			});
+		}
+	}
+
+	/** Records that the worker has accepted a start. */
+	recordAcceptedStart(): void {
+		this.#roomRefusals = 0;
+	}
+
+	/** Forgets what earlier refusals have shown, once the worker's entry would show it too. */
+	expireRoomLimit(now: number): void {
+		if (this.#roomLimit !== undefined && now >= this.#roomLimit.untilMs) {
+			this.#setRoomLimit(undefined);
+		}
+	}
+
+	#setRoomLimit(
+		limit:
+			{readonly processorMillis: number; readonly untilMs: number} | undefined,
+	): void {
+		if (limit !== this.#roomLimit) {
+			this.#roomLimit = limit;
+			this.#free = undefined;
+			this.#handleChange?.(this);
+		}
+	}
+
 	/** Whether the worker may be given a task now; while it is cold or after failures, only one at a time. */
 	canStartTask(now: number): boolean {
 		return (
--- a/packages/core/src/tests/changing-capacity.test.ts
+++ b/packages/core/src/tests/changing-capacity.test.ts
@@ -74,4 +74,32 @@
 		fixture.scheduler.updateWorkers([entryFixture(20_000)], startMs + 10);
 		expect(fixture.scheduler.pool.findWorker('w1')!.kind).toBe(kind);
 	});
+
+	it('is not asked again and again for room that its entry still shows', () => {
+		const fixture = new SchedulerFixture();
+		fixture.leadIdleWorkers([entryFixture(64_000)], startMs);
+		const job = poolJobFixture('j1', 1, {runMs: 5000, patienceMs: 60_000});
+		fixture.scheduler.submit(job, 'r1', false, startMs);
+		let refusedCount = 0;
+		const refuseStarts = (fromMs: number, toMs: number): void => {
+			for (let now = fromMs; now <= toMs; now += 20) {
+				for (const start of fixture.starts.slice(refusedCount)) {
+					refusedCount += 1;
+					fixture.answerStart(start, now, {
+						kind: 'refused',
+						reason: 'no-room',
+						clockMs: now,
+					});
+				}
+
+				fixture.receiveReport('w1', now);
+				fixture.scheduler.tick(now);
+			}
+		};
+
+		refuseStarts(startMs + 5, startMs + 1500);
+		expect(refusedCount).toBe(2);
+		refuseStarts(startMs + 1520, startMs + 2500);
+		expect(refusedCount).toBeGreaterThan(2);
+	});
 });
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -433,6 +433,7 @@
 		switch (outcome.kind) {
 			case 'done': {
 				confirmStart(run, now);
+				worker.recordAcceptedStart();
 				this.#expediteHold(worker, now);
 				break;
 			}
@@ -580,6 +581,7 @@
 	/** Ends runs whose lease is certain to have expired, sends due commands and removes old ends of orphans. */
 	tick(now: number): void {
 		for (const worker of this.#workers.values()) {
+			worker.expireRoomLimit(now);
 			this.#endLapsedRuns(worker, now);
 			this.#sendStops(worker, now);
 			this.#sendHold(worker, now);
@@ -751,6 +753,7 @@
 
 		if (reason === 'no-room') {
 			worker.fullUntilMs = now + this.#settings.stopDurationMs;
+			worker.recordRoomRefusal(now);
 		}
 
 		if (reason === 'unhealthy' && worker.health.recordFailure(run.jobId, now)) {
