--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -359,17 +359,6 @@
 		}
 	}
 
-	#setRoomLimit(
-		limit:
-			{readonly processorMillis: number; readonly untilMs: number} | undefined,
-	): void {
-		if (limit !== this.#roomLimit) {
-			this.#roomLimit = limit;
-			this.#free = undefined;
-			this.#handleChange?.(this);
-		}
-	}
-
 	/** Whether the worker may be given a task now; while it is cold or after failures, only one at a time. */
 	canStartTask(now: number): boolean {
 		return (
@@ -465,6 +454,17 @@
 		this.#updateUsed();
 	}
 
+	#setRoomLimit(
+		limit:
+			{readonly processorMillis: number; readonly untilMs: number} | undefined,
+	): void {
+		if (limit !== this.#roomLimit) {
+			this.#roomLimit = limit;
+			this.#free = undefined;
+			this.#handleChange?.(this);
+		}
+	}
+
 	#updateUsed(): void {
 		let used: Resources = {processorMillis: 0, memoryMb: 0, accelerators: 0};
 		for (const {needs} of [...this.runs.values(), ...this.orphans.values()]) {
