Answer jobs whose workers seem to have crashed without calling them failed

What callers would see: a job whose workers were cut off by a partition that refuses connections, twice within its time, was shown as `failed`, though its tasks may have run to their ends (LOST). Cause: a refused connection shows that nobody listens or that somebody refuses in the worker's place; only the next process of the worker, 3 s later, is a proof. Change: the job is given up in the same way and at the same time, but the answer is `may-have-run`, reason `workers-crashed`; copies get it too.

--- a/packages/core/src/pool-job.ts
+++ b/packages/core/src/pool-job.ts
@@ -58,11 +58,7 @@
 /** How a job ended, or why it did not run. */
 export type PoolAnswer =
 	| {readonly kind: 'completed'}
-	| {
-			readonly kind: 'failed';
-			/** `workers-crashed`: workers crashed under a task, which is not started again. */
-			readonly reason: 'attempts-used-up' | 'workers-crashed';
-	  }
+	| {readonly kind: 'failed'; readonly reason: 'attempts-used-up'}
 	| {readonly kind: 'cancelled'}
 	/** No task has started, and none will start. */
 	| {
@@ -89,6 +85,8 @@
 export type MayHaveRunReason =
 	| 'deadline-exceeded'
 	| 'worker-lost'
+	/** Workers seem to have crashed under a task, which is not started again. */
+	| 'workers-crashed'
 	| 'leader-lost'
 	| 'caller-left'
 	/** The operator has asked that nothing more be started in the zone whose workers run a part of the job. */
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -785,12 +785,13 @@
 	/** Returns the answer of a job that has one of these tasks, if a task may not be started again after its lost runs. */
 	#findLossAnswer(
 		taskNames: readonly string[],
-	): Extract<PoolAnswer, {kind: 'failed' | 'may-have-run'}> | undefined {
+	): Extract<PoolAnswer, {kind: 'may-have-run'}> | undefined {
 		const suspicions = new Set(
 			taskNames.map((task) => this.#lostRuns.assess(task)),
 		);
 		if (suspicions.has('crashing')) {
-			return {kind: 'failed', reason: 'workers-crashed'};
+			// A partition that refuses connections looks like a crash, so `failed` might be untrue.
+			return {kind: 'may-have-run', reason: 'workers-crashed'};
 		}
 
 		return suspicions.has('unlucky')
