Test the check of lost runs in messages and their explanation

The fuzz of messages with missing and absurd fields includes lost runs in submissions and in messages of their own; explain names task and cause.

--- a/packages/core/src/tests/message-check.test.ts
+++ b/packages/core/src/tests/message-check.test.ts
@@ -13,6 +13,7 @@
 
 type Message = Readonly<Record<string, unknown>> & {readonly type: string};
 
+const lostRun = {task: 'j2.0.0.1', run: 1, worker: 'w1', isSuspect: true};
 const soundMessages: readonly Message[] = [
 	{type: 'submit', job: poolJobFixture('j1', 2), isResubmitted: false},
 	{
@@ -24,6 +25,7 @@
 			refusingZones: 1,
 			leaderToken: 9,
 			earlierToken: 8,
+			lostRuns: [lostRun],
 		},
 		isResubmitted: true,
 	},
@@ -36,6 +38,7 @@
 	{type: 'resubmit', id: 'j1'},
 	{type: 'untouched', id: 'j1', attempt: 'entry/1'},
 	{type: 'progress', id: 'j1', doneTasks: []},
+	{type: 'lost-runs', lostRuns: [lostRun]},
 	{type: 'cancel', id: 'j1', reason: 'moved'},
 	{type: 'ask', question: 1, about: 'state', name: 'j1'},
 	{type: 'reply', question: 1},
--- a/packages/verbenarouter/src/tests/job-explanation.test.ts
+++ b/packages/verbenarouter/src/tests/job-explanation.test.ts
@@ -58,6 +58,28 @@
 		);
 	});
 
+	it('reports the task and the cause of each run that was lost with its worker', () => {
+		const explanation = explainJob(
+			id,
+			[
+				createLine(1, 'run-ended', {
+					worker: 'w1',
+					task: `${id}.0.0.0`,
+					reason: 'lapsed',
+					inputs: {cause: 'crashed', otherRuns: 2},
+				}),
+				createLine(2, 'answered', {
+					answer: 'may-have-run',
+					reason: 'workers-crashed',
+					tookMs: 1300,
+				}),
+			].join('\n'),
+		);
+		expect(explanation.summary).toBe(
+			`may-have-run after 1300 ms: workers-crashed; run on w1 ended: lapsed (task ${id}.0.0.0, worker crashed, 2 other runs)`,
+		);
+	});
+
 	it('reports the inputs of a refusal and the longest run of a late job', () => {
 		const refused = explainJob(
 			id,
