--- a/packages/core/src/lost-runs.ts
+++ b/packages/core/src/lost-runs.ts
@@ -15,12 +15,13 @@
 /**
  * What the lost runs of a task mean for its next start.
  *
- * - `sound`: the task is not under suspicion.
+ * - `unsuspected`: the task is not under suspicion.
  * - `suspect`: a worker crashed under the task, which may be the cause.
  * - `crashing`: as many workers crashed under the task as it may cost.
- * - `unlucky`: as many runs of the task were lost as it may cost, but it is not known to crash workers.
+ * - `lost-too-often`: as many runs of the task were lost as it may cost, but it is not known to crash workers.
  */
-export type CrashSuspicion = 'sound' | 'suspect' | 'crashing' | 'unlucky';
+export type CrashSuspicion =
+	'unsuspected' | 'suspect' | 'crashing' | 'lost-too-often';
 
 /** Crashes of workers under a task, as their possible cause, after which it is not started again. */
 const maxSuspectedCrashes = 2;
@@ -99,15 +100,15 @@
 		}
 
 		if (lostRuns.length >= maxLostRuns) {
-			return 'unlucky';
+			return 'lost-too-often';
 		}
 
-		return crashCount > 0 ? 'suspect' : 'sound';
+		return crashCount > 0 ? 'suspect' : 'unsuspected';
 	}
 
 	/** Whether a task may crash the worker that starts it next. */
 	isSuspect(task: string): boolean {
-		return this.assess(task) !== 'sound';
+		return this.assess(task) !== 'unsuspected';
 	}
 
 	/**
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -794,7 +794,7 @@
 			return {kind: 'may-have-run', reason: 'workers-crashed'};
 		}
 
-		return suspicions.has('unlucky')
+		return suspicions.has('lost-too-often')
 			? {kind: 'may-have-run', reason: 'worker-lost'}
 			: undefined;
 	}
--- a/packages/core/src/tests/lost-runs.test.ts
+++ b/packages/core/src/tests/lost-runs.test.ts
@@ -24,7 +24,7 @@
 			now,
 		);
 		expect(['a', 'b', 'c'].map((id) => register.assess(`${id}.0.0.0`))).toEqual(
-			['crashing', 'suspect', 'sound'],
+			['crashing', 'suspect', 'unsuspected'],
 		);
 	});
 
@@ -37,7 +37,7 @@
 			now,
 		);
 		expect(['old', 'new'].map((id) => register.assess(`${id}.0.0.0`))).toEqual([
-			'sound',
+			'unsuspected',
 			'suspect',
 		]);
 	});
@@ -49,7 +49,11 @@
 			register.recordWorkerLoss([run], worker, false, now);
 			return register.assess(run.task);
 		});
-		expect(suspicions).toEqual(['sound', 'sound', 'unlucky']);
+		expect(suspicions).toEqual([
+			'unsuspected',
+			'unsuspected',
+			'lost-too-often',
+		]);
 	});
 
 	it('count one crash once, however often it is seen and whoever reports it', () => {
@@ -74,7 +78,7 @@
 		const both = [{...runs[0]!, run: 2}, runs[1]!];
 		register.recordWorkerLoss(both, 'w1', true, now);
 		register.recordWorkerLoss(both, 'w1', true, now);
-		expect(register.assess('b.0.0.0')).toBe('sound');
+		expect(register.assess('b.0.0.0')).toBe('unsuspected');
 	});
 
 	it('are forgotten a minute after the last one of their job', () => {
