Bring about the two listed test failures every time, and mend the tests

Listed: three starts instead of two of a crashing task, and no connection opened by a follower whose jobs overflow; each seen once in four runs. Cause of the first: the stand-in's crash raced with the confirmation of the start. A leader that gets no answer within 50 ms can't know whether the command reached the worker before its crash, does not suspect the task and starts it a third time, as means it to. The stand-in now crashes after its answer has left; two new tests lose the confirmation of the first start and get exactly what was seen: 3 starts and the same answer, also for a copy at a new leader. Cause of the second: a follower may lead its zone since before it knew better candidates (the first test of the file excludes such ones), and is connected to the other zone then. The test takes one that does not lead; a new test kills and restarts the candidates, so that a follower leads, and finds that it opens none for jobs that overflow.

--- a/testing/src/pool/pool-installation.ts
+++ b/testing/src/pool/pool-installation.ts
@@ -66,8 +66,9 @@
 	runMs,
 	needsMillis,
 	crashesWorker,
+	unansweredStarts = 0,
 }: TaskBehavior): string {
-	return `${runMs} ${needsMillis} ${crashesWorker ? 1 : 0}`;
+	return `${runMs} ${needsMillis} ${crashesWorker ? 1 : 0} ${unansweredStarts}`;
 }
 
 /** Installation of entry VM processes, with stand-ins for the store and the workers of the users' platform. */
@@ -92,10 +93,18 @@
 						service,
 						processorMillis: options.processorMillis,
 						parseTaskSpec(spec) {
-							const [runMs = 0, needsMillis = 0, crashesWorker = 0] = spec
-								.split(' ')
-								.map(Number);
-							return {runMs, needsMillis, crashesWorker: crashesWorker === 1};
+							const [
+								runMs = 0,
+								needsMillis = 0,
+								crashesWorker = 0,
+								unansweredStarts = 0,
+							] = spec.split(' ').map(Number);
+							return {
+								runMs,
+								needsMillis,
+								crashesWorker: crashesWorker === 1,
+								unansweredStarts,
+							};
 						},
 						guardsCapacity: options.guardsCapacity ?? true,
 						onRestart: () => {
@@ -249,12 +258,15 @@
 			runMs,
 			needsMillis,
 			crashesWorker = false,
+			unansweredStarts = 0,
 			deadlineMs = 5000,
 		}: {
 			readonly count: number;
 			readonly runMs: number;
 			readonly needsMillis: number;
 			readonly crashesWorker?: boolean;
+			/** Number of runs of each crashing task whose start commands get no answer. */
+			readonly unansweredStarts?: number;
 			/** Time in milliseconds for which the caller waits. */
 			readonly deadlineMs?: number;
 		},
@@ -264,7 +276,12 @@
 			'POST',
 			testQueue.prefix + id,
 			JSON.stringify({
-				spec: formatTaskSpec({runMs, needsMillis, crashesWorker}),
+				spec: formatTaskSpec({
+					runMs,
+					needsMillis,
+					crashesWorker,
+					unansweredStarts,
+				}),
 				bestEffort: true,
 				steps: [{count, cpu: needsMillis, memMb: 64, estimatedMs: runMs}],
 			}),
--- a/testing/src/pool/worker-stand-in.ts
+++ b/testing/src/pool/worker-stand-in.ts
@@ -18,13 +18,36 @@
 	outcome: string | undefined;
 };
 
-/** A run in progress, with the timer of its end. */
+/** A run in progress. */
 type RunningTask = {
 	readonly record: RecordedRun;
 	readonly needsMillis: number;
-	readonly timer: NodeJS.Timeout;
+	/** Ends the run, or crashes the worker. */
+	readonly end: DelayedCall;
+	/** Called with each answer to a start command of the run, before it has been sent. */
+	readonly handleAnswer: (answer: ServerResponse) => void;
 };
 
+/** A call that is made once, a delay after its first request. */
+class DelayedCall {
+	readonly #delayMs: number;
+	readonly #call: () => void;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(delayMs: number, call: () => void) {
+		this.#delayMs = delayMs;
+		this.#call = call;
+	}
+
+	start(): void {
+		this.#timer ??= setTimeout(this.#call, this.#delayMs);
+	}
+
+	cancel(): void {
+		clearTimeout(this.#timer);
+	}
+}
+
 /** Report of a finished run: its sequence number, task, run number, outcome and an empty text. */
 type FinishedRun = readonly [number, string, number, string, string];
 
@@ -50,6 +73,8 @@
 	/** Thousandths of a processor that it uses. */
 	readonly needsMillis: number;
 	readonly crashesWorker: boolean;
+	/** Number of runs of a task that crashes workers whose start commands get no answer; 0 if absent. */
+	readonly unansweredStarts?: number;
 };
 
 const maxLeaseMs = 1000;
@@ -182,8 +207,8 @@
 
 	#closeServer(): void {
 		clearTimeout(this.#leaseTimer);
-		for (const {timer} of this.#runningTasks.values()) {
-			clearTimeout(timer);
+		for (const {end} of this.#runningTasks.values()) {
+			end.cancel();
 		}
 
 		this.#server.closeAllConnections();
@@ -293,7 +318,9 @@
 		}
 
 		this.#extendLease(deadlineMs);
-		if (this.#runningTasks.get(task)?.record.run === run) {
+		const runningTask = this.#runningTasks.get(task);
+		if (runningTask?.record.run === run) {
+			runningTask.handleAnswer(response);
 			this.#respond(response, 200, {});
 			return;
 		}
@@ -303,9 +330,12 @@
 			return;
 		}
 
-		const {runMs, needsMillis, crashesWorker} = this.options.parseTaskSpec(
-			String(body.spec),
-		);
+		const {
+			runMs,
+			needsMillis,
+			crashesWorker,
+			unansweredStarts = 0,
+		} = this.options.parseTaskSpec(String(body.spec));
 		const usedMillis = [...this.#runningTasks.values()].reduce(
 			(sum, running) => sum + running.needsMillis,
 			0,
@@ -331,16 +361,45 @@
 			outcome: undefined,
 		};
 		this.runs.push(record);
+		if (crashesWorker) {
+			const isUnanswered = run <= unansweredStarts;
+			// The confirmation of the start leaves before the crash, however late this process runs.
+			const crash = new DelayedCall(runMs, () => {
+				this.crash();
+			});
+			const handleAnswer = (answer: ServerResponse) => {
+				answer.once('finish', () => {
+					crash.start();
+				});
+			};
+
+			this.#runningTasks.set(task, {
+				record,
+				needsMillis,
+				end: crash,
+				handleAnswer,
+			});
+			if (isUnanswered) {
+				crash.start();
+			} else {
+				handleAnswer(response);
+				this.#respond(response, 200, {});
+			}
+
+			return;
+		}
+
+		const end = new DelayedCall(runMs, () => {
+			this.#finishRun(task, 'done');
+		});
+		end.start();
 		this.#runningTasks.set(task, {
 			record,
 			needsMillis,
-			timer: setTimeout(() => {
-				if (crashesWorker) {
-					this.crash();
-				} else {
-					this.#finishRun(task, 'done');
-				}
-			}, runMs),
+			end,
+			handleAnswer() {
+				// A repeated start changes nothing.
+			},
 		});
 		this.#respond(response, 200, {});
 	}
@@ -368,7 +427,7 @@
 			return;
 		}
 
-		clearTimeout(runningTask.timer);
+		runningTask.end.cancel();
 		this.#runningTasks.delete(task);
 		runningTask.record.endedAtMs = performance.now();
 		runningTask.record.outcome = outcome;
--- a/testing/src/tests/crashing-tasks.test.ts
+++ b/testing/src/tests/crashing-tasks.test.ts
@@ -10,8 +10,8 @@
 	runningInstallation?.close();
 });
 
-/** Starts an installation of two zones with one leader, and submits a job whose only task crashes each worker. */
-async function crashingJobFixture() {
+/** Starts an installation of two zones with one leader, and submits a job whose only task crashes each worker; its first starts may get no answer. */
+async function crashingJobFixture(unansweredStarts = 0) {
 	const installation = new PoolInstallation({
 		zones: ['a', 'b'],
 		entryVmsPerZone: 2,
@@ -33,6 +33,7 @@
 			runMs: 10,
 			needsMillis: 1000,
 			crashesWorker: true,
+			unansweredStarts,
 			deadlineMs: 12_000,
 		});
 	return {
@@ -71,6 +72,23 @@
 		expect([startCount(), status, body]).toEqual([2, 502, givenUpBody]);
 	});
 
+	it('is started a third time if the confirmation of a start is lost, and its caller gets the same answer', async () => {
+		const {submit, receiver, startCount} = await crashingJobFixture(1);
+		const {status, body} = await submit(receiver);
+		// Without a confirmation, the command may have reached the worker after its crash.
+		expect([startCount(), status, body]).toEqual([3, 502, givenUpBody]);
+	});
+
+	it('is not started again for a copy that arrives at a new leader, if the confirmation of a start was lost', async () => {
+		const {submit, receiver, other, leader, startCount} =
+			await crashingJobFixture(1);
+		await submit(receiver);
+		leader.child.kill('SIGKILL');
+		await sleep(1300);
+		const {body} = await submit(other);
+		expect([startCount(), body]).toEqual([3, givenUpBody]);
+	});
+
 	it.each(['SIGKILL', 'SIGTERM'] as const)(
 		'is started twice if its leader gets %s between the two crashes',
 		async (signal) => {
--- a/testing/src/tests/overlay.test.ts
+++ b/testing/src/tests/overlay.test.ts
@@ -60,6 +60,52 @@
 	return {candidates: select(true), followers: select(false)};
 }
 
+/** Waits until one of some entry VMs leads a zone. */
+async function waitForLeader(
+	entryVms: readonly PoolEntryVm[],
+	zone: string,
+): Promise<PoolEntryVm> {
+	for (;;) {
+		const leader = findLeader({entryVms}, zone) as PoolEntryVm | undefined;
+		if (leader !== undefined) {
+			return leader;
+		}
+
+		// eslint-disable-next-line no-await-in-loop -- polls until the test times out
+		await sleep(20);
+	}
+}
+
+/** Submits jobs one after the other, and returns their statuses and the lines of connections to zone b that were opened. */
+async function overflowFrom(
+	installation: PoolInstallation,
+	entryVm: PoolEntryVm,
+): Promise<{
+	readonly statuses: readonly number[];
+	readonly opened: readonly string[];
+}> {
+	const lineCount = entryVm.lines.length;
+	const statuses: number[] = [];
+	for (let index = 0; index < 18; index += 1) {
+		// eslint-disable-next-line no-await-in-loop -- one job after the other
+		const {status} = await installation.submit(entryVm, installation.newId(), {
+			...shortJob,
+			runMs: 400,
+		});
+		statuses.push(status);
+	}
+
+	return {
+		statuses,
+		opened: entryVm.lines
+			.slice(lineCount)
+			.filter(
+				(line) =>
+					line.includes('"event":"peer-open"') && line.includes('"entry-b-'),
+			),
+	};
+}
+
 describe('an installation with more entry VMs than are all connected to each other', () => {
 	it('connects followers to the candidates of their zone, and serves jobs at each entry VM', async () => {
 		const installation = await start();
@@ -104,30 +150,34 @@
 
 	it('keeps the connection to the leader of another zone while jobs overflow to it', async () => {
 		const installation = await start();
-		const {
-			followers: [follower],
-		} = await partByRole(installation, 'a');
+		const {followers} = await partByRole(installation, 'a');
+		// A follower that leads its zone is connected to the other zone already.
+		const follower = followers.find((entryVm) => !leads(entryVm, 'a'))!;
 		await fillZone(installation, 'a');
-		const statuses: number[] = [];
-		const lineCount = follower!.lines.length;
-		for (let index = 0; index < 18; index += 1) {
-			// eslint-disable-next-line no-await-in-loop -- one job after the other
-			const {status} = await installation.submit(
-				follower!,
-				installation.newId(),
-				{...shortJob, runMs: 400},
-			);
-			statuses.push(status);
+		const {statuses, opened} = await overflowFrom(installation, follower);
+		expect(statuses).toEqual(Array.from({length: 18}, () => 200));
+		expect(opened).toHaveLength(1);
+	});
+
+	it('opens no connection for jobs that overflow from a follower that leads its zone', async () => {
+		const installation = await start();
+		const {candidates, followers} = await partByRole(installation, 'a');
+		for (const {child} of candidates) {
+			child.kill('SIGKILL');
 		}
 
+		const leader = await waitForLeader(followers, 'a');
+		for (const candidate of candidates) {
+			installation.restart(candidate);
+		}
+
+		await sleep(3000);
+		expect(await partByRole(installation, 'a')).toMatchObject({candidates});
+		expect(leads(leader, 'a')).toBe(true);
+		await fillZone(installation, 'a');
+		const {statuses, opened} = await overflowFrom(installation, leader);
 		expect(statuses).toEqual(Array.from({length: 18}, () => 200));
-		const opened = follower!.lines
-			.slice(lineCount)
-			.filter(
-				(line) =>
-					line.includes('"event":"peer-open"') && line.includes('"entry-b-'),
-			);
-		expect(opened).toHaveLength(1);
+		expect(opened).toEqual([]);
 	});
 
 	it('has another leader soon after all candidates of a zone are killed, and runs no task twice at the same time', async () => {
