Admit jobs and place tasks once for all messages of a turn

Cause: a cold leader handles a backlog. Each message, a submission or a report, had its own projection over all waiting jobs and its own pass over the queue, and each waiting job was projected once more after a fifth of its objective. The work grows with the square of the backlog, which grows while it is done: by a model with the costs of a cold process it never ends. Change: submissions and the ends of runs only ask for a flush, which runs after the messages that the process has read. One projection in queue order decides all new jobs (projectLastStarts; one that is too late takes no room from those behind it), another all that are due for reassessment, and one pass places tasks; within a pass needs that found no room are not searched for again (PlacementPass, a part of the scheduler before). Without a requestFlush the scheduler works as before, message by message: the other way.

--- a/packages/core/src/pool-admission.ts
+++ b/packages/core/src/pool-admission.ts
@@ -1,7 +1,7 @@
 import {fitsWithin, type NotRunReason} from './pool-job.js';
 import {type PoolWorker} from './pool-worker.js';
 import {
-	projectLastStartMs,
+	projectLastStarts,
 	type ProjectedTask,
 	type ProjectedWorker,
 } from './start-projection.js';
@@ -50,43 +50,83 @@
 }
 
 /**
- * Projects when the last waiting task of a job starts if the jobs of `ahead` go first, in milliseconds on the clock of
- * `now`. Returns infinity if a task fits on no available worker.
+ * Projects when the last waiting task of each candidate starts, in milliseconds on the clock of `now`; infinite for one that has
+ * a task which fits on no available worker. All candidates are projected in one pass: after a failover and in bursts, a pass
+ * for each of hundreds of jobs takes longer than the jobs may wait. `waitingJobs` are all jobs with waiting tasks, the
+ * candidates included, in queue order. A candidate that would start too late takes no room from those behind it.
  */
-export function projectJobLastStartMs(
-	job: ScheduledJob,
-	ahead: readonly ScheduledJob[],
+export function projectJobStarts(
+	candidates: ReadonlySet<ScheduledJob>,
+	waitingJobs: readonly ScheduledJob[],
+	pool: Pick<WorkerPool, 'capacity' | 'workers'>,
+	now: number,
+): ReadonlyMap<ScheduledJob, number> {
+	const groups = new Map<string, ScheduledJob[]>();
+	for (const job of candidates) {
+		groups.set(job.roomKey, [...(groups.get(job.roomKey) ?? []), job]);
+	}
+
+	return new Map(
+		[...groups.values()].flatMap((group) =>
+			projectGroupStarts(group, {candidates, waitingJobs}, pool, now),
+		),
+	);
+}
+
+/** Projects the starts of candidates of one service that may run in the same zones. */
+function projectGroupStarts(
+	group: readonly ScheduledJob[],
+	{
+		candidates,
+		waitingJobs,
+	}: {
+		readonly candidates: ReadonlySet<ScheduledJob>;
+		readonly waitingJobs: readonly ScheduledJob[];
+	},
 	pool: Pick<WorkerPool, 'capacity' | 'workers'>,
 	now: number,
-): number {
+): ReadonlyArray<readonly [ScheduledJob, number]> {
+	const job = group[0]!;
 	const {service} = job.queue;
-	const tasksAhead = ahead
-		.filter(
-			({queue, receiverLostAtMs}) =>
-				queue.service === service && receiverLostAtMs === undefined,
-		)
-		.flatMap((other) => toProjectedTasks(other));
-	const ownTasks = toProjectedTasks(job);
-	const tasks = [...tasksAhead, ...ownTasks];
+	const inGroup = new Set(group);
+	const competing = waitingJobs.filter(
+		(other) =>
+			other.queue.service === service &&
+			haveCommonZone(other, job) &&
+			(candidates.has(other) || other.receiverLostAtMs === undefined),
+	);
+	const projected = competing.slice(
+		0,
+		competing.findLastIndex((other) => inGroup.has(other)) + 1,
+	);
+	const projectedJobs = projected.map((other) => ({
+		tasks: toProjectedTasks(other),
+		limitMs: candidates.has(other)
+			? Math.max(now, other.latestFirstStartMs)
+			: Number.POSITIVE_INFINITY,
+	}));
+	const isEligible = ({entry}: PoolWorker) => job.mayRunIn(entry.zone);
+	let taskCount = 0;
 	let mostMillis = 0;
-	for (const {processorMillis} of tasks) {
-		mostMillis = Math.max(mostMillis, processorMillis);
+	for (const {tasks} of projectedJobs) {
+		taskCount += tasks.length;
+		for (const {processorMillis} of tasks) {
+			mostMillis = Math.max(mostMillis, processorMillis);
+		}
 	}
 
-	const isEligible = ({entry}: PoolWorker) => job.mayRunIn(entry.zone);
 	const hasRoom = pool.capacity.hasRoomForTasks(
 		service,
-		{taskCount: tasks.length, mostMillis},
+		{taskCount, mostMillis},
 		isEligible,
 		now,
 	);
 	if (hasRoom) {
-		return now;
+		return group.map((candidate) => [candidate, now]);
 	}
 
-	return projectLastStartMs(
-		tasksAhead,
-		ownTasks,
+	const starts = projectLastStarts(
+		projectedJobs,
 		pool.workers
 			.filter(
 				(worker) =>
@@ -96,7 +136,16 @@
 			)
 			.map((worker) => toProjectedWorker(worker, now)),
 		now,
-		Math.max(now, job.latestFirstStartMs),
+	);
+	return projected.flatMap((other, index) =>
+		inGroup.has(other) ? [[other, starts[index]!] as const] : [],
+	);
+}
+
+/** Whether two jobs may run on workers of the same zone. */
+function haveCommonZone(left: ScheduledJob, right: ScheduledJob): boolean {
+	return (
+		left.zones === undefined || left.zones.some((zone) => right.mayRunIn(zone))
 	);
 }
 
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -1,17 +1,18 @@
 import {type WorkerSelectionPolicy} from './worker-selection.js';
 import {AnsweredJobs, type AnswerRetention} from './answered-jobs.js';
-import {type DesiredState, type QueueSetting} from './desired-state.js';
+import {type DesiredState} from './desired-state.js';
 import {type RunTimeEstimator} from './run-time-estimator.js';
 import {RunTimeTails, type QueueTail} from './run-time-tail.js';
 import {type KindSlowdown} from './worker-kind-speed.js';
 import {
 	findInfeasibility,
-	projectJobLastStartMs,
+	projectJobStarts,
 	toProjectedTasks,
 	toProjectedWorker,
 } from './pool-admission.js';
 import {LeaderStall} from './leader-stall.js';
 import {LostRunRegister, type LostRun} from './lost-runs.js';
+import {PlacementPass} from './placement-pass.js';
 import {type PoolDecision} from './pool-decision.js';
 import {
 	parseJobId,
@@ -102,6 +103,20 @@
 	readonly zones: readonly string[];
 	readonly settings?: SchedulerSettings;
 	readonly poolSettings?: WorkerPoolSettings;
+	/**
+	 * Asks for a call of {@link PoolScheduler.flush} after the messages that have arrived. Jobs are then admitted, and tasks
+	 * placed, once for all of them: a late process handles more messages at a time, each at a lower cost. Without it, each
+	 * message is handled on its own.
+	 */
+	readonly requestFlush?: () => void;
+};
+
+/** A job that was submitted, and is not admitted or refused yet. */
+type Submission = {
+	readonly job: PoolJob;
+	readonly receiver: string;
+	readonly isResubmitted: boolean;
+	readonly receivedAtMs: number;
 };
 
 /** What leaders learn and tell each other. */
@@ -146,6 +161,9 @@
 	readonly #typicalTasks = new TypicalTasks();
 	readonly #tails = new RunTimeTails();
 	readonly #lostRuns = new LostRunRegister();
+	/** Submissions since the last flush, by job. */
+	readonly #submissions = new Map<string, Submission>();
+	#isFlushRequested = false;
 	#desiredState: DesiredState | undefined;
 	/** Time of the latest call, for listener methods that get no time. */
 	#now = 0;
@@ -173,9 +191,13 @@
 
 	/** Counts the jobs of a queue of which no task has started. */
 	countPendingJobs(queue: string): number {
-		return [...this.#jobs.values()].filter(
-			(job) => job.queue.name === queue && !job.hasStarted,
-		).length;
+		return (
+			[...this.#submissions.values()].filter(({job}) => job.queue === queue)
+				.length +
+			[...this.#jobs.values()].filter(
+				(job) => job.queue.name === queue && !job.hasStarted,
+			).length
+		);
 	}
 
 	/**
@@ -258,7 +280,7 @@
 	 * at once, so that their receivers send them to other zones.
 	 */
 	setEvacuatedZones(zones: ReadonlySet<string>, now: number): void {
-		this.#now = now;
+		this.#begin(now);
 		this.#needsPlacement = true;
 		this.pool.setEvacuatedZones(zones);
 		for (const job of this.#listWaitingJobs()) {
@@ -270,7 +292,7 @@
 
 	/** Applies the platform's list of workers. */
 	updateWorkers(entries: readonly WorkerEntry[], now: number): void {
-		this.#now = now;
+		this.#begin(now);
 		this.#needsPlacement = true;
 		this.pool.updateEntries(entries, now);
 		this.#placeWaitingTasks(now);
@@ -281,7 +303,7 @@
 	 * have started any of its jobs.
 	 */
 	startLeadingZone(zone: string, token: number, now: number): void {
-		this.#now = now;
+		this.#begin(now);
 		if (this.pool.zones.length === 0) {
 			this.#tickedAtMs = now;
 			this.#stall.restart(now);
@@ -296,7 +318,7 @@
 	 * for the next leader to take over; all others with runs in the dropped zones are answered `may-have-run`.
 	 */
 	stopLeadingZones(zones: readonly string[], now: number): void {
-		this.#now = now;
+		this.#begin(now);
 		const runs = zones.flatMap((zone) => this.pool.dropZone(zone, now));
 		if (this.pool.zones.length === 0) {
 			this.#handOverJobs(this.#jobs.values());
@@ -333,12 +355,14 @@
 			return job.hasStarted ? 'running' : 'queued';
 		}
 
-		return this.#answeredJobs.findAnswer(id);
+		return this.#submissions.has(id)
+			? 'queued'
+			: this.#answeredJobs.findAnswer(id);
 	}
 
 	/**
-	 * Admits or refuses a job from its receiver; a copy of a known job gets the same answer. `isResubmitted` is true if the
-	 * job was submitted to a leader before, which may have started its tasks.
+	 * Admits or refuses a job from its receiver, at the next flush if there are any; a copy of a known job gets the same
+	 * answer. `isResubmitted` is true if the job was submitted to a leader before, which may have started its tasks.
 	 */
 	submit(
 		job: PoolJob,
@@ -346,64 +370,23 @@
 		isResubmitted: boolean,
 		now: number,
 	): void {
-		this.#now = now;
-		const closedAttempt = this.#answeredJobs.findClosedAttempt(job.attempt);
-		if (closedAttempt !== undefined) {
-			// This attempt has been answered. A resubmitted job may have run under another leader since then.
-			this.#refuseJob(
-				job,
-				receiver,
-				isResubmitted || closedAttempt.mayHaveRun,
-				'overloaded',
-				{late: 1},
-			);
-			return;
+		if (this.#submissions.has(job.id)) {
+			this.#begin(now);
 		}
 
-		this.importLostRuns(job.lostRuns ?? [], now);
-		const retainedAnswer = this.#answeredJobs.findAnswer(job.id);
-		if (retainedAnswer !== undefined) {
-			this.#logJobDecision('joined', job.id, 'answered', {});
-			this.#options.output.sendAnswer(receiver, job.id, retainedAnswer);
-			return;
-		}
-
-		const knownJob = this.#jobs.get(job.id);
-		if (knownJob !== undefined) {
-			knownJob.receiver = receiver;
-			knownJob.receiverLostAtMs = undefined;
-			if (isResubmitted) {
-				// Another leader may have started the job after this leader received it first.
-				knownJob.isIndeterminate = true;
-				knownJob.zones = unionZones(knownJob.zones, job.zones);
-				knownJob.markUnsettled(job.earlierToken ?? 0, now);
-			}
-
-			this.#logJobDecision('joined', job.id, 'in-progress', {});
-			this.#completeTasks(knownJob, job.doneTasks ?? [], now);
-			return;
-		}
-
-		const queue = this.#desiredState?.queues.find(
-			({name}) => name === job.queue,
-		);
-		if (queue === undefined) {
-			this.#refuseJob(job, receiver, isResubmitted, 'queue-unknown', {});
-			return;
-		}
-
-		const lossAnswer = this.#findLossAnswer(job.tasks.map(({name}) => name));
-		if (lossAnswer !== undefined) {
-			this.#logJobDecision('refused', job.id, lossAnswer.reason, {
-				queue: job.queue,
-				lostRuns: this.#lostRuns.ofJob(job.id).length,
-			});
-			this.#options.output.sendAnswer(receiver, job.id, lossAnswer);
-			return;
-		}
+		this.#submissions.set(job.id, {
+			job,
+			receiver,
+			isResubmitted,
+			receivedAtMs: now,
+		});
+		this.#requestFlush(now);
+	}
 
-		this.#needsPlacement = true;
-		this.#admitOrRefuse(job, queue, receiver, isResubmitted, now);
+	/** Admits or refuses the submitted jobs, and places waiting tasks if anything has changed since they were last placed. */
+	flush(now: number): void {
+		this.#isFlushRequested = false;
+		this.#begin(now);
 		this.#placeWaitingTasks(now);
 	}
 
@@ -417,7 +400,7 @@
 		from: string,
 		now: number,
 	): boolean {
-		this.#now = now;
+		this.#begin(now);
 		const job = this.#jobs.get(id);
 		if (
 			job === undefined ||
@@ -444,7 +427,7 @@
 	 * if another receiver has submitted the job here since.
 	 */
 	release(id: string, receiver: string, now: number): void {
-		this.#now = now;
+		this.#begin(now);
 		const job = this.#jobs.get(id);
 		if (job?.receiver !== receiver) {
 			return;
@@ -459,6 +442,7 @@
 
 	/** Starts no more tasks of a receiver's jobs until it resubmits them, since it is unreachable. */
 	markReceiverUnreachable(receiver: string, now: number): void {
+		this.#begin(now);
 		for (const job of this.#jobs.values()) {
 			if (job.receiver === receiver) {
 				job.receiverLostAtMs ??= now;
@@ -471,6 +455,7 @@
 		isReachable: (receiver: string) => boolean,
 		now: number,
 	): void {
+		this.#begin(now);
 		for (const job of this.#jobs.values()) {
 			if (!isReachable(job.receiver)) {
 				job.receiverLostAtMs ??= now;
@@ -490,7 +475,7 @@
 		const spec =
 			run === undefined ? '' : (this.#jobs.get(run.jobId)?.job.spec ?? '');
 		this.pool.handleStartOutcome(workerId, taskName, spec, outcome, now);
-		this.#placeWaitingTasks(now);
+		this.#requestFlush(now);
 	}
 
 	/** Handles the outcome of a stop command. */
@@ -514,13 +499,13 @@
 		this.#now = now;
 		this.#stall.observe(now);
 		this.pool.handleHoldOutcome(workerId, hold, outcome, now);
-		this.#placeWaitingTasks(now);
+		this.#requestFlush(now);
 	}
 
 	/** Handles timeouts of runs and jobs, and places waiting tasks. */
 	tick(now: number): void {
+		this.#begin(now);
 		this.#needsPlacement = true;
-		this.#now = now;
 		if (now - (this.#tickedAtMs ?? now) > maxSuspensionMs) {
 			// A successor may have claimed the zones and extended the leases of runs that this leader takes for lapsed.
 			this.#markJobsUnsettled(now);
@@ -542,6 +527,7 @@
 			this.#checkJobTimeouts(job, now);
 		}
 
+		this.#reassessJobs(now);
 		this.#answeredJobs.evict(now);
 		this.#placeWaitingTasks(now);
 	}
@@ -822,14 +808,96 @@
 		}
 	}
 
-	/** Refuses a job that cannot run or would start too late, unless it may have started; admits all others. */
-	#admitOrRefuse(
-		job: PoolJob,
-		queue: QueueSetting,
-		receiver: string,
-		isResubmitted: boolean,
+	/** Sets the time of the latest call, and admits or refuses the jobs that were submitted before it. */
+	#begin(now: number): void {
+		this.#now = now;
+		if (this.#submissions.size === 0) {
+			return;
+		}
+
+		const submissions = [...this.#submissions.values()];
+		this.#submissions.clear();
+		const newJobs = submissions.flatMap((submission) => {
+			const job = this.#findNewJob(submission, now);
+			return job === undefined ? [] : [job];
+		});
+		if (newJobs.length > 0) {
+			this.#needsPlacement = true;
+			this.#admitOrRefuse(newJobs, now);
+		}
+	}
+
+	/** Asks for a flush, or flushes at once if nobody is asked. */
+	#requestFlush(now: number): void {
+		const {requestFlush} = this.#options;
+		if (requestFlush === undefined) {
+			this.flush(now);
+		} else if (!this.#isFlushRequested) {
+			this.#isFlushRequested = true;
+			requestFlush();
+		}
+	}
+
+	/** Returns the job of a submission if it is to be admitted or refused; handles a submission of a known job. */
+	#findNewJob(
+		{job, receiver, isResubmitted, receivedAtMs}: Submission,
 		now: number,
-	): void {
+	): ScheduledJob | undefined {
+		const closedAttempt = this.#answeredJobs.findClosedAttempt(job.attempt);
+		if (closedAttempt !== undefined) {
+			// This attempt has been answered. A resubmitted job may have run under another leader since then.
+			this.#refuseJob(
+				job,
+				receiver,
+				isResubmitted || closedAttempt.mayHaveRun,
+				'overloaded',
+				{late: 1},
+			);
+			return undefined;
+		}
+
+		this.importLostRuns(job.lostRuns ?? [], now);
+		const retainedAnswer = this.#answeredJobs.findAnswer(job.id);
+		if (retainedAnswer !== undefined) {
+			this.#logJobDecision('joined', job.id, 'answered', {});
+			this.#options.output.sendAnswer(receiver, job.id, retainedAnswer);
+			return undefined;
+		}
+
+		const knownJob = this.#jobs.get(job.id);
+		if (knownJob !== undefined) {
+			knownJob.receiver = receiver;
+			knownJob.receiverLostAtMs = undefined;
+			if (isResubmitted) {
+				// Another leader may have started the job after this leader received it first.
+				knownJob.isIndeterminate = true;
+				knownJob.zones = unionZones(knownJob.zones, job.zones);
+				knownJob.markUnsettled(job.earlierToken ?? 0, now);
+			}
+
+			this.#logJobDecision('joined', job.id, 'in-progress', {});
+			this.#completeTasks(knownJob, job.doneTasks ?? [], now);
+			return undefined;
+		}
+
+		const queue = this.#desiredState?.queues.find(
+			({name}) => name === job.queue,
+		);
+		if (queue === undefined) {
+			this.#refuseJob(job, receiver, isResubmitted, 'queue-unknown', {});
+			return undefined;
+		}
+
+		const lossAnswer = this.#findLossAnswer(job.tasks.map(({name}) => name));
+		if (lossAnswer !== undefined) {
+			this.#logJobDecision('refused', job.id, lossAnswer.reason, {
+				queue: job.queue,
+				lostRuns: this.#lostRuns.ofJob(job.id).length,
+			});
+			this.#options.output.sendAnswer(receiver, job.id, lossAnswer);
+			return undefined;
+		}
+
 		const scheduledJob = new ScheduledJob(
 			job,
 			queue,
@@ -839,19 +907,30 @@
 					classOfWork: queue.name,
 					...(declaredMs > 0 ? {declaredMs} : {}),
 				}),
-			now,
+			receivedAtMs,
 		);
-		scheduledJob.isIndeterminate = isResubmitted;
-		for (const {task: name, run} of this.#lostRuns.ofJob(job.id)) {
-			scheduledJob.skipRunNumbers(name, run);
-		}
-
+		this.#recordEarlierRuns(scheduledJob, isResubmitted, now);
 		this.#options.queueOrder.shares?.recordDemand(
 			queue.name,
 			scheduledJob.waitingCoreMs,
 			now,
 		);
 		this.#typicalTasks.record(queue.service, toProjectedTasks(scheduledJob));
+		return scheduledJob;
+	}
+
+	/** Gives a new job what is known of its runs under this leader and others. */
+	#recordEarlierRuns(
+		scheduledJob: ScheduledJob,
+		isResubmitted: boolean,
+		now: number,
+	): void {
+		const {job} = scheduledJob;
+		scheduledJob.isIndeterminate = isResubmitted;
+		for (const {task: name, run} of this.#lostRuns.ofJob(job.id)) {
+			scheduledJob.skipRunNumbers(name, run);
+		}
+
 		const wasSubmittedUnderOtherToken =
 			job.leaderToken !== undefined && job.leaderToken !== this.pool.token;
 		if (isResubmitted || wasSubmittedUnderOtherToken) {
@@ -865,65 +944,92 @@
 		for (const task of scheduledJob.waitingTasks) {
 			this.#adoptOrphan(scheduledJob, task, now);
 		}
+	}
 
+	/** Refuses the jobs that cannot run or would start too late, unless they may have started; admits all others. */
+	#admitOrRefuse(newJobs: readonly ScheduledJob[], now: number): void {
 		const isSyncing = this.pool.isSyncing(now);
+		const feasibleJobs = isSyncing
+			? newJobs
+			: newJobs.filter((job) => !this.#refuseIfInfeasible(job, now));
+		const lastStartsMs = isSyncing
+			? new Map<ScheduledJob, number>()
+			: this.#projectLastStarts(feasibleJobs, now);
+		for (const scheduledJob of feasibleJobs) {
+			scheduledJob.isDelayedByFailover ||= isSyncing;
+			const admission = decidePoolAdmission(
+				scheduledJob,
+				lastStartsMs.get(scheduledJob) ?? now,
+				now,
+			);
+			if (admission.kind === 'refused' && scheduledJob.hasCertainlyNotRun) {
+				this.#refuseJob(
+					scheduledJob.job,
+					scheduledJob.receiver,
+					false,
+					'overloaded',
+					{
+						waitMs: Math.round(Math.min(1e9, admission.waitMs)),
+						slackMs: Math.round(scheduledJob.latestFirstStartMs - now),
+						waitingJobs: this.#jobs.size,
+						retryAfterMs: admission.retryAfterMs,
+					},
+				);
+			} else {
+				this.#admit(scheduledJob, admission.waitMs, isSyncing, now);
+			}
+		}
+	}
+
+	/** Refuses a job that cannot run, unless it may have started; returns whether it did. */
+	#refuseIfInfeasible(scheduledJob: ScheduledJob, now: number): boolean {
+		if (!scheduledJob.hasCertainlyNotRun) {
+			return false;
+		}
+
 		const infeasibility = findInfeasibility(
 			scheduledJob,
 			this.pool.workers,
 			now,
 		);
-		if (
-			!isSyncing &&
-			infeasibility !== undefined &&
-			scheduledJob.hasCertainlyNotRun
-		) {
+		if (infeasibility !== undefined) {
 			this.#refuseJob(
-				job,
-				receiver,
+				scheduledJob.job,
+				scheduledJob.receiver,
 				false,
 				infeasibility.reason,
 				infeasibility,
 			);
-			return;
 		}
 
-		const projectedLastStartMs = isSyncing
-			? now
-			: this.#projectLastStartMs(scheduledJob, now);
-		scheduledJob.isDelayedByFailover ||= isSyncing;
-		const admission = decidePoolAdmission(
-			scheduledJob,
-			projectedLastStartMs,
-			now,
-		);
-		if (admission.kind === 'refused' && scheduledJob.hasCertainlyNotRun) {
-			this.#refuseJob(job, receiver, false, 'overloaded', {
-				waitMs: Math.round(Math.min(1e9, admission.waitMs)),
-				slackMs: Math.round(scheduledJob.latestFirstStartMs - now),
-				waitingJobs: this.#jobs.size,
-				retryAfterMs: admission.retryAfterMs,
-			});
-			return;
-		}
+		return infeasibility !== undefined;
+	}
 
+	#admit(
+		scheduledJob: ScheduledJob,
+		waitMs: number,
+		isSyncing: boolean,
+		now: number,
+	): void {
+		const {job, queue, isIndeterminate, longestTaskMs} = scheduledJob;
 		this.#jobs.set(job.id, scheduledJob);
 		this.#waitingJobs.add(scheduledJob);
 		this.#logJobDecision(
 			'admitted',
 			job.id,
-			isResubmitted ? 'resubmitted' : 'new',
+			isIndeterminate ? 'resubmitted' : 'new',
 			{
 				queue: queue.name,
 				stateVersion: this.#desiredState?.version ?? 0,
 				tasks: job.tasks.length,
-				waitMs: Math.round(Math.min(1e9, admission.waitMs)),
+				waitMs: Math.round(Math.min(1e9, waitMs)),
 				waitedMs: Math.round(job.waitedMs),
 				isLearning: isSyncing ? 1 : 0,
-				longestMs: Math.round(scheduledJob.longestTaskMs),
+				longestMs: Math.round(longestTaskMs),
 			},
 		);
 		this.#giveUpIfAttemptsAreUsedUp(scheduledJob, now);
-		if (scheduledJob.isComplete) {
+		if (this.#jobs.get(job.id) === scheduledJob && scheduledJob.isComplete) {
 			this.#answerJob(scheduledJob, {kind: 'completed'}, now);
 		}
 	}
@@ -1021,15 +1127,20 @@
 		});
 	}
 
-	/** Projects when the last task of a job starts, behind the jobs that precede it in the queue order. */
-	#projectLastStartMs(job: ScheduledJob, now: number): number {
-		const ahead = this.#listWaitingJobs().filter(
-			(other) =>
-				other !== job &&
-				haveCommonZone(other, job) &&
-				this.#options.queueOrder.compare(other, job, now) < 0,
+	/** Projects when the last task of each job starts, behind the waiting jobs that precede it in the queue order. */
+	#projectLastStarts(
+		jobs: readonly ScheduledJob[],
+		now: number,
+	): ReadonlyMap<ScheduledJob, number> {
+		const waitingJobs = new Set([...this.#listWaitingJobs(), ...jobs]);
+		return projectJobStarts(
+			new Set(jobs),
+			[...waitingJobs].toSorted((left, right) =>
+				this.#options.queueOrder.compare(left, right, now),
+			),
+			this.pool,
+			now,
 		);
-		return projectJobLastStartMs(job, ahead, this.pool, now);
 	}
 
 	/** Returns the unanswered jobs with waiting tasks. */
@@ -1053,31 +1164,27 @@
 		}
 
 		this.#needsPlacement = false;
-		const freeMillisLimits = new Map<string, number>();
-		const mayHaveRoom = (job: ScheduledJob): boolean => {
-			const {service} = job.queue;
-			const limitMillis =
-				freeMillisLimits.get(service) ??
-				this.pool.capacity.freeMillisLimit(service, now);
-			freeMillisLimits.set(service, limitMillis);
-			return job.tasks.some(
-				({state, task: {needs}}) =>
-					state === 'waiting' && needs.processorMillis <= limitMillis,
-			);
-		};
-
+		const pass = new PlacementPass(
+			{
+				pool: this.pool,
+				lostRuns: this.#lostRuns,
+				workerSelection: this.#options.workerSelection,
+			},
+			now,
+		);
 		const placeableJobs = this.#listWaitingJobs()
-			.filter((job) => job.receiverLostAtMs === undefined && mayHaveRoom(job))
+			.filter(
+				(job) => job.receiverLostAtMs === undefined && pass.mayHaveRoom(job),
+			)
 			.toSorted((left, right) =>
 				this.#options.queueOrder.compare(left, right, now),
 			);
 		for (const job of placeableJobs) {
 			if (
-				mayHaveRoom(job) &&
-				now >= this.#priorRunsSettledAtMs(job, now) &&
-				this.#placeTasksOfJob(job, now)
+				pass.mayHaveRoom(job) &&
+				now >= this.#priorRunsSettledAtMs(job, now)
 			) {
-				freeMillisLimits.delete(job.queue.service);
+				this.#placeTasksOfJob(job, pass, now);
 			}
 		}
 	}
@@ -1118,8 +1225,8 @@
 				);
 	}
 
-	/** Starts the waiting tasks of a job that fit on available workers; returns whether any was started. */
-	#placeTasksOfJob(job: ScheduledJob, now: number): boolean {
+	/** Starts the waiting tasks of a job that fit on available workers. */
+	#placeTasksOfJob(job: ScheduledJob, pass: PlacementPass, now: number): void {
 		if (job.unsettledSinceMs !== undefined && this.pool.hasOrphans) {
 			// A run of another leader that a report listed while the task was placed here, in vain.
 			for (const task of job.waitingTasks) {
@@ -1128,12 +1235,12 @@
 
 			this.#giveUpIfAttemptsAreUsedUp(job, now);
 			if (this.#jobs.get(job.id) !== job) {
-				return false;
+				return;
 			}
 
 			if (job.isComplete) {
 				this.#answerJob(job, {kind: 'completed'}, now);
-				return false;
+				return;
 			}
 		}
 
@@ -1141,87 +1248,13 @@
 			(left, right) =>
 				right.task.needs.processorMillis - left.task.needs.processorMillis,
 		);
-		const latestEndMs = job.latestFirstStartMs + job.longestTaskMs;
-		let hasPlacedTask = false;
 		for (const task of largestFirst) {
-			const isAllowed = ({entry, pace}: PoolWorker): boolean =>
-				job.mayRunIn(entry.zone) &&
-				entry.id !== task.avoidedWorker &&
-				(job.hasStarted ||
-					now + task.expectedMs * pace.slowdownFactor(now) <= latestEndMs);
-			const worker =
-				this.#chooseWorker(job, task, isAllowed, now) ??
-				(this.#isOnlyAvoidedWorkerAvailable(job, task, now)
-					? this.#chooseWorker(
-							job,
-							task,
-							({entry}) => job.mayRunIn(entry.zone),
-							now,
-						)
-					: undefined);
+			const worker = pass.choose(job, task);
 			if (worker !== undefined) {
 				this.#startTask(job, task, worker, now);
-				hasPlacedTask = true;
+				pass.recordStart(job);
 			}
 		}
-
-		return hasPlacedTask;
-	}
-
-	/**
-	 * Chooses the worker of a task. One that may crash its worker goes to an idle one if possible, else to one with few runs,
-	 * and never to one that runs another such task: a crash would leave both under suspicion. Once an answer is of no use any
-	 * more, the runs of others are not put at risk for it.
-	 */
-	#chooseWorker(
-		job: ScheduledJob,
-		{task}: ScheduledTask,
-		isAllowed: (worker: PoolWorker) => boolean,
-		now: number,
-	): PoolWorker | undefined {
-		const {workerSelection} = this.#options;
-		const candidates = this.pool.capacity.candidates(job.queue.service);
-		if (!this.#lostRuns.isSuspect(task.name)) {
-			return workerSelection.choose(task, candidates, isAllowed, now);
-		}
-
-		const maxOtherRunCounts =
-			now > job.latestUsefulStartMs ? [0] : [0, 1, Number.POSITIVE_INFINITY];
-		for (const maxOtherRuns of maxOtherRunCounts) {
-			const worker = workerSelection.choose(
-				task,
-				candidates,
-				(candidate) =>
-					!candidate.hasSuspect &&
-					candidate.activeRuns.length <= maxOtherRuns &&
-					isAllowed(candidate),
-				now,
-			);
-			if (worker !== undefined) {
-				return worker;
-			}
-		}
-
-		return undefined;
-	}
-
-	/** Whether a task of a started job has no available worker but the one that it should avoid. */
-	#isOnlyAvoidedWorkerAvailable(
-		job: ScheduledJob,
-		{avoidedWorker}: ScheduledTask,
-		now: number,
-	): boolean {
-		return (
-			job.hasStarted &&
-			avoidedWorker !== undefined &&
-			!this.pool.workers.some(
-				(worker) =>
-					worker.entry.service === job.queue.service &&
-					job.mayRunIn(worker.entry.zone) &&
-					worker.entry.id !== avoidedWorker &&
-					worker.canStartTask(now),
-			)
-		);
 	}
 
 	#startTask(
@@ -1365,24 +1398,27 @@
 		} else if (
 			now > job.latestFirstStartMs ||
 			(job.isIndeterminate &&
-				this.#earliestPriorRunsSettledAtMs(job, now) >
-					job.latestFirstStartMs) ||
-			this.#isProjectedTooLate(job, now)
+				this.#earliestPriorRunsSettledAtMs(job, now) > job.latestFirstStartMs)
 		) {
-			this.#abandonJob(
-				job,
-				job.isIndeterminate
-					? {kind: 'may-have-run', reason: 'leader-lost'}
-					: {
-							kind: 'not-run',
-							reason: 'overloaded',
-							retryAfterMs: defaultRetryAfterMs,
-						},
-				now,
-			);
+			this.#abandonUnstartedJob(job, now);
 		}
 	}
 
+	/** Answers a job of which this leader has started no task, because it would start too late. */
+	#abandonUnstartedJob(job: ScheduledJob, now: number): void {
+		this.#abandonJob(
+			job,
+			job.isIndeterminate
+				? {kind: 'may-have-run', reason: 'leader-lost'}
+				: {
+						kind: 'not-run',
+						reason: 'overloaded',
+						retryAfterMs: defaultRetryAfterMs,
+					},
+			now,
+		);
+	}
+
 	/**
 	 * Stops a run that takes many times as long as expected, so that its task can run on another worker while its caller
 	 * waits. A task is stopped only once for this, because its estimate may be wrong.
@@ -1435,18 +1471,31 @@
 		this.pool.stopRun(run, worker, now);
 	}
 
-	/** Projects the start of a waiting job once more; returns whether it is beyond the latest first start. */
-	#isProjectedTooLate(job: ScheduledJob, now: number): boolean {
-		if (
-			job.isReassessed ||
-			now - job.arrivedAtMs < reassessmentShare * job.objectiveMs ||
-			this.pool.isSyncing(now)
-		) {
-			return false;
+	/**
+	 * Projects the starts of jobs that have waited for a while once more, and abandons those that would start too late. Each
+	 * job is projected once.
+	 */
+	#reassessJobs(now: number): void {
+		if (this.pool.isSyncing(now)) {
+			return;
 		}
 
-		job.isReassessed = true;
-		return this.#projectLastStartMs(job, now) > job.latestFirstStartMs;
+		const dueJobs = this.#listWaitingJobs().filter(
+			(job) =>
+				!job.hasStarted &&
+				!job.isReassessed &&
+				now - job.arrivedAtMs >= reassessmentShare * job.objectiveMs,
+		);
+		if (dueJobs.length === 0) {
+			return;
+		}
+
+		for (const [job, lastStartMs] of this.#projectLastStarts(dueJobs, now)) {
+			job.isReassessed = true;
+			if (lastStartMs > job.latestFirstStartMs) {
+				this.#abandonUnstartedJob(job, now);
+			}
+		}
 	}
 
 	/** Stops the runs of a job and answers it without a result. */
@@ -1591,10 +1640,3 @@
 		isSuspect: false,
 	};
 }
-
-/** Whether two jobs may run on workers of the same zone. */
-function haveCommonZone(left: ScheduledJob, right: ScheduledJob): boolean {
-	return (
-		left.zones === undefined || left.zones.some((zone) => right.mayRunIn(zone))
-	);
-}
--- a/packages/core/src/scheduled-job.ts
+++ b/packages/core/src/scheduled-job.ts
@@ -43,6 +43,10 @@
 	readonly tasks: readonly ScheduledTask[];
 	/** Estimated run time of the longest task. */
 	readonly longestTaskMs: number;
+	/** Latency objective: the time from arrival within which the job should be answered. */
+	readonly objectiveMs: number;
+	readonly latestObjectiveStartMs: number;
+	readonly latestUsefulStartMs: number;
 	/** When the receiver became unreachable; `undefined` while it is reachable. */
 	receiverLostAtMs: number | undefined;
 	/** Whether the receiver has submitted the job to a leader before, so that it cannot be answered `not-run`. */
@@ -93,6 +97,13 @@
 			0,
 			...this.tasks.map((task) => task.expectedMs),
 		);
+		this.objectiveMs = queue.stretch * this.longestTaskMs + queue.latencyMs;
+		this.latestObjectiveStartMs =
+			this.arrivedAtMs + this.objectiveMs - this.longestTaskMs;
+		this.latestUsefulStartMs =
+			this.arrivedAtMs +
+			computeAnswerWindowMs(queue, this.longestTaskMs, job.patienceMs) -
+			this.longestTaskMs;
 	}
 
 	get id(): string {
@@ -107,32 +118,16 @@
 		return this.queue.priority;
 	}
 
+	/** Text that is equal for jobs that may run on the same workers. */
+	get roomKey(): string {
+		return `${this.queue.service} ${this.zones?.join(' ') ?? '*'}`;
+	}
+
 	/** Whether a task of the job may be placed on workers of a zone. */
 	mayRunIn(zone: string): boolean {
 		return this.zones === undefined || this.zones.includes(zone);
 	}
 
-	/** Latency objective: the time from arrival within which the job should be answered. */
-	get objectiveMs(): number {
-		return this.queue.stretch * this.longestTaskMs + this.queue.latencyMs;
-	}
-
-	get latestObjectiveStartMs(): number {
-		return this.arrivedAtMs + this.objectiveMs - this.longestTaskMs;
-	}
-
-	get latestUsefulStartMs(): number {
-		return (
-			this.arrivedAtMs +
-			computeAnswerWindowMs(
-				this.queue,
-				this.longestTaskMs,
-				this.job.patienceMs,
-			) -
-			this.longestTaskMs
-		);
-	}
-
 	get latestFirstStartMs(): number {
 		if (this.isIndeterminate) {
 			// An indeterminate job cannot be answered `not-run`, so it may start as long as its answer is of use.
--- a/packages/core/src/start-projection.ts
+++ b/packages/core/src/start-projection.ts
@@ -25,13 +25,29 @@
 	freeProcessorMillis: number;
 	/** When `freeProcessorMillis` became free: at the end of the runs that reserved tasks wait for. */
 	freeSinceMs: number;
-	readonly runEnds: Array<{
+	runEnds: Array<{
 		readonly atMs: number;
 		readonly processorMillis: number;
 	}>;
 	readonly slowdownFactor: number;
 };
 
+/** The waiting tasks of one job. */
+export type ProjectedJob = {
+	readonly tasks: readonly ProjectedTask[];
+	/** Latest start of the last task with which the job is kept; infinite for one that is kept in any case. */
+	readonly limitMs: number;
+};
+
+/** A timeline as it was before a reservation. */
+type Reservation = {
+	readonly timeline: Timeline;
+	readonly before: Pick<
+		Timeline,
+		'earliestStartMs' | 'freeProcessorMillis' | 'freeSinceMs' | 'runEnds'
+	>;
+};
+
 /**
  * Projects when the last of `ownTasks` starts, in milliseconds on the clock of `now`. Tasks start in the given order,
  * `tasksAhead` first, each on the worker that has room for it earliest. Returns infinity if one of `ownTasks` fits on no
@@ -45,14 +61,8 @@
 	now: number,
 	limitMs = Number.POSITIVE_INFINITY,
 ): number {
-	let leastMillis = Number.POSITIVE_INFINITY;
-	for (const {processorMillis} of [...tasksAhead, ...ownTasks]) {
-		leastMillis = Math.min(leastMillis, processorMillis);
-	}
-
-	const timelines = workers
-		.map((worker, ordinal) => createTimeline(worker, ordinal, leastMillis, now))
-		.toSorted((left, right) => left.earliestStartMs - right.earliestStartMs);
+	const leastMillis = findLeastMillis([...tasksAhead, ...ownTasks]);
+	const timelines = createTimelines(workers, leastMillis, now);
 	for (const task of tasksAhead) {
 		const earliestMs = timelines[0]?.earliestStartMs ?? now;
 		if (earliestMs > limitMs) {
@@ -70,6 +80,80 @@
 	);
 }
 
+/**
+ * Projects when the last task of each job starts, like {@link projectLastStartMs}, for all jobs in one pass. Jobs start in the
+ * given order. One whose last task would start after its limit is taken to be refused: it takes no room from those behind it.
+ * Once no worker has room before the limit of any further job, the rest get the earliest time that one has.
+ */
+export function projectLastStarts(
+	jobs: readonly ProjectedJob[],
+	workers: readonly ProjectedWorker[],
+	now: number,
+): readonly number[] {
+	const leastMillis = findLeastMillis(jobs.flatMap(({tasks}) => tasks));
+	const timelines = createTimelines(workers, leastMillis, now);
+	const latestLimitsMs: number[] = [];
+	let latestLimitMs = Number.NEGATIVE_INFINITY;
+	for (const {limitMs} of jobs.toReversed()) {
+		latestLimitMs = Number.isFinite(limitMs)
+			? Math.max(latestLimitMs, limitMs)
+			: latestLimitMs;
+		latestLimitsMs.unshift(latestLimitMs);
+	}
+
+	return jobs.map(({tasks, limitMs}, index) => {
+		const earliestMs = timelines[0]?.earliestStartMs ?? now;
+		if (earliestMs > Math.min(limitMs, latestLimitsMs[index]!)) {
+			return earliestMs;
+		}
+
+		const reservations: Reservation[] = [];
+		const lastStartMs = Math.max(
+			now,
+			...tasks.map((task) =>
+				startOnEarliestWorker(timelines, task, leastMillis, reservations),
+			),
+		);
+		if (lastStartMs > limitMs) {
+			cancelReservations(timelines, reservations);
+		}
+
+		return lastStartMs;
+	});
+}
+
+function findLeastMillis(tasks: readonly ProjectedTask[]): number {
+	let leastMillis = Number.POSITIVE_INFINITY;
+	for (const {processorMillis} of tasks) {
+		leastMillis = Math.min(leastMillis, processorMillis);
+	}
+
+	return leastMillis;
+}
+
+/** Returns the timelines of workers, sorted by their earliest start. */
+function createTimelines(
+	workers: readonly ProjectedWorker[],
+	leastMillis: number,
+	now: number,
+): Timeline[] {
+	return workers
+		.map((worker, ordinal) => createTimeline(worker, ordinal, leastMillis, now))
+		.toSorted((left, right) => left.earliestStartMs - right.earliestStartMs);
+}
+
+/** Restores timelines to what they were before the reservations, which are given in the order in which they were made. */
+function cancelReservations(
+	timelines: Timeline[],
+	reservations: readonly Reservation[],
+): void {
+	for (const {timeline, before} of reservations.toReversed()) {
+		Object.assign(timeline, before);
+	}
+
+	timelines.sort((left, right) => left.earliestStartMs - right.earliestStartMs);
+}
+
 function createTimeline(
 	{freeProcessorMillis, runEnds, slowdownFactor}: ProjectedWorker,
 	ordinal: number,
@@ -98,12 +182,13 @@
 /**
  * Reserves room for a task on the worker that has room earliest, or of several on the one with the least free processor
  * amount, and returns the start. Returns infinity, without a reservation, if no worker ever has room. `timelines` are
- * sorted by their earliest start, so that most need not be examined.
+ * sorted by their earliest start, so that most need not be examined. The reservation is added to `reservations`, if given.
  */
 function startOnEarliestWorker(
 	timelines: Timeline[],
 	task: ProjectedTask,
 	leastMillis: number,
+	reservations?: Reservation[],
 ): number {
 	let best: Timeline | undefined;
 	let startMs = Number.POSITIVE_INFINITY;
@@ -126,6 +211,15 @@
 	}
 
 	if (best !== undefined) {
+		reservations?.push({
+			timeline: best,
+			before: {
+				earliestStartMs: best.earliestStartMs,
+				freeProcessorMillis: best.freeProcessorMillis,
+				freeSinceMs: best.freeSinceMs,
+				runEnds: [...best.runEnds],
+			},
+		});
 		timelines.splice(timelines.indexOf(best), 1);
 		reserve(best, task, startMs);
 		best.earliestStartMs = findEarliestStartMs(best, leastMillis);
--- a/packages/core/src/tests/pool-fixtures.ts
+++ b/packages/core/src/tests/pool-fixtures.ts
@@ -125,8 +125,10 @@
 	constructor(
 		zones: readonly string[] = ['zone-a'],
 		queueOrder: QueueOrder = new ObjectiveOrder(),
+		requestFlush?: () => void,
 	) {
 		this.scheduler = new PoolScheduler({
+			...(requestFlush === undefined ? {} : {requestFlush}),
 			zones,
 			queueOrder,
 			workerSelection: new BestFit(),
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -213,6 +213,12 @@
 			queueOrder: new ObjectiveOrder(this.#queueShares),
 			workerSelection: new BestFit(),
 			zones: settings.zones,
+			requestFlush: () => {
+				// The messages that the process has read already are handled before this runs.
+				setImmediate(() => {
+					this.#flushScheduler();
+				});
+			},
 			poolSettings: {
 				...defaultWorkerPoolSettings,
 				leaseMs: settings.workerLeaseMs,
@@ -1021,6 +1027,14 @@
 		}
 	}
 
+	#flushScheduler(): void {
+		try {
+			this.#scheduler.flush(this.#now());
+		} catch (error: unknown) {
+			this.#logError('flush of the scheduler', error);
+		}
+	}
+
 	#logError(during: string, error: unknown): void {
 		this.#log.write({
 			event: 'unexpected-error',
