Open the three circles of modules in core and verbenarouter

lost-runs and pool-job shared parseJobId, which is in task-name.ts now; pool-worker and worker-kind-speed shared kindOf, which is in worker-kind.ts; dispatcher and start-limiter shared DispatchRequest, which is imported from active-job.ts, where it is declared.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -52,6 +52,8 @@
 export * from './worker-pool.js';
 export * from './worker-directory.js';
 export * from './start-projection.js';
+export * from './task-name.js';
+export * from './worker-kind.js';
 export * from './worker-kind-speed.js';
 export * from './worker-pace.js';
 export * from './zone-evacuations.js';
--- a/packages/core/src/lost-runs.ts
+++ b/packages/core/src/lost-runs.ts
@@ -1,4 +1,4 @@
-import {parseJobId} from './pool-job.js';
+import {parseJobId} from './task-name.js';
 
 /** A run whose worker was lost before the run was known to have ended. */
 export type LostRun = {
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -15,12 +15,12 @@
 import {PlacementPass} from './placement-pass.js';
 import {type PoolDecision} from './pool-decision.js';
 import {
-	parseJobId,
 	unionZones,
 	type NotRunReason,
 	type PoolAnswer,
 	type PoolJob,
 } from './pool-job.js';
+import {parseJobId} from './task-name.js';
 import {decidePoolAdmission, type QueueOrder} from './pool-queue.js';
 import {
 	type ReportedEnd,
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -7,7 +7,7 @@
 	type Resources,
 } from './pool-job.js';
 import {TargetHealth} from './target-health.js';
-import {kindOf} from './worker-kind-speed.js';
+import {kindOf} from './worker-kind.js';
 import {WorkerPace} from './worker-pace.js';
 
 /** A worker as the platform's store lists it. */
--- a/packages/core/src/tests/worker-kind-speed.test.ts
+++ b/packages/core/src/tests/worker-kind-speed.test.ts
@@ -1,7 +1,8 @@
 import {describe, expect, it} from 'vitest';
 import {RunTimeTails} from '../run-time-tail.js';
 import {seededRandom} from '../seeded-random.js';
-import {WorkerKindSpeeds, kindOf} from '../worker-kind-speed.js';
+import {kindOf} from '../worker-kind.js';
+import {WorkerKindSpeeds} from '../worker-kind-speed.js';
 import {WorkerPace} from '../worker-pace.js';
 import {
 	SchedulerFixture,
--- a/packages/core/src/worker-kind-speed.ts
+++ b/packages/core/src/worker-kind-speed.ts
@@ -1,8 +1,6 @@
-import {type WorkerEntry} from './pool-worker.js';
-
 /** Learned slowdown of one kind of worker. */
 export type KindSlowdown = {
-	/** Kind and size of the workers, see {@link kindOf}. */
+	/** Kind and size of the workers, see `kindOf` in worker-kind.ts. */
 	readonly kind: string;
 	/** Mean logarithm of actual over expected run time. */
 	readonly logRatio: number;
@@ -21,14 +19,6 @@
 /** Largest number of kinds; further ones count as unknown. */
 const maxKinds = 32;
 
-/** Returns the kind and size of a worker: its first label and its processor capacity in thousandths of a core. */
-export function kindOf({
-	labels,
-	capacity,
-}: Pick<WorkerEntry, 'labels' | 'capacity'>): string {
-	return `${labels[0] ?? ''}/${capacity.processorMillis}`;
-}
-
 /**
  * Learns how much slower or faster than expected each kind of worker runs. A worker without recent runs is expected to be
  * as fast as its kind, where hardware differs; with workers of one kind the factors stay near 1.
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -9,7 +9,8 @@
 	type WorkerReport,
 	type WorkerRun,
 } from './pool-worker.js';
-import {isEqualAmount, parseJobId} from './pool-job.js';
+import {isEqualAmount} from './pool-job.js';
+import {parseJobId} from './task-name.js';
 import {WorkerKindSpeeds} from './worker-kind-speed.js';
 import {
 	type CommandOutcome,
--- a/packages/verbenarouter/src/dispatcher.ts
+++ b/packages/verbenarouter/src/dispatcher.ts
@@ -31,8 +31,6 @@
 import {OutcomeRecorder} from './outcome-recorder.js';
 import {UnlimitedStartLimiter, type StartLimiter} from './start-limiter.js';
 
-export {type DispatchRequest} from './active-job.js';
-
 /** Retry delay of a refusal while no target is live. */
 const noTargetsRetryMs = 1000;
 /** Time after an `overloaded` refusal during which no job has to leave slots to others. */
--- a/packages/verbenarouter/src/index.ts
+++ b/packages/verbenarouter/src/index.ts
@@ -1,5 +1,6 @@
 export * from './clock.js';
 export * from './decision-log.js';
+export {type DispatchRequest} from './active-job.js';
 export * from './dispatcher.js';
 export * from './entry-vm.js';
 export * from './ledger-exchange.js';
--- a/packages/verbenarouter/src/quota-start-limiter.ts
+++ b/packages/verbenarouter/src/quota-start-limiter.ts
@@ -8,7 +8,7 @@
 	type Refusal,
 	type ShareLedger,
 } from '@verbenarouter/core';
-import {type DispatchRequest} from './dispatcher.js';
+import {type DispatchRequest} from './active-job.js';
 import {type StartLimiter} from './start-limiter.js';
 
 /** The part of the catalogue from which limits are read. */
--- a/packages/verbenarouter/src/start-limiter.ts
+++ b/packages/verbenarouter/src/start-limiter.ts
@@ -1,5 +1,5 @@
 import {type Refusal} from '@verbenarouter/core';
-import {type DispatchRequest} from './dispatcher.js';
+import {type DispatchRequest} from './active-job.js';
 
 /**
  * Limits the starts of tasks.
--- a/packages/verbenarouter/src/submission-owner.ts
+++ b/packages/verbenarouter/src/submission-owner.ts
@@ -11,7 +11,8 @@
 import {type SubmissionStatus} from '@verbenarouter/caller';
 import {withTimeout} from '@verbenarouter/peer';
 import {type Clock} from './clock.js';
-import {type Dispatcher, type DispatchRequest} from './dispatcher.js';
+import {type DispatchRequest} from './active-job.js';
+import {type Dispatcher} from './dispatcher.js';
 import {type StartLimiter} from './start-limiter.js';
 
 /**
--- a/packages/verbenarouter/src/tests/dispatcher.test.ts
+++ b/packages/verbenarouter/src/tests/dispatcher.test.ts
@@ -8,7 +8,8 @@
 } from '@verbenarouter/core';
 import {type TargetClient} from '@verbenarouter/target';
 import {afterEach, describe, expect, it, vi} from 'vitest';
-import {Dispatcher, type DispatchRequest} from '../dispatcher.js';
+import {type DispatchRequest} from '../active-job.js';
+import {Dispatcher} from '../dispatcher.js';
 import {type PlacementDecision} from '../decision-log.js';
 import {settingsSchema} from '../settings.js';
 
--- a/packages/verbenarouter/src/tests/quota-start-limiter.test.ts
+++ b/packages/verbenarouter/src/tests/quota-start-limiter.test.ts
@@ -6,7 +6,7 @@
 	type Team,
 } from '@verbenarouter/core';
 import {beforeEach, describe, expect, it} from 'vitest';
-import {type DispatchRequest} from '../dispatcher.js';
+import {type DispatchRequest} from '../active-job.js';
 import {QuotaStartLimiter} from '../quota-start-limiter.js';
 
 const start = 1_000_000;
