Stagger the claims of candidates that start together

What was seen: after a restart of all, both strong entry VMs of each zone claimed it within 20 ms, and their workers refused one or both: 443 and 62 first reports instead of 245, 62 resubmitted jobs, claims raised by 10 s and one zone dropped as contested, within 0.15 s of the claims (shifted Coastal, all processes killed). Cause: the stagger of 120 ms for each better candidate counted from the loss of the leader, and the grace of 200 ms after the start, which is longer, replaced it. Change: the stagger is added to whichever ends last. A process that has run for longer claims as before.

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -664,14 +664,17 @@
 			const successor = yields[zone];
 			return successor !== undefined && this.isPeerLive(successor, now);
 		});
-		return Math.max(
-			(this.#startedAtMs ?? now) +
-				(this.#peers.size === 0 ? noPeersGraceMs : startGraceMs),
-			leaderlessSinceMs +
-				leaderCheckMs +
-				position * candidateStaggerMs +
-				(hasLiveSuccessor ? handOverMs : 0) +
-				(this.isIsolated(now) ? isolatedGraceMs : 0),
+		// Candidates that have started together are staggered too, or each would claim when its start grace ends.
+		return (
+			Math.max(
+				(this.#startedAtMs ?? now) +
+					(this.#peers.size === 0 ? noPeersGraceMs : startGraceMs),
+				leaderlessSinceMs +
+					leaderCheckMs +
+					(hasLiveSuccessor ? handOverMs : 0) +
+					(this.isIsolated(now) ? isolatedGraceMs : 0),
+			) +
+			position * candidateStaggerMs
 		);
 	}
 
