Wait for the entry VMs of the own zone before claiming it after a start

Cause: c-10 had one heartbeat, of an entry VM of another zone, so that the short grace of 200 ms held, while its connections to the candidates of its zone were still being opened. Only those know whether the zone has a leader. Change: the short grace holds once a heartbeat of the own zone has arrived, or no candidate of it is left that neither answers nor fails; else it is 600 ms. Measured: the test claims at 200 ms before and at 600 ms after.

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -98,7 +98,10 @@
 	readonly candidateStaggerMs: number;
 	/** Time after the start in which a process claims nothing and waits for heartbeats of existing leaders. */
 	readonly startGraceMs: number;
-	/** Start grace of a process that has received no heartbeat yet; other processes are probably starting too. */
+	/**
+	 * Start grace of a process that has received no heartbeat yet, or none of its zone while it connects to the zone's
+	 * candidates; other processes are probably starting too, or this one is slow to connect to the leader.
+	 */
 	readonly noPeersGraceMs: number;
 	/**
 	 * Additional delay for a process that has lost all of its peers; it is more likely partitioned than the last one
@@ -664,11 +667,19 @@
 			const successor = yields[zone];
 			return successor !== undefined && this.isPeerLive(successor, now);
 		});
+		// While the zone's own entry VMs are being connected to, heartbeats of other zones do not show whether it has a leader.
+		const mayHaveUnheardLeader =
+			this.#peers.size === 0 ||
+			(zone === this.#self.zone &&
+				this.#unheardCandidates.length > 0 &&
+				![...this.#peers.values()].some(
+					({heartbeat}) => heartbeat.zone === zone,
+				));
 		// Candidates that have started together are staggered too, or each would claim when its start grace ends.
 		return (
 			Math.max(
 				(this.#startedAtMs ?? now) +
-					(this.#peers.size === 0 ? noPeersGraceMs : startGraceMs),
+					(mayHaveUnheardLeader ? noPeersGraceMs : startGraceMs),
 				leaderlessSinceMs +
 					leaderCheckMs +
 					(hasLiveSuccessor ? handOverMs : 0) +
--- a/packages/core/src/tests/leadership.test.ts
+++ b/packages/core/src/tests/leadership.test.ts
@@ -589,8 +589,9 @@
 		expect(simulate(leadership, 4020, 4020, [yielding])).toEqual(['zone-a']);
 	});
 
-	it('do not claim it together when all have started at the same time', () => {
-		const claimMs = (name: string) => {
+	describe('that start together', () => {
+		/** Returns when a candidate claims the zone after its start, by the heartbeats that it has received. */
+		const claimMs = (name: string, peers: readonly Heartbeat[]) => {
 			const leadership = createZonalLeadership(name);
 			leadership.setCandidacy(
 				true,
@@ -598,7 +599,6 @@
 					.filter((other) => other !== name)
 					.map((other) => ({name: other, zone: 'zone-a', processorShare: 1})),
 			);
-			const peers = [heartbeatFixture('b1', {zone: 'zone-b'})];
 			let now = 0;
 			while (simulate(leadership, now, now, peers).length === 0) {
 				now += 20;
@@ -607,9 +607,23 @@
 			return now;
 		};
 
-		expect(claimMs('a1')).toBe(startGraceMs);
-		expect(claimMs('a2')).toBe(startGraceMs + candidateStaggerMs);
-		expect(claimMs('a3')).toBe(startGraceMs + 2 * candidateStaggerMs);
+		const ofOtherZone = heartbeatFixture('b1', {zone: 'zone-b'});
+
+		it('do not claim it at the same time', () => {
+			const follower = heartbeatFixture('a9', {isCandidate: false});
+			const times = ['a1', 'a2', 'a3'].map((name) =>
+				claimMs(name, [ofOtherZone, follower]),
+			);
+			expect(times).toEqual(
+				[0, 1, 2].map(
+					(position) => startGraceMs + position * candidateStaggerMs,
+				),
+			);
+		});
+
+		it('do not claim it after the short grace if they have heard other zones only: it may have a leader', () => {
+			expect(claimMs('a1', [ofOtherZone])).toBe(noPeersGraceMs);
+		});
 	});
 
 	it('wait for a better one that they have not heard yet', () => {
