Send jobs to leaders that are connected first

What callers saw: after the loss of all processes over 100 of them were refused as not-ready 0.4 to 0.9 s after their request, by entry VMs whose own leader was reachable. Cause: a follower knows the leaders of other zones by what candidates report. It sent jobs away before a refusal, or out of an emptied zone, to the one with the most room, and opened the connection only then. That takes 10 ms with warm processes and 0.4 to 0.9 s with cold ones. Change: rooms say whether their leader is connected. No job leaves its zone before a refusal for a leader that is not; its connection is asked for. Of the zones with room connected ones go first; a zone that takes none chooses among connected leaders, if any, and a job that waits for a connection is directed anew when another leader is connected. Two new tests of ZoneRouter.

--- a/packages/core/src/tests/zone-wait.test.ts
+++ b/packages/core/src/tests/zone-wait.test.ts
@@ -109,18 +109,27 @@
 	it('leaves a zone before a refusal only for room now, while the wait takes up most of the slack', () => {
 		const idle = {...roomFixture('b', 0, 0), spareMillis: 60_000};
 		const ownWaits = (ms: number) => ({menu: {narrowMs: ms, wideMs: ms}});
+		const connectedTo = (room: ZoneRoom) => ({
+			findRooms: () => [room],
+			requestConnection: () => undefined,
+		});
 		const choose = (ownMs: number, room: ZoneRoom) =>
 			new ZoneOverflow().chooseBeforeRefusal(
 				job,
 				ownWaits(ownMs),
-				() => [room],
+				connectedTo(room),
 				0,
 			)?.zone;
 		expect(choose(70, idle)).toBe('b');
 		expect(choose(50, idle)).toBeUndefined();
 		expect(choose(70, roomFixture('b', 0, 0))).toBeUndefined();
 		expect(
-			new ZoneOverflow().chooseBeforeRefusal(job, undefined, () => [idle], 0),
+			new ZoneOverflow().chooseBeforeRefusal(
+				job,
+				undefined,
+				connectedTo(idle),
+				0,
+			),
 		).toBeUndefined();
 	});
 });
--- a/packages/core/src/zone-overflow.ts
+++ b/packages/core/src/zone-overflow.ts
@@ -10,6 +10,8 @@
 	readonly spareMillis: number;
 	/** Projected waits of new jobs in the zone, by service; absent if its leader reports none. */
 	readonly waits?: ServiceWaits;
+	/** False if a connection to the leader has to be opened first, which takes long while the leader is busy. */
+	readonly isConnected?: boolean;
 };
 
 /** A job that may go to another zone. */
@@ -73,8 +75,8 @@
 
 	/**
 	 * Chooses a zone for a job, and counts the job as sent there: the zone with the most room or, if none has room for all of
-	 * its tasks, the one with the shortest wait within the job's slack. Returns `undefined` if there is neither. `refusedBy`
-	 * are the leaders that have refused the job.
+	 * its tasks, the one with the shortest wait within the job's slack. Returns `undefined` if there is neither. Of the zones
+	 * with room, those with a connected leader go first. `refusedBy` are the leaders that have refused the job.
 	 */
 	choose(
 		job: OverflowJob,
@@ -96,7 +98,11 @@
 			.filter(({leader}) => !refusedBy.includes(leader))
 			.map((room) => ({room, leftMillis: this.#computeLeftMillis(room)}))
 			.filter(({leftMillis}) => leftMillis >= neededMillis && leftMillis > 0)
-			.toSorted((left, right) => right.leftMillis - left.leftMillis);
+			.toSorted(
+				(left, right) =>
+					Number(isConnected(right.room)) - Number(isConnected(left.room)) ||
+					right.leftMillis - left.leftMillis,
+			);
 		const room =
 			best?.room ??
 			this.#findShortestWait(
@@ -115,39 +121,62 @@
 
 	/**
 	 * Chooses a zone for a job before its own zone has refused it: one with room for all of its tasks, if the projected wait
-	 * in its own zone takes up most of its slack. Waiting that long often ends in a late answer, as estimates are off.
+	 * in its own zone takes up most of its slack. Waiting that long often ends in a late answer, as estimates are off; so does
+	 * waiting for a connection. A zone with a leader that is not connected is passed to `requestConnection` instead.
 	 */
 	chooseBeforeRefusal(
 		job: OverflowJob,
 		ownWaits: ServiceWaits | undefined,
-		findRooms: () => readonly ZoneRoom[],
+		{
+			findRooms,
+			requestConnection,
+		}: {
+			readonly findRooms: () => readonly ZoneRoom[];
+			readonly requestConnection: (zone: string) => void;
+		},
 		now: number,
 	): ZoneRoom | undefined {
 		const wait = ownWaits?.[job.service ?? ''];
 		const {balancingShare} = this.#settings;
-		return wait === undefined ||
+		if (
+			wait === undefined ||
 			job.slackMs === undefined ||
 			estimateWaitMs(wait, job.tasks.length) <= balancingShare * job.slackMs
-			? undefined
-			: this.choose({tasks: job.tasks}, [], findRooms(), now);
+		) {
+			return undefined;
+		}
+
+		const rooms = findRooms();
+		for (const {zone} of rooms.filter((room) => !isConnected(room))) {
+			requestConnection(zone);
+		}
+
+		return this.choose(
+			{tasks: job.tasks},
+			[],
+			rooms.filter((room) => isConnected(room)),
+			now,
+		);
 	}
 
 	/**
 	 * Chooses the zone for a job whose own zone takes none: the one with the most room left, also if that is too little, as
-	 * the job may wait there. Zones without any room take turns.
+	 * the job may wait there. Zones without any room take turns. While any leader is connected, only such zones are chosen.
 	 */
 	chooseSubstitute(
 		job: OverflowJob,
 		rooms: readonly ZoneRoom[],
 		now: number,
 	): ZoneRoom | undefined {
-		const withRoom = this.choose(job, [], rooms, now);
-		if (withRoom !== undefined || rooms.length === 0) {
+		const connectedRooms = rooms.filter((room) => isConnected(room));
+		const eligibleRooms = connectedRooms.length > 0 ? connectedRooms : rooms;
+		const withRoom = this.choose(job, [], eligibleRooms, now);
+		if (withRoom !== undefined || eligibleRooms.length === 0) {
 			return withRoom;
 		}
 
 		this.#substituteCount += 1;
-		return rooms[this.#substituteCount % rooms.length];
+		return eligibleRooms[this.#substituteCount % eligibleRooms.length];
 	}
 
 	/** Finds the zone in which a job starts soonest, if it starts within its slack there. */
@@ -186,6 +215,10 @@
 	}
 }
 
+function isConnected(room: ZoneRoom): boolean {
+	return room.isConnected !== false;
+}
+
 /** Whether workers of another zone may run a job that a leader has answered like this. */
 export function isRefusedForLackOfRoom(answer: PoolAnswer): boolean {
 	return (
--- a/packages/verbenarouter/src/overlay/overlay-node.ts
+++ b/packages/verbenarouter/src/overlay/overlay-node.ts
@@ -290,6 +290,7 @@
 							zone,
 							leader: leader.name,
 							spareMillis,
+							isConnected: this.isOpen(leader.name),
 							...(waits === undefined ? {} : {waits}),
 						},
 					];
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -258,7 +258,10 @@
 				onOpen: (name) => {
 					this.#knowledgeExchange.handleOpen(name);
 					this.#resubmitPendingJobs(
-						(pending) => this.#findLeaderFor(pending, now()) === name,
+						(pending) =>
+							this.#findLeaderFor(pending, now()) === name ||
+							(pending.overflowZone !== undefined &&
+								pending.sentTo === undefined),
 					);
 				},
 				onElectionChange: () => {
@@ -1255,6 +1258,9 @@
 			desiredState: this.#desiredState,
 			evacuatedZones: this.#evacuations.evacuatedZones,
 			findRooms: () => this.#overlayNode.findZoneRooms(now),
+			requestConnection: (zone) => {
+				this.#overlayNode.useLeader(zone, now);
+			},
 			ownWaits: this.#overlayNode.findOwnZoneWaits(now),
 		};
 	}
--- a/packages/verbenarouter/src/pool/zone-router.ts
+++ b/packages/verbenarouter/src/pool/zone-router.ts
@@ -22,6 +22,8 @@
 	readonly evacuatedZones: ReadonlySet<string>;
 	/** Finds the room in the other zones, as their leaders report it. */
 	readonly findRooms: () => readonly ZoneRoom[];
+	/** Opens a connection to the leader of a zone, for later jobs. */
+	readonly requestConnection: (zone: string) => void;
 	/** Waits in the own zone, as its leader reports them to this entry VM; `undefined` if it leads the zone itself. */
 	readonly ownWaits: ServiceWaits | undefined;
 };
@@ -47,15 +49,24 @@
 	}
 
 	/**
-	 * Directs a job that no leader has had yet to another zone if its own one is evacuated or about to be full. Returns false
-	 * if the job has to wait until a leader of another zone is known.
+	 * Directs a job that no leader has had yet to another zone if its own one is evacuated or about to be full; one that waits
+	 * for a connection to the leader of another zone is directed anew if there is one with a connection. Returns false if the
+	 * job has to wait until a leader of another zone is known.
 	 */
 	prepare(pending: PendingJob, now: number): boolean {
-		if (pending.overflowZone !== undefined || pending.sentTo !== undefined) {
+		if (pending.sentTo !== undefined) {
 			return true;
 		}
 
 		const view = this.#readView(now);
+		if (pending.overflowZone !== undefined) {
+			if (!isBetterConnected(pending, view)) {
+				return true;
+			}
+
+			pending.overflowZone = undefined;
+		}
+
 		if (!isOwnZoneEvacuated(view)) {
 			this.#balance(pending, view, now);
 			return true;
@@ -65,11 +76,14 @@
 			return true;
 		}
 
-		const room = this.#overflow.chooseSubstitute(
-			pending.job,
-			findOpenRooms(view),
-			now,
-		);
+		const rooms = findOpenRooms(view);
+		for (const {zone} of rooms.filter(
+			({isConnected}) => isConnected === false,
+		)) {
+			view.requestConnection(zone);
+		}
+
+		const room = this.#overflow.chooseSubstitute(pending.job, rooms, now);
 		if (room === undefined) {
 			return false;
 		}
@@ -139,7 +153,10 @@
 		const room = this.#overflow.chooseBeforeRefusal(
 			toOverflowJob(pending, view, now),
 			view.ownWaits,
-			() => findOpenRooms(view),
+			{
+				findRooms: () => findOpenRooms(view),
+				requestConnection: view.requestConnection,
+			},
 			now,
 		);
 		if (room !== undefined) {
@@ -181,6 +198,26 @@
 	return findRooms().filter(({zone}) => !evacuatedZones.has(zone));
 }
 
+/** Whether a job that no leader has had yet waits for a connection to the leader of one zone while another's is connected. */
+function isBetterConnected(
+	{overflowZone, refusedBy}: PendingJob,
+	view: ZoneView,
+): boolean {
+	if (refusedBy.length > 0) {
+		return false;
+	}
+
+	const rooms = findOpenRooms(view);
+	return (
+		rooms.some(
+			({zone, isConnected}) => zone === overflowZone && isConnected === false,
+		) &&
+		rooms.some(
+			({zone, isConnected}) => zone !== overflowZone && isConnected === true,
+		)
+	);
+}
+
 /** Returns what the choice of another zone needs to know of a job. */
 function toOverflowJob(
 	{job, receivedAtMs}: PendingJob,
--- a/packages/verbenarouter/src/tests/zone-router.test.ts
+++ b/packages/verbenarouter/src/tests/zone-router.test.ts
@@ -38,7 +38,9 @@
 	readonly jobs: PendingJobs;
 	readonly pending: PendingJob;
 	readonly events: string[];
+	readonly requestedZones: string[];
 } {
+	const requestedZones: string[] = [];
 	const jobs = new PendingJobs();
 	const events: string[] = [];
 	const view: ZoneView = {
@@ -49,6 +51,9 @@
 		evacuatedZones: new Set(),
 		findRooms: () => [],
 		ownWaits: undefined,
+		requestConnection(zone) {
+			requestedZones.push(zone);
+		},
 		...change,
 	};
 	const router = new ZoneRouter(
@@ -77,7 +82,7 @@
 		() => undefined,
 		now,
 	);
-	return {router, jobs, pending, events};
+	return {router, jobs, pending, events, requestedZones};
 }
 
 describe('ZoneRouter', () => {
@@ -114,6 +119,36 @@
 		expect(pending.overflowZone).toBeUndefined();
 	});
 
+	it('sends no job away before a refusal to a leader that is not connected, and asks for the connection', () => {
+		const {router, pending, requestedZones} = routerFixture({
+			ownWaits: {menu: {narrowMs: 100, wideMs: 100}},
+			findRooms: () => [{...roomFixture('b', 20_000), isConnected: false}],
+		});
+		expect(router.prepare(pending, now)).toBe(true);
+		expect([pending.overflowZone, requestedZones]).toEqual([undefined, ['b']]);
+	});
+
+	it('directs a job of an evacuated zone that waits for a connection to the leader that is connected first', () => {
+		const rooms = {
+			list: ['b', 'c'].map((zone) => ({
+				...roomFixture(zone, zone === 'b' ? 90_000 : 0),
+				isConnected: false,
+			})),
+		};
+		const {router, pending} = routerFixture({
+			evacuatedZones: new Set(['a']),
+			findRooms: () => rooms.list,
+		});
+		router.prepare(pending, now);
+		expect(pending.overflowZone).toBe('b');
+		rooms.list = rooms.list.map((room) => ({
+			...room,
+			isConnected: room.zone === 'c',
+		}));
+		router.prepare(pending, now + 50);
+		expect(pending.overflowZone).toBe('c');
+	});
+
 	it('keeps jobs at home under one leader for all zones, and while the wait there is short', () => {
 		for (const change of [
 			{scope: 'region' as const},
