Show that a leader with an old list of workers starts a task that is at work

Cause: a leader takes a job that another one may have started for settled once all workers that it lists have reported. Its list may be old and lack most of them.

--- /dev/null
+++ b/packages/core/src/tests/stale-worker-list.test.ts
@@ -0,0 +1,43 @@
+import {describe, expect, it} from 'vitest';
+import {
+	SchedulerFixture,
+	poolJobFixture,
+	workerFixture,
+} from './pool-fixtures.js';
+
+const startMs = 100_000;
+
+describe('a new leader with an old list of workers', () => {
+	it('does not take reports of the listed workers as complete for a job that another leader may run on workers missing from the list', () => {
+		const fixture = new SchedulerFixture();
+		fixture.scheduler.updateWorkers([workerFixture('w1')], startMs - 50_000);
+		fixture.scheduler.startLeadingZone('zone-a', 7, startMs);
+		fixture.receiveReport('w1', startMs + 5);
+		const job = poolJobFixture('j1', 1, {runMs: 900, patienceMs: 60_000});
+		fixture.scheduler.submit(job, 'r1', true, startMs + 10);
+		fixture.tickUntil(startMs + 20, startMs + 300);
+		expect(fixture.starts).toEqual([]);
+		fixture.scheduler.updateWorkers(
+			[workerFixture('w1'), workerFixture('w2')],
+			startMs + 300,
+		);
+		fixture.receiveReport('w2', startMs + 310, {
+			running: [{task: 'j1.0.0.0', run: 1}],
+		});
+		fixture.tickUntil(startMs + 320, startMs + 400);
+		expect(fixture.starts).toEqual([]);
+	});
+
+	it('starts such a job after the longest lease of another leader if the list cannot be read again', () => {
+		const fixture = new SchedulerFixture();
+		fixture.scheduler.updateWorkers([workerFixture('w1')], startMs - 50_000);
+		fixture.scheduler.startLeadingZone('zone-a', 7, startMs);
+		fixture.receiveReport('w1', startMs + 5);
+		const job = poolJobFixture('j1', 1, {runMs: 5000, patienceMs: 60_000});
+		fixture.scheduler.submit(job, 'r1', true, startMs + 10);
+		fixture.tickUntil(startMs + 20, startMs + 1840);
+		expect(fixture.starts).toEqual([]);
+		fixture.tickUntil(startMs + 1860, startMs + 1900);
+		expect(fixture.starts).toHaveLength(1);
+	});
+});
