Take reports as complete only if the list of workers is current

A leader started jobs that another one had, at once, on the workers that it knew. Cause: a job that another leader may have started is settled when all listed workers have reported, however old or partial the list is. A list may be a minute old: followers keep the one that they read before they handed a zone over. Change: reports count as complete only for a list that was read after the claim, here or by a peer, or, while the store is unreachable, one that a reader of the store has confirmed within 1.5 s before it. A claim has the list read at once. A test of a suspended leader now also checks that the job waits for the list.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -290,14 +290,27 @@
 		this.#placeWaitingTasks(now);
 	}
 
-	/** Applies the platform's list of workers. */
-	updateWorkers(entries: readonly WorkerEntry[], now: number): void {
+	/** Applies the platform's list of workers, which was current at `currentAtMs`. */
+	updateWorkers(
+		entries: readonly WorkerEntry[],
+		now: number,
+		currentAtMs = now,
+	): void {
 		this.#begin(now);
 		this.#needsPlacement = true;
 		this.pool.updateEntries(entries, now);
+		this.pool.recordCurrentList(currentAtMs, this.pool.canReadList);
 		this.#placeWaitingTasks(now);
 	}
 
+	/**
+	 * Records that the list of workers was current at `currentAtMs`; `canReadList` is whether the store is reachable. Jobs that
+	 * another leader may have started are not started while the list is older than the claim.
+	 */
+	recordCurrentList(currentAtMs: number, canReadList: boolean): void {
+		this.pool.recordCurrentList(currentAtMs, canReadList);
+	}
+
 	/**
 	 * Starts to lead the workers of a zone under a fencing token. If this leader was superseded before, its successor may
 	 * have started any of its jobs.
--- a/packages/core/src/tests/two-leaders.test.ts
+++ b/packages/core/src/tests/two-leaders.test.ts
@@ -182,6 +182,9 @@
 		fixture.tickUntil(resumedAtMs + 120, resumedAtMs + 140);
 		expect(fixture.starts).toEqual([]);
 		fixture.receiveReport(worker === 'w1' ? 'w2' : 'w1', resumedAtMs + 150);
+		expect(fixture.starts).toEqual([]);
+		fixture.scheduler.recordCurrentList(resumedAtMs + 155, true);
+		fixture.tickUntil(resumedAtMs + 160, resumedAtMs + 160);
 		expect(fixture.starts).toHaveLength(1);
 	});
 
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -131,6 +131,13 @@
 /** Failed commands in a row after which the pool no longer extends the lease, so that it is certain to expire. */
 const maxContactFailures = 2;
 
+/**
+ * Longest time before a claim at which the list of workers may have been current if it cannot be read again: a lost leader is
+ * noticed and succeeded within this time.
+ */
+const maxListAgeAtClaimMs = 1500;
+/** Time after a claim within which a reachable store returns the list of workers. */
+const listReadMs = 500;
 /** Allowance for commands of an earlier leader that were in transit at the claim, and for slow clocks of workers. */
 const leaseExpiryMarginMs = 150;
 
@@ -173,6 +180,10 @@
 	#entries: readonly WorkerEntry[] = [];
 	#evacuatedZones: ReadonlySet<string> = new Set();
 	#unguardedServices: readonly string[] = [];
+	/** Latest time at which the list of workers is known to have been current. */
+	#listCurrentAtMs = Number.NEGATIVE_INFINITY;
+	/** Whether the list can be read again. */
+	#canReadList = false;
 	/** Time of the last claim or drop of a zone. */
 	#zonesChangedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -215,6 +226,11 @@
 		return Math.max(0, ...[...this.#zones.values()].map(({token}) => token));
 	}
 
+	/** Whether the store is reachable, so that the list of workers is soon read again after a claim. */
+	get canReadList(): boolean {
+		return this.#canReadList;
+	}
+
 	/** Whether the operator has asked that nothing be started in a zone. */
 	isEvacuated(zone: string): boolean {
 		return this.#evacuatedZones.has(zone);
@@ -330,7 +346,8 @@
 	 * another leader may have the job, and `earlierToken` the highest token under which it may have it.
 	 *
 	 * All reports under a token that is higher than `earlierToken` show every such run: later starts under lower tokens are
-	 * refused, and a leader that claims with a higher token needs all reports itself before it starts the job.
+	 * refused, and a leader that claims with a higher token needs all reports itself before it starts the job. They are all
+	 * reports only if the list of workers is current: others may run the job on workers that an older one lacks.
 	 */
 	priorRunsSettledAtMs(
 		jobZones: readonly string[],
@@ -341,6 +358,7 @@
 		const isFullySynced =
 			this.#leadsAllZones(jobZones) &&
 			this.token >= earlierToken &&
+			this.#hasCurrentList(jobZones) &&
 			[...this.#unsyncedWorkers].every(
 				({entry}) => !jobZones.includes(entry.zone),
 			);
@@ -353,7 +371,10 @@
 					leaseExpiryMarginMs;
 	}
 
-	/** Like `priorRunsSettledAtMs`, but assumes that workers send a requested report at once unless a command to them has failed. */
+	/**
+	 * Like `priorRunsSettledAtMs`, but assumes that workers send a requested report at once unless a command to them has failed,
+	 * and that the list of workers is read at once unless the store is unreachable.
+	 */
 	earliestPriorRunsSettledAtMs(
 		jobZones: readonly string[],
 		sinceMs: number,
@@ -364,13 +385,25 @@
 			({entry, contactFailures}) =>
 				contactFailures === 0 || !jobZones.includes(entry.zone),
 		);
+		const isListOnItsWay =
+			this.#canReadList && now - this.#findLatestClaimMs(jobZones) < listReadMs;
 		return this.#leadsAllZones(jobZones) &&
 			this.token >= earlierToken &&
+			(isListOnItsWay || this.#hasCurrentList(jobZones)) &&
 			(this.isSyncing(now) || areReportsOnTheirWay)
 			? now
 			: this.priorRunsSettledAtMs(jobZones, sinceMs, earlierToken, now);
 	}
 
+	/**
+	 * Records that the list of workers was current at a time. `canReadList` is whether the store is reachable, so that the list
+	 * is soon read again after a claim.
+	 */
+	recordCurrentList(atMs: number, canReadList: boolean): void {
+		this.#listCurrentAtMs = Math.max(this.#listCurrentAtMs, atMs);
+		this.#canReadList = canReadList;
+	}
+
 	/** Updates the workers from the platform's list. */
 	updateEntries(entries: readonly WorkerEntry[], now: number): void {
 		this.#entries = entries;
@@ -671,6 +704,22 @@
 		}
 	}
 
+	/** Whether the list of workers shows all on which earlier leaders of these zones may have started runs. */
+	#hasCurrentList(zones: readonly string[]): boolean {
+		const maxAgeMs = this.#canReadList ? 0 : maxListAgeAtClaimMs;
+		return this.#listCurrentAtMs >= this.#findLatestClaimMs(zones) - maxAgeMs;
+	}
+
+	/** Returns the latest time at which one of these zones was claimed, or reports of all its workers were requested. */
+	#findLatestClaimMs(zones: readonly string[]): number {
+		return Math.max(
+			...zones.map(
+				(zone) =>
+					this.#zones.get(zone)?.syncingSinceMs ?? Number.NEGATIVE_INFINITY,
+			),
+		);
+	}
+
 	#leadsAllZones(zones: readonly string[]): boolean {
 		return zones.every((zone) => this.#zones.has(zone));
 	}
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -137,6 +137,8 @@
 	#workersVersion = '';
 	/** Version of the list of workers that a peer has sent since the last read of the store. */
 	#receivedWorkersVersion: string | undefined;
+	/** Latest time at which a peer that reads the store had the same list of workers, less the longest age of its list. */
+	#listConfirmedAtMs = Number.NEGATIVE_INFINITY;
 	readonly #zoneReporter: ZoneReporter;
 
 	constructor(settings: EntrySettings, log: PoolLog, now: () => number) {
@@ -637,6 +639,10 @@
 		);
 		this.#storeFollower.tick(now);
 		if (this.#leadership.ledZones.size > 0) {
+			this.#scheduler.recordCurrentList(
+				this.#listCurrentAtMs(now),
+				this.#storeFollower.isReachable,
+			);
 			this.#scheduler.markUnreachableReceivers(
 				(receiver) =>
 					receiver === this.#settings.name ||
@@ -793,7 +799,12 @@
 					this.#scheduler.applyDesiredState(this.#desiredState);
 				}
 
-				this.#scheduler.updateWorkers(this.#workerEntries, now);
+				this.#scheduler.updateWorkers(
+					this.#workerEntries,
+					now,
+					this.#listCurrentAtMs(now),
+				);
+				this.#storeFollower.requestWorkers();
 			}
 		}
 
@@ -908,6 +919,7 @@
 					from,
 				);
 				this.#knowledgeExchange.recordHeartbeat(from, message, now);
+				this.#confirmList(message, now);
 				break;
 			}
 
@@ -1133,7 +1145,29 @@
 			source,
 		});
 		if (this.#leadership.ledZones.size > 0) {
-			this.#scheduler.updateWorkers(entries, this.#now());
+			const now = this.#now();
+			this.#scheduler.updateWorkers(entries, now, this.#listCurrentAtMs(now));
+		}
+	}
+
+	/** Latest time at which the list of workers was read here or by a peer, or a reader of the store announced the same one. */
+	#listCurrentAtMs(now: number): number {
+		return Math.max(
+			now - this.#storeFollower.workersAgeMs(now),
+			this.#listConfirmedAtMs,
+		);
+	}
+
+	/** Records that a peer which reads the store has the same list of workers. */
+	#confirmList(
+		{readsStore, knows}: PoolMessage & {readonly type: 'heartbeat'},
+		now: number,
+	): void {
+		if (
+			readsStore &&
+			knows?.workers === (this.#receivedWorkersVersion ?? this.#workersVersion)
+		) {
+			this.#listConfirmedAtMs = now - staleStoreDataMs;
 		}
 	}
 
--- a/packages/verbenarouter/src/pool/store-follower.ts
+++ b/packages/verbenarouter/src/pool/store-follower.ts
@@ -114,6 +114,20 @@
 		return now - this.#ownWorkersReadAtMs;
 	}
 
+	/** Whether the last read succeeded. */
+	get isReachable(): boolean {
+		return this.#isReachable;
+	}
+
+	/** Has the list of workers read at the next tick, if it is followed. */
+	requestWorkers(): void {
+		for (const topic of this.#topics) {
+			if (topic.name === workersTopic) {
+				topic.nextReadAtMs = 0;
+			}
+		}
+	}
+
 	/** Replaces the client after the store's address has changed, and reads both topics anew. */
 	setClient(client: StoreReader): void {
 		this.#client.close();
