Move the receiver's part of an entry VM into a class without network

JobReceiver has the code of PoolNode that keeps the jobs of callers, submits them to leaders and answers them, so that tests can bring about orders of events that need several leaders. PoolNode keeps the messages and the timers. No change of behaviour: the waits of the own zone are read only where they are used, as before, although more callers read the view of the zones now.

--- /dev/null
+++ b/packages/verbenarouter/src/pool/job-receiver.ts
@@ -0,0 +1,400 @@
+import {
+	computeAnswerWindowMs,
+	maxOverflowPatienceMs,
+	type LostRun,
+	type PoolAnswer,
+	type PoolJob,
+	type ZoneLeader,
+} from '@verbenarouter/core';
+import {type PoolMessage} from '@verbenarouter/peer';
+import {type LogFields} from '../logger.js';
+import {PendingJobs, type PendingJob} from './pending-jobs.js';
+import {
+	ZoneRouter,
+	defaultRunMs,
+	isOwnZoneEvacuated,
+	type ZoneView,
+} from './zone-router.js';
+
+/** Longest time for which a job that was sent to no leader yet waits for a reachable one. */
+const maxFirstSendDelayMs = 900;
+/** Longest time for which a job that a lost leader may have started waits for the next leader; a failover takes less. */
+const maxResendDelayMs = 900;
+/** Time after which a refused caller may retry; also the grace after a job's patience in which its answer may arrive. */
+const retryMs = 1000;
+
+/** A message from the receiver of a job to a leader. */
+export type ReceiverMessage = Extract<
+	PoolMessage,
+	{readonly type: 'submit' | 'cancel'}
+>;
+
+/** What a receiver needs of its entry VM. */
+export type JobReceiverOptions = {
+	/** Name of this entry VM. */
+	readonly name: string;
+	/** Zone of this entry VM. */
+	readonly zone: string;
+	readonly readZoneView: (now: number) => ZoneView;
+	/** Returns the name of the live leader of the own zone. */
+	readonly findOwnLeader: () => string | undefined;
+	/** Returns the leader of a zone that is live here or reported by a candidate. */
+	readonly findLeader: (zone: string, now: number) => ZoneLeader | undefined;
+	/** Whether a leader places a job in the zones that its receiver names only. */
+	readonly placesByZone: (leader: string, now: number) => boolean;
+	/** Whether messages can be sent to another entry VM. */
+	readonly isOpen: (name: string) => boolean;
+	/** Keeps a connection to the leader of a zone for some seconds, and opens one if there is none. */
+	readonly useLeader: (zone: string, now: number) => void;
+	/** Sends a message to a leader, which may be this entry VM; returns false if there is no stream to it. */
+	readonly send: (
+		leader: string,
+		message: ReceiverMessage,
+		now: number,
+	) => boolean;
+	readonly writeLog: (fields: LogFields) => void;
+};
+
+/**
+ * The receiver's part of an entry VM: keeps the jobs of its callers until they are answered, and submits them to leaders.
+ * It does no input or output, and takes the time from its arguments.
+ */
+export class JobReceiver {
+	readonly #options: JobReceiverOptions;
+	readonly #pendingJobs = new PendingJobs();
+	readonly #zoneRouter: ZoneRouter;
+
+	constructor(options: JobReceiverOptions) {
+		this.#options = options;
+		this.#zoneRouter = new ZoneRouter(
+			this.#pendingJobs,
+			options.readZoneView,
+			options.writeLog,
+		);
+	}
+
+	/** Number of jobs without an answer. */
+	get size(): number {
+		return this.#pendingJobs.size;
+	}
+
+	/** Whether a job without an answer waits to be sent to a leader. */
+	get isWaitingForLeader(): boolean {
+		return this.#pendingJobs.all.some(
+			({withoutLeaderSinceMs}) => withoutLeaderSinceMs !== undefined,
+		);
+	}
+
+	/** Whether a job with this identifier has no answer yet. */
+	has(id: string): boolean {
+		return this.#pendingJobs.get(id) !== undefined;
+	}
+
+	/** Submits a job of a caller, or lets the caller wait for the pending job with its identifier. */
+	receive(
+		job: PoolJob,
+		resolve: (answer: PoolAnswer) => void,
+		now: number,
+	): void {
+		const {pending, isNew} = this.#pendingJobs.add(job, resolve, now);
+		if (isNew) {
+			this.#sendToLeader(pending, now);
+		}
+	}
+
+	/** Handles that a caller has left; `isReset` is whether its connection broke, so that it may send the job again. */
+	handleCallerDisconnect(id: string, isReset: boolean, now: number): void {
+		const pending = this.#pendingJobs.get(id);
+		if (pending === undefined) {
+			return;
+		}
+
+		this.#options.writeLog({event: 'caller-left', id, isReset});
+		// A caller whose connection broke submits the job again and then receives the result of the first submission. The
+		// leader that gets it then does not know of runs in another zone, so a job there is cancelled.
+		const isContinued =
+			isReset &&
+			(pending.overflowZone === undefined || pending.resolvers.length > 1);
+		if (isContinued) {
+			pending.hasLostCaller = true;
+			return;
+		}
+
+		this.#pendingJobs.remove(id);
+		if (pending.sentTo !== undefined) {
+			this.#cancelAtLeader(pending.sentTo, id, now);
+		}
+	}
+
+	/** Answers all remaining jobs at the end of a stop; an answer informs callers better than a broken connection. */
+	answerRemainingJobs(now: number): void {
+		for (const {job, sentTo} of this.#pendingJobs.all) {
+			if (sentTo !== undefined) {
+				this.#cancelAtLeader(sentTo, job.id, now);
+			}
+
+			this.#pendingJobs.answer(
+				job.id,
+				sentTo === undefined
+					? {kind: 'not-run', reason: 'not-ready', retryAfterMs: retryMs}
+					: {kind: 'may-have-run', reason: 'stopping'},
+			);
+		}
+	}
+
+	/** Answers the jobs that have waited too long for a leader or for their answer. */
+	answerExpiredJobs(now: number): void {
+		for (const pending of this.#pendingJobs.all) {
+			const {job, sentTo, withoutLeaderSinceMs, receivedAtMs} = pending;
+			const maxDelayMs = Math.min(
+				sentTo === undefined ? maxFirstSendDelayMs : maxResendDelayMs,
+				this.#computeSlackMs(job, now),
+			);
+			if (
+				withoutLeaderSinceMs !== undefined &&
+				now - withoutLeaderSinceMs > maxDelayMs
+			) {
+				this.#pendingJobs.answer(
+					job.id,
+					sentTo === undefined
+						? {kind: 'not-run', reason: 'not-ready', retryAfterMs: retryMs}
+						: {kind: 'may-have-run', reason: 'leader-lost'},
+				);
+			} else if (now - receivedAtMs > job.patienceMs + retryMs) {
+				this.#pendingJobs.answer(job.id, {
+					kind: 'may-have-run',
+					reason: 'deadline-exceeded',
+				});
+			}
+		}
+	}
+
+	/** Submits the jobs of the own zone to its leader, which has changed. */
+	handleOwnLeaderChange(now: number): void {
+		this.#resubmit(({overflowZone}) => overflowZone === undefined, now);
+	}
+
+	/** Submits the jobs that wait for the leader of another zone, or had another leader there, to its present one. */
+	updateOtherLeaders(now: number): void {
+		const isHomeClosed = isOwnZoneEvacuated(this.#options.readZoneView(now));
+		this.#resubmit(
+			(pending) =>
+				(pending.overflowZone !== undefined || isHomeClosed) &&
+				(pending.withoutLeaderSinceMs !== undefined ||
+					this.#findLeaderFor(pending, now) !== pending.sentTo),
+			now,
+		);
+	}
+
+	/** Submits the jobs of an entry VM again to which a stream has opened: messages on an earlier stream may be lost. */
+	handleOpen(name: string, now: number): void {
+		this.#resubmit(
+			(pending) =>
+				this.#findLeaderFor(pending, now) === name ||
+				(pending.overflowZone !== undefined && pending.sentTo === undefined),
+			now,
+		);
+	}
+
+	/** Submits a job to its leader again, unless another leader has it. */
+	resubmitTo(leader: string, id: string, now: number): void {
+		const pending = this.#pendingJobs.get(id);
+		if (pending?.sentTo === leader) {
+			this.#sendToLeader(pending, now);
+		}
+	}
+
+	/** Records that a leader has started no task of a job and never will for this attempt. */
+	markUntouched(id: string, leader: string, attempt: string): void {
+		this.#pendingJobs.markUntouched(id, leader, attempt);
+	}
+
+	/** Keeps the lost runs of pending jobs for the next leaders. */
+	recordLostRuns(lostRuns: readonly LostRun[]): void {
+		this.#pendingJobs.recordLostRuns(lostRuns);
+	}
+
+	/**
+	 * Adds tasks that a leader reports as completed to a pending job, and tells the leader that has the job by now, which
+	 * would run them again.
+	 */
+	addCompletedTasks(
+		leader: string,
+		id: string,
+		doneTasks: readonly string[],
+		now: number,
+	): void {
+		const pending = this.#pendingJobs.get(id);
+		if (pending === undefined) {
+			return;
+		}
+
+		const allDoneTasks = [...new Set([...pending.doneTasks, ...doneTasks])];
+		const hasNewTasks = allDoneTasks.length > pending.doneTasks.length;
+		pending.doneTasks = allDoneTasks;
+		if (
+			hasNewTasks &&
+			pending.sentTo !== undefined &&
+			pending.sentTo !== leader
+		) {
+			this.#sendToLeader(pending, now);
+		}
+	}
+
+	/** Passes a leader's answer on to the callers, and cancels the job at another leader that has it now. */
+	receiveAnswer(
+		leader: string,
+		id: string,
+		answer: PoolAnswer,
+		now: number,
+	): void {
+		const pending = this.#pendingJobs.get(id);
+		const sentTo = pending?.sentTo;
+		const acceptedAnswer = this.#pendingJobs.filterAnswer(id, leader, answer);
+		if (
+			pending === undefined ||
+			acceptedAnswer === undefined ||
+			this.#sendToOtherZone(pending, leader, acceptedAnswer, now)
+		) {
+			return;
+		}
+
+		this.#pendingJobs.answer(id, acceptedAnswer);
+		if (sentTo !== undefined && sentTo !== leader) {
+			this.#cancelAtLeader(sentTo, id, now);
+		}
+	}
+
+	/** Returns the leader that gets a job: that of the zone that it overflows to, or of this entry VM's zone. */
+	#findLeaderFor({overflowZone}: PendingJob, now: number): string | undefined {
+		return overflowZone === undefined
+			? this.#options.findOwnLeader()
+			: this.#options.findLeader(overflowZone, now)?.name;
+	}
+
+	/** Submits a job to the leader, or marks it as unsent while none is reachable. */
+	#sendToLeader(pending: PendingJob, now: number): void {
+		if (!this.#zoneRouter.prepare(pending, now)) {
+			pending.withoutLeaderSinceMs ??= now;
+			return;
+		}
+
+		const leader = this.#findLeaderFor(pending, now);
+		if (pending.overflowZone !== undefined) {
+			this.#options.useLeader(pending.overflowZone, now);
+		}
+
+		if (leader === undefined || !this.#canReach(leader)) {
+			pending.withoutLeaderSinceMs ??= now;
+			return;
+		}
+
+		if (pending.sentTo !== undefined && pending.sentTo !== leader) {
+			this.#releaseAtLeader(pending.sentTo, pending.job.id, now);
+		}
+
+		const {earlierToken} = pending;
+		const leaderToken =
+			this.#options.findLeader(pending.overflowZone ?? this.#options.zone, now)
+				?.token ?? 0;
+		const isResubmitted = this.#pendingJobs.markSent(
+			pending,
+			{name: leader, token: leaderToken},
+			this.#findZonesForJob(pending, leader, now),
+		);
+		const {doneTasks, zones, refusedBy, lostRuns} = pending;
+		const job = {
+			...pending.job,
+			waitedMs: now - pending.receivedAtMs,
+			leaderToken,
+			...(earlierToken === undefined ? {} : {earlierToken}),
+			...(doneTasks.length > 0 ? {doneTasks} : {}),
+			...(lostRuns.length > 0 ? {lostRuns} : {}),
+			...(zones === undefined ? {} : {zones}),
+			...(refusedBy.length > 0 ? {refusingZones: refusedBy.length} : {}),
+			...(pending.overflowZone === undefined
+				? {}
+				: {
+						patienceMs: Math.min(pending.job.patienceMs, maxOverflowPatienceMs),
+					}),
+		};
+		this.#options.send(leader, {type: 'submit', job, isResubmitted}, now);
+	}
+
+	/** Returns the zones in which a leader is to place a job; `undefined` for all zones. */
+	#findZonesForJob(
+		{overflowZone}: PendingJob,
+		leader: string,
+		now: number,
+	): readonly string[] | undefined {
+		return this.#options.readZoneView(now).scope === 'zone' &&
+			this.#options.placesByZone(leader, now)
+			? [overflowZone ?? this.#options.zone]
+			: undefined;
+	}
+
+	/** Submits the selected pending jobs again, to their present leaders. */
+	#resubmit(isSelected: (pending: PendingJob) => boolean, now: number): void {
+		for (const pending of this.#pendingJobs.all.filter((other) =>
+			isSelected(other),
+		)) {
+			pending.withoutLeaderSinceMs ??= now;
+			this.#sendToLeader(pending, now);
+		}
+	}
+
+	/** Computes the time for which a job may wait for a leader and still be answered in time, by its caller's estimates. */
+	#computeSlackMs(
+		{queue: name, tasks, patienceMs}: PoolJob,
+		now: number,
+	): number {
+		const queue = this.#options
+			.readZoneView(now)
+			.desiredState?.queues.find((other) => other.name === name);
+		const longestMs = Math.max(
+			...tasks.map(({declaredMs}) => declaredMs),
+			defaultRunMs,
+		);
+		return queue === undefined
+			? 0
+			: computeAnswerWindowMs(queue, longestMs, patienceMs) - longestMs;
+	}
+
+	#canReach(leader: string): boolean {
+		return leader === this.#options.name || this.#options.isOpen(leader);
+	}
+
+	/** Has a leader give up a job that is submitted to another one now; two leaders would otherwise wait and then start it. */
+	#releaseAtLeader(leader: string, id: string, now: number): void {
+		this.#options.send(leader, {type: 'cancel', id, reason: 'moved'}, now);
+	}
+
+	/** Submits a job that its leader has refused to the leader of another zone, if one can run it; returns whether it did. */
+	#sendToOtherZone(
+		pending: PendingJob,
+		leader: string,
+		answer: PoolAnswer,
+		now: number,
+	): boolean {
+		const isRedirected = this.#zoneRouter.redirectRefused(
+			pending,
+			leader,
+			answer,
+			now,
+		);
+		if (isRedirected) {
+			this.#sendToLeader(pending, now);
+		}
+
+		return isRedirected;
+	}
+
+	/** Cancels a job at a leader because no caller waits for it any more. */
+	#cancelAtLeader(leader: string, id: string, now: number): void {
+		this.#options.send(
+			leader,
+			{type: 'cancel', id, reason: 'caller-left'},
+			now,
+		);
+	}
+}
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -8,9 +8,7 @@
 	QueueShares,
 	ScopeBySize,
 	ZoneEvacuations,
-	computeAnswerWindowMs,
 	defaultWorkerPoolSettings,
-	maxOverflowPatienceMs,
 	type DesiredState,
 	type EvacuationChange,
 	type LeadershipChange,
@@ -31,6 +29,7 @@
 import {droppedLines} from '../logger.js';
 import {type MetricSample} from '../metrics.js';
 import {OverlayNode, type NodeState} from '../overlay/overlay-node.js';
+import {JobReceiver, type ReceiverMessage} from './job-receiver.js';
 import {
 	KnowledgeExchange,
 	staleStoreDataMs,
@@ -38,17 +37,11 @@
 } from './knowledge-exchange.js';
 import {computeWorkersVersion, describeWorker} from './knowledge-schedule.js';
 import {selectLossRecipients} from './loss-recipients.js';
-import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {type PoolLog} from './pool-log.js';
 import {StoreFollower} from './store-follower.js';
 import {createWorkerCommandSender} from './worker-command-sender.js';
 import {ZoneReporter} from './zone-reporter.js';
-import {
-	ZoneRouter,
-	defaultRunMs,
-	isOwnZoneEvacuated,
-	type ZoneView,
-} from './zone-router.js';
+import {type ZoneView} from './zone-router.js';
 
 /** Interval at which unused connections to workers are closed. */
 const connectionCheckIntervalMs = 100;
@@ -61,16 +54,10 @@
  * and the time does not count as their silence.
  */
 const stallThresholdMs = 100;
-/** Longest time for which a job that was sent to no leader yet waits for a reachable one. */
-const maxFirstSendDelayMs = 900;
-/** Longest time for which a job that a lost leader may have started waits for the next leader; a failover takes less. */
-const maxResendDelayMs = 900;
 /** Interval of checks for workers that have not registered again in time, and for unreachable zones. */
 const directoryCheckIntervalMs = 500;
 /** Time without a report after which the workers of a zone count as unreachable. */
 const zoneUnreachableMs = 1500;
-/** Time after which a refused caller may retry; also the grace after a job's patience in which its answer may arrive. */
-const retryMs = 1000;
 /** Longest time for which a request waits for the first desired state; a new process reads it in a tenth of that. */
 const firstStateTimeoutMs = 400;
 /** Longest time for which a request to the leader waits for its reply. */
@@ -97,14 +84,13 @@
 	readonly #now: () => number;
 	readonly #leadership: Leadership;
 	readonly #scopeBySize = new ScopeBySize();
-	readonly #zoneRouter: ZoneRouter;
+	readonly #jobReceiver: JobReceiver;
 	readonly #evacuations: ZoneEvacuations;
 	readonly #queueShares = new QueueShares();
 	readonly #scheduler: PoolScheduler;
 	readonly #overlayNode: OverlayNode;
 	readonly #workerClient: WorkerClient;
 	readonly #storeFollower: StoreFollower;
-	readonly #pendingJobs = new PendingJobs();
 	/** How late this process runs, recorded also when it reads heartbeats that change an election. */
 	readonly #stallDelay = new EventLoopDelay(tickIntervalMs);
 	/** Whether the checks of a late tick wait until the sockets have been read. */
@@ -146,13 +132,23 @@
 		this.#incarnation = `${settings.name}-${Math.floor(now())}`;
 		this.#leadership = new Leadership(settings, settings.zones);
 		this.#evacuations = new ZoneEvacuations(settings.zones);
-		this.#zoneRouter = new ZoneRouter(
-			this.#pendingJobs,
-			(time) => this.#readZoneView(time),
-			(fields) => {
+		this.#jobReceiver = new JobReceiver({
+			name: settings.name,
+			zone: settings.zone,
+			readZoneView: (time) => this.#readZoneView(time),
+			findOwnLeader: () => this.#leader,
+			findLeader: (zone, time) => this.#overlayNode.findLeader(zone, time),
+			placesByZone: (leader, time) => this.#placesByZone(leader, time),
+			isOpen: (name) => this.#overlayNode.isOpen(name),
+			useLeader: (zone, time) => {
+				this.#overlayNode.useLeader(zone, time);
+			},
+			send: (leader, message, time) =>
+				this.#sendToLeader(leader, message, time),
+			writeLog(fields) {
 				log.write(fields);
 			},
-		);
+		});
 		this.#knowledgeExchange = new KnowledgeExchange({
 			name: settings.name,
 			readView: (time) => this.#readKnowledgeView(time),
@@ -179,14 +175,14 @@
 				},
 				sendCompletedTasks: (receiver, id, doneTasks) => {
 					if (receiver === settings.name) {
-						this.#addCompletedTasks(receiver, id, doneTasks);
+						this.#jobReceiver.addCompletedTasks(receiver, id, doneTasks, now());
 					} else {
 						this.#overlayNode.send(receiver, {type: 'progress', id, doneTasks});
 					}
 				},
 				sendUntouched: (receiver, id, attempt) => {
 					if (receiver === settings.name) {
-						this.#pendingJobs.markUntouched(id, receiver, attempt);
+						this.#jobReceiver.markUntouched(id, receiver, attempt);
 					} else {
 						this.#overlayNode.send(receiver, {type: 'untouched', id, attempt});
 					}
@@ -257,12 +253,7 @@
 				},
 				onOpen: (name) => {
 					this.#knowledgeExchange.handleOpen(name);
-					this.#resubmitPendingJobs(
-						(pending) =>
-							this.#findLeaderFor(pending, now()) === name ||
-							(pending.overflowZone !== undefined &&
-								pending.sentTo === undefined),
-					);
+					this.#jobReceiver.handleOpen(name, now());
 				},
 				onElectionChange: () => {
 					this.#scheduleLeadershipUpdate();
@@ -318,13 +309,13 @@
 
 	/** Number of jobs that this entry VM has received and not yet answered. */
 	get pendingJobCount(): number {
-		return this.#pendingJobs.size;
+		return this.#jobReceiver.size;
 	}
 
 	/** Present values of the gauges, by metric name. */
 	get gauges(): Readonly<Record<string, number>> {
 		return {
-			jobsReceivedWaiting: this.#pendingJobs.size,
+			jobsReceivedWaiting: this.#jobReceiver.size,
 			jobsScheduled: this.#scheduler.jobCount,
 			zonesLed: this.#leadership.ledZones.size,
 			workersLed: this.#scheduler.pool.workers.length,
@@ -408,18 +399,7 @@
 
 	/** Answers all remaining jobs at the end of a stop; an answer informs callers better than a broken connection. */
 	answerRemainingJobs(): void {
-		for (const {job, sentTo} of this.#pendingJobs.all) {
-			if (sentTo !== undefined) {
-				this.#cancelAtLeader(sentTo, job.id);
-			}
-
-			this.#pendingJobs.answer(
-				job.id,
-				sentTo === undefined
-					? {kind: 'not-run', reason: 'not-ready', retryAfterMs: retryMs}
-					: {kind: 'may-have-run', reason: 'stopping'},
-			);
-		}
+		this.#jobReceiver.answerRemainingJobs(this.#now());
 	}
 
 	/** Applies changed settings; returns the names of those that take effect only at the next start. */
@@ -467,8 +447,7 @@
 	acceptsRequest(id: string, needsMs: number): boolean {
 		// A copy of a pending job gets the answer of that job: "not run" would be untrue if the job has started.
 		return (
-			this.#pendingJobs.get(id) !== undefined ||
-			(this.#acceptsRequest?.(id, needsMs) ?? true)
+			this.#jobReceiver.has(id) || (this.#acceptsRequest?.(id, needsMs) ?? true)
 		);
 	}
 
@@ -480,50 +459,28 @@
 				attempt: `${this.#incarnation}/${this.#attemptCount}`,
 			};
 			const now = this.#now();
-			const {pending, isNew} = this.#pendingJobs.add(
-				job,
-				(answer) => {
-					this.#log.writeAnswer(job, answer, this.#now() - now);
-					resolve(answer);
-				},
-				now,
-			);
 			this.#log.write({
 				event: 'received',
 				id: job.id,
 				queue: job.queue,
 				tasks: job.tasks.length,
 				patienceMs: job.patienceMs,
-				isNew,
+				isNew: !this.#jobReceiver.has(job.id),
 				leader: this.#leader ?? 'none',
 			});
-			if (isNew) {
-				this.#sendToLeader(pending);
-			}
+			this.#jobReceiver.receive(
+				job,
+				(answer) => {
+					this.#log.writeAnswer(job, answer, this.#now() - now);
+					resolve(answer);
+				},
+				now,
+			);
 		});
 	}
 
 	handleCallerDisconnect(id: string, isReset: boolean): void {
-		const pending = this.#pendingJobs.get(id);
-		if (pending === undefined) {
-			return;
-		}
-
-		this.#log.write({event: 'caller-left', id, isReset});
-		// A caller whose connection broke submits the job again and then receives the result of the first submission. The
-		// leader that gets it then does not know of runs in another zone, so a job there is cancelled.
-		const isContinued =
-			isReset &&
-			(pending.overflowZone === undefined || pending.resolvers.length > 1);
-		if (isContinued) {
-			pending.hasLostCaller = true;
-			return;
-		}
-
-		this.#pendingJobs.remove(id);
-		if (pending.sentTo !== undefined) {
-			this.#cancelAtLeader(pending.sentTo, id);
-		}
+		this.#jobReceiver.handleCallerDisconnect(id, isReset, this.#now());
 	}
 
 	async cancel(id: string): Promise<boolean> {
@@ -597,9 +554,7 @@
 	#selectTickInterval(): number {
 		return this.#leadership.ledZones.size > 0 ||
 			this.#overlayNode.isElecting ||
-			this.#pendingJobs.all.some(
-				({withoutLeaderSinceMs}) => withoutLeaderSinceMs !== undefined,
-			)
+			this.#jobReceiver.isWaitingForLeader
 			? tickIntervalMs
 			: followerTickIntervalMs;
 	}
@@ -646,7 +601,7 @@
 			this.#scheduler.tick(now);
 		}
 
-		this.#answerExpiredJobs(now);
+		this.#jobReceiver.answerExpiredJobs(now);
 		if (now - this.#lastDirectoryCheckMs >= directoryCheckIntervalMs) {
 			this.#lastDirectoryCheckMs = now;
 			this.#refreshWorkers('time');
@@ -744,27 +699,10 @@
 				token: leader?.token ?? 0,
 				zone: this.#settings.zone,
 			});
-			this.#resubmitPendingJobs(({overflowZone}) => overflowZone === undefined);
+			this.#jobReceiver.handleOwnLeaderChange(now);
 		}
 
-		const isHomeClosed = isOwnZoneEvacuated({
-			ownZone: this.#settings.zone,
-			scope: this.#scope,
-			evacuatedZones: this.#evacuations.evacuatedZones,
-		});
-		this.#resubmitPendingJobs(
-			(pending) =>
-				(pending.overflowZone !== undefined || isHomeClosed) &&
-				(pending.withoutLeaderSinceMs !== undefined ||
-					this.#findLeaderFor(pending, now) !== pending.sentTo),
-		);
-	}
-
-	/** Returns the leader that gets a job: that of the zone that it overflows to, or of this entry VM's zone. */
-	#findLeaderFor({overflowZone}: PendingJob, now: number): string | undefined {
-		return overflowZone === undefined
-			? this.#leader
-			: this.#overlayNode.findLeader(overflowZone, now)?.name;
+		this.#jobReceiver.updateOtherLeaders(now);
 	}
 
 	/** Applies changes of leadership to the scheduler, and sends the workers of dropped zones to their new leaders. */
@@ -832,7 +770,7 @@
 		receivers: readonly string[],
 		lostRuns: readonly LostRun[],
 	): void {
-		this.#pendingJobs.recordLostRuns(lostRuns);
+		this.#jobReceiver.recordLostRuns(lostRuns);
 		this.#overlayNode.sendToAll(
 			selectLossRecipients(
 				receivers,
@@ -891,10 +829,7 @@
 	/** Submits a job to its leader again, which has received a heartbeat by then, unless another leader has the job. */
 	#resubmitAfterHeartbeat(leader: string, id: string): void {
 		setTimeout(() => {
-			const pending = this.#pendingJobs.get(id);
-			if (pending?.sentTo === leader) {
-				this.#sendToLeader(pending);
-			}
+			this.#jobReceiver.resubmitTo(leader, id, this.#now());
 		}, resubmitDelayMs);
 	}
 
@@ -918,7 +853,7 @@
 
 			case 'resubmit': {
 				if (message.attempt !== undefined) {
-					this.#pendingJobs.markUntouched(message.id, from, message.attempt);
+					this.#jobReceiver.markUntouched(message.id, from, message.attempt);
 				}
 
 				this.#resubmitAfterHeartbeat(from, message.id);
@@ -926,22 +861,27 @@
 			}
 
 			case 'untouched': {
-				this.#pendingJobs.markUntouched(message.id, from, message.attempt);
+				this.#jobReceiver.markUntouched(message.id, from, message.attempt);
 				break;
 			}
 
 			case 'answer': {
-				this.#receiveAnswer(from, message.id, message.answer);
+				this.#jobReceiver.receiveAnswer(from, message.id, message.answer, now);
 				break;
 			}
 
 			case 'progress': {
-				this.#addCompletedTasks(from, message.id, message.doneTasks);
+				this.#jobReceiver.addCompletedTasks(
+					from,
+					message.id,
+					message.doneTasks,
+					now,
+				);
 				break;
 			}
 
 			case 'lost-runs': {
-				this.#pendingJobs.recordLostRuns(message.lostRuns);
+				this.#jobReceiver.recordLostRuns(message.lostRuns);
 				this.#scheduler.importLostRuns(message.lostRuns, now);
 				break;
 			}
@@ -1167,90 +1107,9 @@
 		this.#workersVersion = computeWorkersVersion(this.#workerEntries);
 	}
 
-	/**
-	 * Adds tasks that a leader reports as completed to a pending job, and tells the leader that has the job by now, which
-	 * would run them again.
-	 */
-	#addCompletedTasks(
-		leader: string,
-		id: string,
-		doneTasks: readonly string[],
-	): void {
-		const pending = this.#pendingJobs.get(id);
-		if (pending === undefined) {
-			return;
-		}
-
-		const allDoneTasks = [...new Set([...pending.doneTasks, ...doneTasks])];
-		const hasNewTasks = allDoneTasks.length > pending.doneTasks.length;
-		pending.doneTasks = allDoneTasks;
-		if (
-			hasNewTasks &&
-			pending.sentTo !== undefined &&
-			pending.sentTo !== leader
-		) {
-			this.#sendToLeader(pending);
-		}
-	}
-
-	/** Submits a job to the leader, or marks it as unsent while none is reachable. */
-	#sendToLeader(pending: PendingJob): void {
-		const now = this.#now();
-		if (!this.#zoneRouter.prepare(pending, now)) {
-			pending.withoutLeaderSinceMs ??= now;
-			return;
-		}
-
-		const leader = this.#findLeaderFor(pending, now);
-		if (pending.overflowZone !== undefined) {
-			this.#overlayNode.useLeader(pending.overflowZone, now);
-		}
-
-		if (leader === undefined || !this.#canReach(leader)) {
-			pending.withoutLeaderSinceMs ??= now;
-			return;
-		}
-
-		if (pending.sentTo !== undefined && pending.sentTo !== leader) {
-			this.#releaseAtLeader(pending.sentTo, pending.job.id);
-		}
-
-		const {earlierToken} = pending;
-		const leaderToken =
-			this.#overlayNode.findLeader(
-				pending.overflowZone ?? this.#settings.zone,
-				now,
-			)?.token ?? 0;
-		const isResubmitted = this.#pendingJobs.markSent(
-			pending,
-			{name: leader, token: leaderToken},
-			this.#findZonesForJob(pending, leader, now),
-		);
-		const {doneTasks, zones, refusedBy, lostRuns} = pending;
-		const job = {
-			...pending.job,
-			waitedMs: now - pending.receivedAtMs,
-			leaderToken,
-			...(earlierToken === undefined ? {} : {earlierToken}),
-			...(doneTasks.length > 0 ? {doneTasks} : {}),
-			...(lostRuns.length > 0 ? {lostRuns} : {}),
-			...(zones === undefined ? {} : {zones}),
-			...(refusedBy.length > 0 ? {refusingZones: refusedBy.length} : {}),
-			...(pending.overflowZone === undefined
-				? {}
-				: {
-						patienceMs: Math.min(pending.job.patienceMs, maxOverflowPatienceMs),
-					}),
-		};
-		if (leader === this.#settings.name) {
-			this.#scheduler.submit(job, leader, isResubmitted, now);
-		} else {
-			this.#overlayNode.send(leader, {type: 'submit', job, isResubmitted});
-		}
-	}
-
 	/** Returns what the choice of a zone depends on. */
 	#readZoneView(now: number): ZoneView {
+		const overlayNode = this.#overlayNode;
 		return {
 			ownZone: this.#settings.zone,
 			zoneCount: this.#settings.zones.length,
@@ -1261,151 +1120,55 @@
 			requestConnection: (zone) => {
 				this.#overlayNode.useLeader(zone, now);
 			},
-			ownWaits: this.#overlayNode.findOwnZoneWaits(now),
+			get ownWaits() {
+				return overlayNode.findOwnZoneWaits(now);
+			},
 		};
 	}
 
-	/** Returns the zones in which a leader is to place a job; `undefined` for all zones. */
-	#findZonesForJob(
-		{overflowZone}: PendingJob,
-		leader: string,
-		now: number,
-	): readonly string[] | undefined {
+	#canReach(leader: string): boolean {
+		return leader === this.#settings.name || this.#overlayNode.isOpen(leader);
+	}
+
+	/** Whether a leader places a job in the zones that its receiver names only. */
+	#placesByZone(leader: string, now: number): boolean {
 		const peer = this.#leadership
 			.livePeers(now)
 			.find(({name}) => name === leader);
 		// A leader that only a candidate reports is no entry VM of the last build, whose heartbeats have no scope.
-		const placesByZone = peer === undefined || peer.scope !== undefined;
-		return this.#scope === 'zone' && placesByZone
-			? [overflowZone ?? this.#settings.zone]
-			: undefined;
+		return peer === undefined || peer.scope !== undefined;
 	}
 
-	/** Submits the selected pending jobs again, to their present leaders. */
-	#resubmitPendingJobs(isSelected: (pending: PendingJob) => boolean): void {
-		const now = this.#now();
-		for (const pending of this.#pendingJobs.all.filter((other) =>
-			isSelected(other),
-		)) {
-			pending.withoutLeaderSinceMs ??= now;
-			this.#sendToLeader(pending);
+	/** Sends a message of this receiver to a leader, which may be this entry VM; returns false if there is no stream to it. */
+	#sendToLeader(
+		leader: string,
+		message: ReceiverMessage,
+		now: number,
+	): boolean {
+		if (leader !== this.#settings.name) {
+			return this.#overlayNode.send(leader, message);
 		}
-	}
 
-	/** Answers the jobs that have waited too long for a leader or for their answer. */
-	#answerExpiredJobs(now: number): void {
-		for (const pending of this.#pendingJobs.all) {
-			const {job, sentTo, withoutLeaderSinceMs, receivedAtMs} = pending;
-			const maxDelayMs = Math.min(
-				sentTo === undefined ? maxFirstSendDelayMs : maxResendDelayMs,
-				this.#computeSlackMs(job),
-			);
-			if (
-				withoutLeaderSinceMs !== undefined &&
-				now - withoutLeaderSinceMs > maxDelayMs
-			) {
-				this.#pendingJobs.answer(
-					job.id,
-					sentTo === undefined
-						? {kind: 'not-run', reason: 'not-ready', retryAfterMs: retryMs}
-						: {kind: 'may-have-run', reason: 'leader-lost'},
-				);
-			} else if (now - receivedAtMs > job.patienceMs + retryMs) {
-				this.#pendingJobs.answer(job.id, {
-					kind: 'may-have-run',
-					reason: 'deadline-exceeded',
-				});
-			}
+		if (message.type === 'submit') {
+			this.#scheduler.submit(message.job, leader, message.isResubmitted, now);
+		} else if (message.reason === 'moved') {
+			this.#scheduler.release(message.id, leader, now);
+		} else {
+			this.#scheduler.cancel(message.id, message.reason, leader, now);
 		}
-	}
 
-	/** Computes the time for which a job may wait for a leader and still be answered in time, by its caller's estimates. */
-	#computeSlackMs({queue: name, tasks, patienceMs}: PoolJob): number {
-		const queue = this.#desiredState?.queues.find(
-			(other) => other.name === name,
-		);
-		const longestMs = Math.max(
-			...tasks.map(({declaredMs}) => declaredMs),
-			defaultRunMs,
-		);
-		return queue === undefined
-			? 0
-			: computeAnswerWindowMs(queue, longestMs, patienceMs) - longestMs;
-	}
-
-	#canReach(leader: string): boolean {
-		return leader === this.#settings.name || this.#overlayNode.isOpen(leader);
+		return true;
 	}
 
 	/** Sends an answer of this leader to the entry VM that received the job. */
 	#sendAnswer(receiver: string, id: string, answer: PoolAnswer): void {
 		if (receiver === this.#settings.name) {
-			this.#receiveAnswer(receiver, id, answer);
+			this.#jobReceiver.receiveAnswer(receiver, id, answer, this.#now());
 		} else {
 			this.#overlayNode.send(receiver, {type: 'answer', id, answer});
 		}
 	}
 
-	/** Passes a leader's answer on to the callers, and cancels the job at another leader that has it now. */
-	#receiveAnswer(leader: string, id: string, answer: PoolAnswer): void {
-		const pending = this.#pendingJobs.get(id);
-		const sentTo = pending?.sentTo;
-		const acceptedAnswer = this.#pendingJobs.filterAnswer(id, leader, answer);
-		if (
-			pending === undefined ||
-			acceptedAnswer === undefined ||
-			this.#sendToOtherZone(pending, leader, acceptedAnswer)
-		) {
-			return;
-		}
-
-		this.#pendingJobs.answer(id, acceptedAnswer);
-		if (sentTo !== undefined && sentTo !== leader) {
-			this.#cancelAtLeader(sentTo, id);
-		}
-	}
-
-	/** Has a leader give up a job that is submitted to another one now; two leaders would otherwise wait and then start it. */
-	#releaseAtLeader(leader: string, id: string): void {
-		if (leader === this.#settings.name) {
-			this.#scheduler.release(id, leader, this.#now());
-		} else {
-			this.#overlayNode.send(leader, {type: 'cancel', id, reason: 'moved'});
-		}
-	}
-
-	/** Submits a job that its leader has refused to the leader of another zone, if one can run it; returns whether it did. */
-	#sendToOtherZone(
-		pending: PendingJob,
-		leader: string,
-		answer: PoolAnswer,
-	): boolean {
-		const isRedirected = this.#zoneRouter.redirectRefused(
-			pending,
-			leader,
-			answer,
-			this.#now(),
-		);
-		if (isRedirected) {
-			this.#sendToLeader(pending);
-		}
-
-		return isRedirected;
-	}
-
-	/** Cancels a job at a leader because no caller waits for it any more. */
-	#cancelAtLeader(leader: string, id: string): void {
-		if (leader === this.#settings.name) {
-			this.#scheduler.cancel(id, 'caller-left', leader, this.#now());
-		} else {
-			this.#overlayNode.send(leader, {
-				type: 'cancel',
-				id,
-				reason: 'caller-left',
-			});
-		}
-	}
-
 	/**
 	 * Gets the replies of all leaders to a request, of this entry VM itself from `answer`: a job may be with the leader of
 	 * any zone. A reply that does not arrive in time is `undefined`.
