Add failing tests of jobs that leave their zone before its leader is asked

What callers see: a request that is sent again at another entry VM may start while the run of its first one is at work under the home leader.

Cause: ZoneRouter#prepare directs a job that is new to this receiver to the leader of another zone, while the home leader reports a long wait or the zone is evacuated. The other leader takes it for certainly new.

--- /dev/null
+++ b/packages/verbenarouter/src/tests/job-receiver.test.ts
@@ -0,0 +1,177 @@
+import {
+	type DesiredState,
+	type PoolAnswer,
+	type PoolJob,
+	type ZoneLeader,
+} from '@verbenarouter/core';
+import {describe, expect, it} from 'vitest';
+import {JobReceiver, type ReceiverMessage} from '../pool/job-receiver.js';
+import {type ZoneView} from '../pool/zone-router.js';
+
+const startMs = 1000;
+const refusal: PoolAnswer = {kind: 'not-run', reason: 'overloaded'};
+
+const desiredState: DesiredState = {
+	version: 1,
+	services: ['menu'],
+	limits: {bodyBytes: 1, headerBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1},
+	queues: [
+		{
+			name: 'macro-check',
+			host: '',
+			pathPrefix: '/',
+			service: 'menu',
+			priority: 0,
+			mostAttempts: 1,
+			stretch: 1.6,
+			latencyMs: 60,
+		},
+	],
+};
+
+/** A job of one task of 8 cores and 100 ms, whose slack is 120 ms. */
+function jobFixture(id: string): PoolJob {
+	return {
+		id,
+		queue: 'macro-check',
+		spec: '',
+		attempt: `entry/${id}`,
+		waitedMs: 0,
+		patienceMs: 1500,
+		tasks: [
+			{
+				name: `${id}.0.0.0`,
+				needs: {processorMillis: 8000, memoryMb: 1, accelerators: 0},
+				declaredMs: 100,
+			},
+		],
+	};
+}
+
+/** View of a receiver in zone a whose leader reports a long wait while zone b has room. */
+const longWait: Partial<ZoneView> = {
+	ownWaits: {menu: {narrowMs: 100, wideMs: 100}},
+	findRooms: () => [{zone: 'b', leader: 'leader-b', spareMillis: 20_000}],
+};
+
+/** A receiver in zone a; tests change the leaders and the reachable ones, and read what it has sent. */
+class ReceiverFixture {
+	readonly leaders = new Map<string, ZoneLeader>(
+		['a', 'b', 'c'].map((zone) => [zone, {name: `leader-${zone}`, token: 1}]),
+	);
+
+	readonly unreachable = new Set<string>();
+	readonly answers: PoolAnswer[] = [];
+	readonly receiver: JobReceiver;
+	/** The messages that were sent on an open stream. */
+	#sent: Array<{readonly to: string; readonly message: ReceiverMessage}> = [];
+
+	constructor(change: Partial<ZoneView> = {}) {
+		const view: ZoneView = {
+			ownZone: 'a',
+			zoneCount: 3,
+			scope: 'zone',
+			desiredState,
+			evacuatedZones: new Set(),
+			findRooms: () => [],
+			ownWaits: undefined,
+			requestConnection: () => undefined,
+			...change,
+		};
+		this.receiver = new JobReceiver({
+			name: 'entry-1',
+			zone: 'a',
+			readZoneView: () => view,
+			findOwnLeader: () => this.leaders.get('a')?.name,
+			findLeader: (zone) => this.leaders.get(zone),
+			placesByZone: () => true,
+			isOpen: (name) => !this.unreachable.has(name),
+			useLeader: () => undefined,
+			send: (to, message) => {
+				const isSent = !this.unreachable.has(to);
+				this.#sent = isSent ? [...this.#sent, {to, message}] : this.#sent;
+				return isSent;
+			},
+			writeLog: () => undefined,
+		});
+	}
+
+	receive(id: string, now = startMs): void {
+		this.receiver.receive(
+			jobFixture(id),
+			(answer) => {
+				this.answers.push(answer);
+			},
+			now,
+		);
+	}
+
+	/** Returns the submissions since the last call. */
+	takeSubmissions(): ReadonlyArray<
+		{readonly to: string} & ReceiverMessage & {readonly type: 'submit'}
+	> {
+		return this.#take().flatMap(({to, message}) =>
+			message.type === 'submit' ? [{to, ...message}] : [],
+		);
+	}
+
+	/** Returns whom the other messages since the last call were sent to, with their reasons. */
+	takeCancellations(): readonly string[] {
+		return this.#take().flatMap(({to, message}) =>
+			message.type === 'cancel' ? [`${to} ${message.reason}`] : [],
+		);
+	}
+
+	#take() {
+		const sent = this.#sent;
+		this.#sent = [];
+		return sent;
+	}
+}
+
+function addressees(
+	submissions: ReadonlyArray<{readonly to: string}>,
+): readonly string[] {
+	return submissions.map(({to}) => to);
+}
+
+describe('JobReceiver', () => {
+	// The job may be a copy of one that the own zone's leader runs, and the other leader starts it at once.
+	it('gives a job that would wait long at home to no other leader before its own one has refused it', () => {
+		const fixture = new ReceiverFixture(longWait);
+		fixture.receive('j1');
+		expect(addressees(fixture.takeSubmissions())).toEqual(['leader-a']);
+		fixture.receiver.receiveAnswer('leader-a', 'j1', refusal, startMs + 1);
+		expect(addressees(fixture.takeSubmissions())).toEqual(['leader-b']);
+	});
+
+	it('gives a job of an evacuated zone to no other leader before its own one has refused it', () => {
+		const fixture = new ReceiverFixture({
+			...longWait,
+			evacuatedZones: new Set(['a']),
+		});
+		fixture.receive('j1');
+		expect(addressees(fixture.takeSubmissions())).toEqual(['leader-a']);
+		fixture.receiver.receiveAnswer(
+			'leader-a',
+			'j1',
+			{kind: 'not-run', reason: 'no-workers'},
+			startMs + 1,
+		);
+		expect(addressees(fixture.takeSubmissions())).toEqual(['leader-b']);
+	});
+
+	it('gives a job of an evacuated zone without a leader to no other one', () => {
+		const fixture = new ReceiverFixture({
+			...longWait,
+			evacuatedZones: new Set(['a']),
+		});
+		fixture.leaders.delete('a');
+		fixture.receive('j1');
+		fixture.receiver.updateOtherLeaders(startMs + 20);
+		expect(fixture.takeSubmissions()).toEqual([]);
+		fixture.leaders.set('a', {name: 'leader-a', token: 2});
+		fixture.receiver.handleOwnLeaderChange(startMs + 40);
+		expect(addressees(fixture.takeSubmissions())).toEqual(['leader-a']);
+	});
+});
