Let only the own zone's leader give a job to another zone that has room

What callers see: while a zone is busy, a copy of a request that arrives at another entry VM may run while its first one is at work.

Cause: a receiver to which a job was new sent it to another zone at once if the leader of its own one reported a long wait. That leader may have runs of the job from another receiver, and the other leader starts it as certainly new.

Change: the job goes to the leader of the own zone first, with the longest wait that it is to be admitted with (balancingWaitMs, 0.6 of its slack) if another zone has room. The leader joins what it knows, and refuses a new job that would wait for longer (isBalanced). The receiver sends it to the zone with room, or home again if there is none or that zone refuses it. Each redirected job has an attempt of its own, since a refused attempt stays refused. Leaders of the last build ignore the field and admit the job.

Ruled out: asking the home leader in a message of its own, which costs another message and leaves time for the job to arrive there in between.

In zone-router.test.ts and zone-wait.test.ts the decision before a refusal is checked in its two halves, the wait that is named and the choice after the leader has let go, with the same limits, since one call no longer makes both.

--- a/packages/core/src/message-check.ts
+++ b/packages/core/src/message-check.ts
@@ -59,6 +59,7 @@
 	doneTasks: isOptional(isTextList),
 	zones: isOptional(isTextList),
 	refusingZones: isOptional(isCount),
+	balancingWaitMs: isOptional(isDuration),
 	leaderToken: isOptional(isCount),
 	earlierToken: isOptional(isCount),
 	lostRuns: isOptional(isLostRuns),
@@ -68,6 +69,7 @@
 	kind: isOneOf('completed', 'failed', 'cancelled', 'not-run', 'may-have-run'),
 	reason: isOptional(isText),
 	retryAfterMs: isOptional(isDuration),
+	isBalanced: isOptional(isFlag),
 });
 
 const isWorker = isObjectOf({
--- a/packages/core/src/pool-job.ts
+++ b/packages/core/src/pool-job.ts
@@ -44,6 +44,11 @@
 	readonly zones?: readonly string[];
 	/** Number of zones whose leaders have refused this attempt; absent if there is none. */
 	readonly refusingZones?: number;
+	/**
+	 * Longest wait in milliseconds until the last task starts with which the leader of the receiver's own zone is to admit
+	 * the job, as another zone has room for it; absent if none has. Leaders of the last build ignore it.
+	 */
+	readonly balancingWaitMs?: number;
 	/**
 	 * Fencing token of the leader that the receiver submits this copy to, as last heard; absent in copies from builds that
 	 * do not send it.
@@ -66,6 +71,8 @@
 			readonly reason: NotRunReason;
 			/** Milliseconds after which the caller should retry; absent if a retry makes no sense. */
 			readonly retryAfterMs?: number;
+			/** Whether the leader would have admitted the job without its `balancingWaitMs`; absent if not. */
+			readonly isBalanced?: boolean;
 	  }
 	/** A task may have started. No task will start from now on, and running tasks are stopped. */
 	| {readonly kind: 'may-have-run'; readonly reason: MayHaveRunReason};
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -962,7 +962,14 @@
 				lastStartsMs.get(scheduledJob) ?? now,
 				now,
 			);
-			if (admission.kind === 'refused' && scheduledJob.hasCertainlyNotRun) {
+			const isBalanced =
+				admission.kind === 'admitted' &&
+				admission.waitMs >
+					(scheduledJob.job.balancingWaitMs ?? Number.POSITIVE_INFINITY);
+			if (
+				(admission.kind === 'refused' || isBalanced) &&
+				scheduledJob.hasCertainlyNotRun
+			) {
 				this.#refuseJob(
 					scheduledJob.job,
 					scheduledJob.receiver,
@@ -972,7 +979,9 @@
 						waitMs: Math.round(Math.min(1e9, admission.waitMs)),
 						slackMs: Math.round(scheduledJob.latestFirstStartMs - now),
 						waitingJobs: this.#jobs.size,
-						retryAfterMs: admission.retryAfterMs,
+						...(admission.kind === 'refused'
+							? {retryAfterMs: admission.retryAfterMs}
+							: {isBalanced: 1}),
 					},
 				);
 			} else {
@@ -1561,6 +1570,7 @@
 										? inputs.retryAfterMs
 										: defaultRetryAfterMs,
 							}),
+					...(inputs.isBalanced === 1 ? {isBalanced: true} : {}),
 				};
 		if (!mayHaveRun) {
 			this.#answeredJobs.recordAnswer(job.id, job.attempt, answer, this.#now);
--- a/packages/core/src/tests/pool-overload.test.ts
+++ b/packages/core/src/tests/pool-overload.test.ts
@@ -204,3 +204,79 @@
 		expect(admits({refusingZones: 1})).toBe(false);
 	});
 });
+
+describe('a job that another zone has room for', () => {
+	/** A leader whose only worker is busy for 100 ms, with a job at a second receiver that waits. */
+	function busyFixture(): SchedulerFixture {
+		const fixture = new SchedulerFixture();
+		fixture.leadIdleWorkers([workerFixture('w1')], startMs);
+		const busy = poolJobFixture('busy', 2, {runMs: 100, patienceMs: 9000});
+		fixture.scheduler.submit(busy, 'r1', false, startMs + 300);
+		return fixture;
+	}
+
+	it('is let go beyond the wait that its receiver names, and admitted in its next attempt', () => {
+		const fixture = busyFixture();
+		const job = poolJobFixture('j1');
+		fixture.scheduler.submit(
+			{...job, balancingWaitMs: 72},
+			'r1',
+			false,
+			startMs + 305,
+		);
+		expect(fixture.answers).toMatchObject([
+			{
+				id: 'j1',
+				answer: {kind: 'not-run', reason: 'overloaded', isBalanced: true},
+			},
+		]);
+		fixture.scheduler.submit(
+			{...job, attempt: 'entry/j1+'},
+			'r1',
+			false,
+			startMs + 306,
+		);
+		expect(fixture.answers).toHaveLength(1);
+		expect(fixture.scheduler.getJobState('j1')).toBe('queued');
+	});
+
+	it('is admitted within that wait', () => {
+		const fixture = busyFixture();
+		fixture.scheduler.submit(
+			poolJobFixture('j1', 1, {balancingWaitMs: 97}),
+			'r1',
+			false,
+			startMs + 305,
+		);
+		expect(fixture.answers).toEqual([]);
+	});
+
+	// The receiver of a copy does not know that its first one is at work under this leader.
+	it('is not let go while it runs or waits here for another receiver, or may have run', () => {
+		const fixture = busyFixture();
+		fixture.scheduler.submit(
+			poolJobFixture('waiting'),
+			'r1',
+			false,
+			startMs + 305,
+		);
+		for (const [id, taskCount, isResubmitted] of [
+			['busy', 2, false],
+			['waiting', 1, false],
+			['indeterminate', 1, true],
+		] as const) {
+			fixture.scheduler.submit(
+				poolJobFixture(id, taskCount, {
+					attempt: `other/${id}`,
+					balancingWaitMs: 0,
+				}),
+				'r2',
+				isResubmitted,
+				startMs + 310,
+			);
+		}
+
+		expect(fixture.answers).toEqual([]);
+		expect(fixture.starts).toHaveLength(2);
+	});
+});
--- a/packages/core/src/tests/zone-wait.test.ts
+++ b/packages/core/src/tests/zone-wait.test.ts
@@ -113,24 +113,28 @@
 			findRooms: () => [room],
 			requestConnection: () => undefined,
 		});
-		const choose = (ownMs: number, room: ZoneRoom) =>
-			new ZoneOverflow().chooseBeforeRefusal(
+		const findWaitMs = (ownMs: number, room: ZoneRoom) =>
+			new ZoneOverflow().findBalancingWaitMs(
 				job,
 				ownWaits(ownMs),
 				connectedTo(room),
 				0,
-			)?.zone;
-		expect(choose(70, idle)).toBe('b');
-		expect(choose(50, idle)).toBeUndefined();
-		expect(choose(70, roomFixture('b', 0, 0))).toBeUndefined();
+			);
+		expect(findWaitMs(70, idle)).toBe(60);
+		expect(findWaitMs(50, idle)).toBeUndefined();
+		expect(findWaitMs(70, roomFixture('b', 0, 0))).toBeUndefined();
 		expect(
-			new ZoneOverflow().chooseBeforeRefusal(
+			new ZoneOverflow().findBalancingWaitMs(
 				job,
 				undefined,
 				connectedTo(idle),
 				0,
 			),
 		).toBeUndefined();
+		expect(new ZoneOverflow().chooseBalanced(job, [idle], 0)?.zone).toBe('b');
+		expect(
+			new ZoneOverflow().chooseBalanced(job, [roomFixture('b', 0, 0)], 0),
+		).toBeUndefined();
 	});
 });
 
--- a/packages/core/src/zone-overflow.ts
+++ b/packages/core/src/zone-overflow.ts
@@ -32,7 +32,7 @@
 	readonly transferMs: number;
 	/** Time in milliseconds by which each job that was lately sent to a zone lengthens the wait there. */
 	readonly waitPerSentJobMs: number;
-	/** Share of a job's slack; a longer projected wait in its own zone lets it go to a zone with room for it at once. */
+	/** Share of a job's slack; with a longer projected wait its own zone lets it go to a zone with room for it at once. */
 	readonly balancingShare: number;
 };
 
@@ -84,27 +84,14 @@
 		rooms: readonly ZoneRoom[],
 		now: number,
 	): ZoneRoom | undefined {
-		const {maxOverflows, reportDelayMs} = this.#settings;
+		const {maxOverflows} = this.#settings;
 		if (refusedBy.length > maxOverflows) {
 			return undefined;
 		}
 
-		this.#recent = this.#recent.filter(({atMs}) => now - atMs < reportDelayMs);
-		const neededMillis = job.tasks.reduce(
-			(sum, {needs}) => sum + needs.processorMillis,
-			0,
-		);
-		const [best] = rooms
-			.filter(({leader}) => !refusedBy.includes(leader))
-			.map((room) => ({room, leftMillis: this.#computeLeftMillis(room)}))
-			.filter(({leftMillis}) => leftMillis >= neededMillis && leftMillis > 0)
-			.toSorted(
-				(left, right) =>
-					Number(isConnected(right.room)) - Number(isConnected(left.room)) ||
-					right.leftMillis - left.leftMillis,
-			);
+		const [best] = this.#sortRoomyZones(job, refusedBy, rooms, now);
 		const room =
-			best?.room ??
+			best ??
 			this.#findShortestWait(
 				job,
 				rooms.filter(({leader}) => !refusedBy.includes(leader)),
@@ -112,7 +99,7 @@
 		if (room !== undefined) {
 			this.#recent = [
 				...this.#recent,
-				{zone: room.zone, millis: neededMillis, atMs: now},
+				{zone: room.zone, millis: sumMillis(job), atMs: now},
 			];
 		}
 
@@ -120,11 +107,12 @@
 	}
 
 	/**
-	 * Chooses a zone for a job before its own zone has refused it: one with room for all of its tasks, if the projected wait
-	 * in its own zone takes up most of its slack. Waiting that long often ends in a late answer, as estimates are off; so does
-	 * waiting for a connection. A zone with a leader that is not connected is passed to `requestConnection` instead.
+	 * Returns the longest wait in milliseconds with which the leader of a job's own zone is to admit it: a share of its slack,
+	 * if the leader reports a longer wait while another zone has room for all of the job's tasks, else `undefined`. Waiting
+	 * that long often ends in a late answer, as estimates are off; so does waiting for a connection. A zone with a leader
+	 * that is not connected is passed to `requestConnection` instead.
 	 */
-	chooseBeforeRefusal(
+	findBalancingWaitMs(
 		job: OverflowJob,
 		ownWaits: ServiceWaits | undefined,
 		{
@@ -135,7 +123,7 @@
 			readonly requestConnection: (zone: string) => void;
 		},
 		now: number,
-	): ZoneRoom | undefined {
+	): number | undefined {
 		const wait = ownWaits?.[job.service ?? ''];
 		const {balancingShare} = this.#settings;
 		if (
@@ -151,8 +139,23 @@
 			requestConnection(zone);
 		}
 
+		const isRoomy = this.#sortRoomyZones(job, [], rooms, now).some((room) =>
+			isConnected(room),
+		);
+		return isRoomy ? Math.max(0, balancingShare * job.slackMs) : undefined;
+	}
+
+	/**
+	 * Chooses a zone with room for all tasks of a job that its own zone lets go, and counts the job as sent there. Returns
+	 * `undefined` if there is none with a connected leader.
+	 */
+	chooseBalanced(
+		{tasks}: OverflowJob,
+		rooms: readonly ZoneRoom[],
+		now: number,
+	): ZoneRoom | undefined {
 		return this.choose(
-			{tasks: job.tasks},
+			{tasks},
 			[],
 			rooms.filter((room) => isConnected(room)),
 			now,
@@ -179,6 +182,31 @@
 		return eligibleRooms[this.#substituteCount % eligibleRooms.length];
 	}
 
+	/**
+	 * Returns the zones with room for all tasks of a job, without those of leaders that have refused it: those with a connected
+	 * leader first, then by their room.
+	 */
+	#sortRoomyZones(
+		job: OverflowJob,
+		refusedBy: readonly string[],
+		rooms: readonly ZoneRoom[],
+		now: number,
+	): readonly ZoneRoom[] {
+		const {reportDelayMs} = this.#settings;
+		this.#recent = this.#recent.filter(({atMs}) => now - atMs < reportDelayMs);
+		const neededMillis = sumMillis(job);
+		return rooms
+			.filter(({leader}) => !refusedBy.includes(leader))
+			.map((room) => ({room, leftMillis: this.#computeLeftMillis(room)}))
+			.filter(({leftMillis}) => leftMillis >= neededMillis && leftMillis > 0)
+			.toSorted(
+				(left, right) =>
+					Number(isConnected(right.room)) - Number(isConnected(left.room)) ||
+					right.leftMillis - left.leftMillis,
+			)
+			.map(({room}) => room);
+	}
+
 	/** Finds the zone in which a job starts soonest, if it starts within its slack there. */
 	#findShortestWait(
 		{tasks, service, slackMs}: OverflowJob,
@@ -215,12 +243,18 @@
 	}
 }
 
+function sumMillis({tasks}: OverflowJob): number {
+	return tasks.reduce((sum, {needs}) => sum + needs.processorMillis, 0);
+}
+
 function isConnected(room: ZoneRoom): boolean {
 	return room.isConnected !== false;
 }
 
 /** Whether workers of another zone may run a job that a leader has answered like this. */
-export function isRefusedForLackOfRoom(answer: PoolAnswer): boolean {
+export function isRefusedForLackOfRoom(
+	answer: PoolAnswer,
+): answer is Extract<PoolAnswer, {readonly kind: 'not-run'}> {
 	return (
 		answer.kind === 'not-run' &&
 		(answer.reason === 'overloaded' || answer.reason === 'no-workers')
--- a/packages/verbenarouter/src/pool/job-receiver.ts
+++ b/packages/verbenarouter/src/pool/job-receiver.ts
@@ -294,6 +294,7 @@
 		}
 
 		const {earlierToken} = pending;
+		const balancingWaitMs = this.#zoneRouter.findBalancingWaitMs(pending, now);
 		const leaderToken =
 			this.#options.findLeader(pending.overflowZone ?? this.#options.zone, now)
 				?.token ?? 0;
@@ -302,7 +303,8 @@
 			{name: leader, token: leaderToken},
 			this.#findZonesForJob(pending, leader, now),
 		);
-		const {doneTasks, zones, refusedBy, lostRuns} = pending;
+		const {doneTasks, zones, refusedBy, isBalanced, lostRuns} = pending;
+		const refusingZones = refusedBy.length + Number(isBalanced);
 		const job = {
 			...pending.job,
 			waitedMs: now - pending.receivedAtMs,
@@ -311,7 +313,8 @@
 			...(doneTasks.length > 0 ? {doneTasks} : {}),
 			...(lostRuns.length > 0 ? {lostRuns} : {}),
 			...(zones === undefined ? {} : {zones}),
-			...(refusedBy.length > 0 ? {refusingZones: refusedBy.length} : {}),
+			...(refusingZones > 0 ? {refusingZones} : {}),
+			...(balancingWaitMs === undefined ? {} : {balancingWaitMs}),
 			...(pending.overflowZone === undefined
 				? {}
 				: {
--- a/packages/verbenarouter/src/pool/pending-jobs.ts
+++ b/packages/verbenarouter/src/pool/pending-jobs.ts
@@ -9,11 +9,14 @@
 
 /** A job without an answer, with the callers that wait for it. */
 export type PendingJob = {
-	readonly job: PoolJob;
+	/** The job; its attempt changes when a leader has refused it and it is directed anew. */
+	job: PoolJob;
 	/** Time at which the first caller submitted the job. */
 	readonly receivedAtMs: number;
 	/** Zone whose leader gets the job after that of the receiver's own zone has refused it; `undefined` before. */
 	overflowZone: string | undefined;
+	/** Whether the leader of the receiver's own zone has let the job go to a zone with room, and is not to be asked again. */
+	isBalanced: boolean;
 	/** Leaders that have refused the job and will never start it. */
 	refusedBy: readonly string[];
 	/** Number of times that the job was sent to `leaders`. */
@@ -74,6 +77,7 @@
 			job,
 			receivedAtMs: now,
 			overflowZone: undefined,
+			isBalanced: false,
 			refusedBy: [],
 			sendCount: 0,
 			hasLostCaller: false,
@@ -188,12 +192,16 @@
 		zone: string | undefined,
 	): void {
 		pending.refusedBy = [...pending.refusedBy, leader];
-		pending.overflowZone = zone;
-		pending.leaders.clear();
-		pending.zones = [];
-		pending.sendCount = 0;
-		pending.sentTo = undefined;
-		pending.earlierToken = undefined;
+		this.#startAttempt(pending, zone);
+	}
+
+	/**
+	 * Directs a job that the leader of the receiver's own zone lets go to the leader of another zone; `undefined` if none has
+	 * room any more, and the job returns.
+	 */
+	letGo(pending: PendingJob, zone: string | undefined): void {
+		pending.isBalanced = true;
+		this.#startAttempt(pending, zone);
 	}
 
 	/** Keeps the lost runs of pending jobs for the next leaders. */
@@ -212,4 +220,15 @@
 		this.#jobs.delete(id);
 		return pending;
 	}
+
+	/** Directs a job that no leader has, as each one that had it has refused it, under a new attempt. */
+	#startAttempt(pending: PendingJob, zone: string | undefined): void {
+		pending.job = {...pending.job, attempt: `${pending.job.attempt}+`};
+		pending.overflowZone = zone;
+		pending.leaders.clear();
+		pending.zones = [];
+		pending.sendCount = 0;
+		pending.sentTo = undefined;
+		pending.earlierToken = undefined;
+	}
 }
--- a/packages/verbenarouter/src/pool/zone-router.ts
+++ b/packages/verbenarouter/src/pool/zone-router.ts
@@ -49,7 +49,7 @@
 	}
 
 	/**
-	 * Directs a job that no leader has had yet to another zone if its own one is evacuated or about to be full; one that waits
+	 * Directs a job that no leader has had yet to another zone if its own one is evacuated; one that waits
 	 * for a connection to the leader of another zone is directed anew if there is one with a connection. Returns false if the
 	 * job has to wait until a leader of another zone is known.
 	 */
@@ -68,7 +68,6 @@
 		}
 
 		if (!isOwnZoneEvacuated(view)) {
-			this.#balance(pending, view, now);
 			return true;
 		}
 
@@ -113,10 +112,15 @@
 			return false;
 		}
 
+		if (answer.isBalanced === true) {
+			this.#balance(pending, view, now);
+			return true;
+		}
+
 		const isEvacuated = isOwnZoneEvacuated(view);
 		const wasAtHome = pending.overflowZone === undefined;
 		if (!wasAtHome && pending.refusedBy.length === 0 && !isEvacuated) {
-			// The job went to the other zone before its own one was asked.
+			// The leader of its own zone let the job go, and may admit it now.
 			this.#pendingJobs.redirect(pending, leader, undefined);
 			return true;
 		}
@@ -144,13 +148,23 @@
 		return true;
 	}
 
-	/** Directs a job to a zone with room while it would wait for long in its own one. */
-	#balance(pending: PendingJob, view: ZoneView, now: number): void {
-		if (view.scope !== 'zone' || pending.refusedBy.length > 0) {
-			return;
+	/**
+	 * Returns the longest wait in milliseconds with which the leader of the own zone is to admit a job that goes to it first;
+	 * `undefined` if it may wait for as long as its objective allows.
+	 */
+	findBalancingWaitMs(pending: PendingJob, now: number): number | undefined {
+		const view = this.#readView(now);
+		if (
+			view.scope !== 'zone' ||
+			pending.overflowZone !== undefined ||
+			pending.isBalanced ||
+			pending.refusedBy.length > 0 ||
+			pending.leaders.size > 0
+		) {
+			return undefined;
 		}
 
-		const room = this.#overflow.chooseBeforeRefusal(
+		return this.#overflow.findBalancingWaitMs(
 			toOverflowJob(pending, view, now),
 			view.ownWaits,
 			{
@@ -159,10 +173,20 @@
 			},
 			now,
 		);
+	}
+
+	/** Directs a job that the leader of its own zone lets go to a zone with room, or home again if none has any by now. */
+	#balance(pending: PendingJob, view: ZoneView, now: number): void {
+		const room = this.#overflow.chooseBalanced(
+			pending.job,
+			findOpenRooms(view),
+			now,
+		);
 		if (room !== undefined) {
-			pending.overflowZone = room.zone;
 			this.#log('balanced', pending, room, {});
 		}
+
+		this.#pendingJobs.letGo(pending, room?.zone);
 	}
 
 	#log(
--- a/packages/verbenarouter/src/tests/job-receiver.test.ts
+++ b/packages/verbenarouter/src/tests/job-receiver.test.ts
@@ -10,6 +10,7 @@
 
 const startMs = 1000;
 const refusal: PoolAnswer = {kind: 'not-run', reason: 'overloaded'};
+const letGo: PoolAnswer = {...refusal, isBalanced: true};
 
 const desiredState: DesiredState = {
 	version: 1,
@@ -145,6 +146,41 @@
 		expect(addressees(fixture.takeSubmissions())).toEqual(['leader-b']);
 	});
 
+	it('gives a job that its own leader lets go to a zone with room, and back as new if that refuses', () => {
+		const fixture = new ReceiverFixture(longWait);
+		fixture.receive('j1');
+		const [first] = fixture.takeSubmissions();
+		expect(first!.job.balancingWaitMs).toBe(72);
+		fixture.receiver.receiveAnswer('leader-a', 'j1', letGo, startMs + 1);
+		const [second] = fixture.takeSubmissions();
+		expect([second!.to, second!.isResubmitted]).toEqual(['leader-b', false]);
+		expect(second!.job.balancingWaitMs).toBeUndefined();
+		fixture.receiver.receiveAnswer('leader-b', 'j1', refusal, startMs + 2);
+		const [third] = fixture.takeSubmissions();
+		expect([third!.to, third!.isResubmitted]).toEqual(['leader-a', false]);
+		expect(third!.job.balancingWaitMs).toBeUndefined();
+		const attempts = [first, second, third].map(
+			(submission) => submission!.job.attempt,
+		);
+		expect(new Set(attempts).size).toBe(3);
+	});
+
+	it('gives a job back to its own leader as new if no zone has room any more', () => {
+		const rooms = {list: longWait.findRooms!()};
+		const fixture = new ReceiverFixture({
+			...longWait,
+			findRooms: () => rooms.list,
+		});
+		fixture.receive('j1');
+		rooms.list = [];
+		fixture.takeSubmissions();
+		fixture.receiver.receiveAnswer('leader-a', 'j1', letGo, startMs + 1);
+		const [second] = fixture.takeSubmissions();
+		expect([second!.to, second!.isResubmitted]).toEqual(['leader-a', false]);
+		expect(second!.job.balancingWaitMs).toBeUndefined();
+		expect(fixture.answers).toEqual([]);
+	});
+
 	it('gives a job of an evacuated zone to no other leader before its own one has refused it', () => {
 		const fixture = new ReceiverFixture({
 			...longWait,
--- a/packages/verbenarouter/src/tests/zone-router.test.ts
+++ b/packages/verbenarouter/src/tests/zone-router.test.ts
@@ -109,6 +109,10 @@
 			findRooms: () => [roomFixture('b', 20_000)],
 		});
 		router.prepare(pending, now);
+		expect([pending.overflowZone, events]).toEqual([undefined, []]);
+		jobs.markSent(pending, {name: 'leader-a', token: 1}, ['a']);
+		const letGo: PoolAnswer = {...refusal, isBalanced: true};
+		router.redirectRefused(pending, 'leader-a', letGo, now);
 		expect([pending.overflowZone, events]).toEqual(['b', ['balanced']]);
 		jobs.markSent(pending, {name: 'leader-b', token: 1}, ['b']);
 		expect(router.redirectRefused(pending, 'leader-b', refusal, now)).toBe(
@@ -124,6 +128,7 @@
 			ownWaits: {menu: {narrowMs: 100, wideMs: 100}},
 			findRooms: () => [{...roomFixture('b', 20_000), isConnected: false}],
 		});
+		expect(router.findBalancingWaitMs(pending, now)).toBeUndefined();
 		expect(router.prepare(pending, now)).toBe(true);
 		expect([pending.overflowZone, requestedZones]).toEqual([undefined, ['b']]);
 	});
@@ -159,6 +164,7 @@
 				findRooms: () => [roomFixture('b', 20_000)],
 				...change,
 			});
+			expect(router.findBalancingWaitMs(pending, now)).toBeUndefined();
 			expect(router.prepare(pending, now)).toBe(true);
 			expect(pending.overflowZone).toBeUndefined();
 		}
