Ask the leader of an evacuated zone first before a job goes elsewhere

What callers see: while a zone is evacuated, a copy of a request starts in another zone beside the runs of its first one, which end normally at home.

Cause: receivers of an evacuated zone sent a new job to another zone without asking the leader of their own, which has the runs from before.

Change: the own leader gets the job first and refuses it at once (no-workers) unless it knows it. Then it goes to another zone, or waits until the leader of one is known, up to 0.9 s or its slack. Without a leader at home the job waits for one as in any zone and is then answered 503; it starts nowhere else. While all zones are evacuated it is refused at once, as before.

Ruled out: starting it elsewhere as one that may have run when no leader is known at home: the other leader could only wait 1.85 s, longer than callers do.

--- a/packages/verbenarouter/src/pool/zone-router.ts
+++ b/packages/verbenarouter/src/pool/zone-router.ts
@@ -49,9 +49,10 @@
 	}
 
 	/**
-	 * Directs a job that no leader has had yet to another zone if its own one is evacuated; one that waits
-	 * for a connection to the leader of another zone is directed anew if there is one with a connection. Returns false if the
-	 * job has to wait until a leader of another zone is known.
+	 * Directs a job that the leader of its own, evacuated zone has refused to another zone; one that waits for a connection to
+	 * the leader of another zone is directed anew if there is one with a connection. Returns false if the job has to wait
+	 * until a leader of another zone is known. The leader of the own zone is asked first in any case: of all leaders only it
+	 * can tell that the job is no copy of one that runs in the zone.
 	 */
 	prepare(pending: PendingJob, now: number): boolean {
 		if (pending.sentTo !== undefined) {
@@ -67,11 +68,12 @@
 			pending.overflowZone = undefined;
 		}
 
-		if (!isOwnZoneEvacuated(view)) {
-			return true;
-		}
-
-		if (view.evacuatedZones.size === view.zoneCount) {
+		if (
+			!isOwnZoneEvacuated(view) ||
+			view.evacuatedZones.size === view.zoneCount ||
+			pending.isBalanced ||
+			pending.refusedBy.length === 0
+		) {
 			return true;
 		}
 
@@ -82,7 +84,11 @@
 			view.requestConnection(zone);
 		}
 
-		const room = this.#overflow.chooseSubstitute(pending.job, rooms, now);
+		const room = this.#overflow.chooseSubstitute(
+			toOverflowJob(pending, view, now),
+			rooms,
+			now,
+		);
 		if (room === undefined) {
 			return false;
 		}
@@ -93,8 +99,8 @@
 	}
 
 	/**
-	 * Directs a job that a leader has refused for lack of room to the leader of a zone that can run it; returns whether there
-	 * is one, which the job is then to be sent to.
+	 * Directs a job that a leader has refused for lack of room to the leader of a zone that can run it; returns whether the job
+	 * is to be sent again.
 	 */
 	redirectRefused(
 		pending: PendingJob,
@@ -125,17 +131,18 @@
 			return true;
 		}
 
-		const rooms = findOpenRooms(view);
-		const job = toOverflowJob(pending, view, now);
-		const room =
-			isEvacuated && wasAtHome
-				? this.#overflow.chooseSubstitute(job, rooms, now)
-				: this.#overflow.choose(
-						job,
-						[...pending.refusedBy, leader],
-						rooms,
-						now,
-					);
+		if (wasAtHome && isEvacuated && view.evacuatedZones.size < view.zoneCount) {
+			this.#pendingJobs.redirect(pending, leader, undefined);
+			pending.isBalanced = false;
+			return true;
+		}
+
+		const room = this.#overflow.choose(
+			toOverflowJob(pending, view, now),
+			[...pending.refusedBy, leader],
+			findOpenRooms(view),
+			now,
+		);
 		if (room === undefined) {
 			return false;
 		}
@@ -222,12 +229,12 @@
 	return findRooms().filter(({zone}) => !evacuatedZones.has(zone));
 }
 
-/** Whether a job that no leader has had yet waits for a connection to the leader of one zone while another's is connected. */
+/** Whether a job of an evacuated zone waits for a connection to the leader of one zone while another's is connected. */
 function isBetterConnected(
 	{overflowZone, refusedBy}: PendingJob,
 	view: ZoneView,
 ): boolean {
-	if (refusedBy.length > 0) {
+	if (!isOwnZoneEvacuated(view) || refusedBy.length > 1) {
 		return false;
 	}
 
