Add a failing test of a job that a new leader of an evacuated zone hands back

What callers see: a copy of a request runs in another zone beside its first one. Cause: a leader that has just claimed an evacuated zone hands a job back as not run before the workers have listed their runs.

--- a/packages/core/src/tests/zone-evacuations.test.ts
+++ b/packages/core/src/tests/zone-evacuations.test.ts
@@ -202,6 +202,28 @@
 		});
 	});
 
+	// The receiver would send the copy of a job that is at work here to another zone.
+	it('hands no job back while the reports of the workers are on their way', () => {
+		const fixture = new SchedulerFixture();
+		fixture.scheduler.setEvacuatedZones(evacuated, startMs);
+		fixture.scheduler.updateWorkers([workerFixture('w1')], startMs);
+		fixture.scheduler.startLeadingZone('zone-a', 7, startMs);
+		fixture.scheduler.submit(
+			poolJobFixture('j1', 1, inZoneA),
+			'r1',
+			false,
+			startMs + 10,
+		);
+		fixture.tickUntil(startMs + 20, startMs + 60);
+		expect(fixture.answers).toEqual([]);
+		fixture.receiveReport('w1', startMs + 70, {
+			running: [{task: 'j1.0.0.0', run: 1}],
+		});
+		fixture.tickUntil(startMs + 80, startMs + 120);
+		expect(fixture.answers).toEqual([]);
+		expect(fixture.scheduler.getJobState('j1')).toBe('running');
+	});
+
 	it('lets runs at work end normally', () => {
 		const fixture = createFixture();
 		fixture.scheduler.submit(
