Hand no job of an evacuated zone back before the workers have reported

Tests: 'hands no job back while the reports of the workers are on their way' failed before (answered not-run) and passes, with the 12 others of the file.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -1348,13 +1348,15 @@
 
 	/**
 	 * Answers a job whose waiting tasks may only run in evacuated zones; returns whether it did. A job that another leader may
-	 * have started waits until its runs are known, as they may complete it.
+	 * have started waits until its runs are known, as they may complete it, and any job while the workers' reports are on
+	 * their way, as it may be a copy of one that they list.
 	 */
 	#handBackIfEvacuated(job: ScheduledJob, now: number): boolean {
 		const zones = job.zones ?? this.#options.zones;
 		if (
 			job.waitingTasks.length === 0 ||
 			!zones.every((zone) => this.pool.isEvacuated(zone)) ||
+			this.pool.isSyncing(now) ||
 			now < this.#priorRunsSettledAtMs(job, now)
 		) {
 			return false;
