--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -975,7 +975,14 @@
 				lastStartsMs.get(scheduledJob) ?? now,
 				now,
 			);
-			if (admission.kind === 'refused' && scheduledJob.hasCertainlyNotRun) {
+			const isBalanced =
+				admission.kind === 'admitted' &&
+				admission.waitMs >
+					(scheduledJob.job.balancingWaitMs ?? Number.POSITIVE_INFINITY);
+			if (
+				(admission.kind === 'refused' || isBalanced) &&
+				scheduledJob.hasCertainlyNotRun
+			) {
 				this.#refuseJob(
 					scheduledJob.job,
 					scheduledJob.receiver,
@@ -985,7 +992,9 @@
 						waitMs: Math.round(Math.min(1e9, admission.waitMs)),
 						slackMs: Math.round(scheduledJob.latestFirstStartMs - now),
 						waitingJobs: this.#jobs.size,
-						retryAfterMs: admission.retryAfterMs,
+						...(admission.kind === 'refused'
+							? {retryAfterMs: admission.retryAfterMs}
+							: {isBalanced: 1}),
 					},
 				);
 			} else {
@@ -1352,13 +1361,15 @@
 
 	/**
 	 * Answers a job whose waiting tasks may only run in evacuated zones; returns whether it did. A job that another leader may
-	 * have started waits until its runs are known, as they may complete it.
+	 * have started waits until its runs are known, as they may complete it, and any job while the workers' reports are on
+	 * their way, as it may be a copy of one that they list.
 	 */
 	#handBackIfEvacuated(job: ScheduledJob, now: number): boolean {
 		const zones = job.zones ?? this.#options.zones;
 		if (
 			job.waitingTasks.length === 0 ||
 			!zones.every((zone) => this.pool.isEvacuated(zone)) ||
+			this.pool.isSyncing(now) ||
 			now < this.#priorRunsSettledAtMs(job, now)
 		) {
 			return false;
@@ -1574,6 +1585,7 @@
 										? inputs.retryAfterMs
 										: defaultRetryAfterMs,
 							}),
+					...(inputs.isBalanced === 1 ? {isBalanced: true} : {}),
 				};
 		if (!mayHaveRun) {
 			this.#answeredJobs.recordAnswer(job.id, job.attempt, answer, this.#now);
--- a/packages/verbenarouter/src/pool/zone-router.ts
+++ b/packages/verbenarouter/src/pool/zone-router.ts
@@ -49,9 +49,10 @@
 	}
 
 	/**
-	 * Directs a job that no leader has had yet to another zone if its own one is evacuated or about to be full; one that waits
-	 * for a connection to the leader of another zone is directed anew if there is one with a connection. Returns false if the
-	 * job has to wait until a leader of another zone is known.
+	 * Directs a job that the leader of its own, evacuated zone has refused to another zone; one that waits for a connection to
+	 * the leader of another zone is directed anew if there is one with a connection. Returns false if the job has to wait
+	 * until a leader of another zone is known. The leader of the own zone is asked first in any case: of all leaders only it
+	 * can tell that the job is no copy of one that runs in the zone.
 	 */
 	prepare(pending: PendingJob, now: number): boolean {
 		if (pending.sentTo !== undefined) {
@@ -67,12 +68,12 @@
 			pending.overflowZone = undefined;
 		}
 
-		if (!isOwnZoneEvacuated(view)) {
-			this.#balance(pending, view, now);
-			return true;
-		}
-
-		if (view.evacuatedZones.size === view.zoneCount) {
+		if (
+			!isOwnZoneEvacuated(view) ||
+			view.evacuatedZones.size === view.zoneCount ||
+			pending.isBalanced ||
+			pending.refusedBy.length === 0
+		) {
 			return true;
 		}
 
@@ -83,7 +84,11 @@
 			view.requestConnection(zone);
 		}
 
-		const room = this.#overflow.chooseSubstitute(pending.job, rooms, now);
+		const room = this.#overflow.chooseSubstitute(
+			toOverflowJob(pending, view, now),
+			rooms,
+			now,
+		);
 		if (room === undefined) {
 			return false;
 		}
@@ -94,8 +99,8 @@
 	}
 
 	/**
-	 * Directs a job that a leader has refused for lack of room to the leader of a zone that can run it; returns whether there
-	 * is one, which the job is then to be sent to.
+	 * Directs a job that a leader has refused for lack of room to the leader of a zone that can run it; returns whether the job
+	 * is to be sent again.
 	 */
 	redirectRefused(
 		pending: PendingJob,
@@ -113,25 +118,31 @@
 			return false;
 		}
 
+		if (answer.isBalanced === true) {
+			this.#balance(pending, view, now);
+			return true;
+		}
+
 		const isEvacuated = isOwnZoneEvacuated(view);
 		const wasAtHome = pending.overflowZone === undefined;
 		if (!wasAtHome && pending.refusedBy.length === 0 && !isEvacuated) {
-			// The job went to the other zone before its own one was asked.
+			// The leader of its own zone let the job go, and may admit it now.
 			this.#pendingJobs.redirect(pending, leader, undefined);
 			return true;
 		}
 
-		const rooms = findOpenRooms(view);
-		const job = toOverflowJob(pending, view, now);
-		const room =
-			isEvacuated && wasAtHome
-				? this.#overflow.chooseSubstitute(job, rooms, now)
-				: this.#overflow.choose(
-						job,
-						[...pending.refusedBy, leader],
-						rooms,
-						now,
-					);
+		if (wasAtHome && isEvacuated && view.evacuatedZones.size < view.zoneCount) {
+			this.#pendingJobs.redirect(pending, leader, undefined);
+			pending.isBalanced = false;
+			return true;
+		}
+
+		const room = this.#overflow.choose(
+			toOverflowJob(pending, view, now),
+			[...pending.refusedBy, leader],
+			findOpenRooms(view),
+			now,
+		);
 		if (room === undefined) {
 			return false;
 		}
@@ -144,13 +155,23 @@
 		return true;
 	}
 
-	/** Directs a job to a zone with room while it would wait for long in its own one. */
-	#balance(pending: PendingJob, view: ZoneView, now: number): void {
-		if (view.scope !== 'zone' || pending.refusedBy.length > 0) {
-			return;
+	/**
+	 * Returns the longest wait in milliseconds with which the leader of the own zone is to admit a job that goes to it first;
+	 * `undefined` if it may wait for as long as its objective allows.
+	 */
+	findBalancingWaitMs(pending: PendingJob, now: number): number | undefined {
+		const view = this.#readView(now);
+		if (
+			view.scope !== 'zone' ||
+			pending.overflowZone !== undefined ||
+			pending.isBalanced ||
+			pending.refusedBy.length > 0 ||
+			pending.leaders.size > 0
+		) {
+			return undefined;
 		}
 
-		const room = this.#overflow.chooseBeforeRefusal(
+		return this.#overflow.findBalancingWaitMs(
 			toOverflowJob(pending, view, now),
 			view.ownWaits,
 			{
@@ -159,10 +180,20 @@
 			},
 			now,
 		);
+	}
+
+	/** Directs a job that the leader of its own zone lets go to a zone with room, or home again if none has any by now. */
+	#balance(pending: PendingJob, view: ZoneView, now: number): void {
+		const room = this.#overflow.chooseBalanced(
+			pending.job,
+			findOpenRooms(view),
+			now,
+		);
 		if (room !== undefined) {
-			pending.overflowZone = room.zone;
 			this.#log('balanced', pending, room, {});
 		}
+
+		this.#pendingJobs.letGo(pending, room?.zone);
 	}
 
 	#log(
@@ -198,12 +229,12 @@
 	return findRooms().filter(({zone}) => !evacuatedZones.has(zone));
 }
 
-/** Whether a job that no leader has had yet waits for a connection to the leader of one zone while another's is connected. */
+/** Whether a job of an evacuated zone waits for a connection to the leader of one zone while another's is connected. */
 function isBetterConnected(
 	{overflowZone, refusedBy}: PendingJob,
 	view: ZoneView,
 ): boolean {
-	if (refusedBy.length > 0) {
+	if (!isOwnZoneEvacuated(view) || refusedBy.length > 1) {
 		return false;
 	}
 
