Announce jobs whose callers may send them to another zone to its leader

What callers would see: nothing; a task runs twice at the same time, on workers of two zones. A caller sends its request again 1.3 s after a loss, to another zone if none of its own is in rotation or if it moves.

Cause: the leader of the other zone takes each job that it sees first for settled, although the first one may still have runs: on a worker that does not get the stop, for a caller that has lost its receiver, or found after a claim and not claimed yet.

Change: ReturnableJobs decides for the leader that has the runs which jobs the others have to know of, repeats it every 0.3 s and until it is confirmed, and has the runs stopped 1.07 s after the loss (0.2 s after they were found) if the leader of some zone does not confirm. JobsElsewhere keeps such jobs at the others for 2.1 s after the last notice. A copy of one is indeterminate and starts only after the holder has said that the job is over; if that was with a result, the copy gets it.

Ruled out: asking all leaders for each new job, 840 a second at the size aimed at, and waiting 1.85 s with each of them.

Nothing calls the module outside of tests yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -42,6 +42,8 @@
 export * from './member-list.js';
 export * from './overlay.js';
 export * from './lost-runs.js';
+export * from './jobs-elsewhere.js';
+export * from './returnable-jobs.js';
 export * from './pool-job.js';
 export * from './pool-queue.js';
 export * from './pool-scheduler.js';
--- a/packages/core/src/message-check.ts
+++ b/packages/core/src/message-check.ts
@@ -139,6 +139,17 @@
 	untouched: {id: isShortText, attempt: isShortText},
 	progress: {id: isShortText, doneTasks: isTextList},
 	'lost-runs': {lostRuns: isLostRuns},
+	'caller-lost': {id: isShortText},
+	'caller-returned': {id: isShortText},
+	'returnable-jobs': {
+		sequence: isCount,
+		held: isListOf(isShortText, maxListLength),
+		ended: isListOf(
+			isObjectOf({id: isShortText, answer: isOptional(isAnswer)}),
+			maxListLength,
+		),
+	},
+	'returnable-jobs-noted': {sequence: isCount},
 	cancel: {
 		id: isShortText,
 		reason: isOneOf('caller-left', 'cancelled', 'moved'),
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -10,6 +10,7 @@
 	toProjectedTasks,
 	toProjectedWorker,
 } from './pool-admission.js';
+import {JobsElsewhere} from './jobs-elsewhere.js';
 import {LeaderStall} from './leader-stall.js';
 import {LostRunRegister, type LostRun} from './lost-runs.js';
 import {PlacementPass} from './placement-pass.js';
@@ -20,6 +21,7 @@
 	type PoolAnswer,
 	type PoolJob,
 } from './pool-job.js';
+import {type EndedJob, type ReturnableJob} from './returnable-jobs.js';
 import {parseJobId} from './task-name.js';
 import {decidePoolAdmission, type QueueOrder} from './pool-queue.js';
 import {
@@ -161,6 +163,7 @@
 	readonly #typicalTasks = new TypicalTasks();
 	readonly #tails = new RunTimeTails();
 	readonly #lostRuns = new LostRunRegister();
+	readonly #jobsElsewhere = new JobsElsewhere();
 	/** Submissions since the last flush, by job. */
 	readonly #submissions = new Map<string, Submission>();
 	#isFlushRequested = false;
@@ -463,6 +466,144 @@
 		}
 	}
 
+	/** Records that a job's caller has lost its connection to `receiver`, and may submit the job to another entry VM. */
+	markCallerLost(id: string, receiver: string, now: number): void {
+		this.#begin(now);
+		const job = this.#jobs.get(id);
+		if (job?.receiver === receiver) {
+			job.callerLostAtMs ??= now;
+		}
+	}
+
+	/** Records that the caller of a job has submitted it to the same `receiver` again. */
+	markCallerReturned(id: string, receiver: string, now: number): void {
+		this.#begin(now);
+		const job = this.#jobs.get(id);
+		if (job?.receiver === receiver) {
+			job.callerLostAtMs = undefined;
+		}
+	}
+
+	/** Returns the jobs with runs, or about to start some, whose callers may submit them to the leader of another zone. */
+	findReturnableJobs(now: number): readonly ReturnableJob[] {
+		const lostJobs = [...this.#jobs.values()].flatMap(
+			(job): readonly ReturnableJob[] => {
+				const {id, receiverLostAtMs, callerLostAtMs, hasStarted} = job;
+				if (receiverLostAtMs !== undefined) {
+					return hasStarted
+						? [{id, cause: 'receiver-lost', sinceMs: receiverLostAtMs}]
+						: [];
+				}
+
+				return callerLostAtMs === undefined || this.#isHeldElsewhere(job, now)
+					? []
+					: [{id, cause: 'caller-lost', sinceMs: callerLostAtMs}];
+			},
+		);
+		const unclaimed = this.pool
+			.listUnclaimedRuns()
+			.map(({jobId, foundAtMs}): ReturnableJob => ({
+				id: jobId,
+				cause: 'unclaimed',
+				sinceMs: foundAtMs,
+			}));
+		const stopping = [...this.pool.listJobsWithRuns()].map(
+			(id): ReturnableJob => ({id, cause: 'stopping', sinceMs: now}),
+		);
+		const withoutJob = [...unclaimed, ...stopping].filter(
+			({id}) => !this.#jobs.has(id),
+		);
+		// Of several entries for one job the last one stays, that of an unclaimed run.
+		return [
+			...new Map(
+				[...withoutJob.toReversed(), ...lostJobs].map((job) => [job.id, job]),
+			).values(),
+		];
+	}
+
+	/** Returns a test of whether this leader still has a job without an answer, or a run of it. */
+	createActivityTest(now: number): (id: string) => boolean {
+		const jobsWithRuns = this.pool.listJobsWithRuns();
+		const jobsWithUnclaimedRuns = new Set(
+			this.pool.listUnclaimedRuns().map(({jobId}) => jobId),
+		);
+		return (id) => {
+			const job = this.#jobs.get(id);
+			return (
+				(job !== undefined && !this.#isHeldElsewhere(job, now)) ||
+				this.#submissions.has(id) ||
+				jobsWithRuns.has(id) ||
+				jobsWithUnclaimedRuns.has(id)
+			);
+		};
+	}
+
+	/** Stops the runs of a job whose caller may submit it to a leader that does not know of them. */
+	stopReturnableJob(id: string, now: number): void {
+		this.#begin(now);
+		const job = this.#jobs.get(id);
+		if (job === undefined) {
+			this.pool.abandonOrphans(id);
+		} else {
+			this.#abandonJob(
+				job,
+				job.hasCertainlyNotRun
+					? {kind: 'not-run', reason: 'caller-left'}
+					: {kind: 'may-have-run', reason: 'caller-left'},
+				now,
+			);
+			this.#placeWaitingTasks(now);
+		}
+	}
+
+	/**
+	 * Records jobs of which the leader of another zone has runs, and which are not started here meanwhile. Returns `undefined`
+	 * if there is no space for them, else those that have started here already.
+	 */
+	recordJobsElsewhere(
+		holder: string,
+		ids: readonly string[],
+		now: number,
+	): readonly string[] | undefined {
+		this.#begin(now);
+		if (!this.#jobsElsewhere.record(holder, ids, now)) {
+			return undefined;
+		}
+
+		const known = ids.flatMap((id) => this.#jobs.get(id) ?? []);
+		for (const job of known) {
+			job.isIndeterminate = true;
+		}
+
+		return known.filter(({hasStarted}) => hasStarted).map(({id}) => id);
+	}
+
+	/** Records that the leader of another zone has no runs of jobs any more; those with a result are answered by it here. */
+	recordEndedJobsElsewhere(
+		holder: string,
+		endedJobs: readonly EndedJob[],
+		now: number,
+	): void {
+		this.#begin(now);
+		for (const {id, answer} of endedJobs) {
+			this.#jobsElsewhere.end(holder, id);
+			const job = this.#jobs.get(id);
+			if (answer !== undefined && job?.hasStarted === false) {
+				this.#answerJob(job, answer, now);
+			} else if (answer !== undefined && job === undefined) {
+				this.#answeredJobs.recordAnswer(id, '', answer, now);
+			}
+		}
+
+		this.#needsPlacement = true;
+		this.#placeWaitingTasks(now);
+	}
+
+	/** Number of jobs of which the leaders of other zones have runs. */
+	get jobsElsewhereCount(): number {
+		return this.#jobsElsewhere.size;
+	}
+
 	/** Handles the outcome of a start command. */
 	handleStartOutcome(
 		workerId: string,
@@ -529,6 +670,7 @@
 
 		this.#reassessJobs(now);
 		this.#answeredJobs.evict(now);
+		this.#jobsElsewhere.evict(now);
 		this.#placeWaitingTasks(now);
 	}
 
@@ -868,6 +1010,7 @@
 		if (knownJob !== undefined) {
 			knownJob.receiver = receiver;
 			knownJob.receiverLostAtMs = undefined;
+			knownJob.callerLostAtMs = undefined;
 			if (isResubmitted) {
 				// Another leader may have started the job after this leader received it first.
 				knownJob.isIndeterminate = true;
@@ -910,6 +1053,11 @@
 			receivedAtMs,
 		);
 		this.#recordEarlierRuns(scheduledJob, isResubmitted, now);
+		if (this.#jobsElsewhere.isHeld(job.id, now)) {
+			scheduledJob.isIndeterminate = true;
+			this.#logJobDecision('joined', job.id, 'held-elsewhere', {receiver});
+		}
+
 		this.#options.queueOrder.shares?.recordDemand(
 			queue.name,
 			scheduledJob.waitingCoreMs,
@@ -1182,6 +1330,7 @@
 		for (const job of placeableJobs) {
 			if (
 				pass.mayHaveRoom(job) &&
+				!this.#jobsElsewhere.isHeld(job.id, now) &&
 				now >= this.#priorRunsSettledAtMs(job, now)
 			) {
 				this.#placeTasksOfJob(job, pass, now);
@@ -1346,6 +1495,7 @@
 		if (
 			job.waitingTasks.length === 0 ||
 			!zones.every((zone) => this.pool.isEvacuated(zone)) ||
+			this.#jobsElsewhere.isHeld(job.id, now) ||
 			now < this.#priorRunsSettledAtMs(job, now)
 		) {
 			return false;
@@ -1395,10 +1545,18 @@
 					now,
 				);
 			}
-		} else if (
-			now > job.latestFirstStartMs ||
+
+			return;
+		}
+
+		// The leader of the other zone may still send the answer until the caller leaves.
+		const latestMs = this.#isHeldElsewhere(job, now)
+			? job.callerDeadlineMs
+			: job.latestFirstStartMs;
+		if (
+			now > latestMs ||
 			(job.isIndeterminate &&
-				this.#earliestPriorRunsSettledAtMs(job, now) > job.latestFirstStartMs)
+				this.#earliestPriorRunsSettledAtMs(job, now) > latestMs)
 		) {
 			this.#abandonUnstartedJob(job, now);
 		}
@@ -1484,6 +1642,7 @@
 			(job) =>
 				!job.hasStarted &&
 				!job.isReassessed &&
+				!this.#isHeldElsewhere(job, now) &&
 				now - job.arrivedAtMs >= reassessmentShare * job.objectiveMs,
 		);
 		if (dueJobs.length === 0) {
@@ -1498,6 +1657,11 @@
 		}
 	}
 
+	/** Whether a job waits here because the leader of another zone has runs of it. */
+	#isHeldElsewhere({id, hasStarted}: ScheduledJob, now: number): boolean {
+		return !hasStarted && this.#jobsElsewhere.isHeld(id, now);
+	}
+
 	/** Stops the runs of a job and answers it without a result. */
 	#abandonJob(job: ScheduledJob, answer: PoolAnswer, now: number): void {
 		this.#logJobDecision(
--- a/packages/core/src/scheduled-job.ts
+++ b/packages/core/src/scheduled-job.ts
@@ -49,6 +49,8 @@
 	readonly latestUsefulStartMs: number;
 	/** When the receiver became unreachable; `undefined` while it is reachable. */
 	receiverLostAtMs: number | undefined;
+	/** When the connection of the only caller to the receiver broke; `undefined` while a caller waits. */
+	callerLostAtMs: number | undefined;
 	/** Whether the receiver has submitted the job to a leader before, so that it cannot be answered `not-run`. */
 	isIndeterminate: boolean;
 	/**
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -241,6 +241,30 @@
 		return this.#orphanEnds.size > 0 || this.#orphanHolders.size > 0;
 	}
 
+	/** Returns the jobs with runs that this leader has started or adopted. */
+	listJobsWithRuns(): ReadonlySet<string> {
+		return new Set(
+			this.workers.flatMap(({runs}) =>
+				[...runs.values()].map(({jobId}) => jobId),
+			),
+		);
+	}
+
+	/** Returns the runs that workers list and no job has claimed, with the time at which they were found. */
+	listUnclaimedRuns(): ReadonlyArray<{
+		readonly jobId: string;
+		readonly foundAtMs: number;
+	}> {
+		return [...this.#orphanHolders].flatMap(([task, holders]) =>
+			[...holders].flatMap((worker) => {
+				const orphan = worker.orphans.get(task);
+				return orphan === undefined
+					? []
+					: [{jobId: parseJobId(task), foundAtMs: orphan.foundAtMs}];
+			}),
+		);
+	}
+
 	/** Leads the workers of a zone under a fencing token; their runs continue. */
 	claimZone(zone: string, token: number, now: number): void {
 		this.#zones.set(zone, {token, syncingSinceMs: now});
