Count what shows afterwards how two leaders got one job

The output of an entry VM that is collected reaches back some ten seconds, and its metrics said nothing of scope, fencing tokens, lists of workers or of why a leader took a job for settled. So the cause of a task that two leaders started could not be told afterwards.

New gauges: is_scope_region, led_token, workers_listed, workers_unlisted, has_whole_worker_list. New counters: leadership_changes_total by zone, change and reason; jobs_admitted_total by kind; copies_joined_total; releases_total by direction; peer_messages_unsent_total by type, for messages that PoolMesh.send could not pass to a stream. The line 'admitted' also names receiver, zones, token, and, where they apply, earlierToken and unsettled; 'placed' the token. The number of lines is unchanged.

Measured: unit tests of the counters, the lines and the mesh pass (124 tests of 19 files). Processor time was not measured.

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -350,6 +350,11 @@
 		}
 	}
 
+	/** Returns the zone of an entry VM that has sent a heartbeat; `undefined` for any other. */
+	findZone(name: string): string | undefined {
+		return this.#peers.get(name)?.heartbeat.zone;
+	}
+
 	/** Whether a peer's heartbeats arrive at present. */
 	isPeerLive(name: string, now: number): boolean {
 		const peer = this.#peers.get(name);
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -1026,6 +1026,13 @@
 				waitedMs: Math.round(job.waitedMs),
 				isLearning: isSyncing ? 1 : 0,
 				longestMs: Math.round(longestTaskMs),
+				receiver: scheduledJob.receiver,
+				zones: scheduledJob.zones?.join(' ') ?? '*',
+				token: this.pool.token,
+				...(scheduledJob.earlierToken === 0
+					? {}
+					: {earlierToken: scheduledJob.earlierToken}),
+				...(scheduledJob.unsettledSinceMs === undefined ? {} : {unsettled: 1}),
 			},
 		);
 		this.#giveUpIfAttemptsAreUsedUp(scheduledJob, now);
@@ -1283,6 +1290,7 @@
 				needsMillis: task.task.needs.processorMillis,
 				expectedMs: Math.round(task.expectedMs),
 				reportAgeMs: Math.round(now - worker.reportedAtMs),
+				token: this.pool.token,
 				...(lostRunCount === 0 ? {} : {lostRuns: lostRunCount}),
 			},
 		});
--- a/packages/core/src/tests/pool-scheduler.test.ts
+++ b/packages/core/src/tests/pool-scheduler.test.ts
@@ -455,4 +455,32 @@
 		);
 		expect(fixture.starts).toHaveLength(3);
 	});
+
+	it('logs under which token, for which zones and receiver a job was admitted and placed', () => {
+		const fixture = new SchedulerFixture(['zone-a', 'zone-b']);
+		fixture.leadIdleWorkers([workerFixture('w1')], 1000);
+		for (const change of [
+			{zones: ['zone-a'], leaderToken: 7},
+			{leaderToken: 5, earlierToken: 6},
+		]) {
+			fixture.scheduler.submit(
+				poolJobFixture(`j${change.leaderToken}`, 1, change),
+				'r1',
+				false,
+				1000,
+			);
+		}
+
+		const logged = fixture.decisions.flatMap((decision) =>
+			decision.event === 'admitted' || decision.event === 'placed'
+				? [[decision.id, decision.event, decision.inputs]]
+				: [],
+		);
+		expect(logged).toMatchObject([
+			['j7', 'admitted', {receiver: 'r1', zones: 'zone-a', token: 7}],
+			['j7', 'placed', {token: 7}],
+			['j5', 'admitted', {zones: '*', earlierToken: 6, unsettled: 1}],
+		]);
+		expect(logged[0]?.[2]).not.toHaveProperty('unsettled');
+	});
 });
--- a/packages/core/src/tests/workers.test.ts
+++ b/packages/core/src/tests/workers.test.ts
@@ -30,7 +30,9 @@
 		const directory = new WorkerDirectory();
 		directory.addUnlisted(workerFixture('w1'), 1000);
 		expect(directory.entries(2000)).toHaveLength(1);
+		expect(directory.unlistedCount).toBe(1);
 		expect(directory.entries(4000)).toEqual([]);
+		expect(directory.unlistedCount).toBe(0);
 	});
 });
 
--- a/packages/core/src/worker-directory.ts
+++ b/packages/core/src/worker-directory.ts
@@ -75,6 +75,13 @@
 		}
 	}
 
+	/** Number of workers that are kept although the store, or the whole list of a peer, does not list them. */
+	get unlistedCount(): number {
+		return [...this.#records.values()].filter(
+			({missingSinceMs}) => missingSinceMs !== undefined,
+		).length;
+	}
+
 	/** Returns the workers that may be alive; drops those that have not registered again in time. */
 	entries(now: number): readonly WorkerEntry[] {
 		for (const [id, {missingSinceMs}] of this.#records) {
--- a/packages/peer/src/pool-mesh.ts
+++ b/packages/peer/src/pool-mesh.ts
@@ -212,7 +212,12 @@
 			!inbound.writableEnded &&
 			!inbound.cancelled;
 		if (!isAnsweredBack) {
-			return link?.send(message) ?? false;
+			const isSent = link?.send(message) ?? false;
+			if (!isSent) {
+				this.traffic.addUnsent(message.type);
+			}
+
+			return isSent;
 		}
 
 		inbound.write([message]);
--- a/packages/peer/src/pool-traffic.ts
+++ b/packages/peer/src/pool-traffic.ts
@@ -40,6 +40,7 @@
 /** Counts the messages between this entry VM and the others; the number of counters is bounded. */
 export class PoolTraffic {
 	readonly #counts = new Map<string, PoolTrafficCount>();
+	readonly #unsentCounts = new Map<string, number>();
 	readonly #closedLinks = new Map<LinkCloseCause, number>();
 
 	/** Counts messages of one type. The type of a received message is not validated, so others count as `unknown`. */
@@ -62,6 +63,11 @@
 		});
 	}
 
+	/** Counts a message of one type that could not be sent because no stream to its recipient was open. */
+	addUnsent(type: PoolMessage['type']): void {
+		this.#unsentCounts.set(type, (this.#unsentCounts.get(type) ?? 0) + 1);
+	}
+
 	/** Counts a stream to another entry VM that this one has closed. */
 	addClosedLink(cause: LinkCloseCause): void {
 		this.#closedLinks.set(cause, (this.#closedLinks.get(cause) ?? 0) + 1);
@@ -72,6 +78,11 @@
 		return [...this.#counts.values()];
 	}
 
+	/** Returns the number of messages that could not be sent at once, by type. */
+	get unsentCounts(): ReadonlyMap<string, number> {
+		return this.#unsentCounts;
+	}
+
 	/** Returns the number of streams closed by this entry VM so far, by cause. */
 	get closedLinks(): ReadonlyMap<LinkCloseCause, number> {
 		return this.#closedLinks;
--- a/packages/peer/src/tests/pool-mesh.test.ts
+++ b/packages/peer/src/tests/pool-mesh.test.ts
@@ -171,6 +171,19 @@
 		]);
 	});
 
+	it('counts by type what could not be sent because it was not open', async () => {
+		const {mesh} = await meshFixture('sender');
+		const isSent = mesh.send('unknown', {
+			type: 'cancel',
+			id: 'j1',
+			reason: 'moved',
+		});
+		expect([isSent, [...mesh.traffic.unsentCounts]]).toEqual([
+			false,
+			[['cancel', 1]],
+		]);
+	});
+
 	it('delivers messages after a pause that its sender has announced', async () => {
 		const receiver = await meshFixture('receiver');
 		const sender = await meshFixture('sender');
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -31,6 +31,7 @@
 import {droppedLines} from '../logger.js';
 import {type MetricSample} from '../metrics.js';
 import {OverlayNode, type NodeState} from '../overlay/overlay-node.js';
+import {DecisionCounts} from './decision-counts.js';
 import {
 	KnowledgeExchange,
 	staleStoreDataMs,
@@ -100,6 +101,7 @@
 	readonly #zoneRouter: ZoneRouter;
 	readonly #evacuations: ZoneEvacuations;
 	readonly #queueShares = new QueueShares();
+	readonly #decisionCounts = new DecisionCounts();
 	readonly #scheduler: PoolScheduler;
 	readonly #overlayNode: OverlayNode;
 	readonly #workerClient: WorkerClient;
@@ -205,8 +207,13 @@
 						'fenced',
 					);
 				},
-				logDecision(decision) {
+				logDecision: (decision) => {
 					log.write(decision);
+					this.#decisionCounts.recordDecision(decision, (receiver) =>
+						receiver === settings.name
+							? settings.zone
+							: this.#leadership.findZone(receiver),
+					);
 				},
 			},
 			estimates: new LearnedTimeEstimator(),
@@ -327,7 +334,14 @@
 			jobsReceivedWaiting: this.#pendingJobs.size,
 			jobsScheduled: this.#scheduler.jobCount,
 			zonesLed: this.#leadership.ledZones.size,
+			ledToken: Math.max(0, ...this.#leadership.ledZones.values()),
+			isScopeRegion: Number(this.#scope === 'region'),
 			workersLed: this.#scheduler.pool.workers.length,
+			workersListed: this.#workerEntries.length,
+			workersUnlisted: this.#storeFollower.directory.unlistedCount,
+			hasWholeWorkerList: Number(
+				Number.isFinite(this.#storeFollower.workersAgeMs(this.#now())),
+			),
 			peersHeard: this.#leadership.livePeers(this.#now()).length,
 			entryVmsKnown: this.#overlayNode.sizes.members,
 			peerConnections: this.#overlayNode.sizes.connections,
@@ -343,8 +357,14 @@
 
 	/** Present values of the counters of messages between entry VMs. */
 	get counters(): readonly MetricSample[] {
-		const {counts, closedLinks} = this.#overlayNode.traffic;
+		const {counts, closedLinks, unsentCounts} = this.#overlayNode.traffic;
 		return [
+			...this.#decisionCounts.samples,
+			...[...unsentCounts].map(([type, value]) => ({
+				name: 'peer_messages_unsent_total',
+				labels: {type},
+				value,
+			})),
 			...counts.flatMap(({type, direction, messages, bytes, tookMs}) => [
 				{
 					name: 'peer_messages_total',
@@ -499,6 +519,8 @@
 			});
 			if (isNew) {
 				this.#sendToLeader(pending);
+			} else {
+				this.#decisionCounts.recordCopy('receiver');
 			}
 		});
 	}
@@ -775,6 +797,7 @@
 		const now = this.#now();
 		for (const change of changes) {
 			this.#log.write({event: 'leadership', ...change, cause});
+			this.#decisionCounts.recordLeadership(change, cause);
 			const newLeader =
 				this.#leadership.successors.get(change.zone) ??
 				this.#leadership.findLeader(change.zone, now)?.name;
@@ -948,6 +971,7 @@
 
 			case 'cancel': {
 				if (message.reason === 'moved') {
+					this.#decisionCounts.recordRelease('received');
 					this.#scheduler.release(message.id, from, now);
 					break;
 				}
@@ -1367,6 +1391,7 @@
 
 	/** Has a leader give up a job that is submitted to another one now; two leaders would otherwise wait and then start it. */
 	#releaseAtLeader(leader: string, id: string): void {
+		this.#decisionCounts.recordRelease('sent');
 		if (leader === this.#settings.name) {
 			this.#scheduler.release(id, leader, this.#now());
 		} else {
