Pass the age of the list of workers to the choice of the scope

No change of behaviour: the age is not used yet. A scope that follows from a list has to tell a whole, recent list from one that was handed over in part or is no longer refreshed, and the number of workers alone does not show that.

--- a/packages/core/src/pool-scope.ts
+++ b/packages/core/src/pool-scope.ts
@@ -13,6 +13,17 @@
 	readonly settleMs: number;
 };
 
+/** What an entry VM knows of the workers of the installation. */
+export type WorkerListView = {
+	/** Number of workers that may be alive, those included that were handed over and that the list lacks; 0 without any. */
+	readonly count: number;
+	/**
+	 * Milliseconds since the whole list was read, here or by the peer that sent it; infinite if there is no whole list, as
+	 * in a process that has only been handed the workers of a zone.
+	 */
+	readonly ageMs: number;
+};
+
 /** Default settings: one leader leads no more workers than a zone has in a deployment of 245 workers in 3 zones. */
 export const defaultScopeSettings: ScopeSettings = {
 	maxRegionalWorkers: 80,
@@ -37,11 +48,11 @@
 	}
 
 	/**
-	 * Returns the scope for the number of workers that are listed now; 0 if no list is known. `leaderScope` is the scope
+	 * Returns the scope for the workers that are listed now. `leaderScope` is the scope
 	 * that another entry VM which leads at present has decided on, if any: a process that starts anew follows it.
 	 */
 	update(
-		workerCount: number,
+		{count: workerCount}: WorkerListView,
 		leaderScope: PoolScope | undefined,
 		now: number,
 	): PoolScope {
--- a/packages/core/src/tests/pool-scope.test.ts
+++ b/packages/core/src/tests/pool-scope.test.ts
@@ -1,8 +1,17 @@
 import {describe, expect, it} from 'vitest';
-import {ScopeBySize, defaultScopeSettings} from '../pool-scope.js';
+import {
+	ScopeBySize,
+	defaultScopeSettings,
+	type WorkerListView,
+} from '../pool-scope.js';
 
 const {maxRegionalWorkers, minZonalWorkers, settleMs} = defaultScopeSettings;
 
+/** A whole list of workers that was read just now, unless an age is given. */
+function list(count: number, ageMs = 0): WorkerListView {
+	return {count, ageMs};
+}
+
 /** Returns the scope after the same number of workers was listed every 100 ms from one time to another. */
 function updateUntil(
 	scope: ScopeBySize,
@@ -12,7 +21,7 @@
 ): string {
 	let latest = '';
 	for (let now = fromMs; now <= toMs; now += 100) {
-		latest = scope.update(workerCount, undefined, now);
+		latest = scope.update(list(workerCount), undefined, now);
 	}
 
 	return latest;
@@ -43,15 +52,15 @@
 		);
 		expect(updateUntil(scope, between, 20_100, 30_000)).toBe('region');
 		expect(updateUntil(scope, 0, 30_100, 40_000)).toBe('region');
-		expect(scope.update(minZonalWorkers, undefined, 40_100)).toBe('zone');
+		expect(scope.update(list(minZonalWorkers), undefined, 40_100)).toBe('zone');
 	});
 
 	it('follows the leader until the number of workers has decided, also after the leader is lost', () => {
 		const scope = new ScopeBySize();
-		expect(scope.update(33, 'region', 0)).toBe('region');
-		expect(scope.update(33, undefined, 20)).toBe('region');
-		expect(scope.update(245, 'region', 40)).toBe('zone');
-		expect(scope.update(245, 'region', 60)).toBe('zone');
+		expect(scope.update(list(33), 'region', 0)).toBe('region');
+		expect(scope.update(list(33), undefined, 20)).toBe('region');
+		expect(scope.update(list(245), 'region', 40)).toBe('zone');
+		expect(scope.update(list(245), 'region', 60)).toBe('zone');
 	});
 
 	it('takes its bounds from the settings', () => {
@@ -61,6 +70,6 @@
 			settleMs: 100,
 		});
 		expect(updateUntil(scope, 2, 0, 100)).toBe('region');
-		expect(scope.update(4, undefined, 200)).toBe('zone');
+		expect(scope.update(list(4), undefined, 200)).toBe('zone');
 	});
 });
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -739,7 +739,10 @@
 			.livePeers(now)
 			.find(({name}) => name === this.#leader)?.scope;
 		const scope = this.#scopeBySize.update(
-			this.#workerEntries.length,
+			{
+				count: this.#workerEntries.length,
+				ageMs: this.#storeFollower.workersAgeMs(now),
+			},
 			leaderScope,
 			now,
 		);
