--- a/packages/core/src/tests/pool-scope.test.ts
+++ b/packages/core/src/tests/pool-scope.test.ts
@@ -72,4 +72,50 @@
 		expect(updateUntil(scope, 2, 0, 100)).toBe('region');
 		expect(scope.update(list(4), undefined, 200)).toBe('zone');
 	});
+
+	// A process with 62 of 245 workers took over the region from leaders of zones, whose jobs it did not know.
+	it('keeps leaders of zones while only workers that were handed over are known', () => {
+		const scope = new ScopeBySize();
+		for (let now = 0; now <= 10_000; now += 100) {
+			expect(
+				scope.update(list(62, Number.POSITIVE_INFINITY), undefined, now),
+			).toBe('zone');
+		}
+	});
+
+	it('does not decide by a list that was read while workers registered and that is no longer refreshed', () => {
+		const scope = new ScopeBySize();
+		for (let now = 0; now <= 60_000; now += 100) {
+			expect(scope.update(list(45, now), undefined, now)).toBe('zone');
+		}
+	});
+
+	it('does not merge while the number of listed workers still grows', () => {
+		const scope = new ScopeBySize();
+		for (let now = 0; now <= 7000; now += 100) {
+			expect(scope.update(list(5 + now / 100), undefined, now)).toBe('zone');
+		}
+	});
+
+	it('keeps leaders of zones while a store has lost records, and merges once few workers have been listed for long', () => {
+		const scope = new ScopeBySize();
+		expect(scope.update(list(245), undefined, 0)).toBe('zone');
+		expect(updateUntil(scope, 20, 100, 10_000)).toBe('zone');
+		expect(updateUntil(scope, 245, 10_100, 10_200)).toBe('zone');
+		expect(updateUntil(scope, 60, 10_300, 39_900)).toBe('zone');
+		expect(updateUntil(scope, 60, 40_000, 45_000)).toBe('region');
+	});
+
+	it('follows a leader of zones although few workers are listed here', () => {
+		const scope = new ScopeBySize();
+		for (let now = 0; now <= 10_000; now += 100) {
+			expect(scope.update(list(45), 'zone', now)).toBe('zone');
+		}
+	});
+
+	it('follows a leader of the region that knows of fewer workers than the last list here', () => {
+		const scope = new ScopeBySize();
+		expect(scope.update(list(245), undefined, 0)).toBe('zone');
+		expect(scope.update(list(245, 40_000), 'region', 40_000)).toBe('region');
+	});
 });
--- a/packages/verbenarouter/src/tests/store-follower.test.ts
+++ b/packages/verbenarouter/src/tests/store-follower.test.ts
@@ -1,4 +1,4 @@
-import {type WorkerEntry} from '@verbenarouter/core';
+import {ScopeBySize, type WorkerEntry} from '@verbenarouter/core';
 import {type KeyedRecord} from '@verbenarouter/platform';
 import {ok} from 'neverthrow';
 import {describe, expect, it} from 'vitest';
@@ -122,4 +122,28 @@
 		expect(evacuatedZones).toEqual(['b']);
 		expect(ignoredKeys).toEqual(['evacuate/x', 'evacuate/']);
 	});
+
+	it('leaves leaders of zones in place after hand-overs of the workers of single zones, until a whole list is read', async () => {
+		const {follower} = followerFixture(storeFixture());
+		const scope = new ScopeBySize();
+		const update = (time: number) =>
+			scope.update(
+				{
+					count: follower.directory.entries(time).length,
+					ageMs: follower.workersAgeMs(time),
+				},
+				undefined,
+				time,
+			);
+		for (let worker = 0; worker < 62; worker += 1) {
+			const time = now + 50 * worker;
+			follower.directory.addUnlisted(workerFixture(`w${worker}`), time);
+			expect(update(time)).toBe('zone');
+		}
+
+		expect(follower.directory.unlistedCount).toBe(62);
+		expect(follower.workersAgeMs(now)).toBe(Number.POSITIVE_INFINITY);
+		await readOnce(follower, true);
+		expect(follower.workersAgeMs(now)).toBe(0);
+	});
 });
