Let only a whole list of recent age make the scope region

Callers saw two runs of one task when a leader of the region led beside leaders of zones. A process that had been handed the workers of one zone, or had read the list while workers registered and no longer refreshed it, took their number for that of the installation.

Change: few workers count only in a list that was read whole at most 2 s ago, here or by the peer that sent it; many count in any list. Ruled out: leaving handed-over workers out of the number, as a kept entry may be a live worker.

--- a/packages/core/src/pool-scope.ts
+++ b/packages/core/src/pool-scope.ts
@@ -11,6 +11,11 @@
 	 * register again in about two seconds.
 	 */
 	readonly settleMs: number;
+	/**
+	 * Age from which a list does not show that there are few workers. A leader reads the list several times a second, or gets it
+	 * from a peer that does.
+	 */
+	readonly maxListAgeMs: number;
 };
 
 /** What an entry VM knows of the workers of the installation. */
@@ -29,6 +34,7 @@
 	maxRegionalWorkers: 80,
 	minZonalWorkers: 120,
 	settleMs: 2500,
+	maxListAgeMs: 2000,
 };
 
 /**
@@ -52,21 +58,24 @@
 	 * that another entry VM which leads at present has decided on, if any: a process that starts anew follows it.
 	 */
 	update(
-		{count: workerCount}: WorkerListView,
+		{count, ageMs}: WorkerListView,
 		leaderScope: PoolScope | undefined,
 		now: number,
 	): PoolScope {
-		const {maxRegionalWorkers, minZonalWorkers, settleMs} = this.#settings;
+		const {maxRegionalWorkers, minZonalWorkers, settleMs, maxListAgeMs} =
+			this.#settings;
 		if (!this.#isDecided) {
 			this.#scope = leaderScope ?? this.#scope;
 		}
 
-		if (workerCount >= minZonalWorkers) {
+		// A partial list can show that there are many workers, but not that there are few.
+		if (count >= minZonalWorkers) {
 			this.#scope = 'zone';
 			this.#isDecided = true;
 		}
 
-		const isSmall = workerCount > 0 && workerCount <= maxRegionalWorkers;
+		const isSmall =
+			count > 0 && count <= maxRegionalWorkers && ageMs <= maxListAgeMs;
 		this.#smallSinceMs = isSmall ? (this.#smallSinceMs ?? now) : undefined;
 		if (
 			this.#smallSinceMs !== undefined &&
