Do not merge leaders while the number of listed workers grows

A process that reads the list while the workers of a large installation register one after the other, for longer than 2.5 s, took them for a small installation and led the region until the rest had registered.

Change: the 2.5 s begin anew when more workers are listed than ever since their start. A worker that leaves and returns does not delay the merge. Ruled out: a longer time for all, which would delay the merge of each small installation.

--- a/packages/core/src/pool-scope.ts
+++ b/packages/core/src/pool-scope.ts
@@ -7,8 +7,8 @@
 	/** Number of workers from which each zone has its own leader; well above the other bound, so that the scope does not alternate. */
 	readonly minZonalWorkers: number;
 	/**
-	 * Time for which few workers must have been listed before one leader leads them all. Workers whose entries were lost
-	 * register again in about two seconds.
+	 * Time for which few workers, and no more than at its start, must have been listed before one leader leads them all.
+	 * Workers whose entries were lost register again in about two seconds.
 	 */
 	readonly settleMs: number;
 	/**
@@ -48,6 +48,8 @@
 	#isDecided = false;
 	/** Time since which few enough workers for one leader have been listed; `undefined` while there are more or none. */
 	#smallSinceMs: number | undefined;
+	/** Largest number of workers that has been listed since then. */
+	#largestCount = 0;
 
 	constructor(settings: ScopeSettings = defaultScopeSettings) {
 		this.#settings = settings;
@@ -76,7 +78,13 @@
 
 		const isSmall =
 			count > 0 && count <= maxRegionalWorkers && ageMs <= maxListAgeMs;
-		this.#smallSinceMs = isSmall ? (this.#smallSinceMs ?? now) : undefined;
+		if (!isSmall) {
+			this.#smallSinceMs = undefined;
+		} else if (this.#smallSinceMs === undefined || count > this.#largestCount) {
+			this.#smallSinceMs = now;
+			this.#largestCount = count;
+		}
+
 		if (
 			this.#smallSinceMs !== undefined &&
 			now - this.#smallSinceMs >= settleMs
