Keep leaders of zones while a store has lost records

The records of workers may be deleted at any time, and a store may show old ones. An installation led by zones merged once few workers had been listed for 2.5 s, each process by its own reading, so that a leader of the region led beside leaders of zones.

Change: once 120 workers have been listed, 30 s of few workers in recent whole lists are needed. An installation that has shrunk still merges. Ruled out: never merging, since a process started later would lead the region beside the leaders of zones for good. The settings in a test that names all of them got the new time; what it checks is the same.

--- a/packages/core/src/pool-scope.ts
+++ b/packages/core/src/pool-scope.ts
@@ -11,6 +11,11 @@
 	 * Workers whose entries were lost register again in about two seconds.
 	 */
 	readonly settleMs: number;
+	/**
+	 * The same after many workers have been listed: leaders of zones have jobs that a leader of the region does not know, so
+	 * that a store which has lost records or shows old ones must not make a running installation merge.
+	 */
+	readonly resettleMs: number;
 	/**
 	 * Age from which a list does not show that there are few workers. A leader reads the list several times a second, or gets it
 	 * from a peer that does.
@@ -34,6 +39,7 @@
 	maxRegionalWorkers: 80,
 	minZonalWorkers: 120,
 	settleMs: 2500,
+	resettleMs: 30_000,
 	maxListAgeMs: 2000,
 };
 
@@ -64,8 +70,7 @@
 		leaderScope: PoolScope | undefined,
 		now: number,
 	): PoolScope {
-		const {maxRegionalWorkers, minZonalWorkers, settleMs, maxListAgeMs} =
-			this.#settings;
+		const {maxRegionalWorkers, minZonalWorkers, maxListAgeMs} = this.#settings;
 		if (!this.#isDecided) {
 			this.#scope = leaderScope ?? this.#scope;
 		}
@@ -87,7 +92,7 @@
 
 		if (
 			this.#smallSinceMs !== undefined &&
-			now - this.#smallSinceMs >= settleMs
+			now - this.#smallSinceMs >= this.#requiredSettleMs
 		) {
 			this.#scope = 'region';
 			this.#isDecided = true;
@@ -95,4 +100,10 @@
 
 		return this.#scope;
 	}
+
+	/** Time for which few workers must be listed before the scope is `region`. */
+	get #requiredSettleMs(): number {
+		const {settleMs, resettleMs} = this.#settings;
+		return this.#isDecided && this.#scope === 'zone' ? resettleMs : settleMs;
+	}
 }
--- a/packages/core/src/tests/pool-scope.test.ts
+++ b/packages/core/src/tests/pool-scope.test.ts
@@ -68,6 +68,7 @@
 			maxRegionalWorkers: 2,
 			minZonalWorkers: 4,
 			settleMs: 100,
+			resettleMs: 1000,
 			maxListAgeMs: 0,
 		});
 		expect(updateUntil(scope, 2, 0, 100)).toBe('region');
