Follow the live leader's scope unless many workers are known here

A process that listed few workers decided for one leader of the region although its zone's live leader, which reads the list, led its zone only, and a process that had once decided no longer followed a leader of the region after its installation had shrunk. Jobs are sent by the receiver's scope, so that they went to a leader of one zone for all zones.

Evidence: two tests failed before ('region' instead of 'zone', and the reverse) and pass now. The second one, added with this fault, expected at first that a leader of the region is followed also while 245 workers are in an old list here. That would let one mistaken leader take the candidates that know better with it; the test now demands 'zone' there, and 'region' after the shorter list has arrived.

--- a/packages/core/src/pool-scope.ts
+++ b/packages/core/src/pool-scope.ts
@@ -63,7 +63,8 @@
 
 	/**
 	 * Returns the scope for the workers that are listed now. `leaderScope` is the scope
-	 * that another entry VM which leads at present has decided on, if any: a process that starts anew follows it.
+	 * of the live leader of this entry VM's zone, if that is another one. It is followed unless many workers are known here,
+	 * since the leader reads the list, and jobs are sent to it by the scope.
 	 */
 	update(
 		{count, ageMs}: WorkerListView,
@@ -71,14 +72,14 @@
 		now: number,
 	): PoolScope {
 		const {maxRegionalWorkers, minZonalWorkers, maxListAgeMs} = this.#settings;
-		if (!this.#isDecided) {
-			this.#scope = leaderScope ?? this.#scope;
-		}
-
 		// A partial list can show that there are many workers, but not that there are few.
 		if (count >= minZonalWorkers) {
 			this.#scope = 'zone';
 			this.#isDecided = true;
+		} else if (leaderScope !== undefined) {
+			this.#scope = leaderScope;
+			this.#smallSinceMs = undefined;
+			return this.#scope;
 		}
 
 		const isSmall =
--- a/packages/core/src/tests/pool-scope.test.ts
+++ b/packages/core/src/tests/pool-scope.test.ts
@@ -115,9 +115,10 @@
 		}
 	});
 
-	it('follows a leader of the region that knows of fewer workers than the last list here', () => {
+	it('follows a leader of the region after an installation has shrunk, but not while many workers are known here', () => {
 		const scope = new ScopeBySize();
 		expect(scope.update(list(245), undefined, 0)).toBe('zone');
-		expect(scope.update(list(245, 40_000), 'region', 40_000)).toBe('region');
+		expect(scope.update(list(245, 40_000), 'region', 40_000)).toBe('zone');
+		expect(scope.update(list(60, 40_000), 'region', 40_100)).toBe('region');
 	});
 });
