--- a/packages/core/src/pool-scope.ts
+++ b/packages/core/src/pool-scope.ts
@@ -7,10 +7,31 @@
 	/** Number of workers from which each zone has its own leader; well above the other bound, so that the scope does not alternate. */
 	readonly minZonalWorkers: number;
 	/**
-	 * Time for which few workers must have been listed before one leader leads them all. Workers whose entries were lost
-	 * register again in about two seconds.
+	 * Time for which few workers, and no more than at its start, must have been listed before one leader leads them all.
+	 * Workers whose entries were lost register again in about two seconds.
 	 */
 	readonly settleMs: number;
+	/**
+	 * The same after many workers have been listed: leaders of zones have jobs that a leader of the region does not know, so
+	 * that a store which has lost records or shows old ones must not make a running installation merge.
+	 */
+	readonly resettleMs: number;
+	/**
+	 * Age from which a list does not show that there are few workers. A leader reads the list several times a second, or gets it
+	 * from a peer that does.
+	 */
+	readonly maxListAgeMs: number;
+};
+
+/** What an entry VM knows of the workers of the installation. */
+export type WorkerListView = {
+	/** Number of workers that may be alive, those included that were handed over and that the list lacks; 0 without any. */
+	readonly count: number;
+	/**
+	 * Milliseconds since the whole list was read, here or by the peer that sent it; infinite if there is no whole list, as
+	 * in a process that has only been handed the workers of a zone.
+	 */
+	readonly ageMs: number;
 };
 
 /** Default settings: one leader leads no more workers than a zone has in a deployment of 245 workers in 3 zones. */
@@ -18,6 +39,8 @@
 	maxRegionalWorkers: 80,
 	minZonalWorkers: 120,
 	settleMs: 2500,
+	resettleMs: 30_000,
+	maxListAgeMs: 2000,
 };
 
 /**
@@ -31,35 +54,46 @@
 	#isDecided = false;
 	/** Time since which few enough workers for one leader have been listed; `undefined` while there are more or none. */
 	#smallSinceMs: number | undefined;
+	/** Largest number of workers that has been listed since then. */
+	#largestCount = 0;
 
 	constructor(settings: ScopeSettings = defaultScopeSettings) {
 		this.#settings = settings;
 	}
 
 	/**
-	 * Returns the scope for the number of workers that are listed now; 0 if no list is known. `leaderScope` is the scope
-	 * that another entry VM which leads at present has decided on, if any: a process that starts anew follows it.
+	 * Returns the scope for the workers that are listed now. `leaderScope` is the scope
+	 * of the live leader of this entry VM's zone, if that is another one. It is followed unless many workers are known here,
+	 * since the leader reads the list, and jobs are sent to it by the scope.
 	 */
 	update(
-		workerCount: number,
+		{count, ageMs}: WorkerListView,
 		leaderScope: PoolScope | undefined,
 		now: number,
 	): PoolScope {
-		const {maxRegionalWorkers, minZonalWorkers, settleMs} = this.#settings;
-		if (!this.#isDecided) {
-			this.#scope = leaderScope ?? this.#scope;
-		}
-
-		if (workerCount >= minZonalWorkers) {
+		const {maxRegionalWorkers, minZonalWorkers, maxListAgeMs} = this.#settings;
+		// A partial list can show that there are many workers, but not that there are few.
+		if (count >= minZonalWorkers) {
 			this.#scope = 'zone';
 			this.#isDecided = true;
+		} else if (leaderScope !== undefined) {
+			this.#scope = leaderScope;
+			this.#smallSinceMs = undefined;
+			return this.#scope;
+		}
+
+		const isSmall =
+			count > 0 && count <= maxRegionalWorkers && ageMs <= maxListAgeMs;
+		if (!isSmall) {
+			this.#smallSinceMs = undefined;
+		} else if (this.#smallSinceMs === undefined || count > this.#largestCount) {
+			this.#smallSinceMs = now;
+			this.#largestCount = count;
 		}
 
-		const isSmall = workerCount > 0 && workerCount <= maxRegionalWorkers;
-		this.#smallSinceMs = isSmall ? (this.#smallSinceMs ?? now) : undefined;
 		if (
 			this.#smallSinceMs !== undefined &&
-			now - this.#smallSinceMs >= settleMs
+			now - this.#smallSinceMs >= this.#requiredSettleMs
 		) {
 			this.#scope = 'region';
 			this.#isDecided = true;
@@ -67,4 +101,10 @@
 
 		return this.#scope;
 	}
+
+	/** Time for which few workers must be listed before the scope is `region`. */
+	get #requiredSettleMs(): number {
+		const {settleMs, resettleMs} = this.#settings;
+		return this.#isDecided && this.#scope === 'zone' ? resettleMs : settleMs;
+	}
 }
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -29,6 +29,7 @@
 import {droppedLines} from '../logger.js';
 import {type MetricSample} from '../metrics.js';
 import {OverlayNode, type NodeState} from '../overlay/overlay-node.js';
+import {DecisionCounts} from './decision-counts.js';
 import {JobReceiver, type ReceiverMessage} from './job-receiver.js';
 import {
 	KnowledgeExchange,
@@ -87,6 +88,7 @@
 	readonly #jobReceiver: JobReceiver;
 	readonly #evacuations: ZoneEvacuations;
 	readonly #queueShares = new QueueShares();
+	readonly #decisionCounts = new DecisionCounts();
 	readonly #scheduler: PoolScheduler;
 	readonly #overlayNode: OverlayNode;
 	readonly #workerClient: WorkerClient;
@@ -203,8 +205,13 @@
 						'fenced',
 					);
 				},
-				logDecision(decision) {
+				logDecision: (decision) => {
 					log.write(decision);
+					this.#decisionCounts.recordDecision(decision, (receiver) =>
+						receiver === settings.name
+							? settings.zone
+							: this.#leadership.findZone(receiver),
+					);
 				},
 			},
 			estimates: new LearnedTimeEstimator(),
@@ -320,7 +327,14 @@
 			jobsReceivedWaiting: this.#jobReceiver.size,
 			jobsScheduled: this.#scheduler.jobCount,
 			zonesLed: this.#leadership.ledZones.size,
+			ledToken: Math.max(0, ...this.#leadership.ledZones.values()),
+			isScopeRegion: Number(this.#scope === 'region'),
 			workersLed: this.#scheduler.pool.workers.length,
+			workersListed: this.#workerEntries.length,
+			workersUnlisted: this.#storeFollower.directory.unlistedCount,
+			hasWholeWorkerList: Number(
+				Number.isFinite(this.#storeFollower.workersAgeMs(this.#now())),
+			),
 			peersHeard: this.#leadership.livePeers(this.#now()).length,
 			entryVmsKnown: this.#overlayNode.sizes.members,
 			peerConnections: this.#overlayNode.sizes.connections,
@@ -336,8 +350,14 @@
 
 	/** Present values of the counters of messages between entry VMs. */
 	get counters(): readonly MetricSample[] {
-		const {counts, closedLinks} = this.#overlayNode.traffic;
+		const {counts, closedLinks, unsentCounts} = this.#overlayNode.traffic;
 		return [
+			...this.#decisionCounts.samples,
+			...[...unsentCounts].map(([type, value]) => ({
+				name: 'peer_messages_unsent_total',
+				labels: {type},
+				value,
+			})),
 			...counts.flatMap(({type, direction, messages, bytes, tookMs}) => [
 				{
 					name: 'peer_messages_total',
@@ -461,15 +481,20 @@
 				attempt: `${this.#incarnation}/${this.#attemptCount}`,
 			};
 			const now = this.#now();
+			const isNew = !this.#jobReceiver.has(job.id);
 			this.#log.write({
 				event: 'received',
 				id: job.id,
 				queue: job.queue,
 				tasks: job.tasks.length,
 				patienceMs: job.patienceMs,
-				isNew: !this.#jobReceiver.has(job.id),
+				isNew,
 				leader: this.#leader ?? 'none',
 			});
+			if (!isNew) {
+				this.#decisionCounts.recordCopy('receiver');
+			}
+
 			this.#jobReceiver.receive(
 				job,
 				(answer) => {
@@ -678,7 +703,10 @@
 			.livePeers(now)
 			.find(({name}) => name === this.#leader)?.scope;
 		const scope = this.#scopeBySize.update(
-			this.#workerEntries.length,
+			{
+				count: this.#workerEntries.length,
+				ageMs: this.#storeFollower.workersAgeMs(now),
+			},
 			leaderScope,
 			now,
 		);
@@ -719,6 +747,7 @@
 		const now = this.#now();
 		for (const change of changes) {
 			this.#log.write({event: 'leadership', ...change, cause});
+			this.#decisionCounts.recordLeadership(change, cause);
 			const newLeader =
 				this.#leadership.successors.get(change.zone) ??
 				this.#leadership.findLeader(change.zone, now)?.name;
@@ -900,6 +929,7 @@
 
 			case 'cancel': {
 				if (message.reason === 'moved') {
+					this.#decisionCounts.recordRelease('received');
 					this.#scheduler.release(message.id, from, now);
 					break;
 				}
@@ -1179,6 +1209,10 @@
 		message: ReceiverMessage,
 		now: number,
 	): boolean {
+		if (message.type === 'cancel' && message.reason === 'moved') {
+			this.#decisionCounts.recordRelease('sent');
+		}
+
 		if (leader !== this.#settings.name) {
 			return this.#overlayNode.send(leader, message);
 		}
