Add failing tests of jobs that are given up without telling all leaders

What callers see: a request that was answered 502 or 504 is sent again after 1.3 s, while a leader starts the first one or goes on with it.

Cause: a job that is answered without a result is cancelled at the leader that it was last sent to, at none when it waits too long, and never at the others that may have it.

--- a/packages/verbenarouter/src/tests/job-receiver.test.ts
+++ b/packages/verbenarouter/src/tests/job-receiver.test.ts
@@ -107,6 +107,17 @@
 		);
 	}
 
+	/** Gives the own zone another leader, or none. */
+	changeLeader(name: string | undefined, now: number): void {
+		if (name === undefined) {
+			this.leaders.delete('a');
+		} else {
+			this.leaders.set('a', {name, token: now});
+		}
+
+		this.receiver.handleOwnLeaderChange(now);
+	}
+
 	/** Returns the submissions since the last call. */
 	takeSubmissions(): ReadonlyArray<
 		{readonly to: string} & ReceiverMessage & {readonly type: 'submit'}
@@ -211,3 +222,64 @@
 		expect(addressees(fixture.takeSubmissions())).toEqual(['leader-a']);
 	});
 });
+
+describe('a receiver that gives a job up', () => {
+	// The leaders would start the job, or go on, after its caller was told that it has no result.
+	it.each([
+		['no next leader is known in time', 1000, 'leader-lost'],
+		['no answer comes in time', 3000, 'deadline-exceeded'],
+	])('tells each leader that may have it when %s', (_case, afterMs, reason) => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.changeLeader('leader-a2', startMs + 10);
+		if (reason === 'leader-lost') {
+			fixture.changeLeader(undefined, startMs + 20);
+		}
+
+		fixture.takeCancellations();
+		fixture.receiver.answerExpiredJobs(startMs + afterMs);
+		expect(fixture.answers).toEqual([{kind: 'may-have-run', reason}]);
+		expect(fixture.takeCancellations()).toEqual([
+			'leader-a caller-left',
+			'leader-a2 caller-left',
+		]);
+	});
+
+	it('tells the other leaders that may have it when a refusal is not certain', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.changeLeader('leader-a2', startMs + 10);
+		fixture.changeLeader('leader-a', startMs + 20);
+		fixture.takeCancellations();
+		fixture.receiver.receiveAnswer('leader-a', 'j1', refusal, startMs + 30);
+		expect(fixture.answers).toEqual([
+			{kind: 'may-have-run', reason: 'leader-lost'},
+		]);
+		expect(fixture.takeCancellations()).toEqual(['leader-a2 caller-left']);
+	});
+
+	it.each([
+		[
+			'it stops',
+			(receiver: JobReceiver) => {
+				receiver.answerRemainingJobs(startMs + 20);
+			},
+		],
+		[
+			'the caller leaves',
+			(receiver: JobReceiver) => {
+				receiver.handleCallerDisconnect('j1', false, startMs + 20);
+			},
+		],
+	])('tells each leader that may have it when %s', (_case, giveUp) => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.changeLeader('leader-a2', startMs + 10);
+		fixture.takeCancellations();
+		giveUp(fixture.receiver);
+		expect(fixture.takeCancellations()).toEqual([
+			'leader-a caller-left',
+			'leader-a2 caller-left',
+		]);
+	});
+});
