Tell all leaders that may have a job when its callers get no result

JobReceiver now cancels a job at every leader that may have it whenever callers get their answer or have left, except at the leader whose answer it is: after the waits for a leader and for an answer, after a refusal that is not certain, and at the end of a stop. The leaders stop its runs and start none; a message for a job that another receiver has submitted since is ignored by them, as before.

Ruled out: cancelling at the last leader only, since an earlier one may have lost the message that the job was moved.

Tests: 5 tests of 'a receiver that gives a job up' failed before and pass, with the 5 others of job-receiver.test.ts.

--- a/packages/verbenarouter/src/pool/job-receiver.ts
+++ b/packages/verbenarouter/src/pool/job-receiver.ts
@@ -121,24 +121,13 @@
 		}
 
 		this.#pendingJobs.remove(id);
-		if (pending.sentTo !== undefined) {
-			this.#cancelAtLeader(pending.sentTo, id, now);
-		}
+		this.#cancelAtLeaders(pending, undefined, now);
 	}
 
 	/** Answers all remaining jobs at the end of a stop; an answer informs callers better than a broken connection. */
 	answerRemainingJobs(now: number): void {
-		for (const {job, sentTo} of this.#pendingJobs.all) {
-			if (sentTo !== undefined) {
-				this.#cancelAtLeader(sentTo, job.id, now);
-			}
-
-			this.#pendingJobs.answer(
-				job.id,
-				sentTo === undefined
-					? {kind: 'not-run', reason: 'not-ready', retryAfterMs: retryMs}
-					: {kind: 'may-have-run', reason: 'stopping'},
-			);
+		for (const pending of this.#pendingJobs.all) {
+			this.#giveUp(pending, 'stopping', now);
 		}
 	}
 
@@ -154,17 +143,14 @@
 				withoutLeaderSinceMs !== undefined &&
 				now - withoutLeaderSinceMs > maxDelayMs
 			) {
-				this.#pendingJobs.answer(
-					job.id,
-					sentTo === undefined
-						? {kind: 'not-run', reason: 'not-ready', retryAfterMs: retryMs}
-						: {kind: 'may-have-run', reason: 'leader-lost'},
-				);
+				this.#giveUp(pending, 'leader-lost', now);
 			} else if (now - receivedAtMs > job.patienceMs + retryMs) {
-				this.#pendingJobs.answer(job.id, {
-					kind: 'may-have-run',
-					reason: 'deadline-exceeded',
-				});
+				this.#answer(
+					pending,
+					{kind: 'may-have-run', reason: 'deadline-exceeded'},
+					undefined,
+					now,
+				);
 			}
 		}
 	}
@@ -241,7 +227,7 @@
 		}
 	}
 
-	/** Passes a leader's answer on to the callers, and cancels the job at another leader that has it now. */
+	/** Passes a leader's answer on to the callers, and cancels the job at the other leaders that may have it. */
 	receiveAnswer(
 		leader: string,
 		id: string,
@@ -249,7 +235,6 @@
 		now: number,
 	): void {
 		const pending = this.#pendingJobs.get(id);
-		const sentTo = pending?.sentTo;
 		const acceptedAnswer = this.#pendingJobs.filterAnswer(id, leader, answer);
 		if (
 			pending === undefined ||
@@ -259,10 +244,7 @@
 			return;
 		}
 
-		this.#pendingJobs.answer(id, acceptedAnswer);
-		if (sentTo !== undefined && sentTo !== leader) {
-			this.#cancelAtLeader(sentTo, id, now);
-		}
+		this.#answer(pending, acceptedAnswer, leader, now);
 	}
 
 	/** Returns the leader that gets a job: that of the zone that it overflows to, or of this entry VM's zone. */
@@ -392,12 +374,50 @@
 		return isRedirected;
 	}
 
-	/** Cancels a job at a leader because no caller waits for it any more. */
-	#cancelAtLeader(leader: string, id: string, now: number): void {
-		this.#options.send(
-			leader,
-			{type: 'cancel', id, reason: 'caller-left'},
+	/** Answers a job without a result: that no leader has had it, or that it may have run. */
+	#giveUp(
+		pending: PendingJob,
+		reason: 'leader-lost' | 'stopping',
+		now: number,
+	): void {
+		this.#answer(
+			pending,
+			pending.sentTo === undefined
+				? {kind: 'not-run', reason: 'not-ready', retryAfterMs: retryMs}
+				: {kind: 'may-have-run', reason},
+			undefined,
 			now,
 		);
 	}
+
+	/** Gives callers the answer of a job, and cancels it at all leaders that may have it, except the one that has answered. */
+	#answer(
+		pending: PendingJob,
+		answer: PoolAnswer,
+		answeredBy: string | undefined,
+		now: number,
+	): void {
+		this.#pendingJobs.answer(pending.job.id, answer);
+		this.#cancelAtLeaders(pending, answeredBy, now);
+	}
+
+	/**
+	 * Cancels a job at all leaders that may have it, because no caller waits for it any more. Callers may submit it again to
+	 * another entry VM.
+	 */
+	#cancelAtLeaders(
+		{job: {id}, leaders}: PendingJob,
+		answeredBy: string | undefined,
+		now: number,
+	): void {
+		for (const leader of leaders) {
+			if (leader !== answeredBy) {
+				this.#options.send(
+					leader,
+					{type: 'cancel', id, reason: 'caller-left'},
+					now,
+				);
+			}
+		}
+	}
 }
