Add failing tests of lost messages about jobs that were given up

What callers see: a job that its receiver has moved, or whose caller has left, is started or goes on at its former leader beside the next one.

Cause: moved and caller-left are sent once. They are dropped if no stream to the leader is open, and lost with a stream that breaks. The leader marks the receiver's jobs only if the newest stream of the receiver ends: if the receiver has replaced a silent stream and the leader reads the new one first, it never hears of the loss, and the receiver submits only what it still waits for.

--- a/packages/verbenarouter/src/tests/job-receiver.test.ts
+++ b/packages/verbenarouter/src/tests/job-receiver.test.ts
@@ -283,3 +283,44 @@
 		]);
 	});
 });
+
+describe('a message about a job that was given up', () => {
+	// A former leader that does not get it goes on with the job beside the next one.
+	it('is sent once the stream to the leader opens, if there was none', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.unreachable.add('leader-a');
+		fixture.changeLeader('leader-a2', startMs + 10);
+		expect(fixture.takeCancellations()).toEqual([]);
+		fixture.unreachable.delete('leader-a');
+		fixture.receiver.handleOpen('leader-a', startMs + 300);
+		expect(fixture.takeCancellations()).toEqual(['leader-a moved']);
+	});
+
+	it('is sent again when a stream opens anew, as it may be lost with the one before', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.receiver.handleCallerDisconnect('j1', false, startMs + 10);
+		expect(fixture.takeCancellations()).toEqual(['leader-a caller-left']);
+		fixture.receiver.handleOpen('leader-b', startMs + 300);
+		expect(fixture.takeCancellations()).toEqual([]);
+		fixture.receiver.handleOpen('leader-a', startMs + 300);
+		expect(fixture.takeCancellations()).toEqual(['leader-a caller-left']);
+	});
+
+	it('is not sent after the leader has got the job again, or when no run of it can be left', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.changeLeader('leader-a2', startMs + 10);
+		fixture.changeLeader('leader-a', startMs + 20);
+		fixture.takeCancellations();
+		fixture.receiver.handleOpen('leader-a', startMs + 300);
+		expect(fixture.takeCancellations()).toEqual([]);
+		fixture.receiver.handleOpen('leader-a2', startMs + 300);
+		expect(fixture.takeCancellations()).toEqual(['leader-a2 moved']);
+		fixture.receiver.answerExpiredJobs(startMs + 60_000);
+		fixture.takeCancellations();
+		fixture.receiver.handleOpen('leader-a2', startMs + 120_000);
+		expect(fixture.takeCancellations()).toEqual([]);
+	});
+});
