Repeat messages about given-up jobs when a stream to their leader opens

GivenUpJobs keeps which jobs were moved or left by their callers, for each leader that had them, until the time at which the leader gives the job up by itself, since its caller has stopped waiting. They are sent whenever a stream to the leader opens, before the jobs that it has. A job that the leader gets again is taken off.

Ruled out: holding the messages in PoolLink while a stream is opening, which covers 0.5 s and not those that were written to a stream that breaks; reconciling a list of the receiver's jobs, which is a new message of every job for each stream.

--- a/packages/verbenarouter/src/pool/job-receiver.ts
+++ b/packages/verbenarouter/src/pool/job-receiver.ts
@@ -8,6 +8,7 @@
 } from '@verbenarouter/core';
 import {type PoolMessage} from '@verbenarouter/peer';
 import {type LogFields} from '../logger.js';
+import {GivenUpJobs, type GiveUpReason} from './given-up-jobs.js';
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {
 	ZoneRouter,
@@ -62,6 +63,7 @@
 export class JobReceiver {
 	readonly #options: JobReceiverOptions;
 	readonly #pendingJobs = new PendingJobs();
+	readonly #givenUpJobs = new GivenUpJobs();
 	readonly #zoneRouter: ZoneRouter;
 
 	constructor(options: JobReceiverOptions) {
@@ -133,6 +135,7 @@
 
 	/** Answers the jobs that have waited too long for a leader or for their answer. */
 	answerExpiredJobs(now: number): void {
+		this.#givenUpJobs.evict(now);
 		for (const pending of this.#pendingJobs.all) {
 			const {job, sentTo, withoutLeaderSinceMs, receivedAtMs} = pending;
 			const maxDelayMs = Math.min(
@@ -172,8 +175,15 @@
 		);
 	}
 
-	/** Submits the jobs of an entry VM again to which a stream has opened: messages on an earlier stream may be lost. */
+	/**
+	 * Sends to an entry VM to which a stream has opened what may be lost with an earlier stream: which jobs it is to give up,
+	 * and the jobs that it has.
+	 */
 	handleOpen(name: string, now: number): void {
+		for (const {id, reason} of this.#givenUpJobs.ofLeader(name, now)) {
+			this.#options.send(name, {type: 'cancel', id, reason}, now);
+		}
+
 		this.#resubmit(
 			(pending) =>
 				this.#findLeaderFor(pending, now) === name ||
@@ -272,7 +282,7 @@
 		}
 
 		if (pending.sentTo !== undefined && pending.sentTo !== leader) {
-			this.#releaseAtLeader(pending.sentTo, pending.job.id, now);
+			this.#giveUpAtLeader(pending.sentTo, pending, 'moved', now);
 		}
 
 		const {earlierToken} = pending;
@@ -303,6 +313,7 @@
 						patienceMs: Math.min(pending.job.patienceMs, maxOverflowPatienceMs),
 					}),
 		};
+		this.#givenUpJobs.remove(leader, job.id);
 		this.#options.send(leader, {type: 'submit', job, isResubmitted}, now);
 	}
 
@@ -349,9 +360,18 @@
 		return leader === this.#options.name || this.#options.isOpen(leader);
 	}
 
-	/** Has a leader give up a job that is submitted to another one now; two leaders would otherwise wait and then start it. */
-	#releaseAtLeader(leader: string, id: string, now: number): void {
-		this.#options.send(leader, {type: 'cancel', id, reason: 'moved'}, now);
+	/**
+	 * Has a leader give up a job that no caller waits for, or that is submitted to another leader: both would otherwise wait
+	 * and then start it.
+	 */
+	#giveUpAtLeader(
+		leader: string,
+		{job: {id, patienceMs}, receivedAtMs}: PendingJob,
+		reason: GiveUpReason,
+		now: number,
+	): void {
+		this.#givenUpJobs.add(leader, id, reason, receivedAtMs + patienceMs);
+		this.#options.send(leader, {type: 'cancel', id, reason}, now);
 	}
 
 	/** Submits a job that its leader has refused to the leader of another zone, if one can run it; returns whether it did. */
@@ -406,17 +426,13 @@
 	 * another entry VM.
 	 */
 	#cancelAtLeaders(
-		{job: {id}, leaders}: PendingJob,
+		pending: PendingJob,
 		answeredBy: string | undefined,
 		now: number,
 	): void {
-		for (const leader of leaders) {
+		for (const leader of pending.leaders) {
 			if (leader !== answeredBy) {
-				this.#options.send(
-					leader,
-					{type: 'cancel', id, reason: 'caller-left'},
-					now,
-				);
+				this.#giveUpAtLeader(leader, pending, 'caller-left', now);
 			}
 		}
 	}
