Add the messages caller-lost and caller-returned, and failing tests of them

What callers see: after a broken connection a request is sent again at an entry VM of another zone, which starts it beside the runs of the first one.

Cause: a receiver whose caller's connection breaks keeps the job for the copy and tells no leader, so that no leader can announce the job to other zones or end it in time.

This commit declares the messages; nothing sends or uses them yet, and entry VMs of the last build ignore them.

--- a/packages/peer/src/pool-message.ts
+++ b/packages/peer/src/pool-message.ts
@@ -82,6 +82,13 @@
 			/** Identifies the reply; absent if no reply is expected. */
 			readonly question?: number;
 	  }
+	/**
+	 * Tells a leader that the connection of the only caller of a job broke, and that the caller may submit the job to any entry
+	 * VM. Entry VMs of the last build ignore it.
+	 */
+	| {readonly type: 'caller-lost'; readonly id: string}
+	/** Tells a leader that such a caller has submitted the job to the sender again. */
+	| {readonly type: 'caller-returned'; readonly id: string}
 	| {
 			readonly type: 'ask';
 			/** Identifies the reply. */
--- a/packages/peer/src/pool-traffic.ts
+++ b/packages/peer/src/pool-traffic.ts
@@ -27,6 +27,8 @@
 	untouched: true,
 	'lost-runs': true,
 	cancel: true,
+	'caller-lost': true,
+	'caller-returned': true,
 	ask: true,
 	reply: true,
 	knowledge: true,
--- a/packages/verbenarouter/src/pool/job-receiver.ts
+++ b/packages/verbenarouter/src/pool/job-receiver.ts
@@ -27,7 +27,7 @@
 /** A message from the receiver of a job to a leader. */
 export type ReceiverMessage = Extract<
 	PoolMessage,
-	{readonly type: 'submit' | 'cancel'}
+	{readonly type: 'submit' | 'cancel' | 'caller-lost' | 'caller-returned'}
 >;
 
 /** What a receiver needs of its entry VM. */
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -909,6 +909,12 @@
 				break;
 			}
 
+			case 'caller-lost':
+			case 'caller-returned': {
+				// The scheduler does not depend on whether callers are connected.
+				break;
+			}
+
 			case 'ask': {
 				this.#overlayNode.send(from, {
 					type: 'reply',
@@ -1151,10 +1157,12 @@
 
 		if (message.type === 'submit') {
 			this.#scheduler.submit(message.job, leader, message.isResubmitted, now);
-		} else if (message.reason === 'moved') {
-			this.#scheduler.release(message.id, leader, now);
-		} else {
-			this.#scheduler.cancel(message.id, message.reason, leader, now);
+		} else if (message.type === 'cancel') {
+			if (message.reason === 'moved') {
+				this.#scheduler.release(message.id, leader, now);
+			} else {
+				this.#scheduler.cancel(message.id, message.reason, leader, now);
+			}
 		}
 
 		return true;
--- a/packages/verbenarouter/src/tests/job-receiver.test.ts
+++ b/packages/verbenarouter/src/tests/job-receiver.test.ts
@@ -134,6 +134,15 @@
 		);
 	}
 
+	/** Returns whom the messages about callers since the last call were sent to, with their types. */
+	takeCallerMessages(): readonly string[] {
+		return this.#take().flatMap(({to, message}) =>
+			message.type === 'caller-lost' || message.type === 'caller-returned'
+				? [`${to} ${message.type}`]
+				: [],
+		);
+	}
+
 	#take() {
 		const sent = this.#sent;
 		this.#sent = [];
@@ -324,3 +333,41 @@
 		expect(fixture.takeCancellations()).toEqual([]);
 	});
 });
+
+describe('a receiver whose caller has lost its connection', () => {
+	// The caller sends the job again after 1.3 s, maybe to an entry VM of another zone.
+	it('tells the leader that has the job, and each one that gets it after', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		expect(fixture.takeCallerMessages()).toEqual([]);
+		fixture.receiver.handleCallerDisconnect('j1', true, startMs + 10);
+		expect(fixture.takeCallerMessages()).toEqual(['leader-a caller-lost']);
+		fixture.changeLeader('leader-a2', startMs + 20);
+		expect(fixture.takeCallerMessages()).toEqual(['leader-a2 caller-lost']);
+		fixture.receiver.handleOpen('leader-a2', startMs + 30);
+		expect(fixture.takeCallerMessages()).toEqual(['leader-a2 caller-lost']);
+	});
+
+	it('tells all leaders that may have the job', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.changeLeader('leader-a2', startMs + 10);
+		fixture.receiver.handleCallerDisconnect('j1', true, startMs + 20);
+		expect(fixture.takeCallerMessages()).toEqual([
+			'leader-a caller-lost',
+			'leader-a2 caller-lost',
+		]);
+	});
+
+	it('tells the leader when the caller is back', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.receiver.handleCallerDisconnect('j1', true, startMs + 10);
+		fixture.takeCallerMessages();
+		fixture.receive('j1', startMs + 1310);
+		expect(fixture.takeCallerMessages()).toEqual(['leader-a caller-returned']);
+		fixture.receive('j1', startMs + 1320);
+		fixture.receiver.handleOpen('leader-a', startMs + 1330);
+		expect(fixture.takeCallerMessages()).toEqual([]);
+	});
+});
