Tell leaders when a job's caller has lost its connection, and when it is back

A receiver sends caller-lost to all leaders that may have the job once the connection of its caller breaks, and with each submission of the job after; caller-returned when the caller submits the job to the same receiver.

Tests: 3 tests of 'a receiver whose caller has lost its connection' failed before and pass, with the 13 others of job-receiver.test.ts.

--- a/packages/verbenarouter/src/pool/job-receiver.ts
+++ b/packages/verbenarouter/src/pool/job-receiver.ts
@@ -98,9 +98,12 @@
 		resolve: (answer: PoolAnswer) => void,
 		now: number,
 	): void {
+		const hadLostCaller = this.#pendingJobs.get(job.id)?.hasLostCaller ?? false;
 		const {pending, isNew} = this.#pendingJobs.add(job, resolve, now);
 		if (isNew) {
 			this.#sendToLeader(pending, now);
+		} else if (hadLostCaller) {
+			this.#sendCallerMessage('caller-returned', pending, now);
 		}
 	}
 
@@ -119,6 +122,7 @@
 			(pending.overflowZone === undefined || pending.resolvers.length > 1);
 		if (isContinued) {
 			pending.hasLostCaller = true;
+			this.#sendCallerMessage('caller-lost', pending, now);
 			return;
 		}
 
@@ -315,6 +319,20 @@
 		};
 		this.#givenUpJobs.remove(leader, job.id);
 		this.#options.send(leader, {type: 'submit', job, isResubmitted}, now);
+		if (pending.hasLostCaller) {
+			this.#options.send(leader, {type: 'caller-lost', id: job.id}, now);
+		}
+	}
+
+	/** Tells all leaders that may have a job that its caller may submit it to any entry VM, or that it has come back. */
+	#sendCallerMessage(
+		type: 'caller-lost' | 'caller-returned',
+		{job: {id}, leaders}: PendingJob,
+		now: number,
+	): void {
+		for (const leader of leaders) {
+			this.#options.send(leader, {type, id}, now);
+		}
 	}
 
 	/** Returns the zones in which a leader is to place a job; `undefined` for all zones. */
