Add failing tests of jobs that a leader lets go before its workers have reported

What callers see: after a new claim of a zone, a copy of a request starts in another zone beside the runs of its first one in this zone.

Cause: a leader whose workers have not all reported 0.25 s after its claim refuses jobs as not run. The receiver sends them to the leader of another zone, although a silent worker may run them for the leader before.

The field isUnsettled is declared, not set yet.

--- a/packages/core/src/pool-job.ts
+++ b/packages/core/src/pool-job.ts
@@ -73,6 +73,11 @@
 			readonly retryAfterMs?: number;
 			/** Whether the leader would have admitted the job without its `balancingWaitMs`; absent if not. */
 			readonly isBalanced?: boolean;
+			/**
+			 * Whether runs that an earlier leader has started may be at work on workers that have not reported to this one; absent
+			 * if not. The receiver gives the job to no other leader then.
+			 */
+			readonly isUnsettled?: boolean;
 	  }
 	/** A task may have started. No task will start from now on, and running tasks are stopped. */
 	| {readonly kind: 'may-have-run'; readonly reason: MayHaveRunReason};
--- a/packages/core/src/tests/two-leaders.test.ts
+++ b/packages/core/src/tests/two-leaders.test.ts
@@ -272,3 +272,43 @@
 		},
 	);
 });
+
+describe('a refusal of a leader that has no reports of some workers yet', () => {
+	/** A leader since `startMs` whose second worker has not reported, with a first one that is busy for `runMs`. */
+	function halfReportedFixture(runMs: number): SchedulerFixture {
+		const fixture = new SchedulerFixture();
+		fixture.scheduler.updateWorkers(
+			[workerFixture('w1'), workerFixture('w2')],
+			startMs,
+		);
+		fixture.scheduler.startLeadingZone('zone-a', 7, startMs);
+		fixture.receiveReport('w1', startMs + 10);
+		const busy = poolJobFixture('busy', 2, {runMs, patienceMs: 9000});
+		fixture.scheduler.submit(busy, 'r1', false, startMs + 400);
+		return fixture;
+	}
+
+	// Its receiver would send a copy of a job that is at work on the silent worker to another zone, which starts it at once.
+	it('tells the receiver that runs of the job may be at work, until their leases have ended', () => {
+		const fixture = halfReportedFixture(3000);
+		const job = poolJobFixture('early', 1, {zones: ['zone-a']});
+		fixture.scheduler.submit(job, 'r1', false, startMs + 410);
+		expect(fixture.answers).toMatchObject([
+			{id: 'early', answer: {kind: 'not-run', isUnsettled: true}},
+		]);
+		const late = poolJobFixture('late', 1, {zones: ['zone-a']});
+		fixture.scheduler.submit(late, 'r1', false, startMs + 2410);
+		expect(fixture.answers[1]).toMatchObject({
+			id: 'late',
+			answer: {kind: 'not-run'},
+		});
+		expect(fixture.answers[1]!.answer).not.toHaveProperty('isUnsettled');
+	});
+
+	it('does not follow from a wait that the receiver names', () => {
+		const fixture = halfReportedFixture(100);
+		const job = poolJobFixture('j1', 1, {balancingWaitMs: 0});
+		fixture.scheduler.submit(job, 'r1', false, startMs + 410);
+		expect(fixture.answers).toEqual([]);
+	});
+});
--- a/packages/verbenarouter/src/tests/job-receiver.test.ts
+++ b/packages/verbenarouter/src/tests/job-receiver.test.ts
@@ -185,6 +185,17 @@
 		expect(new Set(attempts).size).toBe(3);
 	});
 
+	// Runs of the job may be at work on workers that the own zone's leader has no reports of yet.
+	it('gives a job to no other leader after a refusal that leaves open whether the job runs', () => {
+		const fixture = new ReceiverFixture(longWait);
+		fixture.receive('j1');
+		fixture.takeSubmissions();
+		const answer: PoolAnswer = {...refusal, isUnsettled: true};
+		fixture.receiver.receiveAnswer('leader-a', 'j1', answer, startMs + 1);
+		expect(fixture.takeSubmissions()).toEqual([]);
+		expect(fixture.answers).toEqual([answer]);
+	});
+
 	it('gives a job back to its own leader as new if no zone has room any more', () => {
 		const rooms = {list: longWait.findRooms!()};
 		const fixture = new ReceiverFixture({
