Send no job to another zone while its own may run it on silent workers

A leader marks its not-run answers (isUnsettled) while runs of an earlier leader may be at work on workers of the job's zones that have not reported, 1.85 s after its claim at most, and lets no job go for its wait then. Receivers answer such a refusal to their callers instead of sending the job to another zone.

Ruled out: keeping such jobs until the reports are in, which callers under overload would wait for in vain.

--- a/packages/core/src/message-check.ts
+++ b/packages/core/src/message-check.ts
@@ -70,6 +70,7 @@
 	reason: isOptional(isText),
 	retryAfterMs: isOptional(isDuration),
 	isBalanced: isOptional(isFlag),
+	isUnsettled: isOptional(isFlag),
 });
 
 const isWorker = isObjectOf({
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -965,7 +965,8 @@
 			const isBalanced =
 				admission.kind === 'admitted' &&
 				admission.waitMs >
-					(scheduledJob.job.balancingWaitMs ?? Number.POSITIVE_INFINITY);
+					(scheduledJob.job.balancingWaitMs ?? Number.POSITIVE_INFINITY) &&
+				!this.#mayRunUnseen(scheduledJob.zones, now);
 			if (
 				(admission.kind === 'refused' || isBalanced) &&
 				scheduledJob.hasCertainlyNotRun
@@ -990,6 +991,12 @@
 		}
 	}
 
+	/** Whether runs of a job that earlier leaders have started may be at work on workers that have not reported here yet. */
+	#mayRunUnseen(jobZones: readonly string[] | undefined, now: number): boolean {
+		const zones = jobZones ?? this.#options.zones;
+		return now < this.pool.priorRunsSettledAtMs(zones, 0, 0, now);
+	}
+
 	/** Refuses a job that cannot run, unless it may have started; returns whether it did. */
 	#refuseIfInfeasible(scheduledJob: ScheduledJob, now: number): boolean {
 		if (!scheduledJob.hasCertainlyNotRun) {
@@ -1544,7 +1551,13 @@
 	#answerJob(job: ScheduledJob, answer: PoolAnswer, now: number): void {
 		this.#jobs.delete(job.id);
 		this.#answeredJobs.recordAnswer(job.id, job.job.attempt, answer, now);
-		this.#options.output.sendAnswer(job.receiver, job.id, answer);
+		this.#options.output.sendAnswer(
+			job.receiver,
+			job.id,
+			answer.kind === 'not-run' && this.#mayRunUnseen(job.zones, now)
+				? {...answer, isUnsettled: true}
+				: answer,
+		);
 	}
 
 	/** Answers a job that is not admitted: `may-have-run` if an earlier leader may have started it, else `not-run`. */
@@ -1573,6 +1586,9 @@
 										: defaultRetryAfterMs,
 							}),
 					...(inputs.isBalanced === 1 ? {isBalanced: true} : {}),
+					...(this.#mayRunUnseen(job.zones, this.#now)
+						? {isUnsettled: true}
+						: {}),
 				};
 		if (!mayHaveRun) {
 			this.#answeredJobs.recordAnswer(job.id, job.attempt, answer, this.#now);
--- a/packages/core/src/zone-overflow.ts
+++ b/packages/core/src/zone-overflow.ts
@@ -251,12 +251,16 @@
 	return room.isConnected !== false;
 }
 
-/** Whether workers of another zone may run a job that a leader has answered like this. */
+/**
+ * Whether workers of another zone may run a job that a leader has answered like this: it lacks room, and knows that none of its
+ * workers runs the job.
+ */
 export function isRefusedForLackOfRoom(
 	answer: PoolAnswer,
 ): answer is Extract<PoolAnswer, {readonly kind: 'not-run'}> {
 	return (
 		answer.kind === 'not-run' &&
-		(answer.reason === 'overloaded' || answer.reason === 'no-workers')
+		(answer.reason === 'overloaded' || answer.reason === 'no-workers') &&
+		answer.isUnsettled !== true
 	);
 }
