Test that a job's zones change only after its leaders have refused it

Random series of leader changes, refusals and reopened streams: each submission names the zone of its leader alone, and another zone follows only a refusal of a job that was sent once.

--- a/packages/verbenarouter/src/tests/job-receiver.test.ts
+++ b/packages/verbenarouter/src/tests/job-receiver.test.ts
@@ -4,6 +4,7 @@
 	type PoolJob,
 	type ZoneLeader,
 } from '@verbenarouter/core';
+import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {JobReceiver, type ReceiverMessage} from '../pool/job-receiver.js';
 import {type ZoneView} from '../pool/zone-router.js';
@@ -382,3 +383,74 @@
 		expect(fixture.takeCallerMessages()).toEqual([]);
 	});
 });
+
+describe('the zones of a submission', () => {
+	type Step = 'change-leader' | 'refuse' | 'let-go' | 'open' | 'lose-leader';
+
+	// A leader that may place a job in the zone of another one that has it starts it beside the runs there.
+	it('are that of its leader alone, and change only after the leaders before have refused the job', () => {
+		fc.assert(
+			fc.property(
+				fc.array(
+					fc.constantFrom<Step>(
+						'change-leader',
+						'refuse',
+						'let-go',
+						'open',
+						'lose-leader',
+					),
+					{maxLength: 12},
+				),
+				(steps) => {
+					const fixture = new ReceiverFixture(longWait);
+					fixture.receive('j1');
+					let last = fixture.takeSubmissions().at(-1)!;
+					let submissionCount = 1;
+					for (const [index, step] of steps.entries()) {
+						const now = startMs + 10 * (index + 1);
+						const zone = last.job.zones![0]!;
+						switch (step) {
+							case 'change-leader': {
+								fixture.leaders.set(zone, {name: `${zone}-${now}`, token: now});
+								break;
+							}
+
+							case 'lose-leader': {
+								fixture.leaders.delete(zone);
+								break;
+							}
+
+							case 'open': {
+								fixture.receiver.handleOpen(last.to, now);
+								break;
+							}
+
+							case 'refuse':
+							case 'let-go': {
+								const answer = step === 'refuse' ? refusal : letGo;
+								fixture.receiver.receiveAnswer(last.to, 'j1', answer, now);
+								break;
+							}
+						}
+
+						fixture.receiver.handleOwnLeaderChange(now + 1);
+						fixture.receiver.updateOtherLeaders(now + 1);
+						for (const submission of fixture.takeSubmissions()) {
+							expect(submission.job.zones).toHaveLength(1);
+							const isMoved = submission.job.zones![0] !== zone;
+							const wasRefused = step === 'refuse' || step === 'let-go';
+							expect(isMoved && !wasRefused).toBe(false);
+							expect(isMoved && submissionCount > 1).toBe(false);
+							submissionCount =
+								submission.job.attempt === last.job.attempt
+									? submissionCount + 1
+									: 1;
+							last = submission;
+						}
+					}
+				},
+			),
+			{seed: 40, numRuns: 500},
+		);
+	});
+});
