--- a/packages/verbenarouter/src/pool/job-receiver.ts
+++ b/packages/verbenarouter/src/pool/job-receiver.ts
@@ -8,6 +8,7 @@
 } from '@verbenarouter/core';
 import {type PoolMessage} from '@verbenarouter/peer';
 import {type LogFields} from '../logger.js';
+import {GivenUpJobs, type GiveUpReason} from './given-up-jobs.js';
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {
 	ZoneRouter,
@@ -26,7 +27,7 @@
 /** A message from the receiver of a job to a leader. */
 export type ReceiverMessage = Extract<
 	PoolMessage,
-	{readonly type: 'submit' | 'cancel'}
+	{readonly type: 'submit' | 'cancel' | 'caller-lost' | 'caller-returned'}
 >;
 
 /** What a receiver needs of its entry VM. */
@@ -62,6 +63,7 @@
 export class JobReceiver {
 	readonly #options: JobReceiverOptions;
 	readonly #pendingJobs = new PendingJobs();
+	readonly #givenUpJobs = new GivenUpJobs();
 	readonly #zoneRouter: ZoneRouter;
 
 	constructor(options: JobReceiverOptions) {
@@ -96,9 +98,12 @@
 		resolve: (answer: PoolAnswer) => void,
 		now: number,
 	): void {
+		const hadLostCaller = this.#pendingJobs.get(job.id)?.hasLostCaller ?? false;
 		const {pending, isNew} = this.#pendingJobs.add(job, resolve, now);
 		if (isNew) {
 			this.#sendToLeader(pending, now);
+		} else if (hadLostCaller) {
+			this.#sendCallerMessage('caller-returned', pending, now);
 		}
 	}
 
@@ -117,33 +122,24 @@
 			(pending.overflowZone === undefined || pending.resolvers.length > 1);
 		if (isContinued) {
 			pending.hasLostCaller = true;
+			this.#sendCallerMessage('caller-lost', pending, now);
 			return;
 		}
 
 		this.#pendingJobs.remove(id);
-		if (pending.sentTo !== undefined) {
-			this.#cancelAtLeader(pending.sentTo, id, now);
-		}
+		this.#cancelAtLeaders(pending, undefined, now);
 	}
 
 	/** Answers all remaining jobs at the end of a stop; an answer informs callers better than a broken connection. */
 	answerRemainingJobs(now: number): void {
-		for (const {job, sentTo} of this.#pendingJobs.all) {
-			if (sentTo !== undefined) {
-				this.#cancelAtLeader(sentTo, job.id, now);
-			}
-
-			this.#pendingJobs.answer(
-				job.id,
-				sentTo === undefined
-					? {kind: 'not-run', reason: 'not-ready', retryAfterMs: retryMs}
-					: {kind: 'may-have-run', reason: 'stopping'},
-			);
+		for (const pending of this.#pendingJobs.all) {
+			this.#giveUp(pending, 'stopping', now);
 		}
 	}
 
 	/** Answers the jobs that have waited too long for a leader or for their answer. */
 	answerExpiredJobs(now: number): void {
+		this.#givenUpJobs.evict(now);
 		for (const pending of this.#pendingJobs.all) {
 			const {job, sentTo, withoutLeaderSinceMs, receivedAtMs} = pending;
 			const maxDelayMs = Math.min(
@@ -154,17 +150,14 @@
 				withoutLeaderSinceMs !== undefined &&
 				now - withoutLeaderSinceMs > maxDelayMs
 			) {
-				this.#pendingJobs.answer(
-					job.id,
-					sentTo === undefined
-						? {kind: 'not-run', reason: 'not-ready', retryAfterMs: retryMs}
-						: {kind: 'may-have-run', reason: 'leader-lost'},
-				);
+				this.#giveUp(pending, 'leader-lost', now);
 			} else if (now - receivedAtMs > job.patienceMs + retryMs) {
-				this.#pendingJobs.answer(job.id, {
-					kind: 'may-have-run',
-					reason: 'deadline-exceeded',
-				});
+				this.#answer(
+					pending,
+					{kind: 'may-have-run', reason: 'deadline-exceeded'},
+					undefined,
+					now,
+				);
 			}
 		}
 	}
@@ -186,8 +179,15 @@
 		);
 	}
 
-	/** Submits the jobs of an entry VM again to which a stream has opened: messages on an earlier stream may be lost. */
+	/**
+	 * Sends to an entry VM to which a stream has opened what may be lost with an earlier stream: which jobs it is to give up,
+	 * and the jobs that it has.
+	 */
 	handleOpen(name: string, now: number): void {
+		for (const {id, reason} of this.#givenUpJobs.ofLeader(name, now)) {
+			this.#options.send(name, {type: 'cancel', id, reason}, now);
+		}
+
 		this.#resubmit(
 			(pending) =>
 				this.#findLeaderFor(pending, now) === name ||
@@ -241,7 +241,7 @@
 		}
 	}
 
-	/** Passes a leader's answer on to the callers, and cancels the job at another leader that has it now. */
+	/** Passes a leader's answer on to the callers, and cancels the job at the other leaders that may have it. */
 	receiveAnswer(
 		leader: string,
 		id: string,
@@ -249,7 +249,6 @@
 		now: number,
 	): void {
 		const pending = this.#pendingJobs.get(id);
-		const sentTo = pending?.sentTo;
 		const acceptedAnswer = this.#pendingJobs.filterAnswer(id, leader, answer);
 		if (
 			pending === undefined ||
@@ -259,10 +258,7 @@
 			return;
 		}
 
-		this.#pendingJobs.answer(id, acceptedAnswer);
-		if (sentTo !== undefined && sentTo !== leader) {
-			this.#cancelAtLeader(sentTo, id, now);
-		}
+		this.#answer(pending, acceptedAnswer, leader, now);
 	}
 
 	/** Returns the leader that gets a job: that of the zone that it overflows to, or of this entry VM's zone. */
@@ -290,7 +286,7 @@
 		}
 
 		if (pending.sentTo !== undefined && pending.sentTo !== leader) {
-			this.#releaseAtLeader(pending.sentTo, pending.job.id, now);
+			this.#giveUpAtLeader(pending.sentTo, pending, 'moved', now);
 		}
 
 		const {earlierToken} = pending;
@@ -321,7 +317,22 @@
 						patienceMs: Math.min(pending.job.patienceMs, maxOverflowPatienceMs),
 					}),
 		};
+		this.#givenUpJobs.remove(leader, job.id);
 		this.#options.send(leader, {type: 'submit', job, isResubmitted}, now);
+		if (pending.hasLostCaller) {
+			this.#options.send(leader, {type: 'caller-lost', id: job.id}, now);
+		}
+	}
+
+	/** Tells all leaders that may have a job that its caller may submit it to any entry VM, or that it has come back. */
+	#sendCallerMessage(
+		type: 'caller-lost' | 'caller-returned',
+		{job: {id}, leaders}: PendingJob,
+		now: number,
+	): void {
+		for (const leader of leaders) {
+			this.#options.send(leader, {type, id}, now);
+		}
 	}
 
 	/** Returns the zones in which a leader is to place a job; `undefined` for all zones. */
@@ -367,9 +378,18 @@
 		return leader === this.#options.name || this.#options.isOpen(leader);
 	}
 
-	/** Has a leader give up a job that is submitted to another one now; two leaders would otherwise wait and then start it. */
-	#releaseAtLeader(leader: string, id: string, now: number): void {
-		this.#options.send(leader, {type: 'cancel', id, reason: 'moved'}, now);
+	/**
+	 * Has a leader give up a job that no caller waits for, or that is submitted to another leader: both would otherwise wait
+	 * and then start it.
+	 */
+	#giveUpAtLeader(
+		leader: string,
+		{job: {id, patienceMs}, receivedAtMs}: PendingJob,
+		reason: GiveUpReason,
+		now: number,
+	): void {
+		this.#givenUpJobs.add(leader, id, reason, receivedAtMs + patienceMs);
+		this.#options.send(leader, {type: 'cancel', id, reason}, now);
 	}
 
 	/** Submits a job that its leader has refused to the leader of another zone, if one can run it; returns whether it did. */
@@ -392,12 +412,46 @@
 		return isRedirected;
 	}
 
-	/** Cancels a job at a leader because no caller waits for it any more. */
-	#cancelAtLeader(leader: string, id: string, now: number): void {
-		this.#options.send(
-			leader,
-			{type: 'cancel', id, reason: 'caller-left'},
+	/** Answers a job without a result: that no leader has had it, or that it may have run. */
+	#giveUp(
+		pending: PendingJob,
+		reason: 'leader-lost' | 'stopping',
+		now: number,
+	): void {
+		this.#answer(
+			pending,
+			pending.sentTo === undefined
+				? {kind: 'not-run', reason: 'not-ready', retryAfterMs: retryMs}
+				: {kind: 'may-have-run', reason},
+			undefined,
 			now,
 		);
 	}
+
+	/** Gives callers the answer of a job, and cancels it at all leaders that may have it, except the one that has answered. */
+	#answer(
+		pending: PendingJob,
+		answer: PoolAnswer,
+		answeredBy: string | undefined,
+		now: number,
+	): void {
+		this.#pendingJobs.answer(pending.job.id, answer);
+		this.#cancelAtLeaders(pending, answeredBy, now);
+	}
+
+	/**
+	 * Cancels a job at all leaders that may have it, because no caller waits for it any more. Callers may submit it again to
+	 * another entry VM.
+	 */
+	#cancelAtLeaders(
+		pending: PendingJob,
+		answeredBy: string | undefined,
+		now: number,
+	): void {
+		for (const leader of pending.leaders) {
+			if (leader !== answeredBy) {
+				this.#giveUpAtLeader(leader, pending, 'caller-left', now);
+			}
+		}
+	}
 }
--- a/packages/verbenarouter/src/tests/job-receiver.test.ts
+++ b/packages/verbenarouter/src/tests/job-receiver.test.ts
@@ -4,6 +4,7 @@
 	type PoolJob,
 	type ZoneLeader,
 } from '@verbenarouter/core';
+import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {JobReceiver, type ReceiverMessage} from '../pool/job-receiver.js';
 import {type ZoneView} from '../pool/zone-router.js';
@@ -107,6 +108,17 @@
 		);
 	}
 
+	/** Gives the own zone another leader, or none. */
+	changeLeader(name: string | undefined, now: number): void {
+		if (name === undefined) {
+			this.leaders.delete('a');
+		} else {
+			this.leaders.set('a', {name, token: now});
+		}
+
+		this.receiver.handleOwnLeaderChange(now);
+	}
+
 	/** Returns the submissions since the last call. */
 	takeSubmissions(): ReadonlyArray<
 		{readonly to: string} & ReceiverMessage & {readonly type: 'submit'}
@@ -123,6 +135,15 @@
 		);
 	}
 
+	/** Returns whom the messages about callers since the last call were sent to, with their types. */
+	takeCallerMessages(): readonly string[] {
+		return this.#take().flatMap(({to, message}) =>
+			message.type === 'caller-lost' || message.type === 'caller-returned'
+				? [`${to} ${message.type}`]
+				: [],
+		);
+	}
+
 	#take() {
 		const sent = this.#sent;
 		this.#sent = [];
@@ -165,6 +186,17 @@
 		expect(new Set(attempts).size).toBe(3);
 	});
 
+	// Runs of the job may be at work on workers that the own zone's leader has no reports of yet.
+	it('gives a job to no other leader after a refusal that leaves open whether the job runs', () => {
+		const fixture = new ReceiverFixture(longWait);
+		fixture.receive('j1');
+		fixture.takeSubmissions();
+		const answer: PoolAnswer = {...refusal, isUnsettled: true};
+		fixture.receiver.receiveAnswer('leader-a', 'j1', answer, startMs + 1);
+		expect(fixture.takeSubmissions()).toEqual([]);
+		expect(fixture.answers).toEqual([answer]);
+	});
+
 	it('gives a job back to its own leader as new if no zone has room any more', () => {
 		const rooms = {list: longWait.findRooms!()};
 		const fixture = new ReceiverFixture({
@@ -211,3 +243,214 @@
 		expect(addressees(fixture.takeSubmissions())).toEqual(['leader-a']);
 	});
 });
+
+describe('a receiver that gives a job up', () => {
+	// The leaders would start the job, or go on, after its caller was told that it has no result.
+	it.each([
+		['no next leader is known in time', 1000, 'leader-lost'],
+		['no answer comes in time', 3000, 'deadline-exceeded'],
+	])('tells each leader that may have it when %s', (_case, afterMs, reason) => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.changeLeader('leader-a2', startMs + 10);
+		if (reason === 'leader-lost') {
+			fixture.changeLeader(undefined, startMs + 20);
+		}
+
+		fixture.takeCancellations();
+		fixture.receiver.answerExpiredJobs(startMs + afterMs);
+		expect(fixture.answers).toEqual([{kind: 'may-have-run', reason}]);
+		expect(fixture.takeCancellations()).toEqual([
+			'leader-a caller-left',
+			'leader-a2 caller-left',
+		]);
+	});
+
+	it('tells the other leaders that may have it when a refusal is not certain', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.changeLeader('leader-a2', startMs + 10);
+		fixture.changeLeader('leader-a', startMs + 20);
+		fixture.takeCancellations();
+		fixture.receiver.receiveAnswer('leader-a', 'j1', refusal, startMs + 30);
+		expect(fixture.answers).toEqual([
+			{kind: 'may-have-run', reason: 'leader-lost'},
+		]);
+		expect(fixture.takeCancellations()).toEqual(['leader-a2 caller-left']);
+	});
+
+	it.each([
+		[
+			'it stops',
+			(receiver: JobReceiver) => {
+				receiver.answerRemainingJobs(startMs + 20);
+			},
+		],
+		[
+			'the caller leaves',
+			(receiver: JobReceiver) => {
+				receiver.handleCallerDisconnect('j1', false, startMs + 20);
+			},
+		],
+	])('tells each leader that may have it when %s', (_case, giveUp) => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.changeLeader('leader-a2', startMs + 10);
+		fixture.takeCancellations();
+		giveUp(fixture.receiver);
+		expect(fixture.takeCancellations()).toEqual([
+			'leader-a caller-left',
+			'leader-a2 caller-left',
+		]);
+	});
+});
+
+describe('a message about a job that was given up', () => {
+	// A former leader that does not get it goes on with the job beside the next one.
+	it('is sent once the stream to the leader opens, if there was none', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.unreachable.add('leader-a');
+		fixture.changeLeader('leader-a2', startMs + 10);
+		expect(fixture.takeCancellations()).toEqual([]);
+		fixture.unreachable.delete('leader-a');
+		fixture.receiver.handleOpen('leader-a', startMs + 300);
+		expect(fixture.takeCancellations()).toEqual(['leader-a moved']);
+	});
+
+	it('is sent again when a stream opens anew, as it may be lost with the one before', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.receiver.handleCallerDisconnect('j1', false, startMs + 10);
+		expect(fixture.takeCancellations()).toEqual(['leader-a caller-left']);
+		fixture.receiver.handleOpen('leader-b', startMs + 300);
+		expect(fixture.takeCancellations()).toEqual([]);
+		fixture.receiver.handleOpen('leader-a', startMs + 300);
+		expect(fixture.takeCancellations()).toEqual(['leader-a caller-left']);
+	});
+
+	it('is not sent after the leader has got the job again, or when no run of it can be left', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.changeLeader('leader-a2', startMs + 10);
+		fixture.changeLeader('leader-a', startMs + 20);
+		fixture.takeCancellations();
+		fixture.receiver.handleOpen('leader-a', startMs + 300);
+		expect(fixture.takeCancellations()).toEqual([]);
+		fixture.receiver.handleOpen('leader-a2', startMs + 300);
+		expect(fixture.takeCancellations()).toEqual(['leader-a2 moved']);
+		fixture.receiver.answerExpiredJobs(startMs + 60_000);
+		fixture.takeCancellations();
+		fixture.receiver.handleOpen('leader-a2', startMs + 120_000);
+		expect(fixture.takeCancellations()).toEqual([]);
+	});
+});
+
+describe('a receiver whose caller has lost its connection', () => {
+	// The caller sends the job again after 1.3 s, maybe to an entry VM of another zone.
+	it('tells the leader that has the job, and each one that gets it after', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		expect(fixture.takeCallerMessages()).toEqual([]);
+		fixture.receiver.handleCallerDisconnect('j1', true, startMs + 10);
+		expect(fixture.takeCallerMessages()).toEqual(['leader-a caller-lost']);
+		fixture.changeLeader('leader-a2', startMs + 20);
+		expect(fixture.takeCallerMessages()).toEqual(['leader-a2 caller-lost']);
+		fixture.receiver.handleOpen('leader-a2', startMs + 30);
+		expect(fixture.takeCallerMessages()).toEqual(['leader-a2 caller-lost']);
+	});
+
+	it('tells all leaders that may have the job', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.changeLeader('leader-a2', startMs + 10);
+		fixture.receiver.handleCallerDisconnect('j1', true, startMs + 20);
+		expect(fixture.takeCallerMessages()).toEqual([
+			'leader-a caller-lost',
+			'leader-a2 caller-lost',
+		]);
+	});
+
+	it('tells the leader when the caller is back', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.receiver.handleCallerDisconnect('j1', true, startMs + 10);
+		fixture.takeCallerMessages();
+		fixture.receive('j1', startMs + 1310);
+		expect(fixture.takeCallerMessages()).toEqual(['leader-a caller-returned']);
+		fixture.receive('j1', startMs + 1320);
+		fixture.receiver.handleOpen('leader-a', startMs + 1330);
+		expect(fixture.takeCallerMessages()).toEqual([]);
+	});
+});
+
+describe('the zones of a submission', () => {
+	type Step = 'change-leader' | 'refuse' | 'let-go' | 'open' | 'lose-leader';
+
+	// A leader that may place a job in the zone of another one that has it starts it beside the runs there.
+	it('are that of its leader alone, and change only after the leaders before have refused the job', () => {
+		fc.assert(
+			fc.property(
+				fc.array(
+					fc.constantFrom<Step>(
+						'change-leader',
+						'refuse',
+						'let-go',
+						'open',
+						'lose-leader',
+					),
+					{maxLength: 12},
+				),
+				(steps) => {
+					const fixture = new ReceiverFixture(longWait);
+					fixture.receive('j1');
+					let last = fixture.takeSubmissions().at(-1)!;
+					let submissionCount = 1;
+					for (const [index, step] of steps.entries()) {
+						const now = startMs + 10 * (index + 1);
+						const zone = last.job.zones![0]!;
+						switch (step) {
+							case 'change-leader': {
+								fixture.leaders.set(zone, {name: `${zone}-${now}`, token: now});
+								break;
+							}
+
+							case 'lose-leader': {
+								fixture.leaders.delete(zone);
+								break;
+							}
+
+							case 'open': {
+								fixture.receiver.handleOpen(last.to, now);
+								break;
+							}
+
+							case 'refuse':
+							case 'let-go': {
+								const answer = step === 'refuse' ? refusal : letGo;
+								fixture.receiver.receiveAnswer(last.to, 'j1', answer, now);
+								break;
+							}
+						}
+
+						fixture.receiver.handleOwnLeaderChange(now + 1);
+						fixture.receiver.updateOtherLeaders(now + 1);
+						for (const submission of fixture.takeSubmissions()) {
+							expect(submission.job.zones).toHaveLength(1);
+							const isMoved = submission.job.zones![0] !== zone;
+							const wasRefused = step === 'refuse' || step === 'let-go';
+							expect(isMoved && !wasRefused).toBe(false);
+							expect(isMoved && submissionCount > 1).toBe(false);
+							submissionCount =
+								submission.job.attempt === last.job.attempt
+									? submissionCount + 1
+									: 1;
+							last = submission;
+						}
+					}
+				},
+			),
+			{seed: 40, numRuns: 500},
+		);
+	});
+});
