Keep the time at which a job lost its caller when its receiver submits it again

What callers would see: nothing; a run is at work in one zone when the copy of its job starts in another that could not be told. Cause: the mark of a lost caller was taken off with each submission, also one that the same receiver repeats for another reason, and gave way to that of a lost receiver, whose jobs are given up 0.6 s after that loss. So the time for the stop began anew. Change: only another receiver, or the message that the caller has returned, takes the mark off, and it comes before that of the receiver. A test plays both.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -489,15 +489,18 @@
 		const lostJobs = [...this.#jobs.values()].flatMap(
 			(job): readonly ReturnableJob[] => {
 				const {id, receiverLostAtMs, callerLostAtMs, hasStarted} = job;
-				if (receiverLostAtMs !== undefined) {
-					return hasStarted
-						? [{id, cause: 'receiver-lost', sinceMs: receiverLostAtMs}]
-						: [];
+				if (this.#isHeldElsewhere(job, now)) {
+					return [];
 				}
 
-				return callerLostAtMs === undefined || this.#isHeldElsewhere(job, now)
+				// The copy of a lost caller comes first.
+				if (callerLostAtMs !== undefined) {
+					return [{id, cause: 'caller-lost', sinceMs: callerLostAtMs}];
+				}
+
+				return receiverLostAtMs === undefined || !hasStarted
 					? []
-					: [{id, cause: 'caller-lost', sinceMs: callerLostAtMs}];
+					: [{id, cause: 'receiver-lost', sinceMs: receiverLostAtMs}];
 			},
 		);
 		const unclaimed = this.pool
@@ -1008,9 +1011,13 @@
 
 		const knownJob = this.#jobs.get(job.id);
 		if (knownJob !== undefined) {
+			if (knownJob.receiver !== receiver) {
+				// The same receiver reports the caller's return, as it also submits jobs again that have lost their caller.
+				knownJob.callerLostAtMs = undefined;
+			}
+
 			knownJob.receiver = receiver;
 			knownJob.receiverLostAtMs = undefined;
-			knownJob.callerLostAtMs = undefined;
 			if (isResubmitted) {
 				// Another leader may have started the job after this leader received it first.
 				knownJob.isIndeterminate = true;
--- a/packages/core/src/tests/returnable-jobs.test.ts
+++ b/packages/core/src/tests/returnable-jobs.test.ts
@@ -185,6 +185,23 @@
 		expect(fixture.first.stops).toMatchObject([{task: 'j1.0.0.0', run: 1}]);
 	});
 
+	it('finds no run at work if the receiver of a lost caller is lost too, or submits the job again', () => {
+		const fixture = new TwoZonesFixture();
+		fixture.isConnected = false;
+		fixture.startJob('j1');
+		fixture.first.scheduler.markCallerLost('j1', 'r1', startMs);
+		fixture.tickUntil(500);
+		fixture.startJob('j1');
+		fixture.first.scheduler.markCallerLost('j1', 'r1', startMs + 500);
+		fixture.tickUntil(900);
+		fixture.first.receiveReport('w1', startMs + 900, {
+			running: [{task: 'j1.0.0.0', run: 1}],
+		});
+		fixture.first.scheduler.markReceiverUnreachable('r1', startMs + 900);
+		fixture.tickUntil(1100);
+		expect(fixture.first.stops).toMatchObject([{task: 'j1.0.0.0', run: 1}]);
+	});
+
 	it('finds no run at work that no job has claimed if the other leader could not be told of it', () => {
 		const fixture = new TwoZonesFixture();
 		fixture.isConnected = false;
