Tell the leaders of other zones of jobs whose callers may send them there

What callers would see: nothing; tasks run in two zones at the same time after a caller moved. Cause: nobody told the leader of the other zone of the runs, nor the own zone's leader that the caller's connection broke.

Change: ReturnableExchange sends what ReturnableJobs decides to the other leaders and to candidates, and records what they send. Receivers report a caller's broken connection, and its return, to the leader of the job. The last build counts the new messages as unknown and ignores them.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -484,6 +484,11 @@
 		}
 	}
 
+	/** Whether workers may list runs that no job has claimed. */
+	get hasUnclaimedRuns(): boolean {
+		return this.pool.hasOrphans;
+	}
+
 	/** Returns the jobs with runs, or about to start some, whose callers may submit them to the leader of another zone. */
 	findReturnableJobs(now: number): readonly ReturnableJob[] {
 		const lostJobs = [...this.#jobs.values()].flatMap(
@@ -510,12 +515,13 @@
 				cause: 'unclaimed',
 				sinceMs: foundAtMs,
 			}));
-		const stopping = [...this.pool.listJobsWithRuns()].map(
-			(id): ReturnableJob => ({id, cause: 'stopping', sinceMs: now}),
-		);
-		const withoutJob = [...unclaimed, ...stopping].filter(
-			({id}) => !this.#jobs.has(id),
-		);
+		const stopping = [
+			...this.pool.findJobsWithRuns((id) => !this.#jobs.has(id)),
+		].map((id): ReturnableJob => ({id, cause: 'stopping', sinceMs: now}));
+		const withoutJob = [
+			...unclaimed.filter(({id}) => !this.#jobs.has(id)),
+			...stopping,
+		];
 		// Of several entries for one job the last one stays, that of an unclaimed run.
 		return [
 			...new Map(
@@ -526,7 +532,7 @@
 
 	/** Returns a test of whether this leader still has a job without an answer, or a run of it. */
 	createActivityTest(now: number): (id: string) => boolean {
-		const jobsWithRuns = this.pool.listJobsWithRuns();
+		const jobsWithRuns = this.pool.findJobsWithRuns(() => true);
 		const jobsWithUnclaimedRuns = new Set(
 			this.pool.listUnclaimedRuns().map(({jobId}) => jobId),
 		);
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -241,13 +241,18 @@
 		return this.#orphanEnds.size > 0 || this.#orphanHolders.size > 0;
 	}
 
-	/** Returns the jobs with runs that this leader has started or adopted. */
-	listJobsWithRuns(): ReadonlySet<string> {
-		return new Set(
-			this.workers.flatMap(({runs}) =>
-				[...runs.values()].map(({jobId}) => jobId),
-			),
-		);
+	/** Returns the accepted ones of the jobs with runs that this leader has started or adopted. */
+	findJobsWithRuns(accepts: (id: string) => boolean): ReadonlySet<string> {
+		const ids = new Set<string>();
+		for (const {runs} of this.#workers.values()) {
+			for (const {jobId} of runs.values()) {
+				if (accepts(jobId)) {
+					ids.add(jobId);
+				}
+			}
+		}
+
+		return ids;
 	}
 
 	/** Returns the runs that workers list and no job has claimed, with the time at which they were found. */
--- a/packages/peer/src/pool-message.ts
+++ b/packages/peer/src/pool-message.ts
@@ -5,6 +5,7 @@
 	type LostRun,
 	type PoolAnswer,
 	type PoolJob,
+	type ReturnableJobsNotice,
 	type WorkerEntry,
 } from '@verbenarouter/core';
 
@@ -74,6 +75,20 @@
 	 * the last build ignore it.
 	 */
 	| {readonly type: 'lost-runs'; readonly lostRuns: readonly LostRun[]}
+	/**
+	 * Tells the leader of a job that the connection of its only caller broke: the caller may submit it to another entry VM.
+	 * Entry VMs of the last build ignore it.
+	 */
+	| {readonly type: 'caller-lost'; readonly id: string}
+	/** Tells it that a caller has submitted the job to the same receiver since. Entry VMs of the last build ignore it. */
+	| {readonly type: 'caller-returned'; readonly id: string}
+	/**
+	 * Tells the leaders of other zones, and those that may succeed them, of jobs whose callers may submit them there. Entry VMs
+	 * of the last build ignore it.
+	 */
+	| ({readonly type: 'returnable-jobs'} & ReturnableJobsNotice)
+	/** Confirms the message of this number. */
+	| {readonly type: 'returnable-jobs-noted'; readonly sequence: number}
 	| {
 			readonly type: 'cancel';
 			readonly id: string;
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -40,6 +40,7 @@
 import {selectLossRecipients} from './loss-recipients.js';
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {type PoolLog} from './pool-log.js';
+import {ReturnableExchange} from './returnable-exchange.js';
 import {StoreFollower} from './store-follower.js';
 import {createWorkerCommandSender} from './worker-command-sender.js';
 import {ZoneReporter} from './zone-reporter.js';
@@ -138,6 +139,7 @@
 	/** Version of the list of workers that a peer has sent since the last read of the store. */
 	#receivedWorkersVersion: string | undefined;
 	readonly #zoneReporter: ZoneReporter;
+	readonly #returnableExchange: ReturnableExchange;
 
 	constructor(settings: EntrySettings, log: PoolLog, now: () => number) {
 		this.#settings = settings;
@@ -234,6 +236,15 @@
 				this.#sendLearned(learned, time);
 			},
 		});
+		this.#returnableExchange = new ReturnableExchange({
+			scheduler: this.#scheduler,
+			send: (names, message) => {
+				this.#overlayNode.sendToAll(names, message);
+			},
+			writeLog(fields) {
+				log.write(fields);
+			},
+		});
 		const client = new StoreClient(settings.storeAddress);
 		this.#overlayNode = new OverlayNode({
 			settings,
@@ -333,6 +344,8 @@
 			peerConnections: this.#overlayNode.sizes.connections,
 			isCandidate: Number(this.#overlayNode.isCandidate),
 			desiredStateVersion: this.#desiredState?.version ?? 0,
+			jobsAnnounced: this.#returnableExchange.sizes.announced,
+			jobsElsewhere: this.#returnableExchange.sizes.elsewhere,
 			zonesEvacuated: this.#evacuations.evacuatedZones.size,
 			storeKnowledgeAgeMs: Math.round(
 				Math.min(1e9, this.#storeFollower.workersAgeMs(this.#now())),
@@ -372,6 +385,7 @@
 					},
 				],
 			),
+			...this.#returnableExchange.samples,
 			...[...closedLinks].map(([cause, value]) => ({
 				name: 'peer_streams_closed_total',
 				labels: {cause},
@@ -480,6 +494,7 @@
 				attempt: `${this.#incarnation}/${this.#attemptCount}`,
 			};
 			const now = this.#now();
+			const hadLostCaller = this.#pendingJobs.get(job.id)?.hasLostCaller;
 			const {pending, isNew} = this.#pendingJobs.add(
 				job,
 				(answer) => {
@@ -499,6 +514,8 @@
 			});
 			if (isNew) {
 				this.#sendToLeader(pending);
+			} else if (hadLostCaller === true) {
+				this.#sendCallerState(pending);
 			}
 		});
 	}
@@ -517,6 +534,7 @@
 			(pending.overflowZone === undefined || pending.resolvers.length > 1);
 		if (isContinued) {
 			pending.hasLostCaller = true;
+			this.#sendCallerState(pending);
 			return;
 		}
 
@@ -646,6 +664,8 @@
 			this.#scheduler.tick(now);
 		}
 
+		this.#updateReturnableJobs(now);
+
 		this.#answerExpiredJobs(now);
 		if (now - this.#lastDirectoryCheckMs >= directoryCheckIntervalMs) {
 			this.#lastDirectoryCheckMs = now;
@@ -677,6 +697,25 @@
 		}
 	}
 
+	/** Tells the leaders of other zones which jobs their zones may get from callers, while each zone has its own leader. */
+	#updateReturnableJobs(now: number): void {
+		const {ledZones} = this.#leadership;
+		this.#returnableExchange.update(
+			{
+				ledZones: this.#scope === 'zone' ? ledZones : new Map(),
+				otherLeaders: this.#settings.zones
+					.filter((zone) => !ledZones.has(zone))
+					.map((zone) => this.#leadership.findLeader(zone, now)),
+				recipients: selectLossRecipients(
+					[],
+					this.#leadership.livePeers(now),
+					this.#settings.name,
+				),
+			},
+			now,
+		);
+	}
+
 	/**
 	 * Evaluates the election once the messages that have arrived are read, however many of them change it, and informs peers
 	 * that have lost a leader which is live here before they claim its zone.
@@ -946,6 +985,22 @@
 				break;
 			}
 
+			case 'caller-lost': {
+				this.#scheduler.markCallerLost(message.id, from, now);
+				break;
+			}
+
+			case 'caller-returned': {
+				this.#scheduler.markCallerReturned(message.id, from, now);
+				break;
+			}
+
+			case 'returnable-jobs':
+			case 'returnable-jobs-noted': {
+				this.#returnableExchange.receive(from, message, now);
+				break;
+			}
+
 			case 'cancel': {
 				if (message.reason === 'moved') {
 					this.#scheduler.release(message.id, from, now);
@@ -1247,6 +1302,26 @@
 		} else {
 			this.#overlayNode.send(leader, {type: 'submit', job, isResubmitted});
 		}
+
+		if (pending.hasLostCaller) {
+			this.#sendCallerState(pending);
+		}
+	}
+
+	/** Tells the leader of a job whether a caller waits here for it: one that does not may submit it to another zone. */
+	#sendCallerState({job: {id}, sentTo, hasLostCaller}: PendingJob): void {
+		const now = this.#now();
+		const {name} = this.#settings;
+		if (sentTo === name && hasLostCaller) {
+			this.#scheduler.markCallerLost(id, name, now);
+		} else if (sentTo === name) {
+			this.#scheduler.markCallerReturned(id, name, now);
+		} else if (sentTo !== undefined) {
+			this.#overlayNode.send(sentTo, {
+				type: hasLostCaller ? 'caller-lost' : 'caller-returned',
+				id,
+			});
+		}
 	}
 
 	/** Returns what the choice of a zone depends on. */
