Find the other leaders only when jobs are announced

Every check of each entry VM made the lists of leaders and recipients, which are needed only while a job is announced.

--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -703,14 +703,16 @@
 		this.#returnableExchange.update(
 			{
 				ledZones: this.#scope === 'zone' ? ledZones : new Map(),
-				otherLeaders: this.#settings.zones
-					.filter((zone) => !ledZones.has(zone))
-					.map((zone) => this.#leadership.findLeader(zone, now)),
-				recipients: selectLossRecipients(
-					[],
-					this.#leadership.livePeers(now),
-					this.#settings.name,
-				),
+				findOtherLeaders: () =>
+					this.#settings.zones
+						.filter((zone) => !ledZones.has(zone))
+						.map((zone) => this.#leadership.findLeader(zone, now)),
+				findRecipients: () =>
+					selectLossRecipients(
+						[],
+						this.#leadership.livePeers(now),
+						this.#settings.name,
+					),
 			},
 			now,
 		);
--- a/packages/verbenarouter/src/pool/returnable-exchange.ts
+++ b/packages/verbenarouter/src/pool/returnable-exchange.ts
@@ -16,10 +16,10 @@
 export type ReturnableExchangeView = {
 	/** Fencing token of each zone that this entry VM leads, by zone. */
 	readonly ledZones: ReadonlyMap<string, number>;
-	/** The live leader of each zone that another entry VM has to lead; `undefined` for a zone without one. */
-	readonly otherLeaders: ReadonlyArray<ZoneLeader | undefined>;
-	/** Names of the leaders of other zones, and of those that may succeed them. */
-	readonly recipients: readonly string[];
+	/** Finds the live leader of each zone that another entry VM has to lead; `undefined` for a zone without one. */
+	readonly findOtherLeaders: () => ReadonlyArray<ZoneLeader | undefined>;
+	/** Finds the names of the leaders of other zones, and of those that may succeed them. */
+	readonly findRecipients: () => readonly string[];
 };
 
 /** What a {@link ReturnableExchange} needs of its entry VM. */
@@ -112,13 +112,13 @@
 					const state = scheduler.getJobState(id);
 					return typeof state === 'object' ? state : undefined;
 				},
-				leaders: view.otherLeaders,
+				leaders: view.findOtherLeaders(),
 			},
 			now,
 		);
 		if (notice !== undefined) {
 			this.#logNotice(notice);
-			send(view.recipients, {type: 'returnable-jobs', ...notice});
+			send(view.findRecipients(), {type: 'returnable-jobs', ...notice});
 		}
 
 		for (const {id, cause} of toStop) {
--- a/packages/verbenarouter/src/tests/returnable-exchange.test.ts
+++ b/packages/verbenarouter/src/tests/returnable-exchange.test.ts
@@ -54,8 +54,8 @@
 			this.exchange.update(
 				{
 					ledZones: new Map([['zone-a', token]]),
-					otherLeaders: [leader],
-					recipients: ['other', 'candidate'],
+					findOtherLeaders: () => [leader],
+					findRecipients: () => ['other', 'candidate'],
 				},
 				now,
 			);
@@ -136,7 +136,11 @@
 		const fixture = new ExchangeFixture();
 		fixture.jobs = [lostJob];
 		fixture.exchange.update(
-			{ledZones: new Map(), otherLeaders: [], recipients: ['other']},
+			{
+				ledZones: new Map(),
+				findOtherLeaders: () => [],
+				findRecipients: () => ['other'],
+			},
 			1000,
 		);
 		expect(fixture.sent).toEqual([]);
