--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -497,20 +497,28 @@
 		}
 	}
 
+	/** Whether workers may list runs that no job has claimed. */
+	get hasUnclaimedRuns(): boolean {
+		return this.pool.hasOrphans;
+	}
+
 	/** Returns the jobs with runs, or about to start some, whose callers may submit them to the leader of another zone. */
 	findReturnableJobs(now: number): readonly ReturnableJob[] {
 		const lostJobs = [...this.#jobs.values()].flatMap(
 			(job): readonly ReturnableJob[] => {
 				const {id, receiverLostAtMs, callerLostAtMs, hasStarted} = job;
-				if (receiverLostAtMs !== undefined) {
-					return hasStarted
-						? [{id, cause: 'receiver-lost', sinceMs: receiverLostAtMs}]
-						: [];
+				if (this.#isHeldElsewhere(job, now)) {
+					return [];
 				}
 
-				return callerLostAtMs === undefined || this.#isHeldElsewhere(job, now)
+				// The copy of a lost caller comes first.
+				if (callerLostAtMs !== undefined) {
+					return [{id, cause: 'caller-lost', sinceMs: callerLostAtMs}];
+				}
+
+				return receiverLostAtMs === undefined || !hasStarted
 					? []
-					: [{id, cause: 'caller-lost', sinceMs: callerLostAtMs}];
+					: [{id, cause: 'receiver-lost', sinceMs: receiverLostAtMs}];
 			},
 		);
 		const unclaimed = this.pool
@@ -520,12 +528,13 @@
 				cause: 'unclaimed',
 				sinceMs: foundAtMs,
 			}));
-		const stopping = [...this.pool.listJobsWithRuns()].map(
-			(id): ReturnableJob => ({id, cause: 'stopping', sinceMs: now}),
-		);
-		const withoutJob = [...unclaimed, ...stopping].filter(
-			({id}) => !this.#jobs.has(id),
-		);
+		const stopping = [
+			...this.pool.findJobsWithRuns((id) => !this.#jobs.has(id)),
+		].map((id): ReturnableJob => ({id, cause: 'stopping', sinceMs: now}));
+		const withoutJob = [
+			...unclaimed.filter(({id}) => !this.#jobs.has(id)),
+			...stopping,
+		];
 		// Of several entries for one job the last one stays, that of an unclaimed run.
 		return [
 			...new Map(
@@ -536,7 +545,7 @@
 
 	/** Returns a test of whether this leader still has a job without an answer, or a run of it. */
 	createActivityTest(now: number): (id: string) => boolean {
-		const jobsWithRuns = this.pool.listJobsWithRuns();
+		const jobsWithRuns = this.pool.findJobsWithRuns(() => true);
 		const jobsWithUnclaimedRuns = new Set(
 			this.pool.listUnclaimedRuns().map(({jobId}) => jobId),
 		);
@@ -1021,9 +1030,13 @@
 
 		const knownJob = this.#jobs.get(job.id);
 		if (knownJob !== undefined) {
+			if (knownJob.receiver !== receiver) {
+				// The same receiver reports the caller's return, as it also submits jobs again that have lost their caller.
+				knownJob.callerLostAtMs = undefined;
+			}
+
 			knownJob.receiver = receiver;
 			knownJob.receiverLostAtMs = undefined;
-			knownJob.callerLostAtMs = undefined;
 			if (isResubmitted) {
 				// Another leader may have started the job after this leader received it first.
 				knownJob.isIndeterminate = true;
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -39,6 +39,7 @@
 import {computeWorkersVersion, describeWorker} from './knowledge-schedule.js';
 import {selectLossRecipients} from './loss-recipients.js';
 import {type PoolLog} from './pool-log.js';
+import {ReturnableExchange} from './returnable-exchange.js';
 import {StoreFollower} from './store-follower.js';
 import {createWorkerCommandSender} from './worker-command-sender.js';
 import {ZoneReporter} from './zone-reporter.js';
@@ -128,6 +129,7 @@
 	/** Latest time at which a peer that reads the store had the same list of workers, less the longest age of its list. */
 	#listConfirmedAtMs = Number.NEGATIVE_INFINITY;
 	readonly #zoneReporter: ZoneReporter;
+	readonly #returnableExchange: ReturnableExchange;
 
 	constructor(settings: EntrySettings, log: PoolLog, now: () => number) {
 		this.#settings = settings;
@@ -239,6 +241,15 @@
 				this.#sendLearned(learned, time);
 			},
 		});
+		this.#returnableExchange = new ReturnableExchange({
+			scheduler: this.#scheduler,
+			send: (names, message) => {
+				this.#overlayNode.sendToAll(names, message);
+			},
+			writeLog(fields) {
+				log.write(fields);
+			},
+		});
 		const client = new StoreClient(settings.storeAddress);
 		this.#overlayNode = new OverlayNode({
 			settings,
@@ -340,6 +351,8 @@
 			peerConnections: this.#overlayNode.sizes.connections,
 			isCandidate: Number(this.#overlayNode.isCandidate),
 			desiredStateVersion: this.#desiredState?.version ?? 0,
+			jobsAnnounced: this.#returnableExchange.sizes.announced,
+			jobsElsewhere: this.#returnableExchange.sizes.elsewhere,
 			zonesEvacuated: this.#evacuations.evacuatedZones.size,
 			storeKnowledgeAgeMs: Math.round(
 				Math.min(1e9, this.#storeFollower.workersAgeMs(this.#now())),
@@ -385,6 +398,7 @@
 					},
 				],
 			),
+			...this.#returnableExchange.samples,
 			...[...closedLinks].map(([cause, value]) => ({
 				name: 'peer_streams_closed_total',
 				labels: {cause},
@@ -632,6 +646,7 @@
 			this.#scheduler.tick(now);
 		}
 
+		this.#updateReturnableJobs(now);
 		this.#jobReceiver.answerExpiredJobs(now);
 		if (now - this.#lastDirectoryCheckMs >= directoryCheckIntervalMs) {
 			this.#lastDirectoryCheckMs = now;
@@ -663,6 +678,27 @@
 		}
 	}
 
+	/** Tells the leaders of other zones which jobs their zones may get from callers, while each zone has its own leader. */
+	#updateReturnableJobs(now: number): void {
+		const {ledZones} = this.#leadership;
+		this.#returnableExchange.update(
+			{
+				ledZones: this.#scope === 'zone' ? ledZones : new Map(),
+				findOtherLeaders: () =>
+					this.#settings.zones
+						.filter((zone) => !ledZones.has(zone))
+						.map((zone) => this.#leadership.findLeader(zone, now)),
+				findRecipients: () =>
+					selectLossRecipients(
+						[],
+						this.#leadership.livePeers(now),
+						this.#settings.name,
+					),
+			},
+			now,
+		);
+	}
+
 	/**
 	 * Evaluates the election once the messages that have arrived are read, however many of them change it, and informs peers
 	 * that have lost a leader which is live here before they claim its zone.
@@ -927,6 +963,22 @@
 				break;
 			}
 
+			case 'caller-lost': {
+				this.#scheduler.markCallerLost(message.id, from, now);
+				break;
+			}
+
+			case 'caller-returned': {
+				this.#scheduler.markCallerReturned(message.id, from, now);
+				break;
+			}
+
+			case 'returnable-jobs':
+			case 'returnable-jobs-noted': {
+				this.#returnableExchange.receive(from, message, now);
+				break;
+			}
+
 			case 'cancel': {
 				if (message.reason === 'moved') {
 					this.#decisionCounts.recordRelease('received');
@@ -951,12 +1003,6 @@
 				break;
 			}
 
-			case 'caller-lost':
-			case 'caller-returned': {
-				// The scheduler does not depend on whether callers are connected.
-				break;
-			}
-
 			case 'ask': {
 				this.#overlayNode.send(from, {
 					type: 'reply',
@@ -1223,13 +1269,30 @@
 			return this.#overlayNode.send(leader, message);
 		}
 
-		if (message.type === 'submit') {
-			this.#scheduler.submit(message.job, leader, message.isResubmitted, now);
-		} else if (message.type === 'cancel') {
-			if (message.reason === 'moved') {
-				this.#scheduler.release(message.id, leader, now);
-			} else {
-				this.#scheduler.cancel(message.id, message.reason, leader, now);
+		switch (message.type) {
+			case 'submit': {
+				this.#scheduler.submit(message.job, leader, message.isResubmitted, now);
+				break;
+			}
+
+			case 'cancel': {
+				if (message.reason === 'moved') {
+					this.#scheduler.release(message.id, leader, now);
+				} else {
+					this.#scheduler.cancel(message.id, message.reason, leader, now);
+				}
+
+				break;
+			}
+
+			case 'caller-lost': {
+				this.#scheduler.markCallerLost(message.id, leader, now);
+				break;
+			}
+
+			case 'caller-returned': {
+				this.#scheduler.markCallerReturned(message.id, leader, now);
+				break;
 			}
 		}
 
