Show that a leader of the region takes a zone from entry VMs that have leaders of zones

When the leader of such a zone is lost, a leader with the scope 'region' claims the zone as early as the zone's own candidates, with a higher token. Seen: it leads both zones each time. A second test passes already: a leader that only the zone's entry VMs hear is respected.

--- a/packages/core/src/tests/leadership.test.ts
+++ b/packages/core/src/tests/leadership.test.ts
@@ -491,6 +491,30 @@
 		expect(leadership.successors.get('zone-b')).toBe('b');
 	});
 
+	// It would have led workers of two zones beside leaders of zones, which know nothing of its jobs.
+	it('does not claim, as a leader of the region, a zone whose own entry VMs have leaders of zones', () => {
+		const regional = createLeadership('a');
+		regional.setWarm();
+		const inScope = {zone: 'zone-b', scope: 'zone'} as const;
+		const follower = heartbeatFixture('b2', inScope);
+		simulate(regional, 0, 1000, [
+			heartbeatFixture('b1', {...inScope, leads: {'zone-b': 9}}),
+			follower,
+		]);
+		expect([...regional.ledZones.keys()]).toEqual(['zone-a']);
+		simulate(regional, 1020, 4000, [follower]);
+		expect([...regional.ledZones.keys()]).toEqual(['zone-a']);
+	});
+
+	it('does not claim, as a leader of the region, a zone whose leader only the entry VMs of that zone hear', () => {
+		const regional = createLeadership('a');
+		regional.setWarm();
+		simulate(regional, 0, 4000, [
+			heartbeatFixture('b2', {zone: 'zone-b', hears: {'zone-b': 9}}),
+		]);
+		expect([...regional.ledZones.keys()]).toEqual(['zone-a']);
+	});
+
 	it('hands no zone to an entry VM with the other scope, which would hand it back', () => {
 		const zonal = createZonalLeadership('a');
 		const lastBuild = heartbeatFixture('c', {zone: 'zone-b'});
