Leave zones that have leaders of zones to their own entry VMs

Callers saw two tasks of a job started again by a machine of Leuven, on workers of two other zones, while leaders of zones ran them. A leader with the scope 'region' beside leaders of zones claimed each zone whose leader was lost, as early as the zone's own candidates do, with a higher token, and did not hand it back to entry VMs of the other scope.

Change: a leader of the region claims no zone with a live candidate that announces the scope 'zone'. Zones of a small installation are still merged, as they are handed over and not claimed.

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -630,10 +630,16 @@
 		}
 
 		// The entry VMs of a zone send heartbeats to other zones rarely, so a live one that has sent none lately may claim it.
+		// A leader of the region leaves it to them too if they have leaders of zones, whose jobs it does not know.
 		if (
-			this.#scope === 'zone' &&
 			this.#self.zone !== zone &&
-			this.livePeers(now).some((peer) => peer.zone === zone && !peer.isStopping)
+			this.livePeers(now).some(
+				(peer) =>
+					peer.zone === zone &&
+					!peer.isStopping &&
+					(this.#scope === 'zone' ||
+						(peer.scope === 'zone' && peer.isCandidate !== false)),
+			)
 		) {
 			return [];
 		}
