Start no first-seen job before all workers have reported or earlier leases have ended

Callers would see a task run twice at the same time: a copy of a request whose first receiver was lost arrives at another receiver as new, and its leader, which has just claimed the zone, started it on the workers that had reported while a silent one still ran it.

Cause: only jobs that were resubmitted, or sent under another token, waited for all reports. A job that is new to its receiver did not.

Change: WorkerPool#unknownRunsEndByMs gives the time by which runs of earlier leaders have ended on workers that have not reported: 1.85 s after the claim, the suspension or the refusal of the token. Workers that are listed later, or no longer, count too. Until then such a job is not placed, is not answered `not-run`, and is answered `may-have-run` at once if its caller can't wait.

Ruled out as proof that nothing runs: refused connections (a partition may refuse them), a missing entry (a worker cut off from the store). A wait of 1.17 s (one lease) was ruled out: a leader that was frozen may extend a lease once more.

Measured, a job each 20 ms for 3 s after a claim of eight workers: with all reports, 150 of 150 start in time before and after.

Changed tests: in two-leaders.test.ts two tests expected a new job to start before all workers had reported, which is the fault; they now demand that it doesn't, and that it starts with the last report. SimulatedRuns reports idle workers when the leader needs new reports, as workers do.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -413,7 +413,7 @@
 			job,
 			reason === 'cancelled'
 				? {kind: 'cancelled'}
-				: job.hasCertainlyNotRun
+				: this.#hasCertainlyNotRun(job, now)
 					? {kind: 'not-run', reason}
 					: {kind: 'may-have-run', reason},
 			now,
@@ -884,7 +884,13 @@
 			({name}) => name === job.queue,
 		);
 		if (queue === undefined) {
-			this.#refuseJob(job, receiver, isResubmitted, 'queue-unknown', {});
+			this.#refuseJob(
+				job,
+				receiver,
+				isResubmitted || this.#mayHaveUnknownRuns(job, now),
+				'queue-unknown',
+				{},
+			);
 			return undefined;
 		}
 
@@ -956,13 +962,17 @@
 			? new Map<ScheduledJob, number>()
 			: this.#projectLastStarts(feasibleJobs, now);
 		for (const scheduledJob of feasibleJobs) {
-			scheduledJob.isDelayedByFailover ||= isSyncing;
+			scheduledJob.isDelayedByFailover ||=
+				isSyncing || this.#mayHaveUnknownRuns(scheduledJob, now);
 			const admission = decidePoolAdmission(
 				scheduledJob,
 				lastStartsMs.get(scheduledJob) ?? now,
 				now,
 			);
-			if (admission.kind === 'refused' && scheduledJob.hasCertainlyNotRun) {
+			if (
+				admission.kind === 'refused' &&
+				this.#hasCertainlyNotRun(scheduledJob, now)
+			) {
 				this.#refuseJob(
 					scheduledJob.job,
 					scheduledJob.receiver,
@@ -983,7 +993,7 @@
 
 	/** Refuses a job that cannot run, unless it may have started; returns whether it did. */
 	#refuseIfInfeasible(scheduledJob: ScheduledJob, now: number): boolean {
-		if (!scheduledJob.hasCertainlyNotRun) {
+		if (!this.#hasCertainlyNotRun(scheduledJob, now)) {
 			return false;
 		}
 
@@ -1197,12 +1207,15 @@
 		{unsettledSinceMs, earlierToken, zones}: ScheduledJob,
 		now: number,
 	): number {
+		const jobZones = zones ?? this.#options.zones;
+		const unknownRunsEndByMs = this.pool.unknownRunsEndByMs(jobZones, now);
 		return unsettledSinceMs === undefined
-			? now
+			? unknownRunsEndByMs
 			: Math.max(
+					unknownRunsEndByMs,
 					unsettledSinceMs + workerListDelayMs,
 					this.pool.priorRunsSettledAtMs(
-						zones ?? this.#options.zones,
+						jobZones,
 						unsettledSinceMs,
 						earlierToken,
 						now,
@@ -1215,16 +1228,35 @@
 		{unsettledSinceMs, earlierToken, zones}: ScheduledJob,
 		now: number,
 	): number {
+		const jobZones = zones ?? this.#options.zones;
 		return unsettledSinceMs === undefined
-			? now
+			? this.pool.earliestUnknownRunsEndByMs(jobZones, now)
 			: this.pool.earliestPriorRunsSettledAtMs(
-					zones ?? this.#options.zones,
+					jobZones,
 					unsettledSinceMs,
 					earlierToken,
 					now,
 				);
 	}
 
+	/**
+	 * Whether a worker that has not reported to this leader may run a task of a job. A job that is new here may be a copy of a
+	 * request whose first receiver was lost.
+	 */
+	#mayHaveUnknownRuns(
+		{zones}: Pick<PoolJob | ScheduledJob, 'zones'>,
+		now: number,
+	): boolean {
+		return (
+			this.pool.unknownRunsEndByMs(zones ?? this.#options.zones, now) > now
+		);
+	}
+
+	/** Whether a job may be answered `not-run`: neither this leader nor, on a worker that has not reported, another one runs it. */
+	#hasCertainlyNotRun(job: ScheduledJob, now: number): boolean {
+		return job.hasCertainlyNotRun && !this.#mayHaveUnknownRuns(job, now);
+	}
+
 	/** Starts the waiting tasks of a job that fit on available workers. */
 	#placeTasksOfJob(job: ScheduledJob, pass: PlacementPass, now: number): void {
 		if (job.unsettledSinceMs !== undefined && this.pool.hasOrphans) {
@@ -1353,7 +1385,7 @@
 
 		this.#abandonJob(
 			job,
-			job.hasCertainlyNotRun
+			this.#hasCertainlyNotRun(job, now)
 				? {
 						kind: 'not-run',
 						reason: 'no-workers',
@@ -1383,9 +1415,11 @@
 			return;
 		}
 
+		const mayWaitForOtherRuns =
+			job.isIndeterminate || job.unsettledSinceMs === undefined;
 		if (job.hasStarted) {
 			const cannotSettleInTime =
-				job.isIndeterminate &&
+				mayWaitForOtherRuns &&
 				job.waitingTasks.length > 0 &&
 				this.#earliestPriorRunsSettledAtMs(job, now) > job.callerDeadlineMs;
 			if (now > job.callerDeadlineMs || cannotSettleInTime) {
@@ -1397,7 +1431,7 @@
 			}
 		} else if (
 			now > job.latestFirstStartMs ||
-			(job.isIndeterminate &&
+			(mayWaitForOtherRuns &&
 				this.#earliestPriorRunsSettledAtMs(job, now) > job.latestFirstStartMs)
 		) {
 			this.#abandonUnstartedJob(job, now);
@@ -1408,13 +1442,13 @@
 	#abandonUnstartedJob(job: ScheduledJob, now: number): void {
 		this.#abandonJob(
 			job,
-			job.isIndeterminate
-				? {kind: 'may-have-run', reason: 'leader-lost'}
-				: {
+			this.#hasCertainlyNotRun(job, now)
+				? {
 						kind: 'not-run',
 						reason: 'overloaded',
 						retryAfterMs: defaultRetryAfterMs,
-					},
+					}
+				: {kind: 'may-have-run', reason: 'leader-lost'},
 			now,
 		);
 	}
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -160,6 +160,10 @@
 	pace = new WorkerPace();
 	/** Time from which hold commands must have been sent for their reports to count. */
 	reportsRequiredSinceMs = Number.NEGATIVE_INFINITY;
+	/** Time at which a report was requested or became necessary; of no meaning once the worker has reported. */
+	reportAwaitedSinceMs = Number.NEGATIVE_INFINITY;
+	/** Time by which runs of earlier leaders have ended that no report has listed; of no meaning once the worker has reported. */
+	unknownRunsEndByMs = Number.NEGATIVE_INFINITY;
 	/** Whether a hold command has no answer yet. */
 	isHoldPending = false;
 	/** Earliest time of the next hold command. */
--- a/packages/core/src/tests/first-seen-jobs.test.ts
+++ b/packages/core/src/tests/first-seen-jobs.test.ts
@@ -138,6 +138,7 @@
 		const fixture = claimWithOneReport();
 		failHolds(fixture, 'w2', startMs + 6);
 		const job = poolJobFixture('j1', 1, {patienceMs: 1500});
+		fixture.tickUntil(startMs + 20, startMs + 280);
 		fixture.scheduler.submit(job, 'r2', false, startMs + 300);
 		fixture.tickUntil(startMs + 300, startMs + 320);
 		expect(fixture.answers).toMatchObject([
@@ -159,3 +160,91 @@
 		expect(fixture.starts).toHaveLength(1);
 	});
 });
+
+/**
+ * Plays 3 s after a claim with a new job each 20 ms on eight workers, which report after 20 ms; the last one may be silent. Returns
+ * when the first task started after the claim, and how many jobs started within 100 ms of their arrival or were answered instead.
+ */
+function playFirstSeconds(isOneSilent: boolean) {
+	const fixture = new SchedulerFixture();
+	const ids = Array.from({length: 8}, (_, index) => `w${index}`);
+	fixture.scheduler.updateWorkers(
+		ids.map((id) => workerFixture(id)),
+		startMs,
+	);
+	fixture.scheduler.startLeadingZone('zone-a', 7, startMs);
+	const startDelays: number[] = [];
+	const runs: Array<{
+		readonly task: string;
+		readonly worker: string;
+		readonly endMs: number;
+	}> = [];
+	const endNumbers = new Map<string, number>();
+	let startCount = 0;
+	let firstStartMs: number | undefined;
+	for (let elapsedMs = 0; elapsedMs < 3000; elapsedMs += 20) {
+		const now = startMs + elapsedMs;
+		fixture.scheduler.tick(now);
+		for (const id of ids) {
+			const isSilent = isOneSilent && id === 'w7';
+			if (isSilent && elapsedMs % 200 === 0) {
+				failHolds(fixture, id, now);
+			} else if (!isSilent && elapsedMs > 0) {
+				const own = runs.filter(({worker}) => worker === id);
+				fixture.receiveReport(id, now, {
+					running: own
+						.filter(({endMs}) => endMs > now)
+						.map(({task}) => ({task, run: 1})),
+					ended: own
+						.filter(({endMs}) => endMs > now - 20 && endMs <= now)
+						.map(({task}) => {
+							const number = (endNumbers.get(id) ?? 0) + 1;
+							endNumbers.set(id, number);
+							return {number, task, run: 1, how: 'done' as const};
+						}),
+				});
+			}
+		}
+
+		fixture.scheduler.submit(
+			poolJobFixture(`j${elapsedMs}`, 1),
+			'r1',
+			false,
+			now,
+		);
+		for (const {task, worker} of fixture.starts.slice(startCount)) {
+			firstStartMs ??= elapsedMs;
+			const arrivedMs = Number(/^j(\d+)\./.exec(task)![1]);
+			startDelays.push(elapsedMs - arrivedMs);
+			runs.push({task, worker: worker.id, endMs: now + 100});
+		}
+
+		startCount = fixture.starts.length;
+	}
+
+	const countAnswers = (kind: string) =>
+		fixture.answers.filter(({answer}) => answer.kind === kind).length;
+	return {
+		firstStartMs,
+		promptCount: startDelays.filter((delayMs) => delayMs <= 100).length,
+		notRunCount: countAnswers('not-run'),
+		mayHaveRunCount: countAnswers('may-have-run'),
+	};
+}
+
+describe('the first seconds after a claim', () => {
+	it('delay new jobs only until the reports if all workers answer, and to the end of earlier leases if one does not', () => {
+		expect(playFirstSeconds(false)).toEqual({
+			firstStartMs: 20,
+			promptCount: 150,
+			notRunCount: 0,
+			mayHaveRunCount: 0,
+		});
+		const {firstStartMs, promptCount, notRunCount} = playFirstSeconds(true);
+		expect(firstStartMs).toBeGreaterThanOrEqual(priorRunsMs);
+		expect(firstStartMs).toBeLessThan(priorRunsMs + 40);
+		// All jobs that arrive once earlier leases have ended.
+		expect(promptCount).toBeGreaterThanOrEqual(57);
+		expect(notRunCount).toBe(0);
+	});
+});
--- a/packages/core/src/tests/simulated-runs.ts
+++ b/packages/core/src/tests/simulated-runs.ts
@@ -19,7 +19,7 @@
 		readonly runMsOf: (task: string, worker: string) => number,
 	) {}
 
-	/** Starts what was ordered since the last call, and reports the runs that have ended by now. */
+	/** Starts what was ordered since the last call, and reports the runs that have ended by now; also where reports are requested of all. */
 	advance(now: number): void {
 		const {fixture, workers} = this;
 		for (const {task, worker} of fixture.starts.slice(this.#startCount)) {
@@ -37,7 +37,9 @@
 				this.#runs.delete(task);
 			}
 
-			if (own.length > 0) {
+			const isReportRequested =
+				fixture.scheduler.pool.findWorker(id)?.isSynced === false;
+			if (own.length > 0 || isReportRequested) {
 				fixture.receiveReport(id, now, {
 					running: own
 						.filter(([, {endMs}]) => endMs > now)
--- a/packages/core/src/tests/two-leaders.test.ts
+++ b/packages/core/src/tests/two-leaders.test.ts
@@ -117,13 +117,15 @@
 		fixture.receiveReport('w2', now + 1);
 		fixture.refuseHold('w1', now + 2);
 		fixture.scheduler.submit(poolJobFixture('j1'), 'r1', false, now + 3);
+		fixture.receiveReport('w1', now + 3);
+		expect(fixture.starts).toEqual([]);
 		fixture.receiveReport('w2', now + 4, {fencingToken: earlierToken});
 		expect(fixture.starts).toEqual([]);
 		fixture.receiveReport('w2', now + 5);
 		expect(fixture.starts).toHaveLength(1);
 	});
 
-	it('starts a job that was submitted under an earlier token only after all workers have reported', () => {
+	it('starts neither a job that was submitted under an earlier token nor a new one before all workers have reported', () => {
 		const fixture = new LeaderFixture();
 		const now = fixture.elect();
 		fixture.receiveReport('w1', now + 1);
@@ -137,11 +139,11 @@
 			now + 2,
 		);
 		fixture.tickUntil(now + 20, now + 100);
-		expect(fixture.starts.map(({task}) => task)).toEqual(['j2.0.0.0']);
+		expect(fixture.starts).toEqual([]);
 		fixture.receiveReport('w2', now + 110);
 		expect(fixture.starts.map(({task}) => task)).toEqual([
-			'j2.0.0.0',
 			'j1.0.0.0',
+			'j2.0.0.0',
 		]);
 	});
 
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -173,6 +173,8 @@
 	#entries: readonly WorkerEntry[] = [];
 	#evacuatedZones: ReadonlySet<string> = new Set();
 	#unguardedServices: readonly string[] = [];
+	/** Time by which unknown runs have ended on workers that are listed no longer and have not reported, by zone. */
+	readonly #goneWorkersEndByMs = new Map<string, number>();
 	/** Time of the last claim or drop of a zone. */
 	#zonesChangedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -247,7 +249,7 @@
 		this.#zonesChangedAtMs = now;
 		for (const worker of this.#workers.values()) {
 			if (worker.entry.zone === zone) {
-				worker.isSynced = false;
+				this.#requestReport(worker, now);
 				// The answer to a hold command under an earlier token will be ignored, so the next one need not wait for it.
 				worker.isHoldPending = false;
 				worker.nextHoldAtMs = now;
@@ -267,7 +269,7 @@
 		}
 
 		for (const worker of this.#workers.values()) {
-			worker.isSynced = false;
+			this.#requestReport(worker, now);
 			worker.isHoldPending = false;
 			worker.reportsRequiredSinceMs = now;
 			worker.nextHoldAtMs = now;
@@ -278,6 +280,7 @@
 	/** Stops leading the workers of a zone; returns the runs that they had. */
 	dropZone(zone: string, now: number): readonly WorkerRun[] {
 		this.#zones.delete(zone);
+		this.#goneWorkersEndByMs.delete(zone);
 		this.#zonesChangedAtMs = now;
 		const dropped = this.workers.filter(({entry}) => entry.zone === zone);
 		for (const worker of dropped) {
@@ -344,13 +347,29 @@
 			[...this.#unsyncedWorkers].every(
 				({entry}) => !jobZones.includes(entry.zone),
 			);
-		const {leaseMs, orphanStopDelayMs} = this.#settings;
 		return isFullySynced
 			? now
-			: Math.max(sinceMs, this.#zonesChangedAtMs) +
-					leaseMs +
-					orphanStopDelayMs +
-					leaseExpiryMarginMs;
+			: Math.max(sinceMs, this.#zonesChangedAtMs) + this.#priorRunsMs;
+	}
+
+	/**
+	 * Returns the time from which no run is at work that an earlier leader ordered on a worker of these zones and that no report
+	 * has listed; `now` if all workers have reported. A silent worker is given the time of {@link priorRunsSettledAtMs}, also
+	 * if its host refuses connections, as a partition may do, or if the platform lists it no longer.
+	 */
+	unknownRunsEndByMs(jobZones: readonly string[], now: number): number {
+		return this.#latestUnknownRunsEndMs(jobZones, () => true, now);
+	}
+
+	/** Like `unknownRunsEndByMs`, but leaves out workers whose reports were requested recently and may arrive at any time. */
+	earliestUnknownRunsEndByMs(jobZones: readonly string[], now: number): number {
+		return this.#latestUnknownRunsEndMs(
+			jobZones,
+			({contactFailures, reportAwaitedSinceMs}) =>
+				contactFailures >= maxContactFailures ||
+				now - reportAwaitedSinceMs >= this.#settings.syncGraceMs,
+			now,
+		);
 	}
 
 	/** Like `priorRunsSettledAtMs`, but assumes that workers send a requested report at once unless a command to them has failed. */
@@ -380,7 +399,7 @@
 				.map((entry) => [entry.id, entry]),
 		);
 		for (const [id, entry] of listedEntries) {
-			const worker = this.#workers.get(id) ?? this.#addWorker(entry);
+			const worker = this.#workers.get(id) ?? this.#addWorker(entry, now);
 			this.#updateEntry(worker, entry, now);
 		}
 
@@ -392,6 +411,7 @@
 				}
 
 				if (worker.runs.size === 0) {
+					this.#recordGoneWorker(worker);
 					this.#deleteWorker(worker);
 				}
 			}
@@ -539,7 +559,7 @@
 		if (outcome.kind === 'done' && outcome.report !== undefined) {
 			this.#handleReport(worker, outcome.report, sentAtMs, now);
 		} else if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
-			worker.isSynced = false;
+			this.#requestReport(worker, now);
 			worker.nextHoldAtMs = now + maxHoldRetryMs;
 			this.#listener.handleFencedZone(worker.entry.zone, fencingToken);
 		} else {
@@ -616,7 +636,50 @@
 		this.#capacity.recordSlowdownFactor(worker.pace.leastSlowdownFactor(now));
 	}
 
-	#addWorker(entry: WorkerEntry): PoolWorker {
+	/** Longest time for which a run of an earlier leader can be at work after this one has claimed its worker. */
+	get #priorRunsMs(): number {
+		const {leaseMs, orphanStopDelayMs} = this.#settings;
+		return leaseMs + orphanStopDelayMs + leaseExpiryMarginMs;
+	}
+
+	#latestUnknownRunsEndMs(
+		jobZones: readonly string[],
+		isCounted: (worker: PoolWorker) => boolean,
+		now: number,
+	): number {
+		let latestMs = now;
+		for (const worker of this.#unsyncedWorkers) {
+			if (jobZones.includes(worker.entry.zone) && isCounted(worker)) {
+				latestMs = Math.max(latestMs, worker.unknownRunsEndByMs);
+			}
+		}
+
+		for (const [zone, endByMs] of this.#goneWorkersEndByMs) {
+			if (jobZones.includes(zone)) {
+				latestMs = Math.max(latestMs, endByMs);
+			}
+		}
+
+		return latestMs;
+	}
+
+	/** Takes what a worker runs for unknown until it reports again, as another leader may command it. */
+	#requestReport(worker: PoolWorker, now: number): void {
+		worker.reportAwaitedSinceMs = now;
+		worker.unknownRunsEndByMs = now + this.#priorRunsMs;
+		worker.isSynced = false;
+	}
+
+	#recordGoneWorker({entry: {zone}, isSynced, unknownRunsEndByMs}: PoolWorker) {
+		if (!isSynced) {
+			this.#goneWorkersEndByMs.set(
+				zone,
+				Math.max(this.#goneWorkersEndByMs.get(zone) ?? 0, unknownRunsEndByMs),
+			);
+		}
+	}
+
+	#addWorker(entry: WorkerEntry, now: number): PoolWorker {
 		this.#addedCount += 1;
 		const worker = new PoolWorker(entry, this.#addedCount, (changed) => {
 			if (this.#workers.get(entry.id) === changed) {
@@ -626,6 +689,9 @@
 		worker.isEvacuated = this.#evacuatedZones.has(entry.zone);
 		worker.guardsCapacity = !this.#unguardedServices.includes(entry.service);
 		worker.pace.setBaseline(this.kindSpeeds.logSlowdown(worker.kind));
+		worker.reportAwaitedSinceMs = now;
+		worker.unknownRunsEndByMs =
+			(this.#zones.get(entry.zone)?.syncingSinceMs ?? now) + this.#priorRunsMs;
 		this.#workers.set(entry.id, worker);
 		this.#unsyncedWorkers.add(worker);
 		this.#workerList = undefined;
@@ -741,7 +807,7 @@
 	): void {
 		if (reason === 'fenced') {
 			// The refused token may be older than the present one; the next hold command shows whether that is refused too.
-			worker.isSynced = false;
+			this.#requestReport(worker, now);
 			this.#expediteHold(worker, now);
 			this.#endRun(
 				worker,
