Extend no lease of a worker beside runs that no job has claimed

Callers would see a task run twice at the same time after the loss of all processes: the new leader extended the leases of the runs that it found for up to 0.7 s, as a lease is per worker, while the copy of the request, 1.3 s after the loss, started in another zone whose leader didn't know them.

Change: a command extends a lease only for known runs, and only while the worker lists no unclaimed one; a start carries a lease too, so nothing is started beside them. Unclaimed runs end with the lease of their own leader, 1.17 s after its last command at the latest. They are stopped after 0.1 s instead of 0.7 s where known runs need the lease or tasks wait. New jobs are not refused for 0.25 s while all workers are so occupied. A worker that has reported first counts as holding a full lease of an earlier leader, so that adopted runs don't seem lapsed.

Cost: a new job that only workers with unclaimed runs could take starts after the stop, 0.1 s after the report, instead of at once.

Ruled out: stopping all such runs at once (throws away what living receivers claim), and extending for claimed neighbours from the first report on (keeps the unclaimed ones beyond 1.3 s if the loss was 0.95 s before).

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -514,7 +514,7 @@
 
 		this.#tickedAtMs = now;
 		this.#stall.recordTick(now);
-		this.pool.tick(now);
+		this.pool.tick(now, this.#listWaitingJobs().length > 0);
 		// The runs of a worker whose report is missing may have ended: this process may have been late to read it.
 		for (const worker of this.pool.workers.filter(
 			({isSynced, reportRequestedAtMs}) =>
@@ -954,7 +954,7 @@
 
 	/** Refuses the jobs that cannot run or would start too late, unless they may have started; admits all others. */
 	#admitOrRefuse(newJobs: readonly ScheduledJob[], now: number): void {
-		const isSyncing = this.pool.isSyncing(now);
+		const isSyncing = this.pool.isSyncing(now) || this.pool.awaitsClaims(now);
 		const feasibleJobs = isSyncing
 			? newJobs
 			: newJobs.filter((job) => !this.#refuseIfInfeasible(job, now));
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -363,12 +363,16 @@
 		}
 	}
 
-	/** Whether the worker may be given a task now; while it is cold or after failures, only one at a time. */
+	/**
+	 * Whether the worker may be given a task now; while it is cold or after failures, only one at a time. None is given beside
+	 * a run that no job has claimed, since the start command would extend the lease of that run.
+	 */
 	canStartTask(now: number): boolean {
 		return (
 			this.isListed &&
 			!this.isEvacuated &&
 			this.isSynced &&
+			this.orphans.size === 0 &&
 			this.entry.state === 'ready' &&
 			this.contactFailures === 0 &&
 			now >= this.fullUntilMs &&
@@ -404,15 +408,9 @@
 		return this.#hasSuspect;
 	}
 
-	/**
-	 * Whether the free resources are not merely estimated: the needs of runs that no job has claimed are unknown, and so is
-	 * the capacity of a process that is newer than the worker's entry.
-	 */
+	/** Whether the free resources are known: the capacity of a process that is newer than the worker's entry is not. */
 	get #isRoomCertain(): boolean {
-		return (
-			this.orphans.size === 0 &&
-			(this.#bornMs === undefined || this.entry.bornMs >= this.#bornMs)
-		);
+		return this.#bornMs === undefined || this.entry.bornMs >= this.#bornMs;
 	}
 
 	/** Whether the needs of a task fit into the free resources. */
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -98,6 +98,11 @@
 	readonly syncGraceMs: number;
 	/** Time after which an orphan, a run that no job has claimed, is stopped. */
 	readonly orphanStopDelayMs: number;
+	/**
+	 * The same for an orphan whose worker is needed by other runs or waiting tasks, which get no lease beside it; longer than
+	 * living receivers take to submit their jobs to a new leader.
+	 */
+	readonly orphanClaimMs: number;
 	/** Time for which the end of an orphan is kept for a job that may still claim it. */
 	readonly orphanEndRetentionMs: number;
 	/** Time after which an unacknowledged stop is sent again. */
@@ -116,6 +121,7 @@
 	reportDelayMarginMs: 40,
 	syncGraceMs: 250,
 	orphanStopDelayMs: 700,
+	orphanClaimMs: 100,
 	orphanEndRetentionMs: 4000,
 	stopRetryMs: 60,
 	stopDurationMs: 50,
@@ -238,6 +244,17 @@
 		}
 	}
 
+	/** Whether receivers may be about to submit the jobs of orphans, on whose workers nothing is started meanwhile. */
+	awaitsClaims(now: number): boolean {
+		return [...this.#orphanHolders].some(([task, holders]) =>
+			[...holders].some(
+				({orphans}) =>
+					now - (orphans.get(task)?.foundAtMs ?? now) <
+					this.#settings.syncGraceMs,
+			),
+		);
+	}
+
 	/** Whether any worker has an orphan, or the end of one is retained. */
 	get hasOrphans(): boolean {
 		return this.#orphanEnds.size > 0 || this.#orphanHolders.size > 0;
@@ -599,12 +616,15 @@
 		return newest === undefined ? undefined : {kind: 'running', ...newest};
 	}
 
-	/** Ends runs whose lease is certain to have expired, sends due commands and removes old ends of orphans. */
-	tick(now: number): void {
+	/**
+	 * Ends runs whose lease is certain to have expired, sends due commands and removes old ends of orphans. `hasWaitingTasks`
+	 * is whether tasks wait for workers, so that orphans are stopped sooner.
+	 */
+	tick(now: number, hasWaitingTasks = false): void {
 		for (const worker of this.#workers.values()) {
 			worker.expireRoomLimit(now);
 			this.#endLapsedRuns(worker, now);
-			this.#sendStops(worker, now);
+			this.#sendStops(worker, hasWaitingTasks, now);
 			this.#sendHold(worker, now);
 		}
 
@@ -894,6 +914,8 @@
 		this.#reconcileRuns(worker, reported, sentAtMs, now);
 		if (!worker.isSynced) {
 			worker.isSynced = true;
+			// An earlier leader may have extended the lease until the worker has received this leader's command.
+			worker.recordLeaseExtension(now, this.#settings.leaseMs);
 			this.#listener.handleWorkerChange(worker, 'synced');
 		}
 
@@ -1047,7 +1069,7 @@
 		}
 	}
 
-	#sendStops(worker: PoolWorker, now: number): void {
+	#sendStops(worker: PoolWorker, hasWaitingTasks: boolean, now: number): void {
 		const token = this.#zones.get(worker.entry.zone)?.token;
 		if (token === undefined || !worker.isSynced) {
 			return;
@@ -1063,10 +1085,13 @@
 			}
 		}
 
+		const orphanStopDelayMs =
+			hasWaitingTasks || worker.runs.size > 0
+				? this.#settings.orphanClaimMs
+				: this.#settings.orphanStopDelayMs;
 		for (const orphan of worker.orphans.values()) {
 			const isStopDue =
-				(orphan.isAbandoned ||
-					now - orphan.foundAtMs >= this.#settings.orphanStopDelayMs) &&
+				(orphan.isAbandoned || now - orphan.foundAtMs >= orphanStopDelayMs) &&
 				now - orphan.stopSentAtMs >= this.#settings.stopRetryMs;
 			if (isStopDue) {
 				orphan.stopSentAtMs = now;
@@ -1123,8 +1148,13 @@
 		}
 
 		const clockMs = worker.estimateClockMs(now);
+		// A lease applies to all runs of a worker. The job of an orphan may be started elsewhere once the lease has ended that its
+		// own leader gave it.
 		const extendsLease =
-			clockMs !== undefined && worker.contactFailures < maxContactFailures;
+			clockMs !== undefined &&
+			worker.contactFailures < maxContactFailures &&
+			worker.runs.size > 0 &&
+			worker.orphans.size === 0;
 		if (extendsLease) {
 			worker.recordLeaseExtension(now, this.#settings.leaseMs);
 		}
