Adopt a done end whatever the number of its run

Callers would see a task run again after it was done: a leader that has started run 1 on one worker ignored the `done` end of another leader's run 1 on another worker, as the number was not new or the task was placed.

Change: tryAdoptEnd takes a `done` end of any run of an unfinished task; a run of the task that is placed elsewhere is stopped, and its end starts nothing. Ends of other kinds count as before.

The record of lost runs already tells runs apart by worker.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -642,18 +642,28 @@
 		return true;
 	}
 
-	/** Adopts the end of a newer run of a waiting task; returns whether there is such a task. */
+	/**
+	 * Adopts the end of a newer run of a waiting task, or a `done` end of any run of an unfinished task, as runs on two workers
+	 * may have the same number; returns whether there is such a task.
+	 */
 	tryAdoptEnd(reportedEnd: ReportedEnd): boolean {
 		const job = this.#jobs.get(parseJobId(reportedEnd.task));
 		const task = job?.tasks.find(({task: {name}}) => name === reportedEnd.task);
 		if (
 			job === undefined ||
-			task?.state !== 'waiting' ||
-			reportedEnd.run <= task.latestRun
+			task === undefined ||
+			task.state === 'done' ||
+			(reportedEnd.how !== 'done' &&
+				(task.state !== 'waiting' || reportedEnd.run <= task.latestRun))
 		) {
 			return false;
 		}
 
+		if (task.state === 'placed') {
+			this.#stopTaskRun(job, task, this.#now);
+			task.worker = undefined;
+		}
+
 		this.#adoptEndedRun(job, task, reportedEnd);
 		this.#giveUpIfAttemptsAreUsedUp(job, this.#now);
 		if (job.isComplete) {
@@ -1550,15 +1560,24 @@
 	}
 
 	#stopRuns(job: ScheduledJob, now: number): void {
-		for (const {task, worker: workerId} of job.tasks) {
-			const worker =
-				workerId === undefined ? undefined : this.pool.findWorker(workerId);
-			const run = worker?.runs.get(task.name);
-			if (worker !== undefined && run !== undefined) {
-				this.#answeredJobs.recordStop(job.id, now);
-				if (run.state !== 'stopping') {
-					this.pool.stopRun(run, worker, now);
-				}
+		for (const task of job.tasks) {
+			this.#stopTaskRun(job, task, now);
+		}
+	}
+
+	/** Stops the run of a task, if there is one. */
+	#stopTaskRun(
+		job: ScheduledJob,
+		{task, worker: workerId}: ScheduledTask,
+		now: number,
+	): void {
+		const worker =
+			workerId === undefined ? undefined : this.pool.findWorker(workerId);
+		const run = worker?.runs.get(task.name);
+		if (worker !== undefined && run !== undefined) {
+			this.#answeredJobs.recordStop(job.id, now);
+			if (run.state !== 'stopping') {
+				this.pool.stopRun(run, worker, now);
 			}
 		}
 	}
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -931,7 +931,10 @@
 			}
 
 			this.#endRun(worker, run, end.how, now);
-		} else if (run === undefined && !this.#listener.tryAdoptEnd(end)) {
+		} else if (
+			(run === undefined || end.how === 'done') &&
+			!this.#listener.tryAdoptEnd(end)
+		) {
 			this.#retainOrphanEnd(end, now);
 		}
 	}
