Compare the times of unreported workers before their zones

After a claim, each waiting job is checked against all workers that have not reported, at each of the first reports. Most of these have the same time, so that comparing it first leaves one search for the zone.

--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -669,8 +669,13 @@
 	): number {
 		let latestMs = now;
 		for (const worker of this.#unsyncedWorkers) {
-			if (jobZones.includes(worker.entry.zone) && isCounted(worker)) {
-				latestMs = Math.max(latestMs, worker.unknownRunsEndByMs);
+			// Most workers have the same time, and are compared once for each waiting job.
+			if (
+				worker.unknownRunsEndByMs > latestMs &&
+				jobZones.includes(worker.entry.zone) &&
+				isCounted(worker)
+			) {
+				latestMs = worker.unknownRunsEndByMs;
 			}
 		}
 
