--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -429,7 +429,7 @@
 			job,
 			reason === 'cancelled'
 				? {kind: 'cancelled'}
-				: job.hasCertainlyNotRun
+				: this.#hasCertainlyNotRun(job, now)
 					? {kind: 'not-run', reason}
 					: {kind: 'may-have-run', reason},
 			now,
@@ -677,7 +677,7 @@
 
 		this.#tickedAtMs = now;
 		this.#stall.recordTick(now);
-		this.pool.tick(now);
+		this.pool.tick(now, this.#listWaitingJobs().length > 0);
 		// The runs of a worker whose report is missing may have ended: this process may have been late to read it.
 		for (const worker of this.pool.workers.filter(
 			({isSynced, reportRequestedAtMs}) =>
@@ -806,18 +806,28 @@
 		return true;
 	}
 
-	/** Adopts the end of a newer run of a waiting task; returns whether there is such a task. */
+	/**
+	 * Adopts the end of a newer run of a waiting task, or a `done` end of any run of an unfinished task, as runs on two workers
+	 * may have the same number; returns whether there is such a task.
+	 */
 	tryAdoptEnd(reportedEnd: ReportedEnd): boolean {
 		const job = this.#jobs.get(parseJobId(reportedEnd.task));
 		const task = job?.tasks.find(({task: {name}}) => name === reportedEnd.task);
 		if (
 			job === undefined ||
-			task?.state !== 'waiting' ||
-			reportedEnd.run <= task.latestRun
+			task === undefined ||
+			task.state === 'done' ||
+			(reportedEnd.how !== 'done' &&
+				(task.state !== 'waiting' || reportedEnd.run <= task.latestRun))
 		) {
 			return false;
 		}
 
+		if (task.state === 'placed') {
+			this.#stopTaskRun(job, task, this.#now);
+			task.worker = undefined;
+		}
+
 		this.#adoptEndedRun(job, task, reportedEnd);
 		this.#giveUpIfAttemptsAreUsedUp(job, this.#now);
 		if (job.isComplete) {
@@ -1053,7 +1063,13 @@
 			({name}) => name === job.queue,
 		);
 		if (queue === undefined) {
-			this.#refuseJob(job, receiver, isResubmitted, 'queue-unknown', {});
+			this.#refuseJob(
+				job,
+				receiver,
+				isResubmitted || this.#mayHaveUnknownRuns(job, now),
+				'queue-unknown',
+				{},
+			);
 			return undefined;
 		}
 
@@ -1122,7 +1138,7 @@
 
 	/** Refuses the jobs that cannot run or would start too late, unless they may have started; admits all others. */
 	#admitOrRefuse(newJobs: readonly ScheduledJob[], now: number): void {
-		const isSyncing = this.pool.isSyncing(now);
+		const isSyncing = this.pool.isSyncing(now) || this.pool.awaitsClaims(now);
 		const feasibleJobs = isSyncing
 			? newJobs
 			: newJobs.filter((job) => !this.#refuseIfInfeasible(job, now));
@@ -1130,7 +1146,8 @@
 			? new Map<ScheduledJob, number>()
 			: this.#projectLastStarts(feasibleJobs, now);
 		for (const scheduledJob of feasibleJobs) {
-			scheduledJob.isDelayedByFailover ||= isSyncing;
+			scheduledJob.isDelayedByFailover ||=
+				isSyncing || this.#mayHaveUnknownRuns(scheduledJob, now);
 			const admission = decidePoolAdmission(
 				scheduledJob,
 				lastStartsMs.get(scheduledJob) ?? now,
@@ -1143,7 +1160,7 @@
 				!this.#mayRunUnseen(scheduledJob.zones, now);
 			if (
 				(admission.kind === 'refused' || isBalanced) &&
-				scheduledJob.hasCertainlyNotRun
+				this.#hasCertainlyNotRun(scheduledJob, now)
 			) {
 				this.#refuseJob(
 					scheduledJob.job,
@@ -1173,7 +1190,7 @@
 
 	/** Refuses a job that cannot run, unless it may have started; returns whether it did. */
 	#refuseIfInfeasible(scheduledJob: ScheduledJob, now: number): boolean {
-		if (!scheduledJob.hasCertainlyNotRun) {
+		if (!this.#hasCertainlyNotRun(scheduledJob, now)) {
 			return false;
 		}
 
@@ -1395,12 +1412,15 @@
 		{unsettledSinceMs, earlierToken, zones}: ScheduledJob,
 		now: number,
 	): number {
+		const jobZones = zones ?? this.#options.zones;
+		const unknownRunsEndByMs = this.pool.unknownRunsEndByMs(jobZones, now);
 		return unsettledSinceMs === undefined
-			? now
+			? unknownRunsEndByMs
 			: Math.max(
+					unknownRunsEndByMs,
 					unsettledSinceMs + workerListDelayMs,
 					this.pool.priorRunsSettledAtMs(
-						zones ?? this.#options.zones,
+						jobZones,
 						unsettledSinceMs,
 						earlierToken,
 						now,
@@ -1413,16 +1433,35 @@
 		{unsettledSinceMs, earlierToken, zones}: ScheduledJob,
 		now: number,
 	): number {
+		const jobZones = zones ?? this.#options.zones;
 		return unsettledSinceMs === undefined
-			? now
+			? this.pool.earliestUnknownRunsEndByMs(jobZones, now)
 			: this.pool.earliestPriorRunsSettledAtMs(
-					zones ?? this.#options.zones,
+					jobZones,
 					unsettledSinceMs,
 					earlierToken,
 					now,
 				);
 	}
 
+	/**
+	 * Whether a worker that has not reported to this leader may run a task of a job. A job that is new here may be a copy of a
+	 * request whose first receiver was lost.
+	 */
+	#mayHaveUnknownRuns(
+		{zones}: Pick<PoolJob | ScheduledJob, 'zones'>,
+		now: number,
+	): boolean {
+		return (
+			this.pool.unknownRunsEndByMs(zones ?? this.#options.zones, now) > now
+		);
+	}
+
+	/** Whether a job may be answered `not-run`: neither this leader nor, on a worker that has not reported, another one runs it. */
+	#hasCertainlyNotRun(job: ScheduledJob, now: number): boolean {
+		return job.hasCertainlyNotRun && !this.#mayHaveUnknownRuns(job, now);
+	}
+
 	/** Starts the waiting tasks of a job that fit on available workers. */
 	#placeTasksOfJob(job: ScheduledJob, pass: PlacementPass, now: number): void {
 		if (job.unsettledSinceMs !== undefined && this.pool.hasOrphans) {
@@ -1555,7 +1594,7 @@
 
 		this.#abandonJob(
 			job,
-			job.hasCertainlyNotRun
+			this.#hasCertainlyNotRun(job, now)
 				? {
 						kind: 'not-run',
 						reason: 'no-workers',
@@ -1585,9 +1624,11 @@
 			return;
 		}
 
+		const mayWaitForOtherRuns =
+			job.isIndeterminate || job.unsettledSinceMs === undefined;
 		if (job.hasStarted) {
 			const cannotSettleInTime =
-				job.isIndeterminate &&
+				mayWaitForOtherRuns &&
 				job.waitingTasks.length > 0 &&
 				this.#earliestPriorRunsSettledAtMs(job, now) > job.callerDeadlineMs;
 			if (now > job.callerDeadlineMs || cannotSettleInTime) {
@@ -1607,7 +1648,7 @@
 			: job.latestFirstStartMs;
 		if (
 			now > latestMs ||
-			(job.isIndeterminate &&
+			(mayWaitForOtherRuns &&
 				this.#earliestPriorRunsSettledAtMs(job, now) > latestMs)
 		) {
 			this.#abandonUnstartedJob(job, now);
@@ -1618,13 +1659,13 @@
 	#abandonUnstartedJob(job: ScheduledJob, now: number): void {
 		this.#abandonJob(
 			job,
-			job.isIndeterminate
-				? {kind: 'may-have-run', reason: 'leader-lost'}
-				: {
+			this.#hasCertainlyNotRun(job, now)
+				? {
 						kind: 'not-run',
 						reason: 'overloaded',
 						retryAfterMs: defaultRetryAfterMs,
-					},
+					}
+				: {kind: 'may-have-run', reason: 'leader-lost'},
 			now,
 		);
 	}
@@ -1732,15 +1773,24 @@
 	}
 
 	#stopRuns(job: ScheduledJob, now: number): void {
-		for (const {task, worker: workerId} of job.tasks) {
-			const worker =
-				workerId === undefined ? undefined : this.pool.findWorker(workerId);
-			const run = worker?.runs.get(task.name);
-			if (worker !== undefined && run !== undefined) {
-				this.#answeredJobs.recordStop(job.id, now);
-				if (run.state !== 'stopping') {
-					this.pool.stopRun(run, worker, now);
-				}
+		for (const task of job.tasks) {
+			this.#stopTaskRun(job, task, now);
+		}
+	}
+
+	/** Stops the run of a task, if there is one. */
+	#stopTaskRun(
+		job: ScheduledJob,
+		{task, worker: workerId}: ScheduledTask,
+		now: number,
+	): void {
+		const worker =
+			workerId === undefined ? undefined : this.pool.findWorker(workerId);
+		const run = worker?.runs.get(task.name);
+		if (worker !== undefined && run !== undefined) {
+			this.#answeredJobs.recordStop(job.id, now);
+			if (run.state !== 'stopping') {
+				this.pool.stopRun(run, worker, now);
 			}
 		}
 	}
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -160,6 +160,10 @@
 	pace = new WorkerPace();
 	/** Time from which hold commands must have been sent for their reports to count. */
 	reportsRequiredSinceMs = Number.NEGATIVE_INFINITY;
+	/** Time at which a report was requested or became necessary; of no meaning once the worker has reported. */
+	reportAwaitedSinceMs = Number.NEGATIVE_INFINITY;
+	/** Time by which runs of earlier leaders have ended that no report has listed; of no meaning once the worker has reported. */
+	unknownRunsEndByMs = Number.NEGATIVE_INFINITY;
 	/** Whether a hold command has no answer yet. */
 	isHoldPending = false;
 	/** Earliest time of the next hold command. */
@@ -359,12 +363,16 @@
 		}
 	}
 
-	/** Whether the worker may be given a task now; while it is cold or after failures, only one at a time. */
+	/**
+	 * Whether the worker may be given a task now; while it is cold or after failures, only one at a time. None is given beside
+	 * a run that no job has claimed, since the start command would extend the lease of that run.
+	 */
 	canStartTask(now: number): boolean {
 		return (
 			this.isListed &&
 			!this.isEvacuated &&
 			this.isSynced &&
+			this.orphans.size === 0 &&
 			this.entry.state === 'ready' &&
 			this.contactFailures === 0 &&
 			now >= this.fullUntilMs &&
@@ -400,15 +408,9 @@
 		return this.#hasSuspect;
 	}
 
-	/**
-	 * Whether the free resources are not merely estimated: the needs of runs that no job has claimed are unknown, and so is
-	 * the capacity of a process that is newer than the worker's entry.
-	 */
+	/** Whether the free resources are known: the capacity of a process that is newer than the worker's entry is not. */
 	get #isRoomCertain(): boolean {
-		return (
-			this.orphans.size === 0 &&
-			(this.#bornMs === undefined || this.entry.bornMs >= this.#bornMs)
-		);
+		return this.#bornMs === undefined || this.entry.bornMs >= this.#bornMs;
 	}
 
 	/** Whether the needs of a task fit into the free resources. */
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -98,6 +98,11 @@
 	readonly syncGraceMs: number;
 	/** Time after which an orphan, a run that no job has claimed, is stopped. */
 	readonly orphanStopDelayMs: number;
+	/**
+	 * The same for an orphan whose worker is needed by other runs or waiting tasks, which get no lease beside it; longer than
+	 * living receivers take to submit their jobs to a new leader.
+	 */
+	readonly orphanClaimMs: number;
 	/** Time for which the end of an orphan is kept for a job that may still claim it. */
 	readonly orphanEndRetentionMs: number;
 	/** Time after which an unacknowledged stop is sent again. */
@@ -116,6 +121,7 @@
 	reportDelayMarginMs: 40,
 	syncGraceMs: 250,
 	orphanStopDelayMs: 700,
+	orphanClaimMs: 100,
 	orphanEndRetentionMs: 4000,
 	stopRetryMs: 60,
 	stopDurationMs: 50,
@@ -184,6 +190,8 @@
 	#listCurrentAtMs = Number.NEGATIVE_INFINITY;
 	/** Whether the list can be read again. */
 	#canReadList = false;
+	/** Time by which unknown runs have ended on workers that are listed no longer and have not reported, by zone. */
+	readonly #goneWorkersEndByMs = new Map<string, number>();
 	/** Time of the last claim or drop of a zone. */
 	#zonesChangedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -252,6 +260,17 @@
 		}
 	}
 
+	/** Whether receivers may be about to submit the jobs of orphans, on whose workers nothing is started meanwhile. */
+	awaitsClaims(now: number): boolean {
+		return [...this.#orphanHolders].some(([task, holders]) =>
+			[...holders].some(
+				({orphans}) =>
+					now - (orphans.get(task)?.foundAtMs ?? now) <
+					this.#settings.syncGraceMs,
+			),
+		);
+	}
+
 	/** Whether any worker has an orphan, or the end of one is retained. */
 	get hasOrphans(): boolean {
 		return this.#orphanEnds.size > 0 || this.#orphanHolders.size > 0;
@@ -292,7 +311,7 @@
 		this.#zonesChangedAtMs = now;
 		for (const worker of this.#workers.values()) {
 			if (worker.entry.zone === zone) {
-				worker.isSynced = false;
+				this.#requestReport(worker, now);
 				// The answer to a hold command under an earlier token will be ignored, so the next one need not wait for it.
 				worker.isHoldPending = false;
 				worker.nextHoldAtMs = now;
@@ -312,7 +331,7 @@
 		}
 
 		for (const worker of this.#workers.values()) {
-			worker.isSynced = false;
+			this.#requestReport(worker, now);
 			worker.isHoldPending = false;
 			worker.reportsRequiredSinceMs = now;
 			worker.nextHoldAtMs = now;
@@ -323,6 +342,7 @@
 	/** Stops leading the workers of a zone; returns the runs that they had. */
 	dropZone(zone: string, now: number): readonly WorkerRun[] {
 		this.#zones.delete(zone);
+		this.#goneWorkersEndByMs.delete(zone);
 		this.#zonesChangedAtMs = now;
 		const dropped = this.workers.filter(({entry}) => entry.zone === zone);
 		for (const worker of dropped) {
@@ -391,13 +411,29 @@
 			[...this.#unsyncedWorkers].every(
 				({entry}) => !jobZones.includes(entry.zone),
 			);
-		const {leaseMs, orphanStopDelayMs} = this.#settings;
 		return isFullySynced
 			? now
-			: Math.max(sinceMs, this.#zonesChangedAtMs) +
-					leaseMs +
-					orphanStopDelayMs +
-					leaseExpiryMarginMs;
+			: Math.max(sinceMs, this.#zonesChangedAtMs) + this.#priorRunsMs;
+	}
+
+	/**
+	 * Returns the time from which no run is at work that an earlier leader ordered on a worker of these zones and that no report
+	 * has listed; `now` if all workers have reported. A silent worker is given the time of {@link priorRunsSettledAtMs}, also
+	 * if its host refuses connections, as a partition may do, or if the platform lists it no longer.
+	 */
+	unknownRunsEndByMs(jobZones: readonly string[], now: number): number {
+		return this.#latestUnknownRunsEndMs(jobZones, () => true, now);
+	}
+
+	/** Like `unknownRunsEndByMs`, but leaves out workers whose reports were requested recently and may arrive at any time. */
+	earliestUnknownRunsEndByMs(jobZones: readonly string[], now: number): number {
+		return this.#latestUnknownRunsEndMs(
+			jobZones,
+			({contactFailures, reportAwaitedSinceMs}) =>
+				contactFailures >= maxContactFailures ||
+				now - reportAwaitedSinceMs >= this.#settings.syncGraceMs,
+			now,
+		);
 	}
 
 	/**
@@ -442,7 +478,7 @@
 				.map((entry) => [entry.id, entry]),
 		);
 		for (const [id, entry] of listedEntries) {
-			const worker = this.#workers.get(id) ?? this.#addWorker(entry);
+			const worker = this.#workers.get(id) ?? this.#addWorker(entry, now);
 			this.#updateEntry(worker, entry, now);
 		}
 
@@ -454,6 +490,7 @@
 				}
 
 				if (worker.runs.size === 0) {
+					this.#recordGoneWorker(worker);
 					this.#deleteWorker(worker);
 				}
 			}
@@ -601,7 +638,7 @@
 		if (outcome.kind === 'done' && outcome.report !== undefined) {
 			this.#handleReport(worker, outcome.report, sentAtMs, now);
 		} else if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
-			worker.isSynced = false;
+			this.#requestReport(worker, now);
 			worker.nextHoldAtMs = now + maxHoldRetryMs;
 			this.#listener.handleFencedZone(worker.entry.zone, fencingToken);
 		} else {
@@ -641,12 +678,15 @@
 		return newest === undefined ? undefined : {kind: 'running', ...newest};
 	}
 
-	/** Ends runs whose lease is certain to have expired, sends due commands and removes old ends of orphans. */
-	tick(now: number): void {
+	/**
+	 * Ends runs whose lease is certain to have expired, sends due commands and removes old ends of orphans. `hasWaitingTasks`
+	 * is whether tasks wait for workers, so that orphans are stopped sooner.
+	 */
+	tick(now: number, hasWaitingTasks = false): void {
 		for (const worker of this.#workers.values()) {
 			worker.expireRoomLimit(now);
 			this.#endLapsedRuns(worker, now);
-			this.#sendStops(worker, now);
+			this.#sendStops(worker, hasWaitingTasks, now);
 			this.#sendHold(worker, now);
 		}
 
@@ -678,7 +718,55 @@
 		this.#capacity.recordSlowdownFactor(worker.pace.leastSlowdownFactor(now));
 	}
 
-	#addWorker(entry: WorkerEntry): PoolWorker {
+	/** Longest time for which a run of an earlier leader can be at work after this one has claimed its worker. */
+	get #priorRunsMs(): number {
+		const {leaseMs, orphanStopDelayMs} = this.#settings;
+		return leaseMs + orphanStopDelayMs + leaseExpiryMarginMs;
+	}
+
+	#latestUnknownRunsEndMs(
+		jobZones: readonly string[],
+		isCounted: (worker: PoolWorker) => boolean,
+		now: number,
+	): number {
+		let latestMs = now;
+		for (const worker of this.#unsyncedWorkers) {
+			// Most workers have the same time, and are compared once for each waiting job.
+			if (
+				worker.unknownRunsEndByMs > latestMs &&
+				jobZones.includes(worker.entry.zone) &&
+				isCounted(worker)
+			) {
+				latestMs = worker.unknownRunsEndByMs;
+			}
+		}
+
+		for (const [zone, endByMs] of this.#goneWorkersEndByMs) {
+			if (jobZones.includes(zone)) {
+				latestMs = Math.max(latestMs, endByMs);
+			}
+		}
+
+		return latestMs;
+	}
+
+	/** Takes what a worker runs for unknown until it reports again, as another leader may command it. */
+	#requestReport(worker: PoolWorker, now: number): void {
+		worker.reportAwaitedSinceMs = now;
+		worker.unknownRunsEndByMs = now + this.#priorRunsMs;
+		worker.isSynced = false;
+	}
+
+	#recordGoneWorker({entry: {zone}, isSynced, unknownRunsEndByMs}: PoolWorker) {
+		if (!isSynced) {
+			this.#goneWorkersEndByMs.set(
+				zone,
+				Math.max(this.#goneWorkersEndByMs.get(zone) ?? 0, unknownRunsEndByMs),
+			);
+		}
+	}
+
+	#addWorker(entry: WorkerEntry, now: number): PoolWorker {
 		this.#addedCount += 1;
 		const worker = new PoolWorker(entry, this.#addedCount, (changed) => {
 			if (this.#workers.get(entry.id) === changed) {
@@ -688,6 +776,9 @@
 		worker.isEvacuated = this.#evacuatedZones.has(entry.zone);
 		worker.guardsCapacity = !this.#unguardedServices.includes(entry.service);
 		worker.pace.setBaseline(this.kindSpeeds.logSlowdown(worker.kind));
+		worker.reportAwaitedSinceMs = now;
+		worker.unknownRunsEndByMs =
+			(this.#zones.get(entry.zone)?.syncingSinceMs ?? now) + this.#priorRunsMs;
 		this.#workers.set(entry.id, worker);
 		this.#unsyncedWorkers.add(worker);
 		this.#workerList = undefined;
@@ -819,7 +910,7 @@
 	): void {
 		if (reason === 'fenced') {
 			// The refused token may be older than the present one; the next hold command shows whether that is refused too.
-			worker.isSynced = false;
+			this.#requestReport(worker, now);
 			this.#expediteHold(worker, now);
 			this.#endRun(
 				worker,
@@ -906,6 +997,8 @@
 		this.#reconcileRuns(worker, reported, sentAtMs, now);
 		if (!worker.isSynced) {
 			worker.isSynced = true;
+			// An earlier leader may have extended the lease until the worker has received this leader's command.
+			worker.recordLeaseExtension(now, this.#settings.leaseMs);
 			this.#listener.handleWorkerChange(worker, 'synced');
 		}
 
@@ -921,7 +1014,10 @@
 			}
 
 			this.#endRun(worker, run, end.how, now);
-		} else if (run === undefined && !this.#listener.tryAdoptEnd(end)) {
+		} else if (
+			(run === undefined || end.how === 'done') &&
+			!this.#listener.tryAdoptEnd(end)
+		) {
 			this.#retainOrphanEnd(end, now);
 		}
 	}
@@ -1059,7 +1155,7 @@
 		}
 	}
 
-	#sendStops(worker: PoolWorker, now: number): void {
+	#sendStops(worker: PoolWorker, hasWaitingTasks: boolean, now: number): void {
 		const token = this.#zones.get(worker.entry.zone)?.token;
 		if (token === undefined || !worker.isSynced) {
 			return;
@@ -1075,10 +1171,13 @@
 			}
 		}
 
+		const orphanStopDelayMs =
+			hasWaitingTasks || worker.runs.size > 0
+				? this.#settings.orphanClaimMs
+				: this.#settings.orphanStopDelayMs;
 		for (const orphan of worker.orphans.values()) {
 			const isStopDue =
-				(orphan.isAbandoned ||
-					now - orphan.foundAtMs >= this.#settings.orphanStopDelayMs) &&
+				(orphan.isAbandoned || now - orphan.foundAtMs >= orphanStopDelayMs) &&
 				now - orphan.stopSentAtMs >= this.#settings.stopRetryMs;
 			if (isStopDue) {
 				orphan.stopSentAtMs = now;
@@ -1135,8 +1234,13 @@
 		}
 
 		const clockMs = worker.estimateClockMs(now);
+		// A lease applies to all runs of a worker. The job of an orphan may be started elsewhere once the lease has ended that its
+		// own leader gave it.
 		const extendsLease =
-			clockMs !== undefined && worker.contactFailures < maxContactFailures;
+			clockMs !== undefined &&
+			worker.contactFailures < maxContactFailures &&
+			worker.runs.size > 0 &&
+			worker.orphans.size === 0;
 		if (extendsLease) {
 			worker.recordLeaseExtension(now, this.#settings.leaseMs);
 		}
