List a test of a response that comes after the timeout

A confirmation of a start that arrives later than 50 ms is lost with its connection, so that a crash under the task is not counted, and a third worker gets it. Fails every time.

--- a/packages/platform/src/http-exchange.ts
+++ b/packages/platform/src/http-exchange.ts
@@ -34,6 +34,13 @@
 	 * is extended while the connection is being opened.
 	 */
 	readonly timeoutMs: number;
+	/** Keeps the connection open after the timeout, and handles a response that comes within `forMs` milliseconds. */
+	readonly late?: {
+		readonly forMs: number;
+		readonly handleResponse: (
+			response: Extract<HttpExchangeOutcome, {kind: 'answered'}>,
+		) => void;
+	};
 };
 
 /**
--- a/packages/platform/src/tests/http-exchange.test.ts
+++ b/packages/platform/src/tests/http-exchange.test.ts
@@ -163,4 +163,28 @@
 			expect(outcome.kind).toBe('not-sent');
 		},
 	);
+
+	it('passes on a response that comes after the timeout, as the request has had its effect', async () => {
+		const {client} = await clientFixture((socket) => {
+			setTimeout(() => {
+				socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}');
+			}, 200);
+		});
+		const late = new Promise<number>((resolve) => {
+			void (async () => {
+				const outcome = await client.exchange({
+					...request,
+					timeoutMs: 50,
+					late: {
+						forMs: 2000,
+						handleResponse({status}) {
+							resolve(status);
+						},
+					},
+				});
+				expect(outcome.kind).toBe('silent');
+			})();
+		});
+		expect(await late).toBe(200);
+	});
 });
