List a test of a crashing task whose starts are confirmed late

Its caller sees three starts, and `worker-lost` instead of `workers-crashed`, though each confirmation has left the worker before its crash. Fails every time.

--- a/packages/core/src/tests/crashing-tasks.test.ts
+++ b/packages/core/src/tests/crashing-tasks.test.ts
@@ -146,6 +146,18 @@
 		expect(fixture.starts.map(({run}) => run)).toEqual([1, 1, 2, 3]);
 	});
 
+	it('is blamed for a crash before which the worker confirmed its start late', () => {
+		const fixture = new SchedulerFixture();
+		fixture.leadIdleWorkers(workers.slice(0, 4), startMs);
+		fixture.scheduler.submit(patientJob, 'r1', false, startMs);
+		fixture.answerStart(fixture.starts[0]!, startMs + 50, {kind: 'silent'});
+		const now = crashAfterStart(fixture, 0, startMs + 70);
+		crashAfterStart(fixture, 2, now);
+
+		expect(fixture.starts.map(({run}) => run)).toEqual([1, 1, 2]);
+		expect(fixture.answers).toMatchObject([{answer: givenUp}]);
+	});
+
 	it('leaves no run of its job on workers that a later leader finds', () => {
 		const fixture = new SchedulerFixture();
 		fixture.scheduler.importLostRuns(
--- a/testing/src/pool/pool-installation.ts
+++ b/testing/src/pool/pool-installation.ts
@@ -67,8 +67,9 @@
 	needsMillis,
 	crashesWorker,
 	unansweredStarts = 0,
+	confirmationDelayMs = 0,
 }: TaskBehavior): string {
-	return `${runMs} ${needsMillis} ${crashesWorker ? 1 : 0} ${unansweredStarts}`;
+	return `${runMs} ${needsMillis} ${crashesWorker ? 1 : 0} ${unansweredStarts} ${confirmationDelayMs}`;
 }
 
 /** Installation of entry VM processes, with stand-ins for the store and the workers of the users' platform. */
@@ -98,12 +99,14 @@
 								needsMillis = 0,
 								crashesWorker = 0,
 								unansweredStarts = 0,
+								confirmationDelayMs = 0,
 							] = spec.split(' ').map(Number);
 							return {
 								runMs,
 								needsMillis,
 								crashesWorker: crashesWorker === 1,
 								unansweredStarts,
+								confirmationDelayMs,
 							};
 						},
 						guardsCapacity: options.guardsCapacity ?? true,
@@ -259,6 +262,7 @@
 			needsMillis,
 			crashesWorker = false,
 			unansweredStarts = 0,
+			confirmationDelayMs = 0,
 			deadlineMs = 5000,
 		}: {
 			readonly count: number;
@@ -267,6 +271,8 @@
 			readonly crashesWorker?: boolean;
 			/** Number of runs of each crashing task whose start commands get no answer. */
 			readonly unansweredStarts?: number;
+			/** Time in milliseconds after which the starts of a crashing task are confirmed. */
+			readonly confirmationDelayMs?: number;
 			/** Time in milliseconds for which the caller waits. */
 			readonly deadlineMs?: number;
 		},
@@ -281,6 +287,7 @@
 					needsMillis,
 					crashesWorker,
 					unansweredStarts,
+					confirmationDelayMs,
 				}),
 				bestEffort: true,
 				steps: [{count, cpu: needsMillis, memMb: 64, estimatedMs: runMs}],
--- a/testing/src/pool/worker-stand-in.ts
+++ b/testing/src/pool/worker-stand-in.ts
@@ -26,6 +26,8 @@
 	readonly end: DelayedCall;
 	/** Called with each answer to a start command of the run, before it has been sent. */
 	readonly handleAnswer: (answer: ServerResponse) => void;
+	/** Whether further start commands of the run get no answer. */
+	readonly ignoresCopies?: boolean;
 };
 
 /** A call that is made once, a delay after its first request. */
@@ -75,6 +77,11 @@
 	readonly crashesWorker: boolean;
 	/** Number of runs of a task that crashes workers whose start commands get no answer; 0 if absent. */
 	readonly unansweredStarts?: number;
+	/**
+	 * Time in milliseconds after which a start of a task that crashes workers is confirmed; further copies of the command get
+	 * no answer then. 0 if absent.
+	 */
+	readonly confirmationDelayMs?: number;
 };
 
 const maxLeaseMs = 1000;
@@ -320,8 +327,11 @@
 		this.#extendLease(deadlineMs);
 		const runningTask = this.#runningTasks.get(task);
 		if (runningTask?.record.run === run) {
-			runningTask.handleAnswer(response);
-			this.#respond(response, 200, {});
+			if (!runningTask.ignoresCopies) {
+				runningTask.handleAnswer(response);
+				this.#respond(response, 200, {});
+			}
+
 			return;
 		}
 
@@ -335,6 +345,7 @@
 			needsMillis,
 			crashesWorker,
 			unansweredStarts = 0,
+			confirmationDelayMs = 0,
 		} = this.options.parseTaskSpec(String(body.spec));
 		const usedMillis = [...this.#runningTasks.values()].reduce(
 			(sum, running) => sum + running.needsMillis,
@@ -378,9 +389,16 @@
 				needsMillis,
 				end: crash,
 				handleAnswer,
+				ignoresCopies: confirmationDelayMs > 0,
 			});
 			if (isUnanswered) {
 				crash.start();
+			} else if (confirmationDelayMs > 0) {
+				setTimeout(() => {
+					// A connection that the leader has given up cannot carry the confirmation.
+					crash.start();
+					this.#respond(response, 200, {});
+				}, confirmationDelayMs);
 			} else {
 				handleAnswer(response);
 				this.#respond(response, 200, {});
--- a/testing/src/tests/crashing-tasks.test.ts
+++ b/testing/src/tests/crashing-tasks.test.ts
@@ -11,7 +11,10 @@
 });
 
 /** Starts an installation of two zones with one leader, and submits a job whose only task crashes each worker; its first starts may get no answer. */
-async function crashingJobFixture(unansweredStarts = 0) {
+async function crashingJobFixture(
+	unansweredStarts = 0,
+	confirmationDelayMs = 0,
+) {
 	const installation = new PoolInstallation({
 		zones: ['a', 'b'],
 		entryVmsPerZone: 2,
@@ -34,6 +37,7 @@
 			needsMillis: 1000,
 			crashesWorker: true,
 			unansweredStarts,
+			confirmationDelayMs,
 			deadlineMs: 12_000,
 		});
 	return {
@@ -72,6 +76,12 @@
 		expect([startCount(), status, body]).toEqual([2, 502, givenUpBody]);
 	});
 
+	it('is started twice if the starts are confirmed late, after the command was sent again', async () => {
+		const {submit, receiver, startCount} = await crashingJobFixture(0, 80);
+		const {status, body} = await submit(receiver);
+		expect([startCount(), status, body]).toEqual([2, 502, givenUpBody]);
+	});
+
 	it('is started a third time if the confirmation of a start is lost, and its caller gets the same answer', async () => {
 		const {submit, receiver, startCount} = await crashingJobFixture(1);
 		const {status, body} = await submit(receiver);
