Count a confirmation of a start that comes after its time limit

Callers of a task that crashes workers got `worker-lost` after three starts, instead of `workers-crashed` after two, and a third worker was lost with what ran there. Cause: a start without an answer within 50 ms is sent again, and its connection destroyed, with the confirmation that is on its way. If the worker crashes before it answers the copy, the copy is refused, the run counts as unconfirmed, and the crash not as the task's. Change: the connection of a start stays open 100 ms longer, and a late confirmation counts if the worker still has the same run. Late refusals do not: a copy may have overtaken them. An exchange without `late`, as that of holds and stops, destroys its connection as before.

--- a/packages/platform/src/http-exchange.ts
+++ b/packages/platform/src/http-exchange.ts
@@ -75,7 +75,7 @@
 	async exchange(
 		exchangeRequest: HttpExchangeRequest,
 	): Promise<HttpExchangeOutcome> {
-		const {method, path, headers, body, timeoutMs} = exchangeRequest;
+		const {method, path, headers, body, timeoutMs, late} = exchangeRequest;
 		return new Promise((resolve) => {
 			let clientRequest: ClientRequest;
 			try {
@@ -104,7 +104,7 @@
 
 			const pendingExchange = new PendingExchange(
 				clientRequest,
-				timeoutMs,
+				{timeoutMs, late},
 				resolve,
 			);
 			pendingExchange.attachListeners();
@@ -122,6 +122,7 @@
 class PendingExchange {
 	readonly #request: ClientRequest;
 	readonly #timeoutMs: number;
+	readonly #late: HttpExchangeRequest['late'] | undefined;
 	readonly #resolve: (exchange: HttpExchangeOutcome) => void;
 	readonly #startedAtMs = performance.now();
 	#timer: NodeJS.Timeout | undefined;
@@ -131,11 +132,18 @@
 
 	constructor(
 		request: ClientRequest,
-		timeoutMs: number,
+		{
+			timeoutMs,
+			late,
+		}: {
+			readonly timeoutMs: number;
+			readonly late: HttpExchangeRequest['late'] | undefined;
+		},
 		resolve: (exchange: HttpExchangeOutcome) => void,
 	) {
 		this.#request = request;
 		this.#timeoutMs = timeoutMs;
+		this.#late = late;
 		this.#resolve = resolve;
 		// A process that is busy until the end of this turn sends the request only then.
 		setImmediate(() => {
@@ -181,7 +189,7 @@
 		});
 		response.on('end', () => {
 			const [first] = chunks;
-			this.#settle({
+			this.#settleWithResponse({
 				kind: 'answered',
 				status: response.statusCode ?? 0,
 				body:
@@ -210,7 +218,26 @@
 		const message = `no response within ${Math.round(waitedMs)} ms`;
 		// If the request still waits for a connection, `destroy` removes it from the agent's queue, so it is never sent.
 		this.#settleWithoutResponse(message, false);
-		this.#request.destroy();
+		if (this.#late === undefined || !this.#mayBeSent) {
+			this.#request.destroy();
+			return;
+		}
+
+		this.#timer = setTimeout(() => {
+			this.#request.destroy();
+		}, this.#late.forMs);
+	}
+
+	#settleWithResponse(
+		response: Extract<HttpExchangeOutcome, {kind: 'answered'}>,
+	): void {
+		if (this.#isSettled) {
+			clearTimeout(this.#timer);
+			this.#late?.handleResponse(response);
+			return;
+		}
+
+		this.#settle(response);
 	}
 
 	#settleWithoutResponse(message: string, isRefused: boolean): void {
--- a/packages/platform/src/worker-client.ts
+++ b/packages/platform/src/worker-client.ts
@@ -17,12 +17,18 @@
 	parseJsonObject,
 	decodeUtf8,
 } from './decode.js';
-import {HttpHostClient, type HttpExchangeOutcome} from './http-exchange.js';
+import {
+	HttpHostClient,
+	type HttpExchangeOutcome,
+	type HttpExchangeRequest,
+} from './http-exchange.js';
 
 /** Maximum number of connections to a worker: one for reports, the others for commands. */
 const connectionsPerWorker = 8;
 /** Timeout of a start or stop command, after which it is retried; a healthy worker responds within a few milliseconds. */
 const commandTimeoutMs = 50;
+/** Time after the timeout of a start command in which a late confirmation still counts. */
+const lateStartMs = 100;
 /** Time after the requested report delay at which a report counts as lost. */
 const reportTimeoutMarginMs = 60;
 /** Time without a command after which the connections to a worker are closed. */
@@ -77,8 +83,11 @@
 		return decodeOutcome(exchange, true);
 	}
 
-	/** Starts a run. */
-	async start(command: StartCommand): Promise<CommandOutcome> {
+	/** Starts a run; `handleLate` handles an answer that comes after the call has ended as `silent`. */
+	async start(
+		command: StartCommand,
+		handleLate: (outcome: CommandOutcome) => void,
+	): Promise<CommandOutcome> {
 		const exchange = await this.#post(
 			command.worker,
 			'/api/run-start',
@@ -90,6 +99,12 @@
 				fencingToken: command.fencingToken,
 			},
 			commandTimeoutMs,
+			{
+				forMs: lateStartMs,
+				handleResponse(response) {
+					handleLate(decodeOutcome(response, false));
+				},
+			},
 		);
 		return decodeOutcome(exchange, false);
 	}
@@ -133,6 +148,7 @@
 		path: string,
 		body: Readonly<Record<string, unknown>>,
 		timeoutMs: number,
+		late?: HttpExchangeRequest['late'],
 	): Promise<HttpExchangeOutcome> {
 		const entry = this.#hosts.get(worker.address) ?? {
 			client: new HttpHostClient(worker.address, connectionsPerWorker),
@@ -149,6 +165,7 @@
 			},
 			body: Buffer.from(JSON.stringify(body)),
 			timeoutMs,
+			...(late === undefined ? {} : {late}),
 		});
 	}
 }
--- a/packages/verbenarouter/src/pool/worker-command-sender.ts
+++ b/packages/verbenarouter/src/pool/worker-command-sender.ts
@@ -36,7 +36,16 @@
 		},
 		start({worker, task, ...command}) {
 			void forwardOutcome(
-				client.start({worker, task, ...command}),
+				client.start({worker, task, ...command}, (outcome) => {
+					// Another run of the task may have followed; a refusal may be of a command that another copy has overtaken.
+					if (
+						outcome.kind === 'done' &&
+						scheduler().pool.findWorker(worker.id)?.runs.get(task)?.run ===
+							command.run
+					) {
+						scheduler().handleStartOutcome(worker.id, task, outcome, now());
+					}
+				}),
 				(outcome) => {
 					scheduler().handleStartOutcome(worker.id, task, outcome, now());
 				},
