Move the workers and the event queue of the model of leaders into a file of their own

The model of leaders of a region is to be joined by one of leaders of zones, which needs the same event queue, workers and commands.

--- a/packages/core/src/tests/leaders-model.ts
+++ b/packages/core/src/tests/leaders-model.ts
@@ -8,35 +8,23 @@
 import {type PoolAnswer, type PoolJob} from '../pool-job.js';
 import {ObjectiveOrder} from '../pool-queue.js';
 import {PoolScheduler} from '../pool-scheduler.js';
-import {
-	type ReportedEnd,
-	type RunEndStatus,
-	type WorkerEntry,
-} from '../pool-worker.js';
+import {type WorkerEntry} from '../pool-worker.js';
 import {seededRandom, type Random} from '../seeded-random.js';
+import {type StartCommand} from '../worker-command.js';
 import {
-	type CommandOutcome,
-	type HoldCommand,
-	type StartCommand,
-	type StopCommand,
-} from '../worker-command.js';
+	EventQueue,
+	ModelCommandSender,
+	ModelWorker,
+	findActiveRuns,
+	type ModelWorld,
+	type Overlap,
+} from './model-parts.js';
 import {
 	desiredStateFixture,
 	poolJobFixture,
 	workerFixture,
 } from './pool-fixtures.js';
 
-/** Two runs of one task that were active at the same time on two workers. */
-export type Overlap = {
-	readonly atMs: number;
-	readonly task: string;
-	readonly runs: ReadonlyArray<{
-		readonly worker: string;
-		readonly run: number;
-		readonly starter: string;
-	}>;
-};
-
 /** What one play of the model showed. */
 export type ModelResult = {
 	readonly overlaps: readonly Overlap[];
@@ -105,19 +93,8 @@
 const faultIntervalMs = 100;
 /** Silence after which the rest of a stream is discarded, as in the mesh of entry VMs. */
 const staleStreamMs = 800;
-const commandTimeoutMs = 50;
-const reportTimeoutMarginMs = 60;
-const workerStopMs = 15;
-const maxLeaseMs = 1000;
 const resendDelayMs = 1300;
 
-type ActiveRun = {
-	readonly run: number;
-	readonly starter: string;
-	readonly endsAtMs: number;
-	readonly how: RunEndStatus;
-};
-
 type ModelMessage =
 	| {readonly type: 'heartbeat'; readonly heartbeat: Heartbeat}
 	| {
@@ -132,226 +109,6 @@
 			readonly reason: 'caller-left' | 'moved';
 	  };
 
-/** Calls handlers in the order of their times. */
-class EventQueue {
-	now = 0;
-	#sequence = 0;
-	readonly #events: Array<{
-		readonly atMs: number;
-		readonly sequence: number;
-		readonly run: () => void;
-	}> = [];
-
-	add(atMs: number, run: () => void): void {
-		this.#sequence += 1;
-		const event = {atMs, sequence: this.#sequence, run};
-		let low = 0;
-		let high = this.#events.length;
-		while (low < high) {
-			const middle = Math.floor((low + high) / 2);
-			if (this.#events[middle]!.atMs > atMs) {
-				low = middle + 1;
-			} else {
-				high = middle;
-			}
-		}
-
-		this.#events.splice(low, 0, event);
-	}
-
-	runUntil(endMs: number): void {
-		for (;;) {
-			const event = this.#events.at(-1);
-			if (event === undefined || event.atMs > endMs) {
-				return;
-			}
-
-			this.#events.pop();
-			this.now = Math.max(this.now, event.atMs);
-			event.run();
-		}
-	}
-}
-
-/** A worker that keeps the highest fencing token, obeys leases and lists its runs and their ends. */
-class ModelWorker {
-	readonly runs = new Map<string, ActiveRun>();
-	#highestToken = 0;
-	#leaseExpiresAtMs = 0;
-	#endCount = 0;
-	#ended: readonly ReportedEnd[] = [];
-	readonly #lastRuns = new Map<string, number>();
-	#waiting: ReadonlyArray<() => void> = [];
-
-	constructor(
-		readonly entry: WorkerEntry,
-		readonly world: Model,
-	) {}
-
-	/** Ends the runs whose time has come or whose lease has expired. */
-	update(): void {
-		const {now} = this.world.events;
-		for (const [task, {endsAtMs, how}] of this.runs) {
-			if (now >= this.#leaseExpiresAtMs && endsAtMs > this.#leaseExpiresAtMs) {
-				this.#end(task, 'lapsed');
-			} else if (now >= endsAtMs) {
-				this.#end(task, how);
-			}
-		}
-	}
-
-	hold(command: HoldCommand, reply: (outcome: CommandOutcome) => void): void {
-		this.update();
-		if (command.fencingToken < this.#highestToken) {
-			reply(this.#refuse('fenced'));
-			return;
-		}
-
-		this.#highestToken = command.fencingToken;
-		this.#extendLease(command.leaseExpiresAtMs ?? 0);
-		this.#ended = this.#ended.filter(
-			({number}) => number > command.acknowledgedEndNumber,
-		);
-		let hasReplied = false;
-		const respond = () => {
-			if (hasReplied) {
-				return;
-			}
-
-			hasReplied = true;
-			this.update();
-			const clockMs = this.world.events.now;
-			reply({
-				kind: 'done',
-				clockMs,
-				report: {
-					clockMs,
-					bornMs: this.entry.bornMs,
-					running: [...this.runs].map(([task, {run}]) => ({task, run})),
-					ended: this.#ended,
-				},
-			});
-		};
-
-		if (this.#ended.length > 0 || command.maxReportDelayMs === 0) {
-			respond();
-		} else {
-			this.#waiting = [...this.#waiting, respond];
-			this.world.events.add(
-				this.world.events.now + command.maxReportDelayMs,
-				respond,
-			);
-		}
-	}
-
-	start(command: StartCommand, starter: string, runMs: number): CommandOutcome {
-		this.update();
-		const {now} = this.world.events;
-		if (command.fencingToken < this.#highestToken) {
-			return this.#refuse('fenced');
-		}
-
-		this.#highestToken = command.fencingToken;
-		if (command.leaseExpiresAtMs <= now) {
-			return this.#refuse('late');
-		}
-
-		const active = this.runs.get(command.task);
-		if (active?.run === command.run) {
-			this.#extendLease(command.leaseExpiresAtMs);
-			return {kind: 'done', clockMs: now};
-		}
-
-		if (
-			active !== undefined ||
-			command.run <= (this.#lastRuns.get(command.task) ?? 0)
-		) {
-			return this.#refuse('old-run');
-		}
-
-		if (this.runs.size > 1) {
-			return this.#refuse('no-room');
-		}
-
-		this.#extendLease(command.leaseExpiresAtMs);
-		this.runs.set(command.task, {
-			run: command.run,
-			starter,
-			endsAtMs: now + runMs,
-			how: 'done',
-		});
-		this.world.recordStart(this, command);
-		this.#scheduleUpdate(now + runMs);
-		return {kind: 'done', clockMs: now};
-	}
-
-	stop({task, run, fencingToken}: StopCommand): CommandOutcome {
-		this.update();
-		const {now} = this.world.events;
-		if (fencingToken < this.#highestToken) {
-			return this.#refuse('fenced');
-		}
-
-		this.#highestToken = fencingToken;
-		this.#lastRuns.set(task, Math.max(run, this.#lastRuns.get(task) ?? 0));
-		const active = this.runs.get(task);
-		if (active?.run === run && active.endsAtMs > now + workerStopMs) {
-			this.runs.set(task, {
-				...active,
-				endsAtMs: now + workerStopMs,
-				how: 'stopped',
-			});
-			this.#scheduleUpdate(now + workerStopMs);
-		}
-
-		return {kind: 'done', clockMs: now};
-	}
-
-	#refuse(reason: 'fenced' | 'old-run' | 'late' | 'no-room'): CommandOutcome {
-		return {kind: 'refused', reason, clockMs: this.world.events.now};
-	}
-
-	#extendLease(untilMs: number): void {
-		const {now} = this.world.events;
-		this.#leaseExpiresAtMs = Math.max(
-			this.#leaseExpiresAtMs,
-			Math.min(untilMs, now + maxLeaseMs),
-		);
-		if (this.runs.size > 0) {
-			this.#scheduleUpdate(this.#leaseExpiresAtMs);
-		}
-	}
-
-	#scheduleUpdate(atMs: number): void {
-		this.world.events.add(atMs, () => {
-			this.update();
-		});
-	}
-
-	#end(task: string, how: RunEndStatus): void {
-		const active = this.runs.get(task);
-		if (active === undefined) {
-			return;
-		}
-
-		this.runs.delete(task);
-		this.#lastRuns.set(
-			task,
-			Math.max(active.run, this.#lastRuns.get(task) ?? 0),
-		);
-		this.#endCount += 1;
-		this.#ended = [
-			...this.#ended,
-			{number: this.#endCount, task, run: active.run, how},
-		];
-		const waiting = this.#waiting;
-		this.#waiting = [];
-		for (const respond of waiting) {
-			respond();
-		}
-	}
-}
-
 type ModelPendingJob = {
 	readonly job: PoolJob;
 	readonly receivedAtMs: number;
@@ -383,45 +140,14 @@
 			queueOrder: new ObjectiveOrder(),
 			workerSelection: new BestFit(),
 			estimates: new DeclaredTimeEstimator(),
-			commandSender: {
-				hold: (command) => {
-					this.#sendHold(command);
-				},
-				start: (command) => {
-					this.#sendCommand(
-						command.worker,
-						commandTimeoutMs,
-						(worker, reply) => {
-							reply(worker.start(command, name, world.runTimeOf(command.task)));
-						},
-						(outcome) => {
-							this.scheduler.handleStartOutcome(
-								command.worker.id,
-								command.task,
-								outcome,
-								this.#now,
-							);
-						},
-					);
-				},
-				stop: (command) => {
-					this.#sendCommand(
-						command.worker,
-						commandTimeoutMs,
-						(worker, reply) => {
-							reply(worker.stop(command));
-						},
-						(outcome) => {
-							this.scheduler.handleStopOutcome(
-								command.worker.id,
-								command.task,
-								outcome,
-								this.#now,
-							);
-						},
-					);
+			commandSender: new ModelCommandSender(
+				name,
+				world,
+				(run) => {
+					this.handle(run);
 				},
-			},
+				() => this.scheduler,
+			),
 			output: {
 				sendAnswer: (receiver, id, answer) => {
 					if (receiver === name) {
@@ -736,64 +462,10 @@
 			this.world.send(this, leader, {type: 'cancel', id, reason});
 		}
 	}
-
-	#sendHold(command: HoldCommand): void {
-		const sent = {sentAtMs: this.#now, fencingToken: command.fencingToken};
-		this.#sendCommand(
-			command.worker,
-			command.maxReportDelayMs + reportTimeoutMarginMs,
-			(worker, reply) => {
-				worker.hold(command, reply);
-			},
-			(outcome) => {
-				this.scheduler.handleHoldOutcome(
-					command.worker.id,
-					sent,
-					outcome,
-					this.#now,
-				);
-			},
-		);
-	}
-
-	/** Sends a command, which may be delayed, and handles its outcome or its timeout. */
-	#sendCommand(
-		{id}: WorkerEntry,
-		timeoutMs: number,
-		execute: (
-			worker: ModelWorker,
-			reply: (outcome: CommandOutcome) => void,
-		) => void,
-		handleOutcome: (outcome: CommandOutcome) => void,
-	): void {
-		const {events, random} = this.world;
-		let isSettled = false;
-		const settle = (outcome: CommandOutcome) => {
-			this.handle(() => {
-				if (!isSettled) {
-					isSettled = true;
-					handleOutcome(outcome);
-				}
-			});
-		};
-
-		events.add(this.#now + timeoutMs, () => {
-			settle({kind: 'silent'});
-		});
-		events.add(this.#now + this.world.drawDelayMs(), () => {
-			execute(this.world.workers.get(id)!, (outcome) => {
-				if (random() >= this.world.settings.lossProbability) {
-					events.add(events.now + this.world.drawDelayMs(), () => {
-						settle(outcome);
-					});
-				}
-			});
-		});
-	}
 }
 
 /** Entry VMs, workers, callers and the network between them, all with injected time and seeded choices. */
-export class Model {
+export class Model implements ModelWorld {
 	readonly events = new EventQueue();
 	readonly random: Random;
 	readonly workerEntries: readonly WorkerEntry[] = zones.flatMap((zone) =>
@@ -880,18 +552,13 @@
 		return this.random() < 0.03 ? 150 * this.random() : 1 + 4 * this.random();
 	}
 
+	drawCommandDelayMs(): number {
+		return this.drawDelayMs();
+	}
+
 	recordStart(worker: ModelWorker, {task, run}: StartCommand): void {
 		this.#startCount += 1;
-		for (const other of this.workers.values()) {
-			other.update();
-		}
-
-		const runs = [...this.workers.values()].flatMap(({entry, runs}) => {
-			const active = runs.get(task);
-			return active === undefined
-				? []
-				: [{worker: entry.id, run: active.run, starter: active.starter}];
-		});
+		const runs = findActiveRuns(task, this.workers);
 		this.log(`${worker.entry.id} starts ${task} run ${run}`);
 		if (runs.length > 1) {
 			this.log(`OVERLAP ${JSON.stringify(runs)}`);
