Play leaders of zones with injected time

The model of leaders of a region has neither zones with leaders of their own nor overflow and balancing between them, and its processes are never lost.

The new model plays three zones of three entry VMs and four workers each with the deciding classes of the product: Leadership, PoolScheduler, ScopeBySize, WorkerDirectory, PendingJobs, ZoneRouter and ZoneReporter. Its receivers mirror the methods of PoolNode in receiver-model.ts; PoolNode itself is not played, so a change of it has to be made there too. Callers send a job again 1.3 s after a broken connection, 502, 504 or no answer, to another entry VM. Not modelled: followers that are no candidates, slower heartbeats between zones, evacuations, knowledge that entry VMs pass on, crashes of workers.

--- /dev/null
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -0,0 +1,1386 @@
+import {
+	BestFit,
+	DeclaredTimeEstimator,
+	Leadership,
+	ObjectiveOrder,
+	PoolScheduler,
+	ScopeBySize,
+	WorkerDirectory,
+	seededRandom,
+	type Heartbeat,
+	type LeadershipChange,
+	type PoolAnswer,
+	type PoolJob,
+	type PoolScope,
+	type Random,
+	type StartCommand,
+	type WorkerEntry,
+	type ZoneRoom,
+} from '@verbenarouter/core';
+import {type PoolMessage} from '@verbenarouter/peer';
+import {
+	EventQueue,
+	ModelCommandSender,
+	ModelWorker,
+	findActiveRuns,
+	type ModelWorld,
+	type Overlap,
+} from '../../../core/dist/tests/model-parts.js';
+import {
+	desiredStateFixture,
+	poolJobFixture,
+	workerFixture,
+} from '../../../core/dist/tests/pool-fixtures.js';
+import {ZoneReporter} from '../pool/zone-reporter.js';
+import {ReceiverModel} from './receiver-model.js';
+
+/** Settings of one play. Each fault has a probability in a check every 100 ms. */
+export type ZoneModelSettings = {
+	readonly seed: number;
+	readonly durationMs: number;
+	/** Time from which jobs arrive and faults happen; before, the entry VMs elect their first leaders. */
+	readonly calmMs: number;
+	/** Mean time between two jobs. */
+	readonly jobIntervalMs: number;
+	/** Share of the jobs that callers of the first zone send; the others send equally many. */
+	readonly firstZoneShare: number;
+	/** Run time of the longest tasks; most tasks take a fraction of it. */
+	readonly longestRunMs: number;
+	/** Probability that one process is lost. */
+	readonly killProbability: number;
+	/** Probability that the leader of a zone is lost. */
+	readonly leaderKillProbability: number;
+	/** Probability that the leader of a zone and another process are lost. */
+	readonly pairKillProbability: number;
+	/** Probability that a process is stopped as planned. */
+	readonly stopProbability: number;
+	/** Probability that the leader of a zone is stopped as planned. */
+	readonly leaderStopProbability: number;
+	/** Times at which all processes are lost. */
+	readonly lossesOfAllAtMs: readonly number[];
+	/** Probability that a process handles nothing for a while. */
+	readonly stallProbability: number;
+	/** Probability that no messages pass between two entry VMs for a while. */
+	readonly cutProbability: number;
+	/** Probability that no messages and commands pass between a zone and all others for a while. */
+	readonly zoneCutProbability: number;
+	/** Probability that the stream between two entry VMs breaks. */
+	readonly breakProbability: number;
+	/** Probability that the connection of a caller is reset. */
+	readonly resetProbability: number;
+	/** Probability that a worker receives no commands for a while. */
+	readonly silenceProbability: number;
+	/** Probability that a command to a worker is carried out late. */
+	readonly lateCommandProbability: number;
+	/** Probability that the outcome of a command to a worker is lost. */
+	readonly lossProbability: number;
+	/** Probability that the store cannot be read for some seconds. */
+	readonly storeOutageProbability: number;
+	/** Share of the copies that callers send to another zone although their own has entry VMs. */
+	readonly movingShare: number;
+};
+
+const calmDay: Omit<ZoneModelSettings, 'seed'> = {
+	durationMs: 10_000,
+	calmMs: 2000,
+	jobIntervalMs: 32,
+	firstZoneShare: 0.5,
+	longestRunMs: 3600,
+	killProbability: 0,
+	leaderKillProbability: 0,
+	pairKillProbability: 0,
+	stopProbability: 0,
+	leaderStopProbability: 0,
+	lossesOfAllAtMs: [],
+	stallProbability: 0,
+	cutProbability: 0,
+	zoneCutProbability: 0,
+	breakProbability: 0,
+	resetProbability: 0,
+	silenceProbability: 0,
+	lateCommandProbability: 0,
+	lossProbability: 0.005,
+	storeOutageProbability: 0,
+	movingShare: 0,
+};
+
+/** Days with leaders of zones, by what goes wrong. */
+export const zoneModelDays = {
+	calm: calmDay,
+	/** Processes are lost, one at a time. */
+	kills: {...calmDay, killProbability: 0.05},
+	leaderKills: {...calmDay, leaderKillProbability: 0.04},
+	/** A leader and another process are lost together. */
+	pairKills: {...calmDay, pairKillProbability: 0.04},
+	stops: {
+		...calmDay,
+		stopProbability: 0.02,
+		leaderStopProbability: 0.03,
+	},
+	/** All processes are lost at once, twice. */
+	lossOfAll: {...calmDay, lossesOfAllAtMs: [4500, 7500]},
+	/** Connections of callers are reset while all processes run on. */
+	resets: {...calmDay, resetProbability: 0.5},
+	stalls: {...calmDay, stallProbability: 0.12},
+	cuts: {...calmDay, cutProbability: 0.3, stallProbability: 0.01},
+	zoneCuts: {...calmDay, zoneCutProbability: 0.04},
+	breaks: {...calmDay, breakProbability: 0.5},
+	/** Workers are silent for a while, and carry out some commands late. */
+	silences: {
+		...calmDay,
+		silenceProbability: 0.15,
+		lateCommandProbability: 0.02,
+		lossProbability: 0.02,
+	},
+	/** Callers of lost receivers send their jobs to other zones. */
+	moves: {
+		...calmDay,
+		killProbability: 0.03,
+		resetProbability: 0.3,
+		movingShare: 0.7,
+	},
+	/** The store cannot be read while processes are lost and stopped. */
+	storeOutages: {
+		...calmDay,
+		storeOutageProbability: 0.05,
+		killProbability: 0.02,
+		leaderStopProbability: 0.05,
+		leaderKillProbability: 0.02,
+	},
+	all: {
+		...calmDay,
+		killProbability: 0.015,
+		leaderKillProbability: 0.01,
+		pairKillProbability: 0.005,
+		leaderStopProbability: 0.01,
+		stopProbability: 0.01,
+		lossesOfAllAtMs: [6500],
+		stallProbability: 0.03,
+		cutProbability: 0.05,
+		zoneCutProbability: 0.005,
+		breakProbability: 0.05,
+		resetProbability: 0.1,
+		silenceProbability: 0.03,
+		lateCommandProbability: 0.005,
+		lossProbability: 0.01,
+		storeOutageProbability: 0.01,
+		movingShare: 0.2,
+	},
+} as const satisfies Readonly<Record<string, Omit<ZoneModelSettings, 'seed'>>>;
+
+/** An overlap, with the lines of the trace that concern its task, or leadership and faults in the seconds before. */
+export type TracedOverlap = Overlap & {readonly trace: readonly string[]};
+
+/** What one play showed. */
+export type ZoneModelResult = {
+	readonly overlaps: readonly TracedOverlap[];
+	/** Tasks that were started although each copy of their job was answered `not-run`. */
+	readonly falseRefusals: readonly string[];
+	readonly submittedCount: number;
+	/** Jobs whose callers got a result. */
+	readonly completedCount: number;
+	/** Jobs that were refused for good. */
+	readonly refusedCount: number;
+	readonly startCount: number;
+	readonly overflowCount: number;
+	readonly balancedCount: number;
+	readonly claimCount: number;
+	readonly trace: readonly string[];
+};
+
+const zones = ['zone-a', 'zone-b', 'zone-c'];
+const workersPerZone = 4;
+const entryVmsPerZone = 3;
+const tickIntervalMs = 20;
+const stallThresholdMs = 100;
+const heartbeatIntervalMs = 100;
+const faultIntervalMs = 100;
+const directoryCheckIntervalMs = 500;
+const zoneUnreachableMs = 1500;
+const storeReadIntervalMs = 400;
+const warmUpMs = 700;
+/** Silence after which a stream is closed, and the rest of its messages discarded. */
+const staleStreamMs = 800;
+const resendDelayMs = 1300;
+const maxSends = 4;
+const maxStopMs = 2600;
+const scopeSettings = {
+	maxRegionalWorkers: 5,
+	minZonalWorkers: 9,
+	settleMs: 2500,
+};
+
+const desiredState = desiredStateFixture();
+
+const zoneByVm: ReadonlyMap<string, string> = new Map<string, string>(
+	zones.flatMap((zone) =>
+		Array.from(
+			{length: entryVmsPerZone},
+			(_, index) => [`${zone}-entry-${index + 1}`, zone] as const,
+		),
+	),
+);
+
+/** A job as its caller sees it. */
+type Call = {
+	readonly job: Omit<PoolJob, 'attempt'>;
+	zone: string;
+	sendCount: number;
+	lastVm: string | undefined;
+	/** Number of the copy that the caller waits for; `undefined` while it waits for none. */
+	openCopy: number | undefined;
+	/** Whether all copies so far were answered `not-run`. */
+	isAlwaysRefused: boolean;
+	isOver: boolean;
+	hasStarted: boolean;
+};
+
+/** The connection between two entry VMs. */
+type Link = {
+	/** Number of times that it was opened or closed; messages of earlier openings are lost. */
+	epoch: number;
+	isOpen: boolean;
+	cutUntilMs: number;
+	/** Whether messages that are sent during the cut arrive after it. */
+	isCutDelaying: boolean;
+};
+
+/** One process of an entry VM. */
+class ModelProcess {
+	readonly leadership: Leadership;
+	readonly scheduler: PoolScheduler;
+	readonly receiver: ReceiverModel;
+	readonly processorShare: number;
+	isAlive = true;
+	isStopping = false;
+	stalledUntilMs = 0;
+	readonly #directory = new WorkerDirectory();
+	readonly #scopeBySize = new ScopeBySize(scopeSettings);
+	readonly #reporter: ZoneReporter;
+	#scope: PoolScope = 'zone';
+	#workerEntries: readonly WorkerEntry[] = [];
+	#liveLeaderTokens: Readonly<Record<string, number>> = {};
+	#lastHeartbeatAtMs = Number.NEGATIVE_INFINITY;
+	#lastDirectoryCheckMs = 0;
+	#tickDueAtMs: number | undefined;
+	#isWarmingUp = false;
+	#stopsAtMs = Number.POSITIVE_INFINITY;
+
+	constructor(
+		readonly name: string,
+		readonly zone: string,
+		readonly incarnation: string,
+		readonly world: ZoneModel,
+	) {
+		// The first entry VM of each zone is the strongest, so that the leadership returns to it.
+		this.processorShare = name.endsWith('1') ? 1 : 0.5;
+		const {processorShare} = this;
+		this.leadership = new Leadership({name, zone, processorShare}, zones);
+		this.scheduler = new PoolScheduler({
+			zones,
+			queueOrder: new ObjectiveOrder(),
+			workerSelection: new BestFit(),
+			estimates: new DeclaredTimeEstimator(),
+			commandSender: new ModelCommandSender(
+				name,
+				world,
+				(run) => {
+					this.handle(run);
+				},
+				() => this.scheduler,
+			),
+			output: {
+				sendAnswer: (receiver, id, answer) => {
+					if (receiver === name) {
+						this.receiver.receiveAnswer(name, id, answer);
+					} else {
+						this.send(receiver, {type: 'answer', id, answer});
+					}
+				},
+				sendUntouched: (receiver, id, attempt) => {
+					if (receiver === name) {
+						this.receiver.pendingJobs.markUntouched(id, receiver, attempt);
+					} else {
+						this.send(receiver, {type: 'untouched', id, attempt});
+					}
+				},
+				sendCompletedTasks: (receiver, id, doneTasks) => {
+					if (receiver === name) {
+						this.receiver.addCompletedTasks(name, id, doneTasks);
+					} else {
+						this.send(receiver, {type: 'progress', id, doneTasks});
+					}
+				},
+				sendLostRuns: (receivers, lostRuns) => {
+					this.receiver.pendingJobs.recordLostRuns(lostRuns);
+					const leaders = this.leadership
+						.livePeers(this.#now)
+						.filter(({leads}) => Object.keys(leads).length > 0)
+						.map((peer) => peer.name);
+					for (const recipient of new Set([...receivers, ...leaders])) {
+						this.send(recipient, {type: 'lost-runs', lostRuns});
+					}
+				},
+				handleFencedZone: (fencedZone, token) => {
+					this.#applyChanges(
+						this.leadership.handleTokenRefusal(
+							fencedZone,
+							token,
+							this.scheduler.pool.hasSyncedWorker(fencedZone),
+							this.#now,
+						),
+					);
+				},
+				logDecision(decision) {
+					if (decision.event === 'worker') {
+						return;
+					}
+
+					world.log(
+						decision.event === 'placed'
+							? `${name} places ${decision.task} run ${decision.run} on ${decision.worker}`
+							: `${name} ${decision.event} ${decision.id} ${decision.reason}`,
+					);
+				},
+			},
+			requestFlush: () => {
+				world.events.add(this.#now, () => {
+					this.handle(() => {
+						this.scheduler.flush(this.#now);
+					});
+				});
+			},
+		});
+		this.receiver = new ReceiverModel({
+			name,
+			zone,
+			zones,
+			leadership: this.leadership,
+			scheduler: this.scheduler,
+			desiredState,
+			now: () => this.#now,
+			readScope: () => this.#scope,
+			isOpen: (peer) => world.isOpen(name, peer),
+			findRooms: () => this.#findRooms(),
+			findOwnWaits: () => {
+				const leader = this.leadership.findLeader(zone, this.#now);
+				return this.#findPeer(leader?.name)?.waits?.[zone];
+			},
+			send: (peer, message) => {
+				this.send(peer, message);
+			},
+			setTimer: (delayMs, run) => {
+				world.events.add(this.#now + delayMs, () => {
+					this.handle(run);
+				});
+			},
+			log(line) {
+				world.log(line);
+			},
+		});
+		this.#reporter = new ZoneReporter({
+			scheduler: this.scheduler,
+			announce: () => {
+				this.#sendHeartbeats();
+			},
+			sendLearned() {
+				// Declared run times need no learning.
+			},
+		});
+		this.scheduler.applyDesiredState(desiredState);
+	}
+
+	get #now(): number {
+		return this.world.events.now;
+	}
+
+	/** Calls a handler now or, while this process is stalled, afterwards; never after its end. */
+	handle(run: () => void): void {
+		if (this.isAlive && this.#now < this.stalledUntilMs) {
+			this.world.events.add(this.stalledUntilMs, () => {
+				this.handle(run);
+			});
+		} else if (this.isAlive) {
+			run();
+		}
+	}
+
+	/** Runs the checks that are due, and schedules the next ones. A process that is late first reads what has arrived. */
+	tick(): void {
+		const delayMs = this.#now - (this.#tickDueAtMs ?? this.#now);
+		this.#tickDueAtMs = this.#now + tickIntervalMs;
+		if (delayMs >= stallThresholdMs) {
+			this.leadership.excludeStall(delayMs, this.#now);
+		}
+
+		this.#schedule(delayMs >= stallThresholdMs ? 0.01 : 0, () => {
+			this.#runChecks();
+		});
+		this.#schedule(tickIntervalMs, () => {
+			this.tick();
+		});
+	}
+
+	/** Applies the list of workers that the store has, or that another entry VM has read from it. */
+	applyWorkers(entries: readonly WorkerEntry[]): void {
+		this.#directory.replaceAll(entries, this.#now);
+		this.#refreshWorkers();
+	}
+
+	get workerEntries(): readonly WorkerEntry[] {
+		return this.#workerEntries;
+	}
+
+	/** Hands over the zones that this process leads, and ends it when its jobs are answered or after some time. */
+	beginStop(): void {
+		if (this.isStopping) {
+			return;
+		}
+
+		this.isStopping = true;
+		this.#stopsAtMs = this.#now + maxStopMs;
+		this.#applyChanges(this.leadership.stop(this.#now));
+		this.#sendHeartbeats();
+		this.#schedule(300, () => {
+			this.#endIfDone();
+		});
+	}
+
+	receive(from: string, message: PoolMessage): void {
+		if (this.receiver.receive(from, message)) {
+			return;
+		}
+
+		switch (message.type) {
+			case 'heartbeat': {
+				this.#receiveHeartbeat(message.heartbeat);
+				break;
+			}
+
+			case 'submit': {
+				this.#receiveSubmission(from, message.job, message.isResubmitted);
+				break;
+			}
+
+			case 'lost-runs': {
+				this.receiver.pendingJobs.recordLostRuns(message.lostRuns);
+				this.scheduler.importLostRuns(message.lostRuns, this.#now);
+				break;
+			}
+
+			case 'cancel': {
+				this.world.log(
+					`${this.name} gets cancel ${message.id} ${message.reason} from ${from}`,
+				);
+				if (message.reason === 'moved') {
+					this.scheduler.release(message.id, from, this.#now);
+				} else {
+					this.scheduler.cancel(message.id, message.reason, from, this.#now);
+				}
+
+				break;
+			}
+
+			case 'hand-over': {
+				for (const worker of message.workers) {
+					this.#directory.addUnlisted(worker, this.#now);
+				}
+
+				this.#refreshWorkers();
+				break;
+			}
+
+			case 'answer':
+			case 'ask':
+			case 'knowledge':
+			case 'learned':
+			case 'progress':
+			case 'reply':
+			case 'resubmit':
+			case 'untouched': {
+				throw new Error(`unexpected message ${message.type}`);
+			}
+		}
+	}
+
+	handleLost(peer: string): void {
+		this.leadership.markDisconnected(peer);
+		this.scheduler.markReceiverUnreachable(peer, this.#now);
+		this.#updateLeadership();
+	}
+
+	handleOpen(peer: string): void {
+		this.#sendHeartbeats();
+		this.receiver.handleOpen(peer);
+	}
+
+	send(peer: string, message: PoolMessage): void {
+		this.world.send(this, peer, message);
+	}
+
+	#schedule(delayMs: number, run: () => void): void {
+		this.world.events.add(this.#now + delayMs, () => {
+			this.handle(run);
+		});
+	}
+
+	#runChecks(): void {
+		const now = this.#now;
+		this.#updateLeadership();
+		if (this.leadership.ledZones.size > 0) {
+			this.scheduler.markUnreachableReceivers(
+				(receiver) =>
+					receiver === this.name || this.leadership.isPeerLive(receiver, now),
+				now,
+			);
+			this.scheduler.tick(now);
+		}
+
+		this.receiver.answerExpiredJobs();
+		if (now - this.#lastDirectoryCheckMs >= directoryCheckIntervalMs) {
+			this.#lastDirectoryCheckMs = now;
+			this.#refreshWorkers();
+			this.#applyChanges(
+				[...this.leadership.ledZones.keys()].flatMap((zone) =>
+					this.leadership.releaseIfUnreachable(
+						zone,
+						this.scheduler.pool.hasReportedSince(zone, now - zoneUnreachableMs),
+						now,
+					),
+				),
+			);
+		}
+
+		if (this.#scope === 'zone' && this.leadership.ledZones.size > 0) {
+			this.#reporter.update(now);
+		}
+
+		if (this.leadership.isWarmUpDue(now) && !this.#isWarmingUp) {
+			this.#isWarmingUp = true;
+			this.#schedule(warmUpMs, () => {
+				this.leadership.setWarm();
+			});
+		}
+
+		if (now - this.#lastHeartbeatAtMs >= heartbeatIntervalMs) {
+			this.#sendHeartbeats();
+		}
+	}
+
+	#endIfDone(): void {
+		const isDone =
+			this.receiver.pendingJobs.size === 0 &&
+			this.leadership.ledZones.size === 0;
+		if (!isDone && this.#now < this.#stopsAtMs) {
+			this.#schedule(50, () => {
+				this.#endIfDone();
+			});
+			return;
+		}
+
+		this.receiver.answerRemainingJobs();
+		this.#schedule(20, () => {
+			this.world.kill(this, 'has stopped');
+		});
+	}
+
+	#receiveHeartbeat(heartbeat: Heartbeat): void {
+		const hasChanged = this.leadership.hasChanged(heartbeat, this.#now);
+		this.leadership.receiveHeartbeat(heartbeat, this.#now);
+		if (!hasChanged) {
+			return;
+		}
+
+		this.#updateLeadership();
+		if (
+			zones.some(
+				(zone) =>
+					heartbeat.hears[zone] === undefined &&
+					this.#liveLeaderTokens[zone] !== undefined,
+			)
+		) {
+			this.#sendHeartbeats();
+		}
+	}
+
+	#receiveSubmission(from: string, job: PoolJob, isResubmitted: boolean): void {
+		if (this.leadership.ledZones.size === 0) {
+			return;
+		}
+
+		if (this.leadership.hasRecentHeartbeat(from, this.#now)) {
+			this.scheduler.submit(job, from, isResubmitted, this.#now);
+		} else {
+			const {id, attempt} = job;
+			this.send(from, {type: 'resubmit', id, attempt});
+		}
+	}
+
+	#refreshWorkers(): void {
+		const entries = this.#directory.entries(this.#now);
+		if (entries.length === this.#workerEntries.length) {
+			return;
+		}
+
+		this.#workerEntries = entries;
+		this.world.log(`${this.name} lists ${entries.length} workers`);
+		if (this.leadership.ledZones.size > 0) {
+			this.scheduler.updateWorkers(entries, this.#now);
+		}
+	}
+
+	#updateLeadership(): void {
+		this.#updateScope();
+		this.#applyChanges(this.leadership.tick(this.#now));
+		const tokens = Object.fromEntries(
+			zones.flatMap((zone) => {
+				const leader = this.leadership.findLeader(zone, this.#now);
+				return leader === undefined ? [] : [[zone, leader.token]];
+			}),
+		);
+		const hasChanged =
+			JSON.stringify(tokens) !== JSON.stringify(this.#liveLeaderTokens);
+		this.#liveLeaderTokens = tokens;
+		if (hasChanged) {
+			this.#sendHeartbeats();
+		}
+
+		this.receiver.updateOwnLeader();
+	}
+
+	#updateScope(): void {
+		const scope = this.#scopeBySize.update(
+			this.#workerEntries.length,
+			this.#findPeer(this.receiver.leader)?.scope,
+			this.#now,
+		);
+		if (scope !== this.#scope) {
+			this.#scope = scope;
+			this.leadership.setScope(scope);
+			this.world.log(
+				`${this.name} scope ${scope} with ${this.#workerEntries.length} workers`,
+			);
+		}
+	}
+
+	#applyChanges(changes: readonly LeadershipChange[]): void {
+		for (const change of changes) {
+			this.world.log(
+				`${this.name} ${change.kind} ${change.zone} ${change.kind === 'claimed' ? change.token : change.reason}`,
+			);
+			if (change.kind === 'claimed') {
+				this.world.claimCount += 1;
+				this.scheduler.startLeadingZone(change.zone, change.token, this.#now);
+				this.#reporter.handleClaim();
+				this.scheduler.updateWorkers(this.#workerEntries, this.#now);
+				continue;
+			}
+
+			const newLeader =
+				this.leadership.successors.get(change.zone) ??
+				this.leadership.findLeader(change.zone, this.#now)?.name;
+			if (newLeader !== undefined) {
+				this.send(newLeader, {
+					type: 'hand-over',
+					workers: this.#workerEntries.filter(({zone}) => zone === change.zone),
+				});
+			}
+		}
+
+		const dropped = changes.filter(({kind}) => kind === 'dropped');
+		if (dropped.length > 0) {
+			this.scheduler.stopLeadingZones(
+				dropped.map(({zone}) => zone),
+				this.#now,
+			);
+		}
+
+		if (changes.length > 0) {
+			this.receiver.updateOwnLeader();
+			this.#sendHeartbeats();
+		}
+	}
+
+	#sendHeartbeats(): void {
+		this.#lastHeartbeatAtMs = this.#now;
+		const heartbeat: Heartbeat = {
+			name: this.name,
+			zone: this.zone,
+			address: this.name,
+			incarnation: this.incarnation,
+			intervalMs: heartbeatIntervalMs,
+			processorShare: this.processorShare,
+			isStopping: this.isStopping,
+			isWarm: this.leadership.isWarm,
+			leads: Object.fromEntries(this.leadership.ledZones),
+			highestToken: this.leadership.highestToken,
+			hears: this.#liveLeaderTokens,
+			yields: Object.fromEntries(this.leadership.successors),
+			scope: this.#scope,
+			...(this.#scope === 'zone' && this.leadership.ledZones.size > 0
+				? this.#readReport()
+				: {}),
+			isCandidate: true,
+			members: [],
+		};
+		for (const peer of zoneByVm.keys()) {
+			if (peer !== this.name) {
+				this.send(peer, {
+					type: 'heartbeat',
+					heartbeat,
+					needsKnowledge: false,
+					readsStore: true,
+				});
+			}
+		}
+	}
+
+	#readReport(): Pick<Heartbeat, 'spareMillis' | 'waits'> {
+		const {spareMillis, waits} = this.#reporter.read(this.#now);
+		return {
+			...(spareMillis === undefined ? {} : {spareMillis}),
+			...(waits === undefined ? {} : {waits}),
+		};
+	}
+
+	#findPeer(name: string | undefined): Heartbeat | undefined {
+		return this.leadership
+			.livePeers(this.#now)
+			.find((peer) => peer.name === name);
+	}
+
+	#findRooms(): readonly ZoneRoom[] {
+		return zones.flatMap((zone) => {
+			const leader = this.leadership.findLeader(zone, this.#now)?.name;
+			const report = this.#findPeer(leader);
+			const spareMillis = report?.spareMillis?.[zone];
+			const waits = report?.waits?.[zone];
+			return zone === this.zone ||
+				leader === undefined ||
+				spareMillis === undefined ||
+				!this.world.isOpen(this.name, leader)
+				? []
+				: [
+						{
+							zone,
+							leader,
+							spareMillis,
+							isConnected: true,
+							...(waits === undefined ? {} : {waits}),
+						},
+					];
+		});
+	}
+}
+
+/** Entry VMs of three zones, workers, callers and the network between them, with injected time and seeded choices. */
+class ZoneModel implements ModelWorld {
+	readonly events = new EventQueue();
+	readonly random: Random;
+	readonly workerEntries: readonly WorkerEntry[] = zones.flatMap((zone) =>
+		Array.from({length: workersPerZone}, (_, index) =>
+			workerFixture(`${zone}-worker-${index + 1}`, {zone}),
+		),
+	);
+
+	readonly workers: ReadonlyMap<string, ModelWorker>;
+	claimCount = 0;
+	/** The running process of each entry VM that has one. */
+	readonly #processes = new Map<string, ModelProcess>();
+	readonly #links = new Map<string, Link>();
+	readonly #lastDeliveryMs = new Map<string, number>();
+	readonly #lastReceivedMs = new Map<string, number>();
+	readonly #silentUntilMs = new Map<string, number>();
+	readonly #zoneCutUntilMs = new Map<string, number>();
+	readonly #calls = new Map<string, Call>();
+	readonly #overlaps: TracedOverlap[] = [];
+	readonly #falseRefusals = new Set<string>();
+	readonly #trace: string[] = [];
+	readonly #runTimesMs = new Map<string, number>();
+	#storeDownUntilMs = 0;
+	#startCount = 0;
+	#completedCount = 0;
+	#refusedCount = 0;
+	#incarnationCount = 0;
+
+	constructor(readonly settings: ZoneModelSettings) {
+		this.random = seededRandom(settings.seed);
+		this.workers = new Map(
+			this.workerEntries.map((entry, index) => [
+				entry.id,
+				new ModelWorker(entry, this, index % 2 === 0 ? 1 : 0.98),
+			]),
+		);
+	}
+
+	/** Plays the model to its end. */
+	play(): ZoneModelResult {
+		const {calmMs, durationMs, lossesOfAllAtMs, jobIntervalMs} = this.settings;
+		for (const name of zoneByVm.keys()) {
+			this.#start(name);
+		}
+
+		for (
+			let atMs = calmMs;
+			atMs < durationMs;
+			atMs += 2 * jobIntervalMs * this.random()
+		) {
+			this.events.add(atMs, () => {
+				this.#createCall();
+			});
+		}
+
+		for (let atMs = calmMs; atMs < durationMs; atMs += faultIntervalMs) {
+			this.events.add(atMs, () => {
+				this.#drawFaults();
+			});
+		}
+
+		for (const atMs of lossesOfAllAtMs) {
+			this.events.add(atMs, () => {
+				this.#killAll();
+			});
+		}
+
+		this.events.runUntil(durationMs);
+		const count = (event: string) =>
+			this.#trace.filter((line) => line.includes(` ${event} `)).length;
+		return {
+			overlaps: this.#overlaps,
+			falseRefusals: [...this.#falseRefusals],
+			submittedCount: this.#calls.size,
+			completedCount: this.#completedCount,
+			refusedCount: this.#refusedCount,
+			startCount: this.#startCount,
+			overflowCount: count('overflow'),
+			balancedCount: count('balanced'),
+			claimCount: this.claimCount,
+			trace: this.#trace,
+		};
+	}
+
+	log(line: string): void {
+		this.#trace.push(`${this.events.now.toFixed(1)} ${line}`);
+	}
+
+	runTimeOf(task: string): number {
+		return this.#runTimesMs.get(task) ?? 100;
+	}
+
+	drawDelayMs(): number {
+		return this.random() < 0.02 ? 100 * this.random() : 1 + 3 * this.random();
+	}
+
+	drawCommandDelayMs(sender: string, worker: string): number | undefined {
+		const {now} = this.events;
+		const senderZone = zoneByVm.get(sender)!;
+		const {zone} = this.workers.get(worker)!.entry;
+		const isCut =
+			senderZone !== zone &&
+			[senderZone, zone].some(
+				(cutZone) => (this.#zoneCutUntilMs.get(cutZone) ?? 0) > now,
+			);
+		if (isCut || (this.#silentUntilMs.get(worker) ?? 0) > now) {
+			return undefined;
+		}
+
+		return this.random() < this.settings.lateCommandProbability
+			? 100 + 1400 * this.random()
+			: this.drawDelayMs();
+	}
+
+	recordStart(worker: ModelWorker, {task, run}: StartCommand): void {
+		this.#startCount += 1;
+		this.log(`${worker.entry.id} starts ${task} run ${run}`);
+		const id = task.split('.')[0]!;
+		const call = this.#calls.get(id)!;
+		call.hasStarted = true;
+		this.#checkRefusals(call);
+		const runs = findActiveRuns(task, this.workers);
+		if (runs.length > 1) {
+			this.log(`OVERLAP ${task} ${JSON.stringify(runs)}`);
+			this.#overlaps.push({
+				atMs: this.events.now,
+				task,
+				runs,
+				trace: this.#selectTrace(id),
+			});
+		}
+	}
+
+	isOpen(left: string, right: string): boolean {
+		return this.#findLink(left, right).isOpen;
+	}
+
+	/** Sends a message on the stream between two entry VMs, which keeps the order. It is lost with the stream. */
+	send(sender: ModelProcess, to: string, message: PoolMessage): void {
+		const link = this.#findLink(sender.name, to);
+		const {now} = this.events;
+		const isCut = link.cutUntilMs > now;
+		if (!link.isOpen || (isCut && !link.isCutDelaying)) {
+			return;
+		}
+
+		const stream = `${sender.name} ${to}`;
+		const atMs = Math.max(
+			this.#lastDeliveryMs.get(stream) ?? 0,
+			(isCut ? link.cutUntilMs : now) + this.drawDelayMs(),
+		);
+		this.#lastDeliveryMs.set(stream, atMs);
+		const {epoch} = link;
+		this.events.add(atMs, () => {
+			const receiver = this.#processes.get(to);
+			receiver?.handle(() => {
+				if (link.epoch !== epoch) {
+					return;
+				}
+
+				const lastMs = this.#lastReceivedMs.get(stream) ?? this.events.now;
+				this.#lastReceivedMs.set(stream, this.events.now);
+				if (this.events.now - lastMs > staleStreamMs) {
+					this.#breakLink(sender.name, to);
+				} else {
+					receiver.receive(sender.name, message);
+				}
+			});
+		});
+	}
+
+	/** Ends a process; its callers send their jobs again, and a new process starts after a while. */
+	kill(process: ModelProcess, reason: string, restartMs?: number): void {
+		const {name} = process;
+		if (!process.isAlive) {
+			return;
+		}
+
+		this.log(`${name} ${reason}`);
+		process.isAlive = false;
+		this.#processes.delete(name);
+		for (const peer of zoneByVm.keys()) {
+			this.#closeLink(name, peer);
+		}
+
+		for (const call of this.#calls.values()) {
+			if (call.openCopy !== undefined && call.lastVm === name) {
+				this.#sendAgain(call);
+			}
+		}
+
+		this.events.add(
+			this.events.now + (restartMs ?? 300 + 1200 * this.random()),
+			() => {
+				this.#start(name);
+			},
+		);
+	}
+
+	#start(name: string): void {
+		this.#incarnationCount += 1;
+		const process = new ModelProcess(
+			name,
+			zoneByVm.get(name)!,
+			`${name}#${this.#incarnationCount}`,
+			this,
+		);
+		this.#processes.set(name, process);
+		this.log(`${name} has started`);
+		this.events.add(this.events.now + 10 * this.random(), () => {
+			process.handle(() => {
+				process.tick();
+			});
+		});
+		this.#readStore(process, 40 + 100 * this.random());
+		for (const peer of zoneByVm.keys()) {
+			if (peer !== name) {
+				this.#openLink(name, peer, 10 + 50 * this.random());
+			}
+		}
+	}
+
+	/** Has a process read the store after a delay and then at intervals; while it cannot, others pass on their lists. */
+	#readStore(process: ModelProcess, delayMs: number): void {
+		this.events.add(this.events.now + delayMs, () => {
+			process.handle(() => {
+				if (this.events.now >= this.#storeDownUntilMs) {
+					process.applyWorkers(this.workerEntries);
+				}
+
+				this.#readStore(process, storeReadIntervalMs);
+			});
+		});
+	}
+
+	#findLink(left: string, right: string): Link {
+		const key = [left, right].toSorted().join(' ');
+		const known = this.#links.get(key);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const link = {
+			epoch: 0,
+			isOpen: false,
+			cutUntilMs: 0,
+			isCutDelaying: false,
+		};
+		this.#links.set(key, link);
+		return link;
+	}
+
+	/** Closes the stream between two entry VMs; both notice it if they run. */
+	#closeLink(left: string, right: string): void {
+		const link = this.#findLink(left, right);
+		if (!link.isOpen) {
+			return;
+		}
+
+		link.isOpen = false;
+		link.epoch += 1;
+		for (const [name, peer] of [
+			[left, right],
+			[right, left],
+		] as const) {
+			this.#lastReceivedMs.delete(`${peer} ${name}`);
+			this.#lastDeliveryMs.delete(`${peer} ${name}`);
+			const process = this.#processes.get(name);
+			this.events.add(this.events.now + 3 * this.random(), () => {
+				process?.handle(() => {
+					process.handleLost(peer);
+				});
+			});
+		}
+	}
+
+	/** Opens the stream between two entry VMs after a delay, or after the cut between them. */
+	#openLink(left: string, right: string, delayMs: number): void {
+		this.events.add(this.events.now + delayMs, () => {
+			const link = this.#findLink(left, right);
+			const processes = [left, right].map((name) => this.#processes.get(name));
+			if (link.isOpen || processes.includes(undefined)) {
+				return;
+			}
+
+			if (link.cutUntilMs > this.events.now) {
+				this.#openLink(left, right, link.cutUntilMs - this.events.now + 5);
+				return;
+			}
+
+			link.isOpen = true;
+			link.epoch += 1;
+			for (const [process, peer] of [
+				[processes[0], right],
+				[processes[1], left],
+			] as const) {
+				process?.handle(() => {
+					process.handleOpen(peer);
+				});
+			}
+		});
+	}
+
+	#breakLink(left: string, right: string): void {
+		this.#closeLink(left, right);
+		this.#openLink(left, right, 5 + 30 * this.random());
+	}
+
+	/** Lets no messages pass between two entry VMs for a time. A stream that is silent for long is closed. */
+	#cut(
+		left: string,
+		right: string,
+		durationMs: number,
+		isCutDelaying: boolean,
+	): void {
+		const link = this.#findLink(left, right);
+		const untilMs = this.events.now + durationMs;
+		link.cutUntilMs = Math.max(link.cutUntilMs, untilMs);
+		link.isCutDelaying = isCutDelaying && durationMs < staleStreamMs;
+		const {epoch} = link;
+		if (!link.isCutDelaying) {
+			this.events.add(
+				Math.min(untilMs, this.events.now + staleStreamMs),
+				() => {
+					if (link.epoch === epoch) {
+						this.#breakLink(left, right);
+					}
+				},
+			);
+		}
+	}
+
+	#createCall(): void {
+		const {longestRunMs, firstZoneShare} = this.settings;
+		const id = `job${this.#calls.size + 1}`;
+		const runMs = 50 + (longestRunMs - 50) * this.random() ** 4;
+		const {attempt: _, ...job} = poolJobFixture(id, 1, {
+			runMs,
+			patienceMs: Math.round(800 + 2 * runMs + 1500 * this.random()),
+		});
+		this.#runTimesMs.set(job.tasks[0]!.name, runMs);
+		const call: Call = {
+			job,
+			zone:
+				this.random() < firstZoneShare
+					? zones[0]!
+					: zones[1 + Math.floor(2 * this.random())]!,
+			sendCount: 0,
+			lastVm: undefined,
+			openCopy: undefined,
+			isAlwaysRefused: true,
+			isOver: false,
+			hasStarted: false,
+		};
+		this.#calls.set(id, call);
+		this.#send(call);
+	}
+
+	/** Sends a job to an entry VM of the caller's zone, or of another zone if none of its own is up. */
+	#send(call: Call): void {
+		const {job, lastVm} = call;
+		const others = [...this.#processes.values()].filter(
+			({name, isStopping}) => name !== lastVm && !isStopping,
+		);
+		const ofZone = others.filter(({zone}) => zone === call.zone);
+		const process = this.#pick(ofZone.length > 0 ? ofZone : others);
+		call.sendCount += 1;
+		const copy = call.sendCount;
+		call.openCopy = copy;
+		call.lastVm = process?.name;
+		if (process === undefined) {
+			this.#sendAgain(call);
+			return;
+		}
+
+		this.log(
+			`caller sends ${job.id} copy ${copy} of ${job.patienceMs} ms to ${process.name}`,
+		);
+		this.events.add(this.events.now + 1, () => {
+			process.handle(() => {
+				if (call.openCopy === copy) {
+					process.receiver.submit(job, process.incarnation, (answer) => {
+						this.#handleAnswer(call, copy, answer);
+					});
+				}
+			});
+		});
+		this.events.add(this.events.now + job.patienceMs + 100, () => {
+			if (call.openCopy === copy) {
+				this.#leave(call, process, false);
+			}
+		});
+	}
+
+	/** Has a caller leave its receiver, and send its job again. */
+	#leave(call: Call, process: ModelProcess, isReset: boolean): void {
+		const {id} = call.job;
+		this.log(`caller leaves ${id} at ${process.name}, reset ${isReset}`);
+		process.handle(() => {
+			process.receiver.handleCallerDisconnect(id, isReset);
+		});
+		this.#sendAgain(call);
+	}
+
+	#sendAgain(call: Call): void {
+		call.openCopy = undefined;
+		call.isAlwaysRefused = false;
+		if (call.sendCount >= maxSends) {
+			call.isOver = true;
+			return;
+		}
+
+		this.events.add(this.events.now + resendDelayMs, () => {
+			if (this.random() < this.settings.movingShare) {
+				call.zone = this.#pick(zones)!;
+			}
+
+			this.#send(call);
+		});
+	}
+
+	#handleAnswer(call: Call, copy: number, answer: PoolAnswer): void {
+		if (call.openCopy !== copy) {
+			return;
+		}
+
+		const reason = 'reason' in answer ? answer.reason : '';
+		this.log(`answer of ${call.job.id}: ${answer.kind} ${reason}`);
+		if (answer.kind === 'may-have-run') {
+			this.#sendAgain(call);
+			return;
+		}
+
+		call.openCopy = undefined;
+		call.isOver = true;
+		if (answer.kind === 'not-run') {
+			this.#refusedCount += 1;
+			this.#checkRefusals(call);
+		} else {
+			call.isAlwaysRefused = false;
+			this.#completedCount += 1;
+		}
+	}
+
+	#checkRefusals({job, isOver, isAlwaysRefused, hasStarted}: Call): void {
+		if (isOver && isAlwaysRefused && hasStarted) {
+			this.log(`FALSE REFUSAL ${job.id}`);
+			this.#falseRefusals.add(job.id);
+		}
+	}
+
+	#pick<Item>(items: readonly Item[]): Item | undefined {
+		return items[Math.floor(this.random() * items.length)];
+	}
+
+	#happens(probability: number): boolean {
+		return probability > 0 && this.random() < probability;
+	}
+
+	#pickLeader(): ModelProcess | undefined {
+		return this.#pick(
+			[...this.#processes.values()].filter(
+				({leadership}) => leadership.ledZones.size > 0,
+			),
+		);
+	}
+
+	#killAll(): void {
+		for (const process of this.#processes.values()) {
+			this.kill(process, 'is lost with all', 100 + 1400 * this.random());
+		}
+	}
+
+	#drawFaults(): void {
+		const {settings} = this;
+		const running = [...this.#processes.values()];
+		if (this.#happens(settings.killProbability)) {
+			const process = this.#pick(running);
+			if (process !== undefined) {
+				this.kill(process, 'is lost');
+			}
+		}
+
+		if (this.#happens(settings.leaderKillProbability)) {
+			const leader = this.#pickLeader();
+			if (leader !== undefined) {
+				this.kill(leader, 'is lost as a leader');
+			}
+		}
+
+		if (this.#happens(settings.pairKillProbability)) {
+			const leader = this.#pickLeader();
+			const other = this.#pick(running.filter((process) => process !== leader));
+			for (const process of [leader, other]) {
+				if (process !== undefined) {
+					this.kill(process, 'is lost in a pair');
+				}
+			}
+		}
+
+		for (const [probability, process] of [
+			[settings.stopProbability, this.#pick(running)],
+			[settings.leaderStopProbability, this.#pickLeader()],
+		] as const) {
+			if (this.#happens(probability) && process?.isAlive === true) {
+				this.log(`${process.name} begins to stop`);
+				process.handle(() => {
+					process.beginStop();
+				});
+			}
+		}
+
+		this.#drawDelays();
+		this.#drawNetworkFaults();
+	}
+
+	#drawDelays(): void {
+		const {settings} = this;
+		const {now} = this.events;
+		for (const process of this.#processes.values()) {
+			if (this.#happens(settings.stallProbability)) {
+				process.stalledUntilMs = now + 20 + 1500 * this.random() ** 2;
+				this.log(
+					`${process.name} stalls until ${process.stalledUntilMs.toFixed(0)}`,
+				);
+			}
+		}
+
+		if (this.#happens(settings.silenceProbability)) {
+			const worker = this.#pick(this.workerEntries)!;
+			const untilMs = now + 50 + 1800 * this.random();
+			this.#silentUntilMs.set(worker.id, untilMs);
+			this.log(`${worker.id} is silent until ${untilMs.toFixed(0)}`);
+		}
+
+		if (this.#happens(settings.storeOutageProbability)) {
+			this.#storeDownUntilMs = now + 1000 + 4000 * this.random();
+			this.log(`store is down until ${this.#storeDownUntilMs.toFixed(0)}`);
+		}
+
+		if (this.#happens(settings.resetProbability)) {
+			const call = this.#pick(
+				[...this.#calls.values()].filter(
+					({openCopy}) => openCopy !== undefined,
+				),
+			);
+			const process = this.#processes.get(call?.lastVm ?? '');
+			if (call !== undefined && process !== undefined) {
+				this.#leave(call, process, true);
+			}
+		}
+	}
+
+	#drawNetworkFaults(): void {
+		const {settings} = this;
+		const names = [...zoneByVm.keys()];
+		const left = this.#pick(names)!;
+		const right = this.#pick(names.filter((name) => name !== left))!;
+		if (this.#happens(settings.breakProbability)) {
+			this.log(`stream of ${left} and ${right} breaks`);
+			this.#breakLink(left, right);
+		}
+
+		if (this.#happens(settings.cutProbability)) {
+			const durationMs = 100 + 1500 * this.random();
+			this.log(`cut ${left} ${right} for ${durationMs.toFixed(0)} ms`);
+			this.#cut(left, right, durationMs, this.random() < 0.5);
+		}
+
+		if (this.#happens(settings.zoneCutProbability)) {
+			const zone = this.#pick(zones)!;
+			const durationMs = 200 + 2500 * this.random();
+			const isDelaying = this.random() < 0.5;
+			this.log(`zone cut ${zone} for ${durationMs.toFixed(0)} ms`);
+			this.#zoneCutUntilMs.set(zone, this.events.now + durationMs);
+			for (const inner of names.filter((name) => zoneByVm.get(name) === zone)) {
+				for (const outer of names.filter(
+					(name) => zoneByVm.get(name) !== zone,
+				)) {
+					this.#cut(inner, outer, durationMs, isDelaying);
+				}
+			}
+		}
+	}
+
+	/** Selects the lines of the trace on a job, and those on leadership and faults in the seconds before. */
+	#selectTrace(id: string): readonly string[] {
+		const ofJob = new RegExp(String.raw`\b${id}\b`);
+		const ofLeaders =
+			/claimed|dropped|scope|follows|is lost|stop|stalls|cut|silent|store|lists|started/;
+		const sinceMs = this.events.now - 4000;
+		return this.#trace.filter(
+			(line) =>
+				ofJob.test(line) ||
+				(ofLeaders.test(line) &&
+					!line.includes(' job') &&
+					Number.parseFloat(line) > sinceMs),
+		);
+	}
+}
+
+/** Plays a day of the model with a seed. */
+export function playZoneModel(
+	day: keyof typeof zoneModelDays,
+	seed: number,
+	change: Partial<ZoneModelSettings> = {},
+): ZoneModelResult {
+	return new ZoneModel({...zoneModelDays[day], ...change, seed}).play();
+}
