--- a/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
@@ -158,4 +158,17 @@
 			stage.lose(4650, ['zone-a-entry-2'], 3000);
 		});
 	});
+
+	it('do not start a copy that a new leader sees first before the worker that runs the job has reported to it', () => {
+		expectNoOverlapInScript((stage) => {
+			stage.sendJob(3000, 'lost', 3600, ['zone-a-entry-2', 'zone-a-entry-3']);
+			stage.lose(
+				4000,
+				zoneModelEntryVms.filter((name) => name.startsWith('zone-a')),
+				550,
+			);
+			stage.lose(5250, ['zone-a-entry-1'], 3000);
+			stage.silenceWorkersOf(5250, 'lost', 300);
+		});
+	});
 });
--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -80,6 +80,8 @@
 	readonly storeOutageProbability: number;
 	/** Share of the copies that callers send to another zone although their own has entry VMs. */
 	readonly movingShare: number;
+	/** Whether callers wait for an entry VM of their own zone while none is up. */
+	readonly staysInZone: boolean;
 	/** Plans jobs and faults besides the random ones. */
 	readonly script?: (stage: ZoneStage) => void;
 };
@@ -99,6 +101,10 @@
 	lose(atMs: number, entryVms: readonly string[], restartMs: number): void;
 	/** Stops the process of an entry VM as planned. */
 	stop(atMs: number, entryVm: string): void;
+	/** Lets no commands reach the workers that run a job by then, for a time. */
+	silenceWorkersOf(atMs: number, id: string, durationMs: number): void;
+	/** Lets the store be read by nobody for a time. */
+	stopStore(atMs: number, durationMs: number): void;
 };
 
 const calmDay: Omit<ZoneModelSettings, 'seed'> = {
@@ -124,6 +130,7 @@
 	slowMessageShare: 0.02,
 	storeOutageProbability: 0,
 	movingShare: 0,
+	staysInZone: false,
 };
 
 /** Days with leaders of zones, by what goes wrong. */
@@ -1175,6 +1182,18 @@
 					this.#processes.get(entryVm)?.beginStop();
 				});
 			},
+			silenceWorkersOf: (atMs, id, durationMs) => {
+				events.add(atMs, () => {
+					for (const {worker} of findActiveRuns(`${id}.0.0.0`, this.workers)) {
+						this.#silentUntilMs.set(worker, atMs + durationMs);
+					}
+				});
+			},
+			stopStore: (atMs, durationMs) => {
+				events.add(atMs, () => {
+					this.#storeDownUntilMs = atMs + durationMs;
+				});
+			},
 		};
 	}
 
@@ -1258,7 +1277,9 @@
 			({name, isStopping}) => name !== lastVm && !isStopping,
 		);
 		const ofZone = others.filter((process) => process.zone === zone);
-		return this.#pick(ofZone.length > 0 ? ofZone : others);
+		return this.#pick(
+			ofZone.length > 0 || this.settings.staysInZone ? ofZone : others,
+		);
 	}
 
 	/** Has a caller leave its receiver, and send its job again. */
