Send the heartbeats of the model of leaders of zones at the intervals of the product

The model sent heartbeats to all every 100 ms, so that it hid what follows from the longer intervals between zones. It now uses HeartbeatSchedule and selectHeartbeatInterval with the intervals of a deployment of 31 entry VMs, and closes silent streams as the mesh does.

--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -1,12 +1,15 @@
 import {
 	BestFit,
 	DeclaredTimeEstimator,
+	HeartbeatSchedule,
 	Leadership,
 	ObjectiveOrder,
 	PoolScheduler,
 	ScopeBySize,
 	WorkerDirectory,
+	computeHeartbeatIntervals,
 	seededRandom,
+	selectHeartbeatInterval,
 	type Heartbeat,
 	type LeadershipChange,
 	type PoolAnswer,
@@ -229,14 +232,17 @@
 const entryVmsPerZone = 3;
 const tickIntervalMs = 20;
 const stallThresholdMs = 100;
-const heartbeatIntervalMs = 100;
+/** Numbers of connections and entry VMs by which the intervals of heartbeats are chosen: those of a larger deployment. */
+const overlaySize = {peerCount: 8, memberCount: 30};
 const faultIntervalMs = 100;
 const directoryCheckIntervalMs = 500;
 const zoneUnreachableMs = 1500;
 const storeReadIntervalMs = 400;
 const warmUpMs = 700;
-/** Silence after which a stream is closed, and the rest of its messages discarded. */
+/** Silence after which a stream is closed, and the rest of its messages discarded; the mesh of entry VMs has the same. */
 const staleStreamMs = 800;
+/** Longest interval of heartbeats for which it holds; on streams with longer ones, four intervals do. */
+const maxFastIntervalMs = 400;
 const resendDelayMs = 1300;
 const maxSends = 4;
 const maxStopMs = 2600;
@@ -301,7 +307,9 @@
 	#scope: PoolScope = 'zone';
 	#workerEntries: readonly WorkerEntry[] = [];
 	#liveLeaderTokens: Readonly<Record<string, number>> = {};
-	#lastHeartbeatAtMs = Number.NEGATIVE_INFINITY;
+	readonly #heartbeatSchedule = new HeartbeatSchedule();
+	#isRoundDue = false;
+	#lastRoundMs = Number.NEGATIVE_INFINITY;
 	#lastDirectoryCheckMs = 0;
 	#tickDueAtMs: number | undefined;
 	#isWarmingUp = false;
@@ -603,9 +611,7 @@
 			});
 		}
 
-		if (now - this.#lastHeartbeatAtMs >= heartbeatIntervalMs) {
-			this.#sendHeartbeats();
-		}
+		this.#sendDueHeartbeats();
 	}
 
 	#endIfDone(): void {
@@ -742,14 +748,59 @@
 		}
 	}
 
+	/** Sends a heartbeat to all peers, now or once the gap since the last such round has passed. */
 	#sendHeartbeats(): void {
-		this.#lastHeartbeatAtMs = this.#now;
+		this.#isRoundDue = true;
+		this.#sendDueHeartbeats();
+	}
+
+	#sendDueHeartbeats(): void {
+		const now = this.#now;
+		const intervals = computeHeartbeatIntervals(overlaySize, 0);
+		if (this.#isRoundDue && now - this.#lastRoundMs >= intervals.roundGapMs) {
+			this.#isRoundDue = false;
+			this.#lastRoundMs = now;
+			this.#heartbeatSchedule.reset();
+		}
+
+		const sender = {
+			zone: this.zone,
+			ledZones: this.leadership.ledZones,
+			isElecting: zones.some(
+				(zone) => this.#liveLeaderTokens[zone] === undefined,
+			),
+		};
+		const due = this.#heartbeatSchedule.takeDue(
+			new Map(
+				[...zoneByVm]
+					.filter(([name]) => name !== this.name)
+					.map(([name, zone]) => [
+						name,
+						selectHeartbeatInterval(
+							sender,
+							{
+								heartbeat: this.#findPeer(name),
+								zone,
+								acceptsSlowIntervals: true,
+							},
+							intervals,
+						),
+					]),
+			),
+			now,
+		);
+		for (const [intervalMs, peers] of due) {
+			this.#sendHeartbeat(peers, intervalMs);
+		}
+	}
+
+	#sendHeartbeat(peers: ReadonlySet<string>, intervalMs: number): void {
 		const heartbeat: Heartbeat = {
 			name: this.name,
 			zone: this.zone,
 			address: this.name,
 			incarnation: this.incarnation,
-			intervalMs: heartbeatIntervalMs,
+			intervalMs,
 			processorShare: this.processorShare,
 			isStopping: this.isStopping,
 			isWarm: this.leadership.isWarm,
@@ -764,15 +815,13 @@
 			isCandidate: true,
 			members: [],
 		};
-		for (const peer of zoneByVm.keys()) {
-			if (peer !== this.name) {
-				this.send(peer, {
-					type: 'heartbeat',
-					heartbeat,
-					needsKnowledge: false,
-					readsStore: true,
-				});
-			}
+		for (const peer of peers) {
+			this.send(peer, {
+				type: 'heartbeat',
+				heartbeat,
+				needsKnowledge: false,
+				readsStore: true,
+			});
 		}
 	}
 
@@ -831,6 +880,8 @@
 	readonly #links = new Map<string, Link>();
 	readonly #lastDeliveryMs = new Map<string, number>();
 	readonly #lastReceivedMs = new Map<string, number>();
+	/** Silence after which each stream is closed. */
+	readonly #staleMs = new Map<string, number>();
 	readonly #silentUntilMs = new Map<string, number>();
 	readonly #zoneCutUntilMs = new Map<string, number>();
 	readonly #calls = new Map<string, Call>();
@@ -981,11 +1032,23 @@
 
 				const lastMs = this.#lastReceivedMs.get(stream) ?? this.events.now;
 				this.#lastReceivedMs.set(stream, this.events.now);
-				if (this.events.now - lastMs > staleStreamMs) {
+				if (
+					this.events.now - lastMs >
+					(this.#staleMs.get(stream) ?? staleStreamMs)
+				) {
 					this.#breakLink(sender.name, to);
-				} else {
-					receiver.receive(sender.name, message);
+					return;
+				}
+
+				if (message.type === 'heartbeat') {
+					const {intervalMs} = message.heartbeat;
+					this.#staleMs.set(
+						stream,
+						intervalMs > maxFastIntervalMs ? 4 * intervalMs : staleStreamMs,
+					);
 				}
+
+				receiver.receive(sender.name, message);
 			});
 		});
 	}
@@ -1085,6 +1148,7 @@
 			[right, left],
 		] as const) {
 			this.#lastReceivedMs.delete(`${peer} ${name}`);
+			this.#staleMs.delete(`${peer} ${name}`);
 			this.#lastDeliveryMs.delete(`${peer} ${name}`);
 			const process = this.#processes.get(name);
 			this.events.add(this.events.now + 3 * this.random(), () => {
