Add a failing test of a leader of the region that lists a part of the workers

While the store can't be read, processes that start know only the workers that former leaders hand over to them: those of one zone, few enough for a leader of the region. The leaders of the zones then yield to one of them, and hand over what they list, which is nothing once the entries that were handed over to them have expired after 2.5 s. The new leader counts its reports as complete when all workers that it lists have reported, and starts a job again whose run is at work on one that it doesn't list.

The model has no lists that entry VMs pass on to each other besides hand-overs, so lists stay partial for longer than in the product.

--- a/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
@@ -171,4 +171,20 @@
 			stage.silenceWorkersOf(5250, 'lost', 300);
 		});
 	});
+
+	it('do not start a job of another zone again, under a leader of the region that lists no worker of that zone', () => {
+		expectNoOverlapInScript((stage) => {
+			// The processes that start during the outage know only the workers that former leaders hand over to them.
+			stage.stopStore(2400, 9000);
+			stage.lose(
+				2500,
+				zoneModelEntryVms.filter((name) => !name.endsWith('1')),
+				200,
+			);
+			stage.stop(3300, 'zone-b-entry-1');
+			stage.stop(3300, 'zone-c-entry-1');
+			stage.stop(3950, 'zone-a-entry-1');
+			stage.sendJob(5500, 'listed', 3600, ['zone-c-entry-3']);
+		});
+	});
 });
