Submit no job whose caller is lost to another leader

What callers saw: two runs of a task at once, in two zones, after the connection of a caller was reset and the leader of its zone was lost. Cause: a receiver keeps the job of a caller whose connection broke, and submits it to each new leader of its zone. The caller submits it 1.3 s after the break, maybe to another zone. The new leader has to wait for reports and room, and starts it when the leader of the other zone does. Change: such a job stays with the leader that has it. When another one would get it, it is dropped and the former leader gives it up; its caller's copy is a submission of its own.

--- a/packages/verbenarouter/src/pool/job-receiver.ts
+++ b/packages/verbenarouter/src/pool/job-receiver.ts
@@ -280,6 +280,13 @@
 			this.#options.useLeader(pending.overflowZone, now);
 		}
 
+		if (pending.hasLostCaller && pending.sentTo !== leader) {
+			// The caller may have submitted the job to another zone by the time at which the new leader would start it.
+			this.#pendingJobs.remove(pending.job.id);
+			this.#cancelAtLeaders(pending, undefined, now);
+			return;
+		}
+
 		if (leader === undefined || !this.#canReach(leader)) {
 			pending.withoutLeaderSinceMs ??= now;
 			return;
