Start no job that a leader sees first while its list of workers is old

What callers would see: two runs of a task at once. A copy of a request, which the leader sees first, starts beside its first run on a worker that an old or partial list lacks. Only jobs that the leader knew to have been elsewhere waited for a current list. Evidence: found in review; the new test of stale-worker-list.test.ts failed before (started 10 ms after the claim). The list is asked for at every check while it is older than the claim or a suspension, and whether the store is reachable is known at the claim, not only from the next check on. A test of a suspended leader now also checks that the job waits for the list.

--- a/packages/core/src/tests/first-seen-jobs.test.ts
+++ b/packages/core/src/tests/first-seen-jobs.test.ts
@@ -86,6 +86,9 @@
 		fixture.tickUntil(resumedAtMs + 20, resumedAtMs + 400);
 		expect(fixture.starts).toEqual([]);
 		fixture.receiveReport('w2', resumedAtMs + 410);
+		expect(fixture.starts).toEqual([]);
+		fixture.scheduler.recordCurrentList(resumedAtMs + 415, true);
+		fixture.tickUntil(resumedAtMs + 420, resumedAtMs + 420);
 		expect(fixture.starts).toHaveLength(1);
 	});
 
--- a/packages/core/src/tests/stale-worker-list.test.ts
+++ b/packages/core/src/tests/stale-worker-list.test.ts
@@ -28,6 +28,21 @@
 		expect(fixture.starts).toEqual([]);
 	});
 
+	it('does not start a job that it sees first while the list is old', () => {
+		const fixture = new SchedulerFixture();
+		fixture.scheduler.updateWorkers([workerFixture('w1')], startMs - 50_000);
+		fixture.scheduler.startLeadingZone('zone-a', 7, startMs);
+		fixture.scheduler.recordCurrentList(startMs - 50_000, true);
+		fixture.receiveReport('w1', startMs + 5);
+		const job = poolJobFixture('j1', 1, {runMs: 900, patienceMs: 60_000});
+		fixture.scheduler.submit(job, 'r1', false, startMs + 10);
+		fixture.tickUntil(startMs + 20, startMs + 300);
+		expect([fixture.starts, fixture.answers]).toEqual([[], []]);
+		fixture.scheduler.updateWorkers([workerFixture('w1')], startMs + 310);
+		fixture.tickUntil(startMs + 320, startMs + 320);
+		expect(fixture.starts).toHaveLength(1);
+	});
+
 	it.each([
 		[
 			'waits for a list that was read after the claim while the store is reachable',
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -234,6 +234,11 @@
 		return Math.max(0, ...[...this.#zones.values()].map(({token}) => token));
 	}
 
+	/** Whether the list of workers has to be read again since a claim or a suspension. */
+	get isListOutdated(): boolean {
+		return !this.#hasCurrentList(this.zones);
+	}
+
 	/** Whether the store is reachable, so that the list of workers is soon read again after a claim. */
 	get canReadList(): boolean {
 		return this.#canReadList;
@@ -422,17 +427,25 @@
 	 * if its host refuses connections, as a partition may do, or if the platform lists it no longer.
 	 */
 	unknownRunsEndByMs(jobZones: readonly string[], now: number): number {
-		return this.#latestUnknownRunsEndMs(jobZones, () => true, now);
+		return Math.max(
+			this.#latestUnknownRunsEndMs(jobZones, () => true, now),
+			this.#unlistedRunsEndByMs(jobZones),
+		);
 	}
 
 	/** Like `unknownRunsEndByMs`, but leaves out workers whose reports were requested recently and may arrive at any time. */
 	earliestUnknownRunsEndByMs(jobZones: readonly string[], now: number): number {
-		return this.#latestUnknownRunsEndMs(
-			jobZones,
-			({contactFailures, reportAwaitedSinceMs}) =>
-				contactFailures >= maxContactFailures ||
-				now - reportAwaitedSinceMs >= this.#settings.syncGraceMs,
-			now,
+		return Math.max(
+			this.#latestUnknownRunsEndMs(
+				jobZones,
+				({contactFailures, reportAwaitedSinceMs}) =>
+					contactFailures >= maxContactFailures ||
+					now - reportAwaitedSinceMs >= this.#settings.syncGraceMs,
+				now,
+			),
+			this.#isListOnItsWay(jobZones, now)
+				? now
+				: this.#unlistedRunsEndByMs(jobZones),
 		);
 	}
 
@@ -450,11 +463,9 @@
 			({entry, contactFailures}) =>
 				contactFailures === 0 || !jobZones.includes(entry.zone),
 		);
-		const isListOnItsWay =
-			this.#canReadList && now - this.#findLatestClaimMs(jobZones) < listReadMs;
 		return this.#leadsAllZones(jobZones) &&
 			this.token >= earlierToken &&
-			(isListOnItsWay || this.#hasCurrentList(jobZones)) &&
+			(this.#isListOnItsWay(jobZones, now) || this.#hasCurrentList(jobZones)) &&
 			(this.isSyncing(now) || areReportsOnTheirWay)
 			? now
 			: this.priorRunsSettledAtMs(jobZones, sinceMs, earlierToken, now);
@@ -830,6 +841,20 @@
 		return this.#listCurrentAtMs >= this.#findLatestClaimMs(zones) - maxAgeMs;
 	}
 
+	/** Whether the list of workers is being read after a claim. */
+	#isListOnItsWay(zones: readonly string[], now: number): boolean {
+		return (
+			this.#canReadList && now - this.#findLatestClaimMs(zones) < listReadMs
+		);
+	}
+
+	/** Returns the time by which runs have ended on workers that an old list lacks; negative infinity if the list is current. */
+	#unlistedRunsEndByMs(zones: readonly string[]): number {
+		return this.#hasCurrentList(zones)
+			? Number.NEGATIVE_INFINITY
+			: this.#findLatestClaimMs(zones) + this.#priorRunsMs;
+	}
+
 	/** Returns the latest time at which one of these zones was claimed, or reports of all its workers were requested. */
 	#findLatestClaimMs(zones: readonly string[]): number {
 		return Math.max(
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -637,6 +637,13 @@
 				this.#listCurrentAtMs(now),
 				this.#storeFollower.isReachable,
 			);
+			if (
+				this.#storeFollower.isReachable &&
+				this.#scheduler.pool.isListOutdated
+			) {
+				this.#storeFollower.requestWorkers();
+			}
+
 			this.#scheduler.markUnreachableReceivers(
 				(receiver) =>
 					receiver === this.#settings.name ||
@@ -796,6 +803,10 @@
 
 			if (change.kind === 'claimed') {
 				this.#restoreWorkersOfZone(change.zone, now);
+				this.#scheduler.recordCurrentList(
+					this.#listCurrentAtMs(now),
+					this.#storeFollower.isReachable,
+				);
 				this.#scheduler.startLeadingZone(change.zone, change.token, now);
 				this.#zoneReporter.handleClaim();
 				if (this.#desiredState !== undefined) {
--- a/packages/verbenarouter/src/tests/receiver-model.ts
+++ b/packages/verbenarouter/src/tests/receiver-model.ts
@@ -92,42 +92,37 @@
 
 	/** Handles the messages of leaders to receivers; returns whether it was one. */
 	receive(from: string, message: PoolMessage): boolean {
-		switch (message.type) {
-			case 'resubmit': {
-				if (message.attempt !== undefined) {
-					this.#jobReceiver.markUntouched(message.id, from, message.attempt);
-				}
-
-				this.#options.setTimer(resubmitDelayMs, () => {
-					this.#jobReceiver.resubmitTo(from, message.id, this.#options.now());
-				});
-				return true;
-			}
-
-			case 'untouched': {
+		if (message.type === 'resubmit') {
+			if (message.attempt !== undefined) {
 				this.#jobReceiver.markUntouched(message.id, from, message.attempt);
-				return true;
 			}
 
-			case 'answer': {
-				this.receiveAnswer(from, message.id, message.answer);
-				return true;
-			}
+			this.#options.setTimer(resubmitDelayMs, () => {
+				this.#jobReceiver.resubmitTo(from, message.id, this.#options.now());
+			});
+			return true;
+		}
 
-			case 'progress': {
-				this.addCompletedTasks(from, message.id, message.doneTasks);
-				return true;
-			}
+		if (message.type === 'untouched') {
+			this.#jobReceiver.markUntouched(message.id, from, message.attempt);
+			return true;
+		}
 
-			case 'lost-runs': {
-				this.#jobReceiver.recordLostRuns(message.lostRuns);
-				return false;
-			}
+		if (message.type === 'answer') {
+			this.receiveAnswer(from, message.id, message.answer);
+			return true;
+		}
 
-			default: {
-				return false;
-			}
+		if (message.type === 'progress') {
+			this.addCompletedTasks(from, message.id, message.doneTasks);
+			return true;
 		}
+
+		if (message.type === 'lost-runs') {
+			this.#jobReceiver.recordLostRuns(message.lostRuns);
+		}
+
+		return false;
 	}
 
 	receiveAnswer(leader: string, id: string, answer: PoolAnswer): void {
@@ -151,9 +146,7 @@
 		this.#jobReceiver.markUntouched(id, leader, attempt);
 	}
 
-	recordLostRuns(
-		lostRuns: Parameters<JobReceiver['recordLostRuns']>[0],
-	): void {
+	recordLostRuns(lostRuns: Parameters<JobReceiver['recordLostRuns']>[0]): void {
 		this.#jobReceiver.recordLostRuns(lostRuns);
 	}
 
--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -626,8 +626,7 @@
 
 		this.#returnableExchange.update(
 			{
-				ledZones:
-					this.#scope === 'zone' ? this.leadership.ledZones : new Map(),
+				ledZones: this.#scope === 'zone' ? this.leadership.ledZones : new Map(),
 				findOtherLeaders: () =>
 					zones
 						.filter((zone) => !this.leadership.ledZones.has(zone))
@@ -668,8 +667,7 @@
 
 	#endIfDone(): void {
 		const isDone =
-			this.receiver.size === 0 &&
-			this.leadership.ledZones.size === 0;
+			this.receiver.size === 0 && this.leadership.ledZones.size === 0;
 		if (!isDone && this.#now < this.#stopsAtMs) {
 			this.#schedule(50, () => {
 				this.#endIfDone();
