Forget old announcements of other leaders also where nothing is led

Cause: jobs that other leaders had announced were evicted by a leader's checks only. A candidate that does not lead kept those without an announced end, and would have taken no more once 20,000 were recorded. Change: they are evicted before new ones are recorded. Found in review; no test brings about 20,000 of them.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -588,6 +588,7 @@
 		now: number,
 	): readonly string[] | undefined {
 		this.#begin(now);
+		this.#jobsElsewhere.evict(now);
 		if (!this.#jobsElsewhere.record(holder, ids, now)) {
 			return undefined;
 		}
