Send a job home that takes too long for the zone that it was let go to

What callers saw: 503 for a job that their own zone could run. A job that its zone lets go, because it would wait there, is refused by the other zone as impossible before its deadline if its task takes more than about 1.15 s, as callers wait 1.2 s for jobs elsewhere; that refusal was final. Change: after such a refusal the job goes home, as after one for lack of room.

--- a/packages/verbenarouter/src/pool/zone-router.ts
+++ b/packages/verbenarouter/src/pool/zone-router.ts
@@ -112,12 +112,20 @@
 		if (
 			view.scope !== 'zone' ||
 			pending.hasLostCaller ||
-			!isRefusedForLackOfRoom(answer) ||
 			!this.#pendingJobs.isRefusedForCertain(pending, leader)
 		) {
 			return false;
 		}
 
+		if (isTooLongForOtherZone(pending, answer)) {
+			this.#pendingJobs.redirect(pending, leader, undefined);
+			return true;
+		}
+
+		if (!isRefusedForLackOfRoom(answer)) {
+			return false;
+		}
+
 		if (answer.isBalanced === true) {
 			this.#balance(pending, view, now);
 			return true;
@@ -222,6 +230,24 @@
 	return scope === 'zone' && evacuatedZones.has(ownZone);
 }
 
+/**
+ * Whether the leader of another zone has refused a job that its own zone let go because it takes longer than callers wait for
+ * jobs in other zones; in its own zone it has more time.
+ */
+function isTooLongForOtherZone(
+	{overflowZone, refusedBy, isBalanced}: PendingJob,
+	answer: PoolAnswer,
+): boolean {
+	return (
+		answer.kind === 'not-run' &&
+		answer.reason === 'deadline-impossible' &&
+		answer.isUnsettled !== true &&
+		isBalanced &&
+		overflowZone !== undefined &&
+		refusedBy.length === 0
+	);
+}
+
 function findOpenRooms({
 	findRooms,
 	evacuatedZones,
--- a/packages/verbenarouter/src/tests/zone-router.test.ts
+++ b/packages/verbenarouter/src/tests/zone-router.test.ts
@@ -120,25 +120,29 @@
 		).toBe(false);
 	});
 
-	it('sends a job that left its zone before a refusal home after the other zone has refused it', () => {
-		const {router, jobs, pending, events} = routerFixture({
-			ownWaits: {menu: {narrowMs: 100, wideMs: 100}},
-			findRooms: () => [roomFixture('b', 20_000)],
-		});
-		router.prepare(pending, now);
-		expect([pending.overflowZone, events]).toEqual([undefined, []]);
-		jobs.markSent(pending, {name: 'leader-a', token: 1}, ['a']);
-		const letGo: PoolAnswer = {...refusal, isBalanced: true};
-		router.redirectRefused(pending, 'leader-a', letGo, now);
-		expect([pending.overflowZone, events]).toEqual(['b', ['balanced']]);
-		jobs.markSent(pending, {name: 'leader-b', token: 1}, ['b']);
-		expect(router.redirectRefused(pending, 'leader-b', refusal, now)).toBe(
-			true,
-		);
-		expect(pending.overflowZone).toBeUndefined();
-		router.prepare(pending, now);
-		expect(pending.overflowZone).toBeUndefined();
-	});
+	it.each(['overloaded', 'deadline-impossible'] as const)(
+		'sends a job that its zone let go home after the other zone has refused it as %s',
+		(reason) => {
+			const {router, jobs, pending, events} = routerFixture({
+				ownWaits: {menu: {narrowMs: 100, wideMs: 100}},
+				findRooms: () => [roomFixture('b', 20_000)],
+			});
+			router.prepare(pending, now);
+			expect([pending.overflowZone, events]).toEqual([undefined, []]);
+			jobs.markSent(pending, {name: 'leader-a', token: 1}, ['a']);
+			const letGo: PoolAnswer = {...refusal, isBalanced: true};
+			router.redirectRefused(pending, 'leader-a', letGo, now);
+			expect([pending.overflowZone, events]).toEqual(['b', ['balanced']]);
+			jobs.markSent(pending, {name: 'leader-b', token: 1}, ['b']);
+			const answer: PoolAnswer = {kind: 'not-run', reason, retryAfterMs: 100};
+			expect(router.redirectRefused(pending, 'leader-b', answer, now)).toBe(
+				true,
+			);
+			expect(pending.overflowZone).toBeUndefined();
+			router.prepare(pending, now);
+			expect(pending.overflowZone).toBeUndefined();
+		},
+	);
 
 	it('sends no job away before a refusal to a leader that is not connected, and asks for the connection', () => {
 		const {router, pending, requestedZones} = routerFixture({
