--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -239,6 +239,7 @@
 const faultIntervalMs = 100;
 const directoryCheckIntervalMs = 500;
 const zoneUnreachableMs = 1500;
+const storeDelayMs = 5;
 const storeReadIntervalMs = 400;
 const warmUpMs = 700;
 /** Silence after which a stream is closed, and the rest of its messages discarded; the mesh of entry VMs has the same. */
@@ -616,6 +617,12 @@
 		this.#updateLeadership();
 		if (this.leadership.ledZones.size > 0) {
 			this.scheduler.recordCurrentList(this.#listReadAtMs, this.#canReadStore);
+			if (this.scheduler.pool.isListOutdated) {
+				this.#schedule(storeDelayMs, () => {
+					this.world.readStore(this);
+				});
+			}
+
 			this.scheduler.markUnreachableReceivers(
 				(receiver) =>
 					receiver === this.name || this.leadership.isPeerLive(receiver, now),
@@ -1138,6 +1145,15 @@
 		);
 	}
 
+	/** Passes the store's list of workers to a process, unless the store is away. */
+	readStore(process: ModelProcess): void {
+		const isReachable = this.events.now >= this.#storeDownUntilMs;
+		process.setStoreReachable(isReachable);
+		if (isReachable) {
+			process.applyWorkers(this.workerEntries);
+		}
+	}
+
 	#start(name: string): void {
 		this.#incarnationCount += 1;
 		const process = new ModelProcess(
@@ -1165,12 +1181,7 @@
 	#readStore(process: ModelProcess, delayMs: number): void {
 		this.events.add(this.events.now + delayMs, () => {
 			process.handle(() => {
-				const isReachable = this.events.now >= this.#storeDownUntilMs;
-				process.setStoreReachable(isReachable);
-				if (isReachable) {
-					process.applyWorkers(this.workerEntries);
-				}
-
+				this.readStore(process);
 				this.#readStore(process, storeReadIntervalMs);
 			});
 		});
