--- a/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
@@ -69,9 +69,9 @@
 		['zoneCuts', [1, 2]],
 		['breaks', [1, 2]],
 		['silences', [1, 2]],
-		['moves', [12]],
+		['moves', [1, 2, 3, 12]],
 		['storeOutages', [1, 2]],
-		['all', [3, 4]],
+		['all', [1, 2, 3, 4]],
 	] as const)(
 		'never have two runs of a task at the same time on model days of the kind %s',
 		(day, seeds) => {
