Date a list of workers by the request for it, not by the time at which the answer is read

Cause: StoreFollower took the time at which it read the store's answer for the time at which the list of workers was current. A process that stands still while a read is under way reads the answer late. After a claim such a list then counts as read after the claim, though it shows the workers of before: a leader may take the reports of the listed workers for all reports and start jobs that run on a worker it does not list.

Change: the time at which the read was requested is the age's base. After a claim this costs one more read if one was under way.

Evidence: the test read 0 ms as the age of a list whose answer was read 460 ms after the request; it fails without the change.

--- a/packages/verbenarouter/src/pool/store-follower.ts
+++ b/packages/verbenarouter/src/pool/store-follower.ts
@@ -62,6 +62,11 @@
 	nextReadAtMs: number;
 };
 
+/** What was known when a read was requested. */
+type ReadStart = Pick<EvacuationRead, 'isSnapshot' | 'positionAtStart'> & {
+	readonly startedAtMs: number;
+};
+
 /** Follows the desired state and the list of workers in the platform's store while active. */
 export class StoreFollower {
 	/** The workers, as read from the store or received from peers. */
@@ -85,11 +90,12 @@
 
 	#isReachable = true;
 	/**
-	 * Time at which the list of workers was last read, by this process or by the peer whose list was applied. Reads of the
-	 * desired state do not count: an entry VM that follows only this one has no list.
+	 * Time at which the newest list of workers was requested, by this process or by the peer whose list was applied. The answer
+	 * may be read much later, and shows nothing newer. Reads of the desired state do not count: an entry VM that follows only
+	 * this one has no list.
 	 */
 	#workersReadAtMs = Number.NEGATIVE_INFINITY;
-	/** Time at which this process last read the list of workers. */
+	/** Time at which this process requested the list of workers that it last read. */
 	#ownWorkersReadAtMs = Number.NEGATIVE_INFINITY;
 
 	constructor(
@@ -109,7 +115,7 @@
 		return now - this.#workersReadAtMs;
 	}
 
-	/** Returns the time in milliseconds since this process last read the list of workers; infinite before the first read. */
+	/** Returns the time in milliseconds since this process requested the list that it last read; infinite before the first read. */
 	ownWorkersAgeMs(now: number): number {
 		return now - this.#ownWorkersReadAtMs;
 	}
@@ -187,6 +193,7 @@
 		topic.isReading = true;
 		const isSnapshot = topic.nextOffset === undefined;
 		const positionAtStart = this.#listener.evacuationPosition();
+		const startedAtMs = this.#now();
 		const result =
 			topic.nextOffset === undefined
 				? await this.#client.readNewest(topic.name)
@@ -204,13 +211,18 @@
 				: topic.name === workersTopic
 					? workersReadIntervalMs
 					: 0);
-		this.#handleResult(topic, {isSnapshot, positionAtStart}, result, now);
+		this.#handleResult(
+			topic,
+			{isSnapshot, positionAtStart, startedAtMs},
+			result,
+			now,
+		);
 		this.tick(now);
 	}
 
 	#handleResult(
 		topic: Topic,
-		readStart: Pick<EvacuationRead, 'isSnapshot' | 'positionAtStart'>,
+		{startedAtMs, ...readStart}: ReadStart,
 		result: Result<KeyedRecordPage, StoreFailure>,
 		now: number,
 	): void {
@@ -227,8 +239,8 @@
 
 		this.#setReachable(true, topic.name, now);
 		if (topic.name === workersTopic) {
-			this.#workersReadAtMs = now;
-			this.#ownWorkersReadAtMs = now;
+			this.#workersReadAtMs = Math.max(this.#workersReadAtMs, startedAtMs);
+			this.#ownWorkersReadAtMs = startedAtMs;
 		}
 
 		topic.nextOffset = result.value.nextOffset;
--- a/packages/verbenarouter/src/tests/store-follower.test.ts
+++ b/packages/verbenarouter/src/tests/store-follower.test.ts
@@ -36,7 +36,10 @@
 	};
 }
 
-function followerFixture(store: StoreReader): {
+function followerFixture(
+	store: StoreReader,
+	readClock: () => number = () => now,
+): {
 	readonly follower: StoreFollower;
 	readonly ignoredKeys: string[];
 	readonly evacuatedZones: string[];
@@ -58,7 +61,7 @@
 			evacuationPosition: () => 0,
 		},
 		['a', 'b'],
-		() => now,
+		readClock,
 	);
 	return {follower, ignoredKeys, evacuatedZones};
 }
@@ -146,4 +149,18 @@
 		await readOnce(follower, true);
 		expect(follower.workersAgeMs(now)).toBe(0);
 	});
+
+	// A process that stands still reads the answer late; workers may have registered since the store gave it.
+	it('takes a list of workers as no newer than the request for it', async () => {
+		let time = now;
+		const {follower} = followerFixture(storeFixture(), () => time);
+		follower.setActive(false, true);
+		follower.tick(time);
+		time += 460;
+		await new Promise((resolve) => {
+			setImmediate(resolve);
+		});
+		expect(follower.workersAgeMs(time)).toBe(460);
+		expect(follower.ownWorkersAgeMs(time)).toBe(460);
+	});
 });
