Start no task of a job late after the loss of its caller

What could happen: a caller whose connection broke sends a copy to any entry VM 1.3 s later. The leader of the first request stops its runs in time, or has told the leaders of other zones, at its periodic checks (docs/design/returnable-jobs.md). A check places waiting tasks before it looks for such jobs, and a process that is late places tasks on messages that it reads before its checks. So a job that waited for its workers could be started at the very time at which the copy starts elsewhere. A leader that heard of the loss with a later submission counted from then.

Change: the right to start tasks of a job ends 0.9 s after the loss of its caller, at the decision itself, until the caller is back; the message caller-lost tells how long ago the loss was. The last build ignores the new field, and its messages count from their arrival as before.

--- a/packages/core/src/message-check.ts
+++ b/packages/core/src/message-check.ts
@@ -142,7 +142,7 @@
 	untouched: {id: isShortText, attempt: isShortText},
 	progress: {id: isShortText, doneTasks: isTextList},
 	'lost-runs': {lostRuns: isLostRuns},
-	'caller-lost': {id: isShortText},
+	'caller-lost': {id: isShortText, lostForMs: isOptional(isCount)},
 	'caller-returned': {id: isShortText},
 	'returnable-jobs': {
 		sequence: isCount,
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -479,12 +479,20 @@
 		}
 	}
 
-	/** Records that a job's caller has lost its connection to `receiver`, and may submit the job to another entry VM. */
-	markCallerLost(id: string, receiver: string, now: number): void {
+	/**
+	 * Records that a job's caller lost its connection to `receiver` `lostForMs` milliseconds ago, and may submit the job to
+	 * another entry VM.
+	 */
+	markCallerLost(
+		id: string,
+		receiver: string,
+		now: number,
+		lostForMs = 0,
+	): void {
 		this.#begin(now);
 		const job = this.#jobs.get(id);
 		if (job?.receiver === receiver) {
-			job.callerLostAtMs ??= now;
+			job.callerLostAtMs ??= now - lostForMs;
 		}
 	}
 
@@ -1388,9 +1396,7 @@
 			now,
 		);
 		const placeableJobs = this.#listWaitingJobs()
-			.filter(
-				(job) => job.receiverLostAtMs === undefined && pass.mayHaveRoom(job),
-			)
+			.filter((job) => job.mayStart(now) && pass.mayHaveRoom(job))
 			.toSorted((left, right) =>
 				this.#options.queueOrder.compare(left, right, now),
 			);
--- a/packages/core/src/scheduled-job.ts
+++ b/packages/core/src/scheduled-job.ts
@@ -25,6 +25,12 @@
 /** Longest time in milliseconds that a job takes to reach an available leader; a longer one means that there was no leader. */
 export const submissionDelayMs = 40;
 
+/**
+ * Time in milliseconds from the loss of a job's caller in which its tasks may be started. The caller sends a copy 1.3 s after
+ * the loss; the difference covers a leader that is late by less than a suspension, and the stop of the run.
+ */
+const maxStartDelayWithoutCallerMs = 900;
+
 /** Computes the time in milliseconds from a job's arrival within which its caller can still use an answer. */
 export function computeAnswerWindowMs(
 	{stretch, latencyMs}: Pick<QueueSetting, 'stretch' | 'latencyMs'>,
@@ -125,6 +131,15 @@
 		return `${this.queue.service} ${this.zones?.join(' ') ?? '*'}`;
 	}
 
+	/** Whether tasks may be started now, as far as the job's receiver and caller are concerned. */
+	mayStart(now: number): boolean {
+		return (
+			this.receiverLostAtMs === undefined &&
+			(this.callerLostAtMs === undefined ||
+				now - this.callerLostAtMs < maxStartDelayWithoutCallerMs)
+		);
+	}
+
 	/** Whether a task of the job may be placed on workers of a zone. */
 	mayRunIn(zone: string): boolean {
 		return this.zones === undefined || this.zones.includes(zone);
--- a/packages/peer/src/pool-message.ts
+++ b/packages/peer/src/pool-message.ts
@@ -79,7 +79,12 @@
 	 * Tells the leader of a job that the connection of its only caller broke: the caller may submit it to another entry VM.
 	 * Entry VMs of the last build ignore it.
 	 */
-	| {readonly type: 'caller-lost'; readonly id: string}
+	| {
+			readonly type: 'caller-lost';
+			readonly id: string;
+			/** Milliseconds since the connection broke; absent if it has just broken, and in messages of the last build. */
+			readonly lostForMs?: number;
+	  }
 	/** Tells it that a caller has submitted the job to the same receiver since. Entry VMs of the last build ignore it. */
 	| {readonly type: 'caller-returned'; readonly id: string}
 	/**
--- a/packages/verbenarouter/src/pool/job-receiver.ts
+++ b/packages/verbenarouter/src/pool/job-receiver.ts
@@ -98,12 +98,17 @@
 		resolve: (answer: PoolAnswer) => void,
 		now: number,
 	): void {
-		const hadLostCaller = this.#pendingJobs.get(job.id)?.hasLostCaller ?? false;
+		const hadLostCaller =
+			this.#pendingJobs.get(job.id)?.callerLostAtMs !== undefined;
 		const {pending, isNew} = this.#pendingJobs.add(job, resolve, now);
 		if (isNew) {
 			this.#sendToLeader(pending, now);
 		} else if (hadLostCaller) {
-			this.#sendCallerMessage('caller-returned', pending, now);
+			this.#sendCallerMessage(
+				{type: 'caller-returned', id: job.id},
+				pending,
+				now,
+			);
 		}
 	}
 
@@ -121,8 +126,8 @@
 			isReset &&
 			(pending.overflowZone === undefined || pending.resolvers.length > 1);
 		if (isContinued) {
-			pending.hasLostCaller = true;
-			this.#sendCallerMessage('caller-lost', pending, now);
+			pending.callerLostAtMs = now;
+			this.#sendCallerMessage({type: 'caller-lost', id}, pending, now);
 			return;
 		}
 
@@ -280,7 +285,7 @@
 			this.#options.useLeader(pending.overflowZone, now);
 		}
 
-		if (pending.hasLostCaller && pending.sentTo !== leader) {
+		if (pending.callerLostAtMs !== undefined && pending.sentTo !== leader) {
 			// The caller may have submitted the job to another zone by the time at which the new leader would start it.
 			this.#pendingJobs.remove(pending.job.id);
 			this.#cancelAtLeaders(pending, undefined, now);
@@ -326,19 +331,27 @@
 		};
 		this.#givenUpJobs.remove(leader, job.id);
 		this.#options.send(leader, {type: 'submit', job, isResubmitted}, now);
-		if (pending.hasLostCaller) {
-			this.#options.send(leader, {type: 'caller-lost', id: job.id}, now);
+		if (pending.callerLostAtMs !== undefined) {
+			const lostForMs = Math.round(now - pending.callerLostAtMs);
+			this.#options.send(
+				leader,
+				{type: 'caller-lost', id: job.id, lostForMs},
+				now,
+			);
 		}
 	}
 
 	/** Tells all leaders that may have a job that its caller may submit it to any entry VM, or that it has come back. */
 	#sendCallerMessage(
-		type: 'caller-lost' | 'caller-returned',
-		{job: {id}, leaders}: PendingJob,
+		message: Extract<
+			ReceiverMessage,
+			{readonly type: 'caller-lost' | 'caller-returned'}
+		>,
+		{leaders}: PendingJob,
 		now: number,
 	): void {
 		for (const leader of leaders) {
-			this.#options.send(leader, {type, id}, now);
+			this.#options.send(leader, message, now);
 		}
 	}
 
--- a/packages/verbenarouter/src/pool/pending-jobs.ts
+++ b/packages/verbenarouter/src/pool/pending-jobs.ts
@@ -21,8 +21,11 @@
 	refusedBy: readonly string[];
 	/** Number of times that the job was sent to `leaders`. */
 	sendCount: number;
-	/** Whether the connection of the only caller broke; the caller may send the job to another entry VM. */
-	hasLostCaller: boolean;
+	/**
+	 * When the connection of the only caller broke, so that it may send the job to another entry VM; `undefined` while a caller
+	 * waits.
+	 */
+	callerLostAtMs: number | undefined;
 	/** Leader to which the job was last sent; `undefined` before the first. */
 	sentTo: string | undefined;
 	/** Highest fencing token of the leaders to which the job was sent; `undefined` before the first. */
@@ -69,7 +72,7 @@
 		const known = this.#jobs.get(job.id);
 		if (known !== undefined) {
 			known.resolvers.push(resolve);
-			known.hasLostCaller = false;
+			known.callerLostAtMs = undefined;
 			return {pending: known, isNew: false};
 		}
 
@@ -80,7 +83,7 @@
 			isBalanced: false,
 			refusedBy: [],
 			sendCount: 0,
-			hasLostCaller: false,
+			callerLostAtMs: undefined,
 			sentTo: undefined,
 			earlierToken: undefined,
 			leaders: new Set(),
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -975,7 +975,12 @@
 			}
 
 			case 'caller-lost': {
-				this.#scheduler.markCallerLost(message.id, from, now);
+				this.#scheduler.markCallerLost(
+					message.id,
+					from,
+					now,
+					message.lostForMs,
+				);
 				break;
 			}
 
@@ -1297,7 +1302,12 @@
 			}
 
 			case 'caller-lost': {
-				this.#scheduler.markCallerLost(message.id, leader, now);
+				this.#scheduler.markCallerLost(
+					message.id,
+					leader,
+					now,
+					message.lostForMs,
+				);
 				break;
 			}
 
--- a/packages/verbenarouter/src/pool/zone-router.ts
+++ b/packages/verbenarouter/src/pool/zone-router.ts
@@ -111,7 +111,7 @@
 		const view = this.#readView(now);
 		if (
 			view.scope !== 'zone' ||
-			pending.hasLostCaller ||
+			pending.callerLostAtMs !== undefined ||
 			!this.#pendingJobs.isRefusedForCertain(pending, leader)
 		) {
 			return false;
--- a/packages/verbenarouter/src/tests/pending-jobs.test.ts
+++ b/packages/verbenarouter/src/tests/pending-jobs.test.ts
@@ -136,9 +136,9 @@
 	it('notes that the only caller has lost its connection until another one waits for the job', () => {
 		const jobs = createPendingJobs('a');
 		const pending = jobs.get('j1')!;
-		pending.hasLostCaller = true;
+		pending.callerLostAtMs = 5;
 		jobs.add(job, () => undefined, 10);
-		expect(pending.hasLostCaller).toBe(false);
+		expect(pending.callerLostAtMs).toBeUndefined();
 	});
 });
 
--- a/packages/verbenarouter/src/tests/receiver-model.ts
+++ b/packages/verbenarouter/src/tests/receiver-model.ts
@@ -207,7 +207,7 @@
 			}
 
 			case 'caller-lost': {
-				scheduler.markCallerLost(message.id, leader, now);
+				scheduler.markCallerLost(message.id, leader, now, message.lostForMs);
 				break;
 			}
 
--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -563,7 +563,12 @@
 			}
 
 			case 'caller-lost': {
-				this.scheduler.markCallerLost(message.id, from, this.#now);
+				this.scheduler.markCallerLost(
+					message.id,
+					from,
+					this.#now,
+					message.lostForMs,
+				);
 				break;
 			}
 
