Log what shows whether a start rests on an old decision

Two runs of one task started 13 ms apart could not be traced: the log told neither why a leader took the job for its own, nor how late the start was.

`placed` now has the zones of the leader and of the job, how the job was settled, workers that have not reported, and the age of the last check. New lines tell of a leader that finds itself suspended, of unconfirmed starts when the last zone is dropped, and of starts that left late, were answered late or had a short lease; samples of workers' clocks that are behind are counted, and logged once a second at most. A start command carries the time of its decision. No decision changes.

--- a/packages/core/src/pool-decision.ts
+++ b/packages/core/src/pool-decision.ts
@@ -23,4 +23,9 @@
 			readonly worker: string;
 			readonly reason: WorkerStatusChange;
 			readonly inputs: Readonly<Record<string, number | string>>;
+	  }
+	/** The leader has not ticked for long, or drops its last zone while starts are not confirmed. */
+	| {
+			readonly event: 'leader-suspended' | 'last-zone-dropped';
+			readonly inputs: Readonly<Record<string, number | string>>;
 	  };
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -132,6 +132,8 @@
 /** Multiple of the longest recent runs of a queue with rare long runs from which a run counts as stuck. */
 const tailStuckMargin = 1.5;
 const defaultRetryAfterMs = 2000;
+/** Number of tasks that one log line names at most. */
+const maxLoggedTasks = 20;
 /**
  * Time in milliseconds without a tick after which a successor may have claimed zones: four intervals of heartbeats, less
  * the one that may have passed before.
@@ -337,6 +339,7 @@
 		this.#begin(now);
 		const runs = zones.flatMap((zone) => this.pool.dropZone(zone, now));
 		if (this.pool.zones.length === 0) {
+			this.#logUnconfirmedStarts(runs, now);
 			this.#handOverJobs(this.#jobs.values());
 			this.#jobs.clear();
 			return;
@@ -680,6 +683,7 @@
 		this.#needsPlacement = true;
 		if (now - (this.#tickedAtMs ?? now) > maxSuspensionMs) {
 			// A successor may have claimed the zones and extended the leases of runs that this leader takes for lapsed.
+			this.#logSuspension(now);
 			this.#markJobsUnsettled(now);
 			this.pool.requestNewReports(now);
 		}
@@ -862,7 +866,7 @@
 
 	/** Logs a change in the state of a worker. */
 	handleWorkerChange(worker: PoolWorker, change: WorkerStatusChange): void {
-		this.#needsPlacement = true;
+		this.#needsPlacement ||= change !== 'clock-behind';
 		this.#options.output.logDecision({
 			event: 'worker',
 			worker: worker.entry.id,
@@ -870,6 +874,9 @@
 			inputs: {
 				runs: worker.runs.size,
 				reportAgeMs: Math.round(Math.min(1e9, this.#now - worker.reportedAtMs)),
+				...(change === 'clock-behind'
+					? {behindMs: Math.round(this.pool.clockSamples.latestBehindMs)}
+					: {}),
 				...(change === 'resized'
 					? {
 							capacityMillis: worker.entry.capacity.processorMillis,
@@ -1528,6 +1535,7 @@
 				expectedMs: Math.round(task.expectedMs),
 				reportAgeMs: Math.round(now - worker.reportedAtMs),
 				token: this.pool.token,
+				...this.#describeCertainty(job, now),
 				...(lostRunCount === 0 ? {} : {lostRuns: lostRunCount}),
 			},
 		});
@@ -1547,6 +1555,70 @@
 		);
 	}
 
+	/** Returns what shows afterwards why a leader took a job for one that nobody else runs. */
+	#describeCertainty(
+		{unsettledSinceMs, earlierToken, zones}: ScheduledJob,
+		now: number,
+	): Readonly<Record<string, number | string>> {
+		const jobZones = zones ?? this.#options.zones;
+		const unreported = this.pool.countUnreportedWorkers(jobZones);
+		const areAllReported =
+			unsettledSinceMs !== undefined &&
+			this.pool.priorRunsSettledAtMs(
+				jobZones,
+				unsettledSinceMs,
+				earlierToken,
+				now,
+			) === now;
+		return {
+			ledZones: this.pool.zones.join(' '),
+			jobZones: zones?.join(' ') ?? '*',
+			settled:
+				unsettledSinceMs === undefined
+					? 'new'
+					: areAllReported
+						? 'all-reported'
+						: 'time-bound',
+			...(unreported === 0 ? {} : {unreported}),
+			checkAgeMs: Math.round(now - (this.#tickedAtMs ?? now)),
+		};
+	}
+
+	#logSuspension(now: number): void {
+		const {workers} = this.pool;
+		this.#options.output.logDecision({
+			event: 'leader-suspended',
+			inputs: {
+				gapMs: Math.round(now - (this.#tickedAtMs ?? now)),
+				jobs: this.#jobs.size,
+				workers: workers.length,
+				runs: workers.reduce((sum, {runs}) => sum + runs.size, 0),
+				token: this.pool.token,
+			},
+		});
+	}
+
+	/** Logs the starts that are not confirmed when the last zone is dropped: their workers may still carry them out. */
+	#logUnconfirmedStarts(runs: readonly WorkerRun[], now: number): void {
+		const unconfirmed = runs.filter(({isConfirmed}) => !isConfirmed);
+		if (unconfirmed.length > 0) {
+			this.#options.output.logDecision({
+				event: 'last-zone-dropped',
+				inputs: {
+					runs: runs.length,
+					unconfirmed: unconfirmed.length,
+					oldestMs: Math.round(
+						now - Math.min(...unconfirmed.map(({orderedAtMs}) => orderedAtMs)),
+					),
+					tasks: unconfirmed
+						.slice(0, maxLoggedTasks)
+						.map(({task}) => task)
+						.join(' '),
+				},
+			});
+		}
+	}
+
 	/** Returns a task whose run ended without success to the waiting ones, or ends its job after too many failures. */
 	#handleTaskEnd(
 		job: ScheduledJob,
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -184,6 +184,8 @@
 	fullUntilMs = 0;
 	/** Time by which the lease is certain to have expired unless a leader extends it again. */
 	leaseExpiresByMs = 0;
+	/** Time by which the last sample of the worker's clock was behind the estimate, in milliseconds; negative if ahead. */
+	clockBehindMs = 0;
 	#isSynced = false;
 	#clockOffsetMs: number | undefined;
 	#bornMs: number | undefined;
@@ -294,11 +296,15 @@
 	 * its history.
 	 */
 	sampleClock(clockMs: number, bornMs: number | undefined, now: number) {
-		this.#clockOffsetMs = clockMs - now;
 		const hasRestarted =
 			bornMs !== undefined &&
 			this.#bornMs !== undefined &&
 			bornMs > this.#bornMs;
+		this.clockBehindMs =
+			hasRestarted || this.#clockOffsetMs === undefined
+				? 0
+				: now + this.#clockOffsetMs - clockMs;
+		this.#clockOffsetMs = clockMs - now;
 		if (bornMs !== undefined) {
 			this.#bornMs = Math.max(bornMs, this.#bornMs ?? bornMs);
 		}
--- a/packages/core/src/tests/leaders-model.ts
+++ b/packages/core/src/tests/leaders-model.ts
@@ -181,7 +181,7 @@
 						world.log(
 							`${name} places ${decision.task} run ${decision.run} on ${decision.worker}`,
 						);
-					} else if (decision.event !== 'worker') {
+					} else if ('id' in decision) {
 						world.log(
 							`${name} ${decision.event} ${decision.id} ${decision.reason}`,
 						);
--- a/packages/core/src/tests/pool-fixtures.ts
+++ b/packages/core/src/tests/pool-fixtures.ts
@@ -185,6 +185,8 @@
 			readonly running?: readonly ReportedRun[];
 			readonly ended?: readonly ReportedEnd[];
 			readonly bornMs?: number;
+			/** Time on the worker's clock, which is that of the leader unless it is given. */
+			readonly clockMs?: number;
 			readonly sentAtMs?: number;
 			readonly fencingToken?: number;
 		} = {},
@@ -197,9 +199,9 @@
 			},
 			{
 				kind: 'done',
-				clockMs: now,
+				clockMs: content.clockMs ?? now,
 				report: {
-					clockMs: now,
+					clockMs: content.clockMs ?? now,
 					bornMs: content.bornMs ?? 1,
 					running: content.running ?? [],
 					ended: content.ended ?? [],
--- a/packages/core/src/worker-command.ts
+++ b/packages/core/src/worker-command.ts
@@ -27,6 +27,8 @@
 	readonly spec: string;
 	/** End of the lease in milliseconds on the worker's clock; the worker refuses the command after it. */
 	readonly leaseExpiresAtMs: number;
+	/** Time at which the leader decided to send the command, in milliseconds on the leader's monotonic clock. */
+	readonly decidedAtMs: number;
 };
 
 /** Stops a run. If its start command arrives later, the worker refuses the start. */
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -65,6 +65,7 @@
  * - `set-aside`: the worker receives no tasks for a while because of failures.
  * - `refusing`: the worker's host refuses connections, as the worker's process has ended.
  * - `resized`: the worker's capacity has changed while its process runs.
+ * - `clock-behind`: a sample of the worker's clock was far behind the estimate; at most one a second for all workers.
  */
 export type WorkerStatusChange =
 	| 'synced'
@@ -75,7 +76,8 @@
 	| 'restarted'
 	| 'set-aside'
 	| 'refusing'
-	| 'resized';
+	| 'resized'
+	| 'clock-behind';
 
 /** Settings of a worker pool. */
 export type WorkerPoolSettings = {
@@ -144,6 +146,10 @@
 const maxListAgeAtClaimMs = 1500;
 /** Time after a claim within which a reachable store returns the list of workers. */
 const listReadMs = 500;
+/** Time in milliseconds from which a sample of a worker's clock counts as behind: the answer was late, or was read late. */
+const minClockBehindMs = 50;
+/** Shortest time in milliseconds between two log lines on such samples. */
+const clockLogIntervalMs = 1000;
 /** Allowance for commands of an earlier leader that were in transit at the claim, and for slow clocks of workers. */
 const leaseExpiryMarginMs = 150;
 
@@ -192,6 +198,8 @@
 	#canReadList = false;
 	/** Time by which unknown runs have ended on workers that are listed no longer and have not reported, by zone. */
 	readonly #goneWorkersEndByMs = new Map<string, number>();
+	readonly #clockSamples = {behindCount: 0, latestBehindMs: 0};
+	#clockLoggedAtMs = Number.NEGATIVE_INFINITY;
 	/** Time of the last claim or drop of a zone. */
 	#zonesChangedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -205,6 +213,21 @@
 		this.#settings = settings;
 	}
 
+	/** Number of samples of workers' clocks that were far behind the estimate, and by how much the latest one was. */
+	get clockSamples(): {
+		readonly behindCount: number;
+		readonly latestBehindMs: number;
+	} {
+		return this.#clockSamples;
+	}
+
+	/** Counts the workers of these zones that have not reported under the present token. */
+	countUnreportedWorkers(zones: readonly string[]): number {
+		return [...this.#unsyncedWorkers].filter(({entry}) =>
+			zones.includes(entry.zone),
+		).length;
+	}
+
 	/** Workers of the zones that this entry VM leads. */
 	get workers(): readonly PoolWorker[] {
 		this.#workerList ??= [...this.#workers.values()];
@@ -534,7 +557,7 @@
 		}
 
 		if ('clockMs' in outcome && outcome.clockMs !== undefined) {
-			worker.sampleClock(outcome.clockMs, undefined, now);
+			this.#sampleClock(worker, outcome.clockMs, undefined, now);
 		}
 
 		if (run.state !== 'ordered') {
@@ -924,6 +947,7 @@
 			run: run.run,
 			spec,
 			leaseExpiresAtMs: clockMs + this.#settings.leaseMs,
+			decidedAtMs: now,
 		});
 	}
 
@@ -997,7 +1021,7 @@
 		sentAtMs: number,
 		now: number,
 	): void {
-		if (worker.sampleClock(report.clockMs, report.bornMs, now)) {
+		if (this.#sampleClock(worker, report.clockMs, report.bornMs, now)) {
 			this.#handleRestart(worker, now);
 		}
 
@@ -1030,6 +1054,26 @@
 		this.#sendHold(worker, now);
 	}
 
+	/** Passes a sample on to the worker, and counts one that is far behind; returns whether the worker's process has restarted. */
+	#sampleClock(
+		worker: PoolWorker,
+		clockMs: number,
+		bornMs: number | undefined,
+		now: number,
+	): boolean {
+		const hasRestarted = worker.sampleClock(clockMs, bornMs, now);
+		if (worker.clockBehindMs > minClockBehindMs) {
+			this.#clockSamples.behindCount += 1;
+			this.#clockSamples.latestBehindMs = worker.clockBehindMs;
+			if (now - this.#clockLoggedAtMs >= clockLogIntervalMs) {
+				this.#clockLoggedAtMs = now;
+				this.#listener.handleWorkerChange(worker, 'clock-behind');
+			}
+		}
+
+		return hasRestarted;
+	}
+
 	#handleReportedEnd(worker: PoolWorker, end: ReportedEnd, now: number): void {
 		const run = worker.runs.get(end.task);
 		this.#removeOrphan(worker, end.task);
--- a/packages/platform/src/http-exchange.ts
+++ b/packages/platform/src/http-exchange.ts
@@ -34,6 +34,8 @@
 	 * is extended while the connection is being opened.
 	 */
 	readonly timeoutMs: number;
+	/** Called when the request leaves, on an open connection. */
+	readonly handleSending?: () => void;
 	/** Keeps the connection open after the timeout, and handles a response that comes within `forMs` milliseconds. */
 	readonly late?: {
 		readonly forMs: number;
@@ -75,7 +77,8 @@
 	async exchange(
 		exchangeRequest: HttpExchangeRequest,
 	): Promise<HttpExchangeOutcome> {
-		const {method, path, headers, body, timeoutMs, late} = exchangeRequest;
+		const {method, path, headers, body, timeoutMs, handleSending, late} =
+			exchangeRequest;
 		return new Promise((resolve) => {
 			let clientRequest: ClientRequest;
 			try {
@@ -104,7 +107,7 @@
 
 			const pendingExchange = new PendingExchange(
 				clientRequest,
-				{timeoutMs, late},
+				{timeoutMs, handleSending, late},
 				resolve,
 			);
 			pendingExchange.attachListeners();
@@ -122,6 +125,7 @@
 class PendingExchange {
 	readonly #request: ClientRequest;
 	readonly #timeoutMs: number;
+	readonly #handleSending: (() => void) | undefined;
 	readonly #late: HttpExchangeRequest['late'] | undefined;
 	readonly #resolve: (exchange: HttpExchangeOutcome) => void;
 	readonly #startedAtMs = performance.now();
@@ -134,15 +138,18 @@
 		request: ClientRequest,
 		{
 			timeoutMs,
+			handleSending,
 			late,
 		}: {
 			readonly timeoutMs: number;
+			readonly handleSending: (() => void) | undefined;
 			readonly late: HttpExchangeRequest['late'] | undefined;
 		},
 		resolve: (exchange: HttpExchangeOutcome) => void,
 	) {
 		this.#request = request;
 		this.#timeoutMs = timeoutMs;
+		this.#handleSending = handleSending;
 		this.#late = late;
 		this.#resolve = resolve;
 		// A process that is busy until the end of this turn sends the request only then.
@@ -157,10 +164,10 @@
 		this.#request.on('socket', (socket) => {
 			if (socket.connecting) {
 				socket.once('connect', () => {
-					this.#mayBeSent = true;
+					this.#recordSending();
 				});
 			} else {
-				this.#mayBeSent = true;
+				this.#recordSending();
 			}
 		});
 		this.#request.on('response', (response) => {
@@ -171,6 +178,11 @@
 		});
 	}
 
+	#recordSending(): void {
+		this.#mayBeSent = true;
+		this.#handleSending?.();
+	}
+
 	#startTimer(delayMs: number): NodeJS.Timeout {
 		return setTimeout(() => {
 			// A busy event loop runs overdue timers before it reads its sockets, so the response may have arrived already.
--- a/packages/platform/src/worker-client.ts
+++ b/packages/platform/src/worker-client.ts
@@ -83,10 +83,14 @@
 		return decodeOutcome(exchange, true);
 	}
 
-	/** Starts a run; `handleLate` handles an answer that comes after the call has ended as `silent`. */
+	/**
+	 * Starts a run. `handleSending` is called when the command leaves, `handleLate` handles an answer that comes after the call
+	 * has ended as `silent`.
+	 */
 	async start(
 		command: StartCommand,
 		handleLate: (outcome: CommandOutcome) => void,
+		handleSending?: () => void,
 	): Promise<CommandOutcome> {
 		const exchange = await this.#post(
 			command.worker,
@@ -100,10 +104,13 @@
 			},
 			commandTimeoutMs,
 			{
-				forMs: lateStartMs,
-				handleResponse(response) {
-					handleLate(decodeOutcome(response, false));
+				late: {
+					forMs: lateStartMs,
+					handleResponse(response) {
+						handleLate(decodeOutcome(response, false));
+					},
 				},
+				...(handleSending === undefined ? {} : {handleSending}),
 			},
 		);
 		return decodeOutcome(exchange, false);
@@ -148,7 +155,7 @@
 		path: string,
 		body: Readonly<Record<string, unknown>>,
 		timeoutMs: number,
-		late?: HttpExchangeRequest['late'],
+		hooks: Pick<HttpExchangeRequest, 'late' | 'handleSending'> = {},
 	): Promise<HttpExchangeOutcome> {
 		const entry = this.#hosts.get(worker.address) ?? {
 			client: new HttpHostClient(worker.address, connectionsPerWorker),
@@ -165,7 +172,7 @@
 			},
 			body: Buffer.from(JSON.stringify(body)),
 			timeoutMs,
-			...(late === undefined ? {} : {late}),
+			...hooks,
 		});
 	}
 }
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -174,6 +174,12 @@
 				(error) => {
 					this.#logError('worker-command', error);
 				},
+				{
+					leaseMs: settings.workerLeaseMs,
+					write(fields) {
+						log.write(fields);
+					},
+				},
 			),
 			output: {
 				sendAnswer: (receiver, id, answer) => {
@@ -366,6 +372,11 @@
 		const {counts, closedLinks, unsentCounts} = this.#overlayNode.traffic;
 		return [
 			...this.#decisionCounts.samples,
+			{
+				name: 'clock_samples_behind_total',
+				labels: {},
+				value: this.#scheduler.pool.clockSamples.behindCount,
+			},
 			...[...unsentCounts].map(([type, value]) => ({
 				name: 'peer_messages_unsent_total',
 				labels: {type},
--- a/packages/verbenarouter/src/pool/worker-command-sender.ts
+++ b/packages/verbenarouter/src/pool/worker-command-sender.ts
@@ -4,17 +4,26 @@
 	type WorkerCommandSender,
 } from '@verbenarouter/core';
 import {type WorkerClient} from '@verbenarouter/platform';
+import {type LogFields} from '../logger.js';
+import {StartTiming} from './start-timing.js';
+
+/** Log of late starts, and the longest lease in milliseconds, by which short leases are told. */
+export type StartLog = {
+	readonly leaseMs: number;
+	readonly write: (fields: LogFields) => void;
+};
 
 /**
  * Creates a sender that sends a scheduler's commands with a client and passes their outcomes to the scheduler. `now`
  * reads a monotonic clock in milliseconds. `onError` receives an error while an outcome was handled; its worker is judged
- * by the next report.
+ * by the next report. Late starts are logged if there is a `startLog`.
  */
 export function createWorkerCommandSender(
 	client: WorkerClient,
 	scheduler: () => PoolScheduler,
 	now: () => number,
 	onError: (error: unknown) => void,
+	startLog?: StartLog,
 ): WorkerCommandSender {
 	const forwardOutcome = async (
 		call: Promise<CommandOutcome>,
@@ -34,19 +43,36 @@
 				scheduler().handleHoldOutcome(worker.id, sent, outcome, now());
 			});
 		},
-		start({worker, task, ...command}) {
+		start(command) {
+			const {worker, task, run} = command;
+			const timing = new StartTiming(command, startLog?.leaseMs ?? 0);
+			const logIfLate = (outcome: CommandOutcome): void => {
+				const fields = timing.describe(outcome, now());
+				if (fields !== undefined) {
+					startLog?.write(fields);
+				}
+			};
+
 			void forwardOutcome(
-				client.start({worker, task, ...command}, (outcome) => {
-					// Another run of the task may have followed; a refusal may be of a command that another copy has overtaken.
-					if (
-						outcome.kind === 'done' &&
-						scheduler().pool.findWorker(worker.id)?.runs.get(task)?.run ===
-							command.run
-					) {
-						scheduler().handleStartOutcome(worker.id, task, outcome, now());
-					}
-				}),
+				client.start(
+					command,
+					(outcome) => {
+						logIfLate(outcome);
+						// Another run of the task may have followed; a refusal may be of a command that another copy has overtaken.
+						if (
+							outcome.kind === 'done' &&
+							scheduler().pool.findWorker(worker.id)?.runs.get(task)?.run ===
+								run
+						) {
+							scheduler().handleStartOutcome(worker.id, task, outcome, now());
+						}
+					},
+					() => {
+						timing.recordSending(now());
+					},
+				),
 				(outcome) => {
+					logIfLate(outcome);
 					scheduler().handleStartOutcome(worker.id, task, outcome, now());
 				},
 			);
--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -389,7 +389,7 @@
 					);
 				},
 				logDecision(decision) {
-					if (decision.event === 'worker') {
+					if (!('id' in decision)) {
 						return;
 					}
 
