Show two runs of a job under two leaders of the region

Under one leader for the region nothing is announced to other leaders. Three scripts of the model show what follows: a cut leaves a job of a lost caller to the leaders on both sides, running or waiting, and a successor that has claimed some zones only starts a copy of a job whose run is at work in another zone. The model gets the number of workers for one leader and a cut at a planned time.

--- a/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
@@ -36,6 +36,24 @@
 	}
 }
 
+/** Plays the same under one leader of the region, zone-a-entry-1, from 5000 ms on. */
+function expectNoOverlapUnderOneLeader(
+	script: NonNullable<ZoneModelSettings['script']>,
+): void {
+	for (const seed of [1, 2, 3]) {
+		const {overlaps, startCount} = playZoneModel('scripted', seed, {
+			script,
+			isRegional: true,
+			durationMs: 12_000,
+		});
+		expect(
+			overlaps.map(({trace}) => trace),
+			`seed ${seed}`,
+		).toEqual([]);
+		expect(startCount, `seed ${seed}`).toBeGreaterThan(0);
+	}
+}
+
 /** Names of jobs that occupy all workers of a zone. */
 const fillingJobs = Array.from({length: 8}, (_, index) => `filling${index}`);
 
@@ -189,3 +207,42 @@
 		});
 	});
 });
+
+describe('a leader of the region', () => {
+	it('does not leave a job of a lost caller running when its copy may start under the leader of a zone that was cut off', () => {
+		expectNoOverlapUnderOneLeader((stage) => {
+			stage.sendJob(7100, 'moved', 3600, ['zone-a-entry-2', 'zone-b-entry-2']);
+			stage.resetCaller(7500, 'moved');
+			stage.cutZone(7520, 'zone-b', 2500);
+		});
+	});
+
+	it('does not start a waiting job of a lost caller whose copy the leader of a zone that was cut off has started', () => {
+		expectNoOverlapUnderOneLeader((stage) => {
+			for (const id of fillingJobs) {
+				for (const part of ['a', 'b', 'c']) {
+					stage.sendJob(7000, `${id}${part}`, 3000, ['zone-a-entry-3']);
+				}
+			}
+
+			stage.sendJob(8050, 'moved', 3600, ['zone-a-entry-2', 'zone-b-entry-2']);
+			stage.resetCaller(8500, 'moved');
+			stage.cutZone(8550, 'zone-b', 2500);
+		});
+	});
+
+	it('that has claimed some zones only does not start a copy of a job that runs in another zone for its lost predecessor', () => {
+		expectNoOverlapUnderOneLeader((stage) => {
+			for (const id of fillingJobs) {
+				for (const part of ['a', 'b']) {
+					stage.sendJob(7000, `${id}${part}`, 700, ['zone-a-entry-3']);
+				}
+			}
+
+			stage.sendJob(7100, 'moved', 3600, ['zone-c-entry-2', 'zone-a-entry-2']);
+			stage.resetCaller(7500, 'moved');
+			stage.cutZone(8000, 'zone-b', 2500);
+			stage.lose(8320, ['zone-a-entry-1'], 5000);
+		});
+	});
+});
--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -87,6 +87,8 @@
 	readonly movingShare: number;
 	/** Whether callers wait for an entry VM of their own zone while none is up. */
 	readonly staysInZone: boolean;
+	/** Whether the workers are few enough for one leader of the region. */
+	readonly isRegional?: boolean;
 	/** Plans jobs and faults besides the random ones. */
 	readonly script?: (stage: ZoneStage) => void;
 };
@@ -108,6 +110,8 @@
 	stop(atMs: number, entryVm: string): void;
 	/** Lets no commands reach the workers that run a job by then, for a time. */
 	silenceWorkersOf(atMs: number, id: string, durationMs: number): void;
+	/** Lets no messages and commands pass between a zone and all others for a time. */
+	cutZone(atMs: number, zone: string, durationMs: number): void;
 	/** Lets the store be read by nobody for a time. */
 	stopStore(atMs: number, durationMs: number): void;
 };
@@ -257,6 +261,12 @@
 	maxListAgeMs: 2000,
 };
 
+const regionalScopeSettings = {
+	...scopeSettings,
+	maxRegionalWorkers: 80,
+	minZonalWorkers: 120,
+};
+
 const desiredState = desiredStateFixture();
 
 const zoneByVm: ReadonlyMap<string, string> = new Map<string, string>(
@@ -307,7 +317,7 @@
 	isStopping = false;
 	stalledUntilMs = 0;
 	readonly #directory = new WorkerDirectory();
-	readonly #scopeBySize = new ScopeBySize(scopeSettings);
+	readonly #scopeBySize: ScopeBySize;
 	readonly #reporter: ZoneReporter;
 	#scope: PoolScope = 'zone';
 	#workerEntries: readonly WorkerEntry[] = [];
@@ -332,6 +342,11 @@
 		// The first entry VM of each zone is the strongest, so that the leadership returns to it.
 		this.processorShare = name.endsWith('1') ? 1 : 0.5;
 		const {processorShare} = this;
+		this.#scopeBySize = new ScopeBySize(
+			world.settings.isRegional === true
+				? regionalScopeSettings
+				: scopeSettings,
+		);
 		this.leadership = new Leadership({name, zone, processorShare}, zones);
 		this.scheduler = new PoolScheduler({
 			zones,
@@ -1328,6 +1343,11 @@
 					}
 				});
 			},
+			cutZone: (atMs, zone, durationMs) => {
+				events.add(atMs, () => {
+					this.#cutZone(zone, durationMs, false);
+				});
+			},
 			stopStore: (atMs, durationMs) => {
 				events.add(atMs, () => {
 					this.#storeDownUntilMs = atMs + durationMs;
@@ -1603,15 +1623,17 @@
 		if (this.#happens(settings.zoneCutProbability)) {
 			const zone = this.#pick(zones)!;
 			const durationMs = 200 + 2500 * this.random();
-			const isDelaying = this.random() < 0.5;
-			this.log(`zone cut ${zone} for ${durationMs.toFixed(0)} ms`);
-			this.#zoneCutUntilMs.set(zone, this.events.now + durationMs);
-			for (const inner of names.filter((name) => zoneByVm.get(name) === zone)) {
-				for (const outer of names.filter(
-					(name) => zoneByVm.get(name) !== zone,
-				)) {
-					this.#cut(inner, outer, durationMs, isDelaying);
-				}
+			this.#cutZone(zone, durationMs, this.random() < 0.5);
+		}
+	}
+
+	#cutZone(zone: string, durationMs: number, isDelaying: boolean): void {
+		const names = [...zoneByVm.keys()];
+		this.log(`zone cut ${zone} for ${durationMs.toFixed(0)} ms`);
+		this.#zoneCutUntilMs.set(zone, this.events.now + durationMs);
+		for (const inner of names.filter((name) => zoneByVm.get(name) === zone)) {
+			for (const outer of names.filter((name) => zoneByVm.get(name) !== zone)) {
+				this.#cut(inner, outer, durationMs, isDelaying);
 			}
 		}
 	}
