Test that a leader sends nothing that rests on a decision from before a stall

After 460 ms without a check, a leader places tasks, sends a start again and extends a lease before its next check. A start that was decided on before a stall of 400 ms leaves after it, on an open connection and on one that is being opened.

--- a/packages/core/src/tests/leader-suspension.test.ts
+++ b/packages/core/src/tests/leader-suspension.test.ts
@@ -19,6 +19,76 @@
 	return fixture;
 }
 
+const resumedAtMs = startMs + 460;
+
+describe('a leader that handles something after a suspension, before its next check', () => {
+	it('starts no job that is submitted then, before its workers have reported anew', () => {
+		const fixture = leaderFixture();
+		fixture.scheduler.submit(
+			poolJobFixture('j1', 1, {zones: ['zone-a']}),
+			'r1',
+			false,
+			resumedAtMs,
+		);
+		fixture.scheduler.flush(resumedAtMs);
+		expect(fixture.starts).toEqual([]);
+		fixture.scheduler.tick(resumedAtMs + 1);
+		expect(fixture.starts).toEqual([]);
+		fixture.scheduler.recordCurrentList(resumedAtMs + 2, true);
+		fixture.receiveReport('w1', resumedAtMs + 3);
+		fixture.tickUntil(resumedAtMs + 20, resumedAtMs + 60);
+		expect(fixture.starts).toHaveLength(1);
+	});
+
+	it('ignores a report that was requested before, and starts nothing in the room that it frees', () => {
+		const fixture = leaderFixture();
+		for (const id of ['j1', 'j2', 'j3']) {
+			fixture.scheduler.submit(
+				poolJobFixture(id, 1, {zones: ['zone-a'], patienceMs: 60_000}),
+				'r1',
+				true,
+				startMs,
+			);
+		}
+
+		fixture.tickUntil(startMs, startMs + 60);
+		expect(fixture.starts).toHaveLength(2);
+		const hold = {sentAtMs: startMs + 60};
+		const ended = [{number: 1, task: 'j1.0.0.0', run: 1, how: 'done'}] as const;
+		fixture.receiveReport('w1', resumedAtMs + 60, {...hold, ended});
+		fixture.scheduler.flush(resumedAtMs + 60);
+		expect(fixture.starts).toHaveLength(2);
+		fixture.scheduler.tick(resumedAtMs + 61);
+		fixture.receiveReport('w1', resumedAtMs + 62, {ended});
+		expect(fixture.answers).toMatchObject([
+			{id: 'j1', answer: {kind: 'completed'}},
+		]);
+	});
+
+	it.each([
+		['sends no start again', {kind: 'silent'}],
+		['extends no lease', {kind: 'done', clockMs: startMs}],
+	] as const)('%s after the outcome of one', (_case, outcome) => {
+		const fixture = leaderFixture();
+		fixture.scheduler.submit(
+			poolJobFixture('j1', 1, {zones: ['zone-a']}),
+			'r1',
+			false,
+			startMs,
+		);
+		fixture.scheduler.flush(startMs);
+		const holdCount = fixture.holds.length;
+		fixture.answerStart(fixture.starts[0]!, resumedAtMs, outcome);
+		fixture.scheduler.flush(resumedAtMs);
+		expect(fixture.starts).toHaveLength(1);
+		expect(
+			fixture.holds
+				.slice(holdCount)
+				.filter(({leaseExpiresAtMs}) => leaseExpiresAtMs !== undefined),
+		).toEqual([]);
+	});
+});
+
 describe('the log of a leader', () => {
 	it('tells why a job was taken for settled, and the age of the last check', () => {
 		const fixture = leaderFixture();
--- /dev/null
+++ b/packages/verbenarouter/src/tests/worker-command-sender.test.ts
@@ -0,0 +1,176 @@
+import {createServer, type Server} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {
+	BestFit,
+	LearnedTimeEstimator,
+	ObjectiveOrder,
+	PoolScheduler,
+	type PoolDecision,
+} from '@verbenarouter/core';
+import {WorkerClient} from '@verbenarouter/platform';
+import {afterEach, describe, expect, it} from 'vitest';
+import {createWorkerCommandSender} from '../pool/worker-command-sender.js';
+
+const servers: Server[] = [];
+const clients: WorkerClient[] = [];
+
+afterEach(() => {
+	for (const client of clients.splice(0)) {
+		client.close();
+	}
+
+	for (const server of servers.splice(0)) {
+		server.closeAllConnections();
+		server.close();
+	}
+});
+
+/** Resolves after a time in milliseconds. */
+async function pause(delayMs: number): Promise<void> {
+	return new Promise((resolve) => {
+		setTimeout(resolve, delayMs);
+	});
+}
+
+/** Keeps this process from running anything else for a time in milliseconds. */
+function stall(durationMs: number): void {
+	const untilMs = performance.now() + durationMs;
+	while (performance.now() < untilMs) {
+		// Busy.
+	}
+}
+
+/** Creates a leader with one idle worker that has reported; `keepsOpen` is whether a connection to it is open. */
+async function leaderFixture(keepsOpen: boolean) {
+	const startedTasks: string[] = [];
+	const server = createServer((request, response) => {
+		let body = '';
+		request.on('data', (chunk: Uint8Array) => {
+			body += String(chunk);
+		});
+		request.on('end', () => {
+			if (request.url === '/api/run-start') {
+				startedTasks.push((JSON.parse(body) as {task: string}).task);
+			}
+
+			response.setHeader('connection', keepsOpen ? 'keep-alive' : 'close');
+			response.end(
+				JSON.stringify({
+					clockMs: Math.floor(performance.now()),
+					born: 1,
+					running: startedTasks.map((task) => [task, 1, '', 0]),
+					finished: [],
+				}),
+			);
+		});
+	});
+	servers.push(server);
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const now = () => performance.now();
+	const client = new WorkerClient(now);
+	clients.push(client);
+	const decisions: PoolDecision[] = [];
+	const scheduler: PoolScheduler = new PoolScheduler({
+		commandSender: createWorkerCommandSender(
+			client,
+			() => scheduler,
+			now,
+			(error) => {
+				throw error;
+			},
+		),
+		output: {
+			sendAnswer: () => undefined,
+			sendCompletedTasks: () => undefined,
+			sendUntouched: () => undefined,
+			sendLostRuns: () => undefined,
+			handleFencedZone: () => undefined,
+			logDecision(decision) {
+				decisions.push(decision);
+			},
+		},
+		estimates: new LearnedTimeEstimator(),
+		queueOrder: new ObjectiveOrder(),
+		workerSelection: new BestFit(),
+		zones: ['a'],
+	});
+	scheduler.applyDesiredState({
+		version: 1,
+		services: ['menu'],
+		limits: {
+			bodyBytes: 1000,
+			headerBytes: 1000,
+			headerTimeoutMs: 1000,
+			idleTimeoutMs: 1000,
+		},
+		queues: [
+			{
+				name: 'q',
+				priority: 0,
+				host: 'h',
+				pathPrefix: '/',
+				service: 'menu',
+				mostAttempts: 3,
+				stretch: 2,
+				latencyMs: 60,
+			},
+		],
+	});
+	const capacity = {processorMillis: 64_000, memoryMb: 1000, accelerators: 0};
+	scheduler.updateWorkers(
+		[
+			{
+				id: 'w1',
+				service: 'menu',
+				address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+				zone: 'a',
+				state: 'ready',
+				capacity,
+				labels: [],
+				bornMs: 1,
+			},
+		],
+		now(),
+	);
+	scheduler.startLeadingZone('a', 7, now());
+	await pause(50);
+	scheduler.tick(now());
+	return {scheduler, startedTasks, decisions, now};
+}
+
+describe('the sender of commands to workers', () => {
+	it.each([
+		['on an open connection', true],
+		['on a connection that is being opened', false],
+	])(
+		'does not send a start %s once a successor may have claimed since it was decided on',
+		async (_case, keepsOpen) => {
+			const {scheduler, startedTasks, decisions, now} =
+				await leaderFixture(keepsOpen);
+			const needs = {processorMillis: 1000, memoryMb: 1, accelerators: 0};
+			scheduler.submit(
+				{
+					id: 'j1',
+					queue: 'q',
+					spec: '',
+					attempt: 'r1/j1',
+					waitedMs: 0,
+					patienceMs: 60_000,
+					tasks: [{name: 'j1.0.0.0', needs, declaredMs: 60_000}],
+				},
+				'r1',
+				false,
+				now(),
+			);
+			expect(decisions.at(-1)).toMatchObject({event: 'placed'});
+			stall(400);
+			await pause(30);
+			expect(startedTasks).toEqual([]);
+			expect(decisions).toContainEqual(
+				expect.objectContaining({event: 'run-ended', reason: 'not-started'}),
+			);
+		},
+	);
+});
