Announce jobs that callers may send again whatever the scope of leaders is

Cause: a leader that sees a job first concludes that nobody else has it. What the leader of another zone has is announced or stopped in time under leaders of zones, but one leader for the region announced nothing. After a cut, or while its successor has claimed some zones only, a copy was started beside the run of the other leader, or beside the job that waited there, both under number 1.

Change: the exchange is active under both scopes. A leader of all zones tells the candidates, so that a successor of some zones knows of jobs whose callers or receivers were lost before it claimed. A led zone without a live entry VM counts as one that may have got another leader: what cannot be confirmed there is stopped after 1.07 s, although the zone is dropped only after 1.5 s. So that failovers do not get slower, a successor that leads all zones ignores what was announced before its claim once all workers have reported under its token: every run is known then, and no earlier leader can start one.

Considered and not done: letting first-seen jobs wait for the zones that are not led. It would cost each job a wait of up to 1.85 s after a cut, and a message suffices.

--- a/packages/core/src/jobs-elsewhere.ts
+++ b/packages/core/src/jobs-elsewhere.ts
@@ -49,10 +49,14 @@
 		}
 	}
 
-	/** Whether another leader may have runs of a job. */
-	isHeld(id: string, now: number): boolean {
+	/** Whether another leader may have runs of a job, by a message that arrived after `knownSinceMs`. */
+	isHeld(
+		id: string,
+		now: number,
+		knownSinceMs = Number.NEGATIVE_INFINITY,
+	): boolean {
 		return [...(this.#holders.get(id)?.values() ?? [])].some(
-			(untilMs) => now < untilMs,
+			(untilMs) => now < untilMs && untilMs - heldElsewhereMs > knownSinceMs,
 		);
 	}
 
--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -402,6 +402,20 @@
 			: leader;
 	}
 
+	/**
+	 * Finds the live leader of each zone that another entry VM leads; `undefined` for a zone without one, and for a led zone
+	 * without a live entry VM, which may have got another leader behind a partition.
+	 */
+	findOtherLeaders(now: number): ReadonlyArray<ZoneLeader | undefined> {
+		return this.#zones
+			.filter(
+				(zone) => !this.#ledZones.has(zone) || !this.#hasLiveEntryVm(zone, now),
+			)
+			.map((zone) =>
+				this.#ledZones.has(zone) ? undefined : this.findLeader(zone, now),
+			);
+	}
+
 	/** Finds the leader of a zone that is live for a peer, if none is live here; of several, the one with the highest token. */
 	findReportedLeader(zone: string, now: number): ReportedLeader | undefined {
 		return this.livePeers(now)
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -1111,7 +1111,7 @@
 			receivedAtMs,
 		);
 		this.#recordEarlierRuns(scheduledJob, isResubmitted, now);
-		if (this.#jobsElsewhere.isHeld(job.id, now)) {
+		if (this.#mayRunElsewhere(job.id, now)) {
 			scheduledJob.isIndeterminate = true;
 			this.#logJobDecision('joined', job.id, 'held-elsewhere', {receiver});
 		}
@@ -1410,7 +1410,7 @@
 		for (const job of placeableJobs) {
 			if (
 				pass.mayHaveRoom(job) &&
-				!this.#jobsElsewhere.isHeld(job.id, now) &&
+				!this.#mayRunElsewhere(job.id, now) &&
 				now >= this.#priorRunsSettledAtMs(job, now)
 			) {
 				this.#placeTasksOfJob(job, pass, now);
@@ -1665,7 +1665,7 @@
 			job.waitingTasks.length === 0 ||
 			!zones.every((zone) => this.pool.isEvacuated(zone)) ||
 			this.pool.isSyncing(now) ||
-			this.#jobsElsewhere.isHeld(job.id, now) ||
+			this.#mayRunElsewhere(job.id, now) ||
 			now < this.#priorRunsSettledAtMs(job, now)
 		) {
 			return false;
@@ -1831,7 +1831,19 @@
 
 	/** Whether a job waits here because the leader of another zone has runs of it. */
 	#isHeldElsewhere({id, hasStarted}: ScheduledJob, now: number): boolean {
-		return !hasStarted && this.#jobsElsewhere.isHeld(id, now);
+		return !hasStarted && this.#mayRunElsewhere(id, now);
+	}
+
+	/** Whether another leader has told of runs of a job that are not known here; those of earlier leaders are, after all reports. */
+	#mayRunElsewhere(id: string, now: number): boolean {
+		return (
+			this.#jobsElsewhere.isHeld(id, now) &&
+			this.#jobsElsewhere.isHeld(
+				id,
+				now,
+				this.pool.allRunsKnownSinceMs(this.#options.zones, now),
+			)
+		);
 	}
 
 	/** Stops the runs of a job and answers it without a result. */
--- a/packages/core/src/tests/returnable-jobs.test.ts
+++ b/packages/core/src/tests/returnable-jobs.test.ts
@@ -418,3 +418,36 @@
 		expect(jobsElsewhere.isHeld('j1', startMs)).toBe(false);
 	});
 });
+
+describe('a copy that reaches the successor of the leader that has announced its job', () => {
+	it.each([
+		['is started once all workers of all zones have reported', true, 1],
+		['waits while a zone of its former leader is not led', false, 0],
+	] as const)('%s', (_, claimsBoth, startCount) => {
+		const {scheduler, starts, ...fixture} = createSuccessor(claimsBoth);
+		scheduler.submit(poolJobFixture('j1'), 'r2', false, startMs + 10);
+		expect(starts).toHaveLength(startCount);
+		expect(fixture.answers).toEqual([]);
+	});
+});
+
+/** Creates the successor of a leader that has announced `j1`; it claims one zone or both, and its workers have reported. */
+function createSuccessor(claimsBoth: boolean): SchedulerFixture {
+	const fixture = new SchedulerFixture(zones);
+	const {scheduler} = fixture;
+	scheduler.updateWorkers(
+		[workerFixture('w1'), workerFixture('w2', {zone: 'zone-b'})],
+		startMs - 100,
+	);
+	scheduler.recordJobsElsewhere('former', ['j1'], startMs - 50);
+	for (const zone of claimsBoth ? zones : ['zone-a']) {
+		scheduler.startLeadingZone(zone, 7, startMs);
+	}
+
+	scheduler.recordCurrentList(startMs, true);
+	for (const worker of claimsBoth ? ['w1', 'w2'] : ['w1']) {
+		fixture.receiveReport(worker, startMs + 5);
+	}
+
+	return fixture;
+}
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -444,6 +444,19 @@
 			: Math.max(sinceMs, this.#zonesChangedAtMs) + this.#priorRunsMs;
 	}
 
+	/**
+	 * Returns the time of the claim since which every run in these zones is known here: all of them are led, and every worker has
+	 * reported under the present token. Negative infinity if some run may be unknown.
+	 */
+	allRunsKnownSinceMs(zones: readonly string[], now: number): number {
+		return this.#leadsAllZones(zones) &&
+			this.#hasCurrentList(zones) &&
+			this.#unsyncedWorkers.size === 0 &&
+			[...this.#goneWorkersEndByMs.values()].every((endByMs) => endByMs <= now)
+			? this.#findLatestClaimMs(zones)
+			: Number.NEGATIVE_INFINITY;
+	}
+
 	/**
 	 * Returns the time from which no run is at work that an earlier leader ordered on a worker of these zones and that no report
 	 * has listed; `now` if all workers have reported. A silent worker is given the time of {@link priorRunsSettledAtMs}, also
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -696,16 +696,15 @@
 		}
 	}
 
-	/** Tells the leaders of other zones which jobs their zones may get from callers, while each zone has its own leader. */
+	/**
+	 * Tells other leaders, and candidates that may succeed this one, which jobs they may get from callers. A leader of all zones
+	 * has to tell candidates too: its successor may have claimed some zones only when it gets such a job.
+	 */
 	#updateReturnableJobs(now: number): void {
-		const {ledZones} = this.#leadership;
 		this.#returnableExchange.update(
 			{
-				ledZones: this.#scope === 'zone' ? ledZones : new Map(),
-				findOtherLeaders: () =>
-					this.#settings.zones
-						.filter((zone) => !ledZones.has(zone))
-						.map((zone) => this.#leadership.findLeader(zone, now)),
+				ledZones: this.#leadership.ledZones,
+				findOtherLeaders: () => this.#leadership.findOtherLeaders(now),
 				findRecipients: () =>
 					selectLossRecipients(
 						[],
--- a/packages/verbenarouter/src/pool/returnable-exchange.ts
+++ b/packages/verbenarouter/src/pool/returnable-exchange.ts
@@ -16,7 +16,7 @@
 export type ReturnableExchangeView = {
 	/** Fencing token of each zone that this entry VM leads, by zone. */
 	readonly ledZones: ReadonlyMap<string, number>;
-	/** Finds the live leader of each zone that another entry VM has to lead; `undefined` for a zone without one. */
+	/** Finds the live leader of each zone that another entry VM leads or may lead; `undefined` for a zone without one. */
 	readonly findOtherLeaders: () => ReadonlyArray<ZoneLeader | undefined>;
 	/** Finds the names of the leaders of other zones, and of those that may succeed them. */
 	readonly findRecipients: () => readonly string[];
@@ -76,7 +76,7 @@
 		};
 	}
 
-	/** Sends what is due, and stops what cannot be announced. Call it at each check while each zone has its own leader. */
+	/** Sends what is due, and stops what cannot be announced. Call it at each check. */
 	update(view: ReturnableExchangeView, now: number): void {
 		const {scheduler, send, writeLog} = this.#options;
 		const leadership = JSON.stringify([...view.ledZones]);
--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -653,11 +653,8 @@
 
 		this.#returnableExchange.update(
 			{
-				ledZones: this.#scope === 'zone' ? this.leadership.ledZones : new Map(),
-				findOtherLeaders: () =>
-					zones
-						.filter((zone) => !this.leadership.ledZones.has(zone))
-						.map((zone) => this.leadership.findLeader(zone, now)),
+				ledZones: this.leadership.ledZones,
+				findOtherLeaders: () => this.leadership.findOtherLeaders(now),
 				findRecipients: () =>
 					selectLossRecipients([], this.leadership.livePeers(now), this.name),
 			},
