Judge a leader's suspension at every entry, before anything is sent

Cause: only `tick` judged whether a leader had stood still for more than 280 ms, so that a successor may have claimed its zones. A process that was stalled reads its sockets first and defers its checks by two turns; each report or submission in them asks for a flush, which placed waiting tasks, and an outcome of a start sent a start again or extended a lease.

Change: each call with a time judges it first. Jobs become unsettled, and new reports of all workers are required: those to earlier hold commands are ignored, also the one whose arrival has shown the suspension. Nothing is sent then, and nothing is started, sent again or extended before the next tick, which requires reports once more: a second stall may have lain between. A hold command that is sent meanwhile, after the end of a run, extends nothing. Stops of own runs are still sent: one cannot cause a second run, and a worker refuses it once it has a higher token. A leader that drops its zones in this state sends nothing.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -175,6 +175,8 @@
 	readonly #stall = new LeaderStall();
 	/** Time of the last tick, or of the claim of the first zone. */
 	#tickedAtMs: number | undefined;
+	/** Whether a suspension has been noticed since the last tick: nothing is started until the next one. */
+	#isSuspended = false;
 	/** Whether waiting tasks may have become placeable since the last attempt to place them. */
 	#needsPlacement = true;
 
@@ -323,7 +325,7 @@
 	startLeadingZone(zone: string, token: number, now: number): void {
 		this.#begin(now);
 		if (this.pool.zones.length === 0) {
-			this.#tickedAtMs = now;
+			this.#recordCheck(now);
 			this.#stall.restart(now);
 		}
 
@@ -646,6 +648,7 @@
 		now: number,
 	): void {
 		this.#now = now;
+		this.#judgeSuspension(now);
 		const run = this.pool.findWorker(workerId)?.runs.get(taskName);
 		const spec =
 			run === undefined ? '' : (this.#jobs.get(run.jobId)?.job.spec ?? '');
@@ -661,6 +664,7 @@
 		now: number,
 	): void {
 		this.#now = now;
+		this.#judgeSuspension(now);
 		this.pool.handleStopOutcome(workerId, taskName, outcome, now);
 	}
 
@@ -672,6 +676,7 @@
 		now: number,
 	): void {
 		this.#now = now;
+		this.#judgeSuspension(now);
 		this.#stall.observe(now);
 		this.pool.handleHoldOutcome(workerId, hold, outcome, now);
 		this.#requestFlush(now);
@@ -681,14 +686,15 @@
 	tick(now: number): void {
 		this.#begin(now);
 		this.#needsPlacement = true;
-		if (now - (this.#tickedAtMs ?? now) > maxSuspensionMs) {
-			// A successor may have claimed the zones and extended the leases of runs that this leader takes for lapsed.
-			this.#logSuspension(now);
+		const wasSuspended = this.#isSuspended;
+		this.#recordCheck(now);
+		if (wasSuspended) {
+			// Reports that were requested since the suspension was noticed may also be from before a further one.
 			this.#markJobsUnsettled(now);
-			this.pool.requestNewReports(now);
+			this.pool.requireNewReports(now);
+			this.pool.sendHolds(now);
 		}
 
-		this.#tickedAtMs = now;
 		this.#stall.recordTick(now);
 		this.pool.tick(now, this.#listWaitingJobs().length > 0);
 		// The runs of a worker whose report is missing may have ended: this process may have been late to read it.
@@ -726,6 +732,7 @@
 	/** Applies the lost runs that another entry VM has reported. */
 	importLostRuns(lostRuns: readonly LostRun[], now: number): void {
 		this.#now = now;
+		this.#judgeSuspension(now);
 		this.#giveUpAfterLosses(this.#lostRuns.record(lostRuns, now), now);
 	}
 
@@ -998,9 +1005,36 @@
 		}
 	}
 
+	/**
+	 * Notices that this leader has not ticked for so long that a successor may have claimed its zones, and may have extended
+	 * leases of runs that this leader takes for lapsed. A process that was stalled reads messages before it ticks.
+	 */
+	#judgeSuspension(now: number): void {
+		if (
+			this.#isSuspended ||
+			this.pool.zones.length === 0 ||
+			now - (this.#tickedAtMs ?? now) <= maxSuspensionMs
+		) {
+			return;
+		}
+
+		this.#isSuspended = true;
+		this.#logSuspension(now);
+		this.#markJobsUnsettled(now);
+		this.pool.requireNewReports(now);
+	}
+
+	/** Records that the leader has ticked, or claimed its first zone; peers get its next heartbeat within moments. */
+	#recordCheck(now: number): void {
+		this.#isSuspended = false;
+		this.#tickedAtMs = now;
+		this.pool.certainUntilMs = now + maxSuspensionMs;
+	}
+
 	/** Sets the time of the latest call, and admits or refuses the jobs that were submitted before it. */
 	#begin(now: number): void {
 		this.#now = now;
+		this.#judgeSuspension(now);
 		if (this.#submissions.size === 0) {
 			return;
 		}
@@ -1389,7 +1423,7 @@
 
 	/** Starts the waiting tasks that fit on available workers, in queue order, if anything has changed since the last attempt. */
 	#placeWaitingTasks(now: number): void {
-		if (!this.#needsPlacement) {
+		if (!this.#needsPlacement || this.#isSuspended) {
 			return;
 		}
 
--- a/packages/core/src/tests/first-seen-jobs.test.ts
+++ b/packages/core/src/tests/first-seen-jobs.test.ts
@@ -153,6 +153,7 @@
 	it('is started without a wait while a worker that has reported before is silent', () => {
 		const fixture = claimWithOneReport();
 		fixture.receiveReport('w2', startMs + 6);
+		fixture.tickUntil(startMs + 20, startMs + 280);
 		failHolds(fixture, 'w2', startMs + 300);
 		fixture.scheduler.submit(
 			poolJobFixture('j1', 1),
--- a/packages/core/src/tests/pool-overload.test.ts
+++ b/packages/core/src/tests/pool-overload.test.ts
@@ -162,6 +162,7 @@
 			'zone-b': 0,
 		});
 		fixture.receiveReport('w2', startMs + 1);
+		fixture.tickUntil(startMs + 20, startMs + 280);
 		const inZoneA = {zones: ['zone-a'], runMs: 1000};
 		fixture.scheduler.submit(
 			poolJobFixture('j1', 1, inZoneA),
@@ -189,6 +190,7 @@
 		const admits = (change: {readonly refusingZones?: number}) => {
 			const fixture = new SchedulerFixture();
 			fixture.leadIdleWorkers([workerFixture('w1')], startMs);
+			fixture.tickUntil(startMs + 20, startMs + 280);
 			const busy = poolJobFixture('busy', 2, {runMs: 100, patienceMs: 9000});
 			fixture.scheduler.submit(busy, 'r1', false, startMs + 300);
 			fixture.scheduler.submit(
@@ -210,6 +212,7 @@
 	function busyFixture(): SchedulerFixture {
 		const fixture = new SchedulerFixture();
 		fixture.leadIdleWorkers([workerFixture('w1')], startMs);
+		fixture.tickUntil(startMs + 20, startMs + 280);
 		const busy = poolJobFixture('busy', 2, {runMs: 100, patienceMs: 9000});
 		fixture.scheduler.submit(busy, 'r1', false, startMs + 300);
 		return fixture;
--- a/packages/core/src/tests/pool-scheduler.test.ts
+++ b/packages/core/src/tests/pool-scheduler.test.ts
@@ -447,6 +447,7 @@
 		fixture.scheduler.submit(poolJobFixture('j1'), 'r1', true, startMs + 30);
 		expect(fixture.starts).toHaveLength(2);
 		expect(fixture.answers.at(-1)?.answer.kind).toBe('may-have-run');
+		fixture.tickUntil(startMs + 40, startMs + 980);
 		fixture.scheduler.submit(
 			poolJobFixture('j1', 1, {attempt: 'entry/again'}),
 			'r1',
--- a/packages/core/src/tests/scheduler-failover.test.ts
+++ b/packages/core/src/tests/scheduler-failover.test.ts
@@ -317,6 +317,7 @@
 
 	it('places tasks only on workers in the zones of their job, even if others are idle', () => {
 		const fixture = leadZones('zone-a', 'zone-b');
+		fixture.tickUntil(startMs + 20, startMs + 280);
 		fixture.scheduler.submit(
 			poolJobFixture('j1', 2, {zones: ['zone-b']}),
 			'r1',
@@ -338,6 +339,7 @@
 
 	it('refuses a job for whose zones it leads no workers', () => {
 		const fixture = leadZones('zone-a');
+		fixture.tickUntil(startMs + 20, startMs + 280);
 		fixture.scheduler.submit(
 			poolJobFixture('j1', 1, {zones: ['zone-b']}),
 			'r1',
@@ -406,6 +408,7 @@
 
 	it('unites the zones of a job that returns after it went to a leader in another scope', () => {
 		const fixture = leadZones('zone-a');
+		fixture.tickUntil(startMs + 20, startMs + 280);
 		const busy = poolJobFixture('busy', 2, {runMs: 300, patienceMs: 9000});
 		fixture.scheduler.submit(busy, 'r1', false, startMs + 300);
 		const job = poolJobFixture('j1', 1, {
@@ -420,6 +423,7 @@
 			true,
 			startMs + 310,
 		);
+		fixture.tickUntil(startMs + 320, startMs + 580);
 		fixture.receiveReport('w-zone-a', startMs + 600, {
 			ended: [0, 1].map((index) => ({
 				number: index + 1,
@@ -434,6 +438,7 @@
 
 	it('leaves the jobs of a dropped zone to its next leader, and continues those of the zones that it keeps', () => {
 		const fixture = leadZones('zone-a', 'zone-b');
+		fixture.tickUntil(startMs + 20, startMs + 280);
 		for (const zone of ['zone-a', 'zone-b']) {
 			fixture.scheduler.submit(
 				poolJobFixture(`j-${zone}`, 1, {zones: [zone]}),
@@ -457,6 +462,7 @@
 	it('tells the receivers which jobs it has started no task of when it drops a zone', () => {
 		const fixture = new SchedulerFixture();
 		fixture.leadIdleWorkers([workerFixture('w1')], startMs);
+		fixture.tickUntil(startMs + 20, startMs + 280);
 		const submit = (id: string, isResubmitted: boolean) => {
 			fixture.scheduler.submit(
 				poolJobFixture(id, 2),
--- a/packages/core/src/tests/zone-evacuations.test.ts
+++ b/packages/core/src/tests/zone-evacuations.test.ts
@@ -163,6 +163,7 @@
 
 	it('starts nothing there, refuses new jobs at once and hands waiting ones back as not run', () => {
 		const fixture = createFixture();
+		fixture.tickUntil(startMs + 20, startMs + 280);
 		const long = {...inZoneA, runMs: 400};
 		fixture.scheduler.submit(
 			poolJobFixture('runs', 2, long),
@@ -289,6 +290,7 @@
 
 		expect(fixture.starts).toHaveLength(1);
 		fixture.answerStart(fixture.starts[0]!, startMs + 41);
+		fixture.tickUntil(startMs + 60, startMs + 440);
 		fixture.receiveReport('w1', startMs + 441, {
 			ended: [{number: 1, task: fixture.starts[0]!.task, run: 1, how: 'done'}],
 		});
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -174,6 +174,8 @@
 export class WorkerPool {
 	/** Learned speeds of the kinds of workers. */
 	readonly kindSpeeds = new WorkerKindSpeeds();
+	/** Time until which this leader has certainly not been superseded; no start and no extension of a lease is sent later. */
+	certainUntilMs = Number.POSITIVE_INFINITY;
 	readonly #commandSender: WorkerCommandSender;
 	readonly #listener: WorkerPoolListener;
 	readonly #settings: WorkerPoolSettings;
@@ -350,10 +352,10 @@
 	}
 
 	/**
-	 * Requests new reports of all workers, and ignores those to earlier hold commands. Another leader may have claimed them
-	 * and may extend the leases of their runs.
+	 * Requires new reports of all workers, and ignores those to earlier hold commands. Another leader may have claimed them
+	 * and may extend the leases of their runs. Sends nothing.
 	 */
-	requestNewReports(now: number): void {
+	requireNewReports(now: number): void {
 		for (const [zone, {token}] of this.#zones) {
 			this.#zones.set(zone, {token, syncingSinceMs: now});
 		}
@@ -363,6 +365,12 @@
 			worker.isHoldPending = false;
 			worker.reportsRequiredSinceMs = now;
 			worker.nextHoldAtMs = now;
+		}
+	}
+
+	/** Sends the hold commands that are due. */
+	sendHolds(now: number): void {
+		for (const worker of this.#workers.values()) {
 			this.#sendHold(worker, now);
 		}
 	}
@@ -602,7 +610,11 @@
 			}
 
 			case 'silent': {
-				if (run.sendCount < maxStartSends && !worker.isEvacuated) {
+				if (
+					run.sendCount < maxStartSends &&
+					!worker.isEvacuated &&
+					now <= this.certainUntilMs
+				) {
 					this.#sendStart(run, spec, worker, now);
 				} else {
 					this.stopRun(run, worker, now);
@@ -1320,6 +1332,7 @@
 		// own leader gave it.
 		const extendsLease =
 			clockMs !== undefined &&
+			now <= this.certainUntilMs &&
 			worker.contactFailures < maxContactFailures &&
 			worker.runs.size > 0 &&
 			worker.orphans.size === 0;
