Let jobs wait for workers that have not reported, and for the end of earlier runs

Cause: the second projection of a waiting job took workers without a report for absent and an evacuated zone for full, and gave the job up as possibly run. A job now is not projected again while it waits for the runs of earlier leaders and waiting helps it: a listed worker that has not reported, and whose host refuses no connections, may have room for it; or it can be refused as not run in time for another zone to run it. Ruled out: waiting in any case. Longer patience for jobs in other zones: a caller that was cut off unnoticed may have sent a copy to another zone meanwhile.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -32,6 +32,7 @@
 	type WorkerEntry,
 	type WorkerRun,
 } from './pool-worker.js';
+import {maxOverflowPatienceMs} from './zone-overflow.js';
 import {TypicalTasks, projectZoneWait, type ServiceWaits} from './zone-wait.js';
 import {
 	ScheduledJob,
@@ -1837,7 +1838,7 @@
 
 	/**
 	 * Projects the starts of jobs that have waited for a while once more, and abandons those that would start too late. Each
-	 * job is projected once.
+	 * job is projected once, unless something else than room on the workers can still help it.
 	 */
 	#reassessJobs(now: number): void {
 		if (this.pool.isSyncing(now)) {
@@ -1849,7 +1850,8 @@
 				!job.hasStarted &&
 				!job.isReassessed &&
 				!this.#isHeldElsewhere(job, now) &&
-				now - job.arrivedAtMs >= reassessmentShare * job.objectiveMs,
+				now - job.arrivedAtMs >= reassessmentShare * job.objectiveMs &&
+				!this.#isWorthAwaitingReports(job, now),
 		);
 		if (dueJobs.length === 0) {
 			return;
@@ -1863,6 +1865,25 @@
 		}
 	}
 
+	/**
+	 * Whether it helps a job to wait until the runs of earlier leaders are known: workers that have not reported may have room
+	 * for it, or it can be refused as not run in time for another zone to run it.
+	 */
+	#isWorthAwaitingReports(job: ScheduledJob, now: number): boolean {
+		const settledAtMs = this.#priorRunsSettledAtMs(job, now);
+		return (
+			now < settledAtMs &&
+			(this.pool.awaitsReportOf(
+				({entry}) =>
+					entry.service === job.queue.service && job.mayRunIn(entry.zone),
+			) ||
+				(job.zones !== undefined &&
+					!job.isIndeterminate &&
+					settledAtMs + job.longestTaskMs + submissionDelayMs <=
+						job.arrivedAtMs + maxOverflowPatienceMs))
+		);
+	}
+
 	/** Whether a job waits here because the leader of another zone has runs of it. */
 	#isHeldElsewhere({id, hasStarted}: ScheduledJob, now: number): boolean {
 		return !hasStarted && this.#mayRunElsewhere(id, now);
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -424,6 +424,18 @@
 		);
 	}
 
+	/** Whether an accepted worker may start tasks once it has sent a report that was requested of it. */
+	awaitsReportOf(accepts: (worker: PoolWorker) => boolean): boolean {
+		return [...this.#unsyncedWorkers].some(
+			(worker) =>
+				worker.isListed &&
+				!worker.isEvacuated &&
+				worker.entry.state === 'ready' &&
+				!worker.isRefusingConnections &&
+				accepts(worker),
+		);
+	}
+
 	/**
 	 * Returns the time from which every run of a job that an earlier leader sent a start command for, and that no report
 	 * lists, is certain to have ended or never to start. The leader of another zone may keep such a run alive until it
