Let processes of the model stand still within a turn, and play one leader of the region

The model of leaders of zones missed a record in which a leader stood still for 0.46 s and its successor started the same task.

A process now stands still also within a turn, so that its commands and messages leave later than they were decided. On waking it reads stream by stream, before or after its overdue timers; flushes and elections run after what was read, in the order of their requests, and late checks after both, as in PoolNode. The timeout of a command counts from its sending, and a late process reads its sockets before it takes a command for unanswered, as HttpExchange does.

--- a/packages/core/src/tests/model-parts.ts
+++ b/packages/core/src/tests/model-parts.ts
@@ -86,22 +86,42 @@
 	#ended: readonly ReportedEnd[] = [];
 	readonly #lastRuns = new Map<string, number>();
 	#waiting: ReadonlyArray<() => void> = [];
+	/** Time at which the worker's clock showed 0. */
+	#clockStartMs = 0;
 
 	constructor(
-		readonly entry: WorkerEntry,
+		public entry: WorkerEntry,
 		readonly world: ModelWorld,
 		/** Speed of the worker's clock, by which its leases are measured; less than 1 for a slow one. */
 		readonly clockRate = 1,
 	) {}
 
 	get #clockMs(): number {
-		return this.world.events.now * this.clockRate;
+		return (this.world.events.now - this.#clockStartMs) * this.clockRate;
+	}
+
+	get #lapsesAtMs(): number {
+		return this.#clockStartMs + this.#leaseExpiresAtMs / this.clockRate;
+	}
+
+	/** Starts the worker's process anew: it runs nothing, and has seen no fencing token. */
+	restart(): void {
+		const {now} = this.world.events;
+		this.entry = {...this.entry, bornMs: now};
+		this.#clockStartMs = now;
+		this.#highestToken = 0;
+		this.#leaseExpiresAtMs = 0;
+		this.#endCount = 0;
+		this.#ended = [];
+		this.#waiting = [];
+		this.runs.clear();
+		this.#lastRuns.clear();
 	}
 
 	/** Ends the runs whose time has come or whose lease has expired. */
 	update(): void {
 		const {now} = this.world.events;
-		const lapsesAtMs = this.#leaseExpiresAtMs / this.clockRate;
+		const lapsesAtMs = this.#lapsesAtMs;
 		for (const [task, {endsAtMs, how}] of this.runs) {
 			if (now >= lapsesAtMs && endsAtMs > lapsesAtMs) {
 				this.#end(task, 'lapsed');
@@ -124,8 +144,9 @@
 			({number}) => number > command.acknowledgedEndNumber,
 		);
 		let hasReplied = false;
+		const {bornMs} = this.entry;
 		const respond = () => {
-			if (hasReplied) {
+			if (hasReplied || bornMs !== this.entry.bornMs) {
 				return;
 			}
 
@@ -228,7 +249,7 @@
 			Math.min(untilMs, this.#clockMs + maxLeaseMs),
 		);
 		if (this.runs.size > 0) {
-			this.#scheduleUpdate(this.#leaseExpiresAtMs / this.clockRate);
+			this.#scheduleUpdate(this.#lapsesAtMs);
 		}
 	}
 
@@ -275,17 +296,21 @@
 	drawDelayMs(): number;
 	/** Returns the delay of a command to a worker, `undefined` if it does not arrive. */
 	drawCommandDelayMs(sender: string, worker: string): number | undefined;
+	/** Returns the time until what an entry VM sends now leaves, if it stands still within a turn. */
+	takeSendDelayMs?(sender: string, isStart: boolean): number;
 	runTimeOf(task: string): number;
 	recordStart(worker: ModelWorker, command: StartCommand): void;
 };
 
 /** Sends the commands of one entry VM to workers; they may be delayed, and their outcomes lost. */
 export class ModelCommandSender implements WorkerCommandSender {
+	#commandCount = 0;
+
 	constructor(
 		readonly name: string,
 		readonly world: ModelWorld,
-		/** Calls a handler once the entry VM is not stalled. */
-		readonly handle: (run: () => void) => void,
+		/** Calls a handler once the entry VM is not stalled; `stream` is that of the answer that it handles. */
+		readonly handle: (run: () => void, stream?: string) => void,
 		readonly findScheduler: () => PoolScheduler,
 	) {}
 
@@ -297,7 +322,10 @@
 		const sent = {sentAtMs: this.#now, fencingToken: command.fencingToken};
 		this.#send(
 			command.worker,
-			command.maxReportDelayMs + reportTimeoutMarginMs,
+			{
+				timeoutMs: command.maxReportDelayMs + reportTimeoutMarginMs,
+				isStart: false,
+			},
 			(worker, reply) => {
 				worker.hold(command, reply);
 			},
@@ -315,7 +343,7 @@
 	start(command: StartCommand): void {
 		this.#send(
 			command.worker,
-			commandTimeoutMs,
+			{timeoutMs: commandTimeoutMs, isStart: true},
 			(worker, reply) => {
 				reply(
 					worker.start(command, this.name, this.world.runTimeOf(command.task)),
@@ -335,7 +363,7 @@
 	stop(command: StopCommand): void {
 		this.#send(
 			command.worker,
-			commandTimeoutMs,
+			{timeoutMs: commandTimeoutMs, isStart: false},
 			(worker, reply) => {
 				reply(worker.stop(command));
 			},
@@ -353,7 +381,10 @@
 	/** Sends a command, and handles its outcome or its timeout. */
 	#send(
 		{id}: WorkerEntry,
-		timeoutMs: number,
+		{
+			timeoutMs,
+			isStart,
+		}: {readonly timeoutMs: number; readonly isStart: boolean},
 		execute: (
 			worker: ModelWorker,
 			reply: (outcome: CommandOutcome) => void,
@@ -362,28 +393,37 @@
 	): void {
 		const {events, random, settings, workers} = this.world;
 		let isSettled = false;
-		const settle = (outcome: CommandOutcome) => {
+		const settle = (outcome: CommandOutcome, stream?: string) => {
 			this.handle(() => {
 				if (!isSettled) {
 					isSettled = true;
 					handleOutcome(outcome);
 				}
-			});
+			}, stream);
 		};
 
-		events.add(this.#now + timeoutMs, () => {
-			settle({kind: 'silent'});
+		const sentAtMs =
+			this.#now + (this.world.takeSendDelayMs?.(this.name, isStart) ?? 0);
+		events.add(sentAtMs + timeoutMs, () => {
+			// A late process reads its sockets before it takes a command for unanswered.
+			this.handle(() => {
+				events.add(this.#now, () => {
+					settle({kind: 'silent'});
+				});
+			});
 		});
 		const delayMs = this.world.drawCommandDelayMs(this.name, id);
 		if (delayMs === undefined) {
 			return;
 		}
 
-		events.add(this.#now + delayMs, () => {
+		this.#commandCount += 1;
+		const stream = `${id} ${this.#commandCount}`;
+		events.add(sentAtMs + delayMs, () => {
 			execute(workers.get(id)!, (outcome) => {
 				if (random() >= settings.lossProbability) {
 					events.add(events.now + this.world.drawDelayMs(), () => {
-						settle(outcome);
+						settle(outcome, stream);
 					});
 				}
 			});
--- /dev/null
+++ b/packages/verbenarouter/src/tests/region-leader-model.test.ts
@@ -0,0 +1,76 @@
+import {describe, expect, it} from 'vitest';
+import {listEntryVms, regionShape} from './zone-faults.js';
+import {playZoneModel} from './zone-leaders-model.js';
+import {
+	type ZoneModelSettings,
+	type ZoneStage,
+	type zoneModelDays,
+} from './zone-model-settings.js';
+
+type Script = NonNullable<ZoneModelSettings['script']>;
+
+const entryVms = listEntryVms(regionShape);
+
+/** Plays what a script plans, and nothing else, and expects that the job runs, but never twice at once. */
+function expectNoOverlapInScript(
+	script: Script,
+	seeds: readonly number[] = [1, 2, 3],
+): void {
+	for (const seed of seeds) {
+		const {overlaps, startCount} = playZoneModel('regionScripted', seed, {
+			script,
+		});
+		expect(
+			overlaps.map(({trace}) => trace),
+			`seed ${seed}`,
+		).toEqual([]);
+		expect(startCount, `seed ${seed}`).toBeGreaterThan(1);
+	}
+}
+
+function findZone(entryVm: string): string {
+	return entryVm.replace(/-entry-.*/, '');
+}
+
+/** Plans what depends on the leader of the region: `outer` are the entry VMs of the other zones. */
+function planWithLeader(
+	stage: ZoneStage,
+	plan: (leader: string, outer: readonly string[]) => void,
+): void {
+	stage.plan(4500, ({findLeader}) => {
+		const leader = findLeader()!;
+		plan(
+			leader,
+			entryVms.filter((name) => findZone(name) !== findZone(leader)),
+		);
+	});
+}
+
+describe('a leader of the region', () => {
+	it('completes a job that it starts', () => {
+		expectNoOverlapInScript((stage) => {
+			planWithLeader(stage, (_leader, [receiver = '']) => {
+				stage.sendJob(5000, 'first', 300, [receiver]);
+			});
+		});
+	});
+
+	it.each([
+		['regionCalm', [1, 2]],
+		['regionStalls', [1, 2, 101]],
+		['regionLeaderCuts', [1, 101]],
+		['regionResets', [1, 101]],
+	] as const)(
+		'never has a task run twice at the same time on model days of the kind %s',
+		(day: keyof typeof zoneModelDays, seeds: readonly number[]) => {
+			for (const seed of seeds) {
+				const {overlaps, completedCount} = playZoneModel(day, seed);
+				expect(
+					overlaps.map(({trace}) => trace),
+					`seed ${seed}`,
+				).toEqual([]);
+				expect(completedCount, `seed ${seed}`).toBeGreaterThan(0);
+			}
+		},
+	);
+});
--- a/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
@@ -1,10 +1,10 @@
 import {describe, expect, it} from 'vitest';
+import {zoneShape} from './zone-faults.js';
+import {playZoneModel, zoneModelEntryVms} from './zone-leaders-model.js';
 import {
-	playZoneModel,
-	zoneModelEntryVms,
 	type ZoneModelSettings,
 	type zoneModelDays,
-} from './zone-leaders-model.js';
+} from './zone-model-settings.js';
 
 /** Plays model days and expects no two runs of a task at the same time, and no start of a job that was refused for good. */
 function expectNoOverlaps(
@@ -36,6 +36,12 @@
 	}
 }
 
+/** The same zones and workers, few enough for one leader of the region. */
+const regionalShape = {
+	...zoneShape,
+	scope: {...zoneShape.scope, maxRegionalWorkers: 80, minZonalWorkers: 120},
+};
+
 /** Plays the same under one leader of the region, zone-a-entry-1, from 5000 ms on. */
 function expectNoOverlapUnderOneLeader(
 	script: NonNullable<ZoneModelSettings['script']>,
@@ -43,7 +49,7 @@
 	for (const seed of [1, 2, 3]) {
 		const {overlaps, startCount} = playZoneModel('scripted', seed, {
 			script,
-			isRegional: true,
+			shape: regionalShape,
 			durationMs: 12_000,
 		});
 		expect(
@@ -213,7 +219,9 @@
 		expectNoOverlapUnderOneLeader((stage) => {
 			stage.sendJob(7100, 'moved', 3600, ['zone-a-entry-2', 'zone-b-entry-2']);
 			stage.resetCaller(7500, 'moved');
-			stage.cutZone(7520, 'zone-b', 2500);
+			stage.plan(7520, ({cutZone}) => {
+				cutZone('zone-b', 2500, false);
+			});
 		});
 	});
 
@@ -227,7 +235,9 @@
 
 			stage.sendJob(8050, 'moved', 3600, ['zone-a-entry-2', 'zone-b-entry-2']);
 			stage.resetCaller(8500, 'moved');
-			stage.cutZone(8550, 'zone-b', 2500);
+			stage.plan(8550, ({cutZone}) => {
+				cutZone('zone-b', 2500, false);
+			});
 		});
 	});
 
@@ -241,7 +251,9 @@
 
 			stage.sendJob(7100, 'moved', 3600, ['zone-c-entry-2', 'zone-a-entry-2']);
 			stage.resetCaller(7500, 'moved');
-			stage.cutZone(8000, 'zone-b', 2500);
+			stage.plan(8000, ({cutZone}) => {
+				cutZone('zone-b', 2500, false);
+			});
 			stage.lose(8320, ['zone-a-entry-1'], 5000);
 		});
 	});
--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -1,6 +1,7 @@
 import {
 	BestFit,
 	DeclaredTimeEstimator,
+	EventLoopDelay,
 	HeartbeatSchedule,
 	Leadership,
 	ObjectiveOrder,
@@ -32,186 +33,26 @@
 import {
 	desiredStateFixture,
 	poolJobFixture,
-	workerFixture,
 } from '../../../core/dist/tests/pool-fixtures.js';
 import {ZoneReporter} from '../pool/zone-reporter.js';
 import {selectLossRecipients} from '../pool/loss-recipients.js';
 import {ReturnableExchange} from '../pool/returnable-exchange.js';
+import {ProcessTurns} from './process-turns.js';
 import {ReceiverModel} from './receiver-model.js';
-
-/** Settings of one play. Each fault has a probability in a check every 100 ms. */
-export type ZoneModelSettings = {
-	readonly seed: number;
-	readonly durationMs: number;
-	/** Time from which jobs arrive and faults happen; before, the entry VMs elect their first leaders. */
-	readonly calmMs: number;
-	/** Mean time between two jobs. */
-	readonly jobIntervalMs: number;
-	/** Share of the jobs that callers of the first zone send; the others send equally many. */
-	readonly firstZoneShare: number;
-	/** Run time of the longest tasks; most tasks take a fraction of it. */
-	readonly longestRunMs: number;
-	/** Probability that one process is lost. */
-	readonly killProbability: number;
-	/** Probability that the leader of a zone is lost. */
-	readonly leaderKillProbability: number;
-	/** Probability that the leader of a zone and another process are lost. */
-	readonly pairKillProbability: number;
-	/** Probability that a process is stopped as planned. */
-	readonly stopProbability: number;
-	/** Probability that the leader of a zone is stopped as planned. */
-	readonly leaderStopProbability: number;
-	/** Times at which all processes are lost. */
-	readonly lossesOfAllAtMs: readonly number[];
-	/** Probability that a process handles nothing for a while. */
-	readonly stallProbability: number;
-	/** Probability that no messages pass between two entry VMs for a while. */
-	readonly cutProbability: number;
-	/** Probability that no messages and commands pass between a zone and all others for a while. */
-	readonly zoneCutProbability: number;
-	/** Probability that the stream between two entry VMs breaks. */
-	readonly breakProbability: number;
-	/** Probability that the connection of a caller is reset. */
-	readonly resetProbability: number;
-	/** Probability that a worker receives no commands for a while. */
-	readonly silenceProbability: number;
-	/** Probability that a command to a worker is carried out late. */
-	readonly lateCommandProbability: number;
-	/** Probability that the outcome of a command to a worker is lost. */
-	readonly lossProbability: number;
-	/** Share of the messages and commands that take up to 100 ms. */
-	readonly slowMessageShare: number;
-	/** Probability that the store cannot be read for some seconds. */
-	readonly storeOutageProbability: number;
-	/** Share of the copies that callers send to another zone although their own has entry VMs. */
-	readonly movingShare: number;
-	/** Whether callers wait for an entry VM of their own zone while none is up. */
-	readonly staysInZone: boolean;
-	/** Whether the workers are few enough for one leader of the region. */
-	readonly isRegional?: boolean;
-	/** Plans jobs and faults besides the random ones. */
-	readonly script?: (stage: ZoneStage) => void;
-};
-
-/** What a script may plan, all at times in milliseconds since the start of the play. */
-export type ZoneStage = {
-	/** Has a caller send a job, and its copies after each loss of an answer, to these entry VMs in turn. */
-	sendJob(
-		atMs: number,
-		id: string,
-		runMs: number,
-		entryVms: readonly string[],
-	): void;
-	/** Resets the connection of the caller of a job. */
-	resetCaller(atMs: number, id: string): void;
-	/** Ends the processes of entry VMs, and starts them again `restartMs` later. */
-	lose(atMs: number, entryVms: readonly string[], restartMs: number): void;
-	/** Stops the process of an entry VM as planned. */
-	stop(atMs: number, entryVm: string): void;
-	/** Lets no commands reach the workers that run a job by then, for a time. */
-	silenceWorkersOf(atMs: number, id: string, durationMs: number): void;
-	/** Lets no messages and commands pass between a zone and all others for a time. */
-	cutZone(atMs: number, zone: string, durationMs: number): void;
-	/** Lets the store be read by nobody for a time. */
-	stopStore(atMs: number, durationMs: number): void;
-};
-
-const calmDay: Omit<ZoneModelSettings, 'seed'> = {
-	durationMs: 10_000,
-	calmMs: 2000,
-	jobIntervalMs: 32,
-	firstZoneShare: 0.5,
-	longestRunMs: 3600,
-	killProbability: 0,
-	leaderKillProbability: 0,
-	pairKillProbability: 0,
-	stopProbability: 0,
-	leaderStopProbability: 0,
-	lossesOfAllAtMs: [],
-	stallProbability: 0,
-	cutProbability: 0,
-	zoneCutProbability: 0,
-	breakProbability: 0,
-	resetProbability: 0,
-	silenceProbability: 0,
-	lateCommandProbability: 0,
-	lossProbability: 0.005,
-	slowMessageShare: 0.02,
-	storeOutageProbability: 0,
-	movingShare: 0,
-	staysInZone: false,
-};
-
-/** Days with leaders of zones, by what goes wrong. */
-export const zoneModelDays = {
-	calm: calmDay,
-	/** Nothing happens but what a script plans. */
-	scripted: {
-		...calmDay,
-		jobIntervalMs: 1e9,
-		lossProbability: 0,
-		slowMessageShare: 0,
-	},
-	/** Processes are lost, one at a time. */
-	kills: {...calmDay, killProbability: 0.05},
-	leaderKills: {...calmDay, leaderKillProbability: 0.04},
-	/** A leader and another process are lost together. */
-	pairKills: {...calmDay, pairKillProbability: 0.04},
-	stops: {
-		...calmDay,
-		stopProbability: 0.02,
-		leaderStopProbability: 0.03,
-	},
-	/** All processes are lost at once, twice. */
-	lossOfAll: {...calmDay, lossesOfAllAtMs: [4500, 7500]},
-	/** Connections of callers are reset while all processes run on. */
-	resets: {...calmDay, resetProbability: 0.5},
-	stalls: {...calmDay, stallProbability: 0.12},
-	cuts: {...calmDay, cutProbability: 0.3, stallProbability: 0.01},
-	zoneCuts: {...calmDay, zoneCutProbability: 0.04},
-	breaks: {...calmDay, breakProbability: 0.5},
-	/** Workers are silent for a while, and carry out some commands late. */
-	silences: {
-		...calmDay,
-		silenceProbability: 0.15,
-		lateCommandProbability: 0.02,
-		lossProbability: 0.02,
-	},
-	/** Callers of lost receivers send their jobs to other zones. */
-	moves: {
-		...calmDay,
-		killProbability: 0.03,
-		resetProbability: 0.3,
-		movingShare: 0.7,
-	},
-	/** The store cannot be read while processes are lost and stopped. */
-	storeOutages: {
-		...calmDay,
-		storeOutageProbability: 0.05,
-		killProbability: 0.02,
-		leaderStopProbability: 0.05,
-		leaderKillProbability: 0.02,
-	},
-	all: {
-		...calmDay,
-		killProbability: 0.015,
-		leaderKillProbability: 0.01,
-		pairKillProbability: 0.005,
-		leaderStopProbability: 0.01,
-		stopProbability: 0.01,
-		lossesOfAllAtMs: [6500],
-		stallProbability: 0.03,
-		cutProbability: 0.05,
-		zoneCutProbability: 0.005,
-		breakProbability: 0.05,
-		resetProbability: 0.1,
-		silenceProbability: 0.03,
-		lateCommandProbability: 0.005,
-		lossProbability: 0.01,
-		storeOutageProbability: 0.01,
-		movingShare: 0.2,
-	},
-} as const satisfies Readonly<Record<string, Omit<ZoneModelSettings, 'seed'>>>;
+import {
+	createWorkerEntries,
+	drawZoneFaults,
+	listEntryVms,
+	listZones,
+	standStill,
+	zoneShape,
+	type ZoneFaultTargets,
+} from './zone-faults.js';
+import {
+	zoneModelDays,
+	type ZoneModelSettings,
+	type ZoneStage,
+} from './zone-model-settings.js';
 
 /** An overlap, with the lines of the trace that concern its task, or leadership and faults in the seconds before. */
 export type TracedOverlap = Overlap & {readonly trace: readonly string[]};
@@ -233,9 +74,6 @@
 	readonly trace: readonly string[];
 };
 
-const zones = ['zone-a', 'zone-b', 'zone-c'];
-const workersPerZone = 4;
-const entryVmsPerZone = 3;
 const tickIntervalMs = 20;
 const stallThresholdMs = 100;
 /** Numbers of connections and entry VMs by which the intervals of heartbeats are chosen: those of a larger deployment. */
@@ -253,33 +91,10 @@
 const resendDelayMs = 1300;
 const maxSends = 4;
 const maxStopMs = 2600;
-const scopeSettings = {
-	maxRegionalWorkers: 5,
-	minZonalWorkers: 9,
-	settleMs: 2500,
-	resettleMs: 30_000,
-	maxListAgeMs: 2000,
-};
-
-const regionalScopeSettings = {
-	...scopeSettings,
-	maxRegionalWorkers: 80,
-	minZonalWorkers: 120,
-};
-
 const desiredState = desiredStateFixture();
 
-const zoneByVm: ReadonlyMap<string, string> = new Map<string, string>(
-	zones.flatMap((zone) =>
-		Array.from(
-			{length: entryVmsPerZone},
-			(_, index) => [`${zone}-entry-${index + 1}`, zone] as const,
-		),
-	),
-);
-
 /** Names of all entry VMs; each begins with the name of its zone. */
-export const zoneModelEntryVms: readonly string[] = [...zoneByVm.keys()];
+export const zoneModelEntryVms: readonly string[] = listEntryVms(zoneShape);
 
 /** A job as its caller sees it. */
 type Call = {
@@ -315,7 +130,7 @@
 	readonly processorShare: number;
 	isAlive = true;
 	isStopping = false;
-	stalledUntilMs = 0;
+	readonly turns: ProcessTurns;
 	readonly #directory = new WorkerDirectory();
 	readonly #scopeBySize: ScopeBySize;
 	readonly #reporter: ZoneReporter;
@@ -326,7 +141,11 @@
 	#isRoundDue = false;
 	#lastRoundMs = Number.NEGATIVE_INFINITY;
 	#lastDirectoryCheckMs = 0;
-	#tickDueAtMs: number | undefined;
+	readonly #stallDelay = new EventLoopDelay(tickIntervalMs);
+	#areChecksDeferred = false;
+	#isLeadershipUpdateScheduled = false;
+	/** Zones whose leader a peer has lost since the last evaluation of the election. */
+	readonly #zonesLostByPeers = new Set<string>();
 	#isWarmingUp = false;
 	#stopsAtMs = Number.POSITIVE_INFINITY;
 	#listReadAtMs = Number.NEGATIVE_INFINITY;
@@ -342,12 +161,10 @@
 		// The first entry VM of each zone is the strongest, so that the leadership returns to it.
 		this.processorShare = name.endsWith('1') ? 1 : 0.5;
 		const {processorShare} = this;
-		this.#scopeBySize = new ScopeBySize(
-			world.settings.isRegional === true
-				? regionalScopeSettings
-				: scopeSettings,
-		);
+		const {zones} = world;
 		this.leadership = new Leadership({name, zone, processorShare}, zones);
+		this.#scopeBySize = new ScopeBySize(world.settings.shape.scope);
+		this.turns = new ProcessTurns(world.events, world.random);
 		this.scheduler = new PoolScheduler({
 			zones,
 			queueOrder: new ObjectiveOrder(),
@@ -356,8 +173,8 @@
 			commandSender: new ModelCommandSender(
 				name,
 				world,
-				(run) => {
-					this.handle(run);
+				(run, stream) => {
+					this.handle(run, stream);
 				},
 				() => this.scheduler,
 			),
@@ -477,34 +294,43 @@
 		return this.world.events.now;
 	}
 
-	/** Calls a handler now or, while this process is stalled, afterwards; never after its end. */
-	handle(run: () => void): void {
-		if (this.isAlive && this.#now < this.stalledUntilMs) {
-			this.world.events.add(this.stalledUntilMs, () => {
-				this.handle(run);
-			});
-		} else if (this.isAlive) {
-			run();
-		}
+	/** Calls a handler now or, while this process stands still, afterwards; never after its end. */
+	handle(run: () => void, stream?: string): void {
+		this.turns.handle(() => {
+			if (this.isAlive) {
+				run();
+			}
+		}, stream);
 	}
 
 	/** Runs the checks that are due, and schedules the next ones. A process that is late first reads what has arrived. */
 	tick(): void {
-		const delayMs = this.#now - (this.#tickDueAtMs ?? this.#now);
-		this.#tickDueAtMs = this.#now + tickIntervalMs;
-		if (delayMs >= stallThresholdMs) {
-			this.leadership.excludeStall(delayMs, this.#now);
+		this.#schedule(tickIntervalMs, () => {
+			this.tick();
+		});
+		const isStalled = this.#excludeStall();
+		if (this.#areChecksDeferred) {
+			return;
 		}
 
-		this.#schedule(delayMs >= stallThresholdMs ? 0.01 : 0, () => {
+		if (!isStalled) {
+			this.#runChecks();
+			return;
+		}
+
+		this.#areChecksDeferred = true;
+		this.#schedule(0.01, () => {
+			this.#areChecksDeferred = false;
+			this.#excludeStall();
 			this.#runChecks();
-		});
-		this.#schedule(tickIntervalMs, () => {
-			this.tick();
 		});
 	}
 
 	setStoreReachable(isReachable: boolean): void {
+		if (isReachable && !this.#canReadStore) {
+			this.#directory.handleStoreReconnect(this.#now);
+		}
+
 		this.#canReadStore = isReachable;
 	}
 
@@ -614,7 +440,7 @@
 	handleLost(peer: string): void {
 		this.leadership.markDisconnected(peer);
 		this.scheduler.markReceiverUnreachable(peer, this.#now);
-		this.#updateLeadership();
+		this.#scheduleLeadershipUpdate();
 	}
 
 	handleOpen(peer: string): void {
@@ -712,16 +538,45 @@
 			return;
 		}
 
-		this.#updateLeadership();
-		if (
-			zones.some(
-				(zone) =>
-					heartbeat.hears[zone] === undefined &&
-					this.#liveLeaderTokens[zone] !== undefined,
-			)
-		) {
-			this.#sendHeartbeats();
+		for (const zone of this.world.zones) {
+			if (heartbeat.hears[zone] === undefined) {
+				this.#zonesLostByPeers.add(zone);
+			}
 		}
+
+		this.#scheduleLeadershipUpdate();
+	}
+
+	/** Evaluates the election once the messages that have arrived are read. */
+	#scheduleLeadershipUpdate(): void {
+		if (this.#isLeadershipUpdateScheduled) {
+			return;
+		}
+
+		this.#isLeadershipUpdateScheduled = true;
+		this.#schedule(0, () => {
+			this.#isLeadershipUpdateScheduled = false;
+			this.#excludeStall();
+			this.#updateLeadership();
+			const isLossDisputed = [...this.#zonesLostByPeers].some(
+				(zone) => this.#liveLeaderTokens[zone] !== undefined,
+			);
+			this.#zonesLostByPeers.clear();
+			if (isLossDisputed) {
+				this.#sendHeartbeats();
+			}
+		});
+	}
+
+	/** Excludes a time for which this process stood still from the silence of peers; returns whether there was one. */
+	#excludeStall(): boolean {
+		const delayMs = this.#stallDelay.recordCheck(this.#now);
+		const isStalled = delayMs >= stallThresholdMs;
+		if (isStalled) {
+			this.leadership.excludeStall(delayMs, this.#now);
+		}
+
+		return isStalled;
 	}
 
 	#receiveSubmission(from: string, job: PoolJob, isResubmitted: boolean): void {
@@ -733,13 +588,16 @@
 			this.scheduler.submit(job, from, isResubmitted, this.#now);
 		} else {
 			const {id, attempt} = job;
+			this.world.log(`${this.name} returns ${id} to ${from}`);
 			this.send(from, {type: 'resubmit', id, attempt});
 		}
 	}
 
 	#refreshWorkers(): void {
 		const entries = this.#directory.entries(this.#now);
-		if (entries.length === this.#workerEntries.length) {
+		const toText = (list: readonly WorkerEntry[]) =>
+			list.map(({id, bornMs}) => `${id} ${bornMs}`).join(' ');
+		if (toText(entries) === toText(this.#workerEntries)) {
 			return;
 		}
 
@@ -754,7 +612,7 @@
 		this.#updateScope();
 		this.#applyChanges(this.leadership.tick(this.#now));
 		const tokens = Object.fromEntries(
-			zones.flatMap((zone) => {
+			this.world.zones.flatMap((zone) => {
 				const leader = this.leadership.findLeader(zone, this.#now);
 				return leader === undefined ? [] : [[zone, leader.token]];
 			}),
@@ -847,13 +705,13 @@
 		const sender = {
 			zone: this.zone,
 			ledZones: this.leadership.ledZones,
-			isElecting: zones.some(
+			isElecting: this.world.zones.some(
 				(zone) => this.#liveLeaderTokens[zone] === undefined,
 			),
 		};
 		const due = this.#heartbeatSchedule.takeDue(
 			new Map(
-				[...zoneByVm]
+				[...this.world.zoneByVm]
 					.filter(([name]) => name !== this.name)
 					.map(([name, zone]) => [
 						name,
@@ -921,7 +779,7 @@
 	}
 
 	#findRooms(): readonly ZoneRoom[] {
-		return zones.flatMap((zone) => {
+		return this.world.zones.flatMap((zone) => {
 			const leader = this.leadership.findLeader(zone, this.#now)?.name;
 			const report = this.#findPeer(leader);
 			const spareMillis = report?.spareMillis?.[zone];
@@ -948,12 +806,8 @@
 class ZoneModel implements ModelWorld {
 	readonly events = new EventQueue();
 	readonly random: Random;
-	readonly workerEntries: readonly WorkerEntry[] = zones.flatMap((zone) =>
-		Array.from({length: workersPerZone}, (_, index) =>
-			workerFixture(`${zone}-worker-${index + 1}`, {zone}),
-		),
-	);
-
+	readonly zones: readonly string[];
+	readonly zoneByVm: ReadonlyMap<string, string>;
 	readonly workers: ReadonlyMap<string, ModelWorker>;
 	claimCount = 0;
 	/** The running process of each entry VM that has one. */
@@ -964,6 +818,8 @@
 	/** Silence after which each stream is closed. */
 	readonly #staleMs = new Map<string, number>();
 	readonly #silentUntilMs = new Map<string, number>();
+	/** Time until which the store does not list a worker. */
+	readonly #missingUntilMs = new Map<string, number>();
 	readonly #zoneCutUntilMs = new Map<string, number>();
 	readonly #calls = new Map<string, Call>();
 	readonly #overlaps: TracedOverlap[] = [];
@@ -978,18 +834,36 @@
 
 	constructor(readonly settings: ZoneModelSettings) {
 		this.random = seededRandom(settings.seed);
+		this.zones = listZones(settings.shape);
+		this.zoneByVm = new Map(
+			listEntryVms(settings.shape).map((name) => [
+				name,
+				name.replace(/-entry-.*/, ''),
+			]),
+		);
 		this.workers = new Map(
-			this.workerEntries.map((entry, index) => [
+			createWorkerEntries(settings.shape).map((entry, index) => [
 				entry.id,
 				new ModelWorker(entry, this, index % 2 === 0 ? 1 : 0.98),
 			]),
 		);
 	}
 
+	/** The entries of the workers in the store. */
+	get workerEntries(): readonly WorkerEntry[] {
+		return [...this.workers.values()]
+			.map(({entry}) => entry)
+			.filter(({id}) => (this.#missingUntilMs.get(id) ?? 0) <= this.events.now);
+	}
+
+	takeSendDelayMs(sender: string, isStart: boolean): number {
+		return this.#processes.get(sender)?.turns.takeSendDelayMs(isStart) ?? 0;
+	}
+
 	/** Plays the model to its end. */
 	play(): ZoneModelResult {
 		const {calmMs, durationMs, lossesOfAllAtMs, jobIntervalMs} = this.settings;
-		for (const name of zoneByVm.keys()) {
+		for (const name of this.zoneByVm.keys()) {
 			this.#start(name);
 		}
 
@@ -1049,7 +923,7 @@
 
 	drawCommandDelayMs(sender: string, worker: string): number | undefined {
 		const {now} = this.events;
-		const senderZone = zoneByVm.get(sender)!;
+		const senderZone = this.zoneByVm.get(sender)!;
 		const {zone} = this.workers.get(worker)!.entry;
 		const isCut =
 			senderZone !== zone &&
@@ -1090,6 +964,57 @@
 
 	/** Sends a message on the stream between two entry VMs, which keeps the order. It is lost with the stream. */
 	send(sender: ModelProcess, to: string, message: PoolMessage): void {
+		const sendDelayMs = sender.turns.takeSendDelayMs(false);
+		if (sendDelayMs > 0) {
+			const {epoch} = this.#findLink(sender.name, to);
+			this.events.add(this.events.now + sendDelayMs, () => {
+				if (sender.isAlive && this.#findLink(sender.name, to).epoch === epoch) {
+					this.#deliver(sender, to, message);
+				}
+			});
+		} else {
+			this.#deliver(sender, to, message);
+		}
+	}
+
+	/** Ends a process; its callers send their jobs again, and a new process starts after a while. */
+	kill(process: ModelProcess, reason: string, restartMs?: number): void {
+		const {name} = process;
+		if (!process.isAlive) {
+			return;
+		}
+
+		this.log(`${name} ${reason}`);
+		process.isAlive = false;
+		this.#processes.delete(name);
+		for (const peer of this.zoneByVm.keys()) {
+			this.#closeLink(name, peer);
+		}
+
+		for (const call of this.#calls.values()) {
+			if (call.openCopy !== undefined && call.lastVm === name) {
+				this.#sendAgain(call);
+			}
+		}
+
+		this.events.add(
+			this.events.now + (restartMs ?? 300 + 1200 * this.random()),
+			() => {
+				this.#start(name);
+			},
+		);
+	}
+
+	/** Passes the store's list of workers to a process, unless the store is away. */
+	readStore(process: ModelProcess): void {
+		const isReachable = this.events.now >= this.#storeDownUntilMs;
+		process.setStoreReachable(isReachable);
+		if (isReachable) {
+			process.applyWorkers(this.workerEntries);
+		}
+	}
+
+	#deliver(sender: ModelProcess, to: string, message: PoolMessage): void {
 		const link = this.#findLink(sender.name, to);
 		const {now} = this.events;
 		const isCut = link.cutUntilMs > now;
@@ -1130,52 +1055,15 @@
 				}
 
 				receiver.receive(sender.name, message);
-			});
+			}, sender.name);
 		});
 	}
 
-	/** Ends a process; its callers send their jobs again, and a new process starts after a while. */
-	kill(process: ModelProcess, reason: string, restartMs?: number): void {
-		const {name} = process;
-		if (!process.isAlive) {
-			return;
-		}
-
-		this.log(`${name} ${reason}`);
-		process.isAlive = false;
-		this.#processes.delete(name);
-		for (const peer of zoneByVm.keys()) {
-			this.#closeLink(name, peer);
-		}
-
-		for (const call of this.#calls.values()) {
-			if (call.openCopy !== undefined && call.lastVm === name) {
-				this.#sendAgain(call);
-			}
-		}
-
-		this.events.add(
-			this.events.now + (restartMs ?? 300 + 1200 * this.random()),
-			() => {
-				this.#start(name);
-			},
-		);
-	}
-
-	/** Passes the store's list of workers to a process, unless the store is away. */
-	readStore(process: ModelProcess): void {
-		const isReachable = this.events.now >= this.#storeDownUntilMs;
-		process.setStoreReachable(isReachable);
-		if (isReachable) {
-			process.applyWorkers(this.workerEntries);
-		}
-	}
-
 	#start(name: string): void {
 		this.#incarnationCount += 1;
 		const process = new ModelProcess(
 			name,
-			zoneByVm.get(name)!,
+			this.zoneByVm.get(name)!,
 			`${name}#${this.#incarnationCount}`,
 			this,
 		);
@@ -1187,7 +1075,7 @@
 			});
 		});
 		this.#readStore(process, 40 + 100 * this.random());
-		for (const peer of zoneByVm.keys()) {
+		for (const peer of this.zoneByVm.keys()) {
 			if (peer !== name) {
 				this.#openLink(name, peer, 10 + 50 * this.random());
 			}
@@ -1241,7 +1129,7 @@
 			this.events.add(this.events.now + 3 * this.random(), () => {
 				process?.handle(() => {
 					process.handleLost(peer);
-				});
+				}, peer);
 			});
 		}
 	}
@@ -1268,7 +1156,7 @@
 			] as const) {
 				process?.handle(() => {
 					process.handleOpen(peer);
-				});
+				}, peer);
 			}
 		});
 	}
@@ -1302,13 +1190,85 @@
 		}
 	}
 
+	get #faultTargets(): ZoneFaultTargets {
+		const {settings, random, zones, workers, zoneByVm, events} = this;
+		return {
+			settings,
+			random,
+			zones,
+			entryVms: [...zoneByVm.keys()],
+			workerIds: [...workers.keys()],
+			findLeader: () => this.#pickLeader()?.name,
+			stand: (entryVm, durationMs) => {
+				this.log(`${entryVm} stalls for ${durationMs.toFixed(0)} ms`);
+				this.#processes.get(entryVm)?.turns.stand(durationMs);
+			},
+			standBeforeSend: (entryVm, durationMs, sendsBefore, isStart) => {
+				this.log(
+					`${entryVm} stalls within a turn for ${durationMs.toFixed(0)} ms`,
+				);
+				this.#processes
+					.get(entryVm)
+					?.turns.standBeforeSend(durationMs, sendsBefore, isStart);
+			},
+			cut: (left, right, durationMs, isDelaying) => {
+				for (const name of left) {
+					for (const peer of right) {
+						this.#cut(name, peer, durationMs, isDelaying);
+					}
+				}
+			},
+			cutZone: (zone, durationMs, isDelaying) => {
+				this.log(`zone cut ${zone} for ${durationMs.toFixed(0)} ms`);
+				this.#zoneCutUntilMs.set(zone, events.now + durationMs);
+				for (const [inner, innerZone] of zoneByVm) {
+					for (const [outer, outerZone] of zoneByVm) {
+						if (innerZone === zone && outerZone !== zone) {
+							this.#cut(inner, outer, durationMs, isDelaying);
+						}
+					}
+				}
+			},
+			reset: (entryVm, durationMs) => {
+				for (const peer of zoneByVm.keys()) {
+					if (peer !== entryVm) {
+						this.#closeLink(entryVm, peer);
+						this.#openLink(entryVm, peer, durationMs + 30 * random());
+					}
+				}
+			},
+			lose: (entryVms, restartMs) => {
+				for (const name of entryVms) {
+					const process = this.#processes.get(name);
+					if (process !== undefined) {
+						this.kill(process, 'is lost', restartMs + 100 * random());
+					}
+				}
+			},
+			loseEntries: (ids, outageMs, missingMs) => {
+				this.#storeDownUntilMs = events.now + outageMs;
+				this.log(`store is down and loses ${ids.join(' ')}`);
+				for (const id of ids) {
+					this.#missingUntilMs.set(id, events.now + outageMs + missingMs);
+				}
+			},
+			restartWorker: (worker) => {
+				this.log(`${worker} has started anew`);
+				this.workers.get(worker)?.restart();
+			},
+			log: (line) => {
+				this.log(line);
+			},
+		};
+	}
+
 	#createStage(): ZoneStage {
 		const {events} = this;
 		return {
 			sendJob: (atMs, id, runMs, entryVms) => {
 				events.add(atMs, () => {
 					this.#addCall(id, runMs, 2000 + 2 * runMs, {
-						zone: zoneByVm.get(entryVms[0]!)!,
+						zone: this.zoneByVm.get(entryVms[0]!)!,
 						entryVms,
 					});
 				});
@@ -1340,9 +1300,9 @@
 					}
 				});
 			},
-			cutZone: (atMs, zone, durationMs) => {
+			plan: (atMs, run) => {
 				events.add(atMs, () => {
-					this.#cutZone(zone, durationMs, false);
+					run(this.#faultTargets);
 				});
 			},
 			stopStore: (atMs, durationMs) => {
@@ -1360,8 +1320,10 @@
 		this.#addCall(`job${this.#calls.size + 1}`, runMs, patienceMs, {
 			zone:
 				this.random() < firstZoneShare
-					? zones[0]!
-					: zones[1 + Math.floor(2 * this.random())]!,
+					? this.zones[0]!
+					: this.zones[
+							1 + Math.floor((this.zones.length - 1) * this.random())
+						]!,
 		});
 	}
 
@@ -1405,12 +1367,13 @@
 		);
 		this.events.add(this.events.now + 1, () => {
 			process.handle(() => {
+				// Submissions of callers are read from sockets of their own.
 				if (call.openCopy === copy) {
 					process.receiver.submit(job, process.incarnation, (answer) => {
 						this.#handleAnswer(call, copy, answer);
 					});
 				}
-			});
+			}, `caller ${job.id}`);
 		});
 		this.events.add(this.events.now + job.patienceMs + 100, () => {
 			if (call.openCopy === copy) {
@@ -1444,7 +1407,7 @@
 		this.log(`caller leaves ${id} at ${process.name}, reset ${isReset}`);
 		process.handle(() => {
 			process.receiver.handleCallerDisconnect(id, isReset);
-		});
+		}, `caller ${id}`);
 		this.#sendAgain(call);
 	}
 
@@ -1458,7 +1421,7 @@
 
 		this.events.add(this.events.now + resendDelayMs, () => {
 			if (this.random() < this.settings.movingShare) {
-				call.zone = this.#pick(zones)!;
+				call.zone = this.#pick(this.zones)!;
 			}
 
 			this.#send(call);
@@ -1558,6 +1521,7 @@
 
 		this.#drawDelays();
 		this.#drawNetworkFaults();
+		drawZoneFaults(this.#faultTargets);
 	}
 
 	#drawDelays(): void {
@@ -1565,9 +1529,10 @@
 		const {now} = this.events;
 		for (const process of this.#processes.values()) {
 			if (this.#happens(settings.stallProbability)) {
-				process.stalledUntilMs = now + 20 + 1500 * this.random() ** 2;
-				this.log(
-					`${process.name} stalls until ${process.stalledUntilMs.toFixed(0)}`,
+				standStill(
+					this.#faultTargets,
+					process.name,
+					20 + 1500 * this.random() ** 2,
 				);
 			}
 		}
@@ -1603,7 +1568,7 @@
 
 	#drawNetworkFaults(): void {
 		const {settings} = this;
-		const names = [...zoneByVm.keys()];
+		const names = [...this.zoneByVm.keys()];
 		const left = this.#pick(names)!;
 		const right = this.#pick(names.filter((name) => name !== left))!;
 		if (this.#happens(settings.breakProbability)) {
@@ -1618,20 +1583,10 @@
 		}
 
 		if (this.#happens(settings.zoneCutProbability)) {
-			const zone = this.#pick(zones)!;
+			const zone = this.#pick(this.zones)!;
 			const durationMs = 200 + 2500 * this.random();
-			this.#cutZone(zone, durationMs, this.random() < 0.5);
-		}
-	}
-
-	#cutZone(zone: string, durationMs: number, isDelaying: boolean): void {
-		const names = [...zoneByVm.keys()];
-		this.log(`zone cut ${zone} for ${durationMs.toFixed(0)} ms`);
-		this.#zoneCutUntilMs.set(zone, this.events.now + durationMs);
-		for (const inner of names.filter((name) => zoneByVm.get(name) === zone)) {
-			for (const outer of names.filter((name) => zoneByVm.get(name) !== zone)) {
-				this.#cut(inner, outer, durationMs, isDelaying);
-			}
+			const isDelaying = this.random() < 0.5;
+			this.#faultTargets.cutZone(zone, durationMs, isDelaying);
 		}
 	}
 
@@ -1639,7 +1594,7 @@
 	#selectTrace(id: string): readonly string[] {
 		const ofJob = new RegExp(String.raw`\b${id}\b`);
 		const ofLeaders =
-			/claimed|dropped|scope|follows|is lost|stop|stalls|cut|silent|store|lists|started/;
+			/claimed|dropped|scope|follows|is lost|stop|stalls|cut|silent|store|lists|started|breaks/;
 		const sinceMs = this.events.now - 4000;
 		return this.#trace.filter(
 			(line) =>
