Add a failing test of a worker that the list of a successor lacks

A leader that stands still between deciding and sending starts a job on a worker that it knows and whose entry has expired in the store meanwhile. Its successor reads the list afresh, without the worker, has reports of all that it lists and takes the job for settled 40 ms after the resubmission. It starts it elsewhere, and the worker accepts the older token, which is the highest that it has seen. Both runs have number 1. The first one lapses at the end of its first lease, as its leader has dropped the zone and the successor gives orphans no lease.

--- a/packages/verbenarouter/src/tests/region-leader-model.test.ts
+++ b/packages/verbenarouter/src/tests/region-leader-model.test.ts
@@ -10,6 +10,8 @@
 type Script = NonNullable<ZoneModelSettings['script']>;
 
 const entryVms = listEntryVms(regionShape);
+/** Worker that is the only one with room while {@link fillOtherWorkers} fills the others. */
+const lateWorker = 'zone-d-worker-2';
 
 /** Plays what a script plans, and nothing else, and expects that the job runs, but never twice at once. */
 function expectNoOverlapInScript(
@@ -46,6 +48,13 @@
 	});
 }
 
+/** Occupies all workers from 4600 to 6900 ms, except the one that is not listed before 5000 ms. */
+function fillOtherWorkers(stage: ZoneStage, receiver: string): void {
+	for (let index = 0; index < 14; index += 1) {
+		stage.sendJob(4600, `filling${index}`, 2300, [receiver]);
+	}
+}
+
 describe('a leader of the region', () => {
 	it('completes a job that it starts', () => {
 		expectNoOverlapInScript((stage) => {
@@ -73,4 +82,28 @@
 			}
 		},
 	);
+
+	it('does not start a job again on workers that the successor lists, while a leader that stood still starts it on one whose entry has expired', () => {
+		for (const standMs of [462, 500, 520]) {
+			expectNoOverlapInScript(
+				(stage) => {
+					// The worker joins after the successor has led a zone, so that its earlier list lacks it too.
+					stage.plan(0, ({loseEntries}) => {
+						loseEntries([lateWorker], 0, 5000);
+					});
+					planWithLeader(stage, (leader, [first = '', second = '']) => {
+						fillOtherWorkers(stage, first);
+						stage.plan(6500, ({standBeforeSend}) => {
+							standBeforeSend(leader, standMs, 0, true);
+						});
+						stage.sendJob(6550, 'held', 3000, [second]);
+						stage.plan(6600, ({loseEntries}) => {
+							loseEntries([lateWorker], 0, 2500);
+						});
+					});
+				},
+				[5, 8, 35],
+			);
+		}
+	});
 });
