Show that a list read right after an outage of the store counts as whole

Entries of living workers that expired during an outage are back only about two seconds after it. A process that had no list before takes the first one for whole: as a new leader it waits for the reports of the listed workers only, and another one may run a job for an earlier leader.

--- a/packages/verbenarouter/src/tests/store-follower.test.ts
+++ b/packages/verbenarouter/src/tests/store-follower.test.ts
@@ -1,6 +1,6 @@
 import {ScopeBySize, type WorkerEntry} from '@verbenarouter/core';
 import {type KeyedRecord} from '@verbenarouter/platform';
-import {ok} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import {describe, expect, it} from 'vitest';
 import {StoreFollower, type StoreReader} from '../pool/store-follower.js';
 
@@ -163,4 +163,43 @@
 		expect(follower.workersAgeMs(time)).toBe(460);
 		expect(follower.ownWorkersAgeMs(time)).toBe(460);
 	});
+
+	it.each([
+		['has a whole list once the workers can have registered again', false],
+		['keeps its whole list', true],
+	] as const)(
+		'%s after an outage of the store, at whose end entries of living workers are missing',
+		async (_, hadList) => {
+			let time = now;
+			let isDown = true;
+			const {readNewest, ...store} = storeFixture();
+			const {follower} = followerFixture(
+				{
+					...store,
+					readNewest: async (topic) =>
+						isDown
+							? err({code: 'unreachable', message: 'no answer'})
+							: readNewest(topic),
+				},
+				() => time,
+			);
+			await readOnce(follower, true);
+			if (hadList) {
+				follower.applyPeerWorkers(
+					[workerFixture('w1')],
+					{ageMs: 500, version: '1-1'},
+					now,
+				);
+			}
+
+			isDown = false;
+			time = now + 1000;
+			follower.tick(time);
+			await new Promise((resolve) => {
+				setImmediate(resolve);
+			});
+			expect(Number.isFinite(follower.workersAgeMs(time + 100))).toBe(hadList);
+			expect(follower.workersAgeMs(time + 2500)).toBe(2500);
+		},
+	);
 });
