Keep a start back that is outdated when it is about to leave

Cause: a start was decided on with the time of a flush, and left whenever its process and a connection let it: after the rest of a long turn, after a wait for one of the worker's connections or after the opening of a new one. A process that was stalled in between sent it in spite of a successor.

Change: a start carries the time until which nobody else can have claimed its worker since the decision. A request is now written only once its connection is open, and is dropped unread by the worker if that time has passed: its outcome is `not-sent` and says nothing about the worker, so the task is placed again. The time is 280 ms after the tick before the decision. A successor claims after 400 ms of silence; the last heartbeat is at most an interval of 100 ms older than the tick, and the tick 20 ms late. The tick before the decision counts, not the last one before sending: one that comes after a stall makes no older decision right. A bound of 50 ms, after which a successor claims when a connection is lost, was ruled out: a leader that loses a connection and is not stalled goes on to decide anyway, and a flush of a cold leader that takes longer than 50 ms could never send its first starts.

What remains: a stall between this check and the write, and what waits in buffers of the kernel or on the link. Such a start has the lease of its decision: the worker refuses it after that time, or runs it until then at the latest. If the successor's command has reached the worker before, its token refuses the start; else the successor's first report lists the run, and until all workers have reported, it waits 1.85 s after its claim, longer than that lease.

Its test waited for the worker's first report for a fixed 50 ms, which was too short once on a busy machine; it waits for the report itself now, and for the outcome.

--- a/packages/core/src/tests/leader-suspension.test.ts
+++ b/packages/core/src/tests/leader-suspension.test.ts
@@ -89,6 +89,35 @@
 	});
 });
 
+describe('a start that was not sent as it was outdated', () => {
+	it('is repeated once the workers have reported, and does not count against its worker', () => {
+		const fixture = leaderFixture();
+		fixture.scheduler.submit(
+			poolJobFixture('j1', 1, {zones: ['zone-a']}),
+			'r1',
+			false,
+			startMs,
+		);
+		fixture.scheduler.flush(startMs + 10);
+		expect(fixture.starts[0]).toMatchObject({
+			decidedAtMs: startMs + 10,
+			sendUntilMs: startMs + 280,
+		});
+		fixture.answerStart(fixture.starts[0]!, resumedAtMs, {
+			kind: 'not-sent',
+			isOutdated: true,
+		});
+		expect(fixture.scheduler.pool.findWorker('w1')).toMatchObject({
+			contactFailures: 0,
+		});
+		fixture.scheduler.tick(resumedAtMs + 1);
+		fixture.scheduler.recordCurrentList(resumedAtMs + 2, true);
+		fixture.receiveReport('w1', resumedAtMs + 3);
+		fixture.tickUntil(resumedAtMs + 20, resumedAtMs + 60);
+		expect(fixture.starts.slice(1)).toMatchObject([{worker: {id: 'w1'}}]);
+	});
+});
+
 describe('the log of a leader', () => {
 	it('tells why a job was taken for settled, and the age of the last check', () => {
 		const fixture = leaderFixture();
--- a/packages/core/src/worker-command.ts
+++ b/packages/core/src/worker-command.ts
@@ -29,6 +29,11 @@
 	readonly leaseExpiresAtMs: number;
 	/** Time at which the leader decided to send the command, in milliseconds on the leader's monotonic clock. */
 	readonly decidedAtMs: number;
+	/**
+	 * Time on that clock until which no other leader can have claimed the worker since the decision. The command must not leave
+	 * later.
+	 */
+	readonly sendUntilMs: number;
 };
 
 /** Stops a run. If its start command arrives later, the worker refuses the start. */
@@ -65,9 +70,11 @@
 			readonly reason: CommandRefusalReason;
 			readonly clockMs?: number;
 	  }
-	/** No connection could be opened, so the worker has not received the command. */
+	/** The worker has not received the command, as no connection could be opened or the command was outdated. */
 	| {
 			readonly kind: 'not-sent';
+			/** Whether the time has passed by which the command had to leave, which says nothing about the worker. */
+			readonly isOutdated?: boolean;
 			/** Whether the worker's host refused the connection: no process listens at the worker's address. */
 			readonly isRefused?: boolean;
 	  }
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -611,7 +611,10 @@
 			}
 
 			case 'not-sent': {
-				this.#handleCommandFailure(worker, outcome, now);
+				if (outcome.isOutdated !== true) {
+					this.#handleCommandFailure(worker, outcome, now);
+				}
+
 				this.#endRun(
 					worker,
 					run,
@@ -985,6 +988,7 @@
 			spec,
 			leaseExpiresAtMs: clockMs + this.#settings.leaseMs,
 			decidedAtMs: now,
+			sendUntilMs: this.certainUntilMs,
 		});
 	}
 
--- a/packages/platform/src/http-exchange.ts
+++ b/packages/platform/src/http-exchange.ts
@@ -19,6 +19,8 @@
 			readonly message: string;
 			/** Whether the host has refused the connection, as no process listens on the port. */
 			readonly isRefused: boolean;
+			/** Whether `maySend` has kept the request back. */
+			readonly isOutdated?: boolean;
 	  }
 	/** No complete response: the request may have been executed, or may still be executed. */
 	| {readonly kind: 'silent'; readonly message: string};
@@ -34,8 +36,11 @@
 	 * is extended while the connection is being opened.
 	 */
 	readonly timeoutMs: number;
-	/** Called when the request leaves, on an open connection. */
-	readonly handleSending?: () => void;
+	/**
+	 * Called when the request is about to leave, on an open connection; if it returns false, the request is not sent. Nothing
+	 * of the request reaches the connection before.
+	 */
+	readonly maySend?: () => boolean;
 	/** Keeps the connection open after the timeout, and handles a response that comes within `forMs` milliseconds. */
 	readonly late?: {
 		readonly forMs: number;
@@ -77,7 +82,7 @@
 	async exchange(
 		exchangeRequest: HttpExchangeRequest,
 	): Promise<HttpExchangeOutcome> {
-		const {method, path, headers, body, timeoutMs, handleSending, late} =
+		const {method, path, headers, body, timeoutMs, maySend, late} =
 			exchangeRequest;
 		return new Promise((resolve) => {
 			let clientRequest: ClientRequest;
@@ -107,11 +112,10 @@
 
 			const pendingExchange = new PendingExchange(
 				clientRequest,
-				{timeoutMs, handleSending, late},
+				{body, timeoutMs, maySend, late},
 				resolve,
 			);
 			pendingExchange.attachListeners();
-			clientRequest.end(body);
 		});
 	}
 
@@ -125,7 +129,8 @@
 class PendingExchange {
 	readonly #request: ClientRequest;
 	readonly #timeoutMs: number;
-	readonly #handleSending: (() => void) | undefined;
+	readonly #body: HttpExchangeRequest['body'];
+	readonly #maySend: (() => boolean) | undefined;
 	readonly #late: HttpExchangeRequest['late'] | undefined;
 	readonly #resolve: (exchange: HttpExchangeOutcome) => void;
 	readonly #startedAtMs = performance.now();
@@ -137,19 +142,22 @@
 	constructor(
 		request: ClientRequest,
 		{
+			body,
 			timeoutMs,
-			handleSending,
+			maySend,
 			late,
 		}: {
+			readonly body: HttpExchangeRequest['body'];
 			readonly timeoutMs: number;
-			readonly handleSending: (() => void) | undefined;
+			readonly maySend: (() => boolean) | undefined;
 			readonly late: HttpExchangeRequest['late'] | undefined;
 		},
 		resolve: (exchange: HttpExchangeOutcome) => void,
 	) {
 		this.#request = request;
 		this.#timeoutMs = timeoutMs;
-		this.#handleSending = handleSending;
+		this.#body = body;
+		this.#maySend = maySend;
 		this.#late = late;
 		this.#resolve = resolve;
 		// A process that is busy until the end of this turn sends the request only then.
@@ -164,10 +172,10 @@
 		this.#request.on('socket', (socket) => {
 			if (socket.connecting) {
 				socket.once('connect', () => {
-					this.#recordSending();
+					this.#send();
 				});
 			} else {
-				this.#recordSending();
+				this.#send();
 			}
 		});
 		this.#request.on('response', (response) => {
@@ -178,9 +186,25 @@
 		});
 	}
 
-	#recordSending(): void {
+	/** Sends the request, unless it is outdated: this process may have been busy since it was made. */
+	#send(): void {
+		if (this.#isSettled) {
+			return;
+		}
+
+		if (this.#maySend?.() === false) {
+			this.#settle({
+				kind: 'not-sent',
+				message: 'outdated',
+				isRefused: false,
+				isOutdated: true,
+			});
+			this.#request.destroy();
+			return;
+		}
+
 		this.#mayBeSent = true;
-		this.#handleSending?.();
+		this.#request.end(this.#body);
 	}
 
 	#startTimer(delayMs: number): NodeJS.Timeout {
--- a/packages/platform/src/tests/http-exchange.test.ts
+++ b/packages/platform/src/tests/http-exchange.test.ts
@@ -146,6 +146,24 @@
 		expect(requests()).toBe(1);
 	});
 
+	it.each([
+		['on an open connection', true],
+		['on a new connection', false],
+	])(
+		'sends nothing %s if it may not be sent any more',
+		async (_case, isOpen) => {
+			const {client, requests} = await clientFixture(sendResponse);
+			if (isOpen) {
+				await client.exchange(request);
+			}
+
+			const outcome = await client.exchange({...request, maySend: () => false});
+			expect(outcome).toMatchObject({kind: 'not-sent', isOutdated: true});
+			expect(await client.exchange(request)).toMatchObject({kind: 'answered'});
+			expect(requests()).toBe(isOpen ? 2 : 1);
+		},
+	);
+
 	// Both come from records that other programs write; the error that Node throws ended the process.
 	it.each([
 		['a port that no connection can have', '127.0.0.1:99999', {}],
--- a/packages/platform/src/worker-client.ts
+++ b/packages/platform/src/worker-client.ts
@@ -84,13 +84,13 @@
 	}
 
 	/**
-	 * Starts a run. `handleSending` is called when the command leaves, `handleLate` handles an answer that comes after the call
-	 * has ended as `silent`.
+	 * Starts a run. `maySend` is called when the command is about to leave, and keeps it back by returning false; `handleLate`
+	 * handles an answer that comes after the call has ended as `silent`.
 	 */
 	async start(
 		command: StartCommand,
 		handleLate: (outcome: CommandOutcome) => void,
-		handleSending?: () => void,
+		maySend?: () => boolean,
 	): Promise<CommandOutcome> {
 		const exchange = await this.#post(
 			command.worker,
@@ -110,7 +110,7 @@
 						handleLate(decodeOutcome(response, false));
 					},
 				},
-				...(handleSending === undefined ? {} : {handleSending}),
+				...(maySend === undefined ? {} : {maySend}),
 			},
 		);
 		return decodeOutcome(exchange, false);
@@ -155,7 +155,7 @@
 		path: string,
 		body: Readonly<Record<string, unknown>>,
 		timeoutMs: number,
-		hooks: Pick<HttpExchangeRequest, 'late' | 'handleSending'> = {},
+		hooks: Pick<HttpExchangeRequest, 'late' | 'maySend'> = {},
 	): Promise<HttpExchangeOutcome> {
 		const entry = this.#hosts.get(worker.address) ?? {
 			client: new HttpHostClient(worker.address, connectionsPerWorker),
@@ -182,7 +182,11 @@
 	isReport: boolean,
 ): CommandOutcome {
 	if (exchange.kind === 'not-sent') {
-		return {kind: 'not-sent', isRefused: exchange.isRefused};
+		return {
+			kind: 'not-sent',
+			isRefused: exchange.isRefused,
+			...(exchange.isOutdated === true ? {isOutdated: true} : {}),
+		};
 	}
 
 	if (exchange.kind === 'silent') {
--- a/packages/verbenarouter/src/pool/worker-command-sender.ts
+++ b/packages/verbenarouter/src/pool/worker-command-sender.ts
@@ -68,7 +68,9 @@
 						}
 					},
 					() => {
-						timing.recordSending(now());
+						const time = now();
+						timing.recordSending(time);
+						return time <= command.sendUntilMs;
 					},
 				),
 				(outcome) => {
--- a/packages/verbenarouter/src/tests/start-timing.test.ts
+++ b/packages/verbenarouter/src/tests/start-timing.test.ts
@@ -19,6 +19,7 @@
 	spec: '',
 	leaseExpiresAtMs: 6000,
 	decidedAtMs: 100,
+	sendUntilMs: 380,
 };
 
 /** Describes a start that leaves and is confirmed at these times, with the worker's clock at the confirmation. */
--- a/packages/verbenarouter/src/tests/worker-command-sender.test.ts
+++ b/packages/verbenarouter/src/tests/worker-command-sender.test.ts
@@ -8,7 +8,7 @@
 	type PoolDecision,
 } from '@verbenarouter/core';
 import {WorkerClient} from '@verbenarouter/platform';
-import {afterEach, describe, expect, it} from 'vitest';
+import {afterEach, describe, expect, it, vi} from 'vitest';
 import {createWorkerCommandSender} from '../pool/worker-command-sender.js';
 
 const servers: Server[] = [];
@@ -25,13 +25,6 @@
 	}
 });
 
-/** Resolves after a time in milliseconds. */
-async function pause(delayMs: number): Promise<void> {
-	return new Promise((resolve) => {
-		setTimeout(resolve, delayMs);
-	});
-}
-
 /** Keeps this process from running anything else for a time in milliseconds. */
 function stall(durationMs: number): void {
 	const untilMs = performance.now() + durationMs;
@@ -135,7 +128,9 @@
 		now(),
 	);
 	scheduler.startLeadingZone('a', 7, now());
-	await pause(50);
+	await vi.waitFor(() => {
+		expect(scheduler.pool.hasSyncedWorker('a')).toBe(true);
+	});
 	scheduler.tick(now());
 	return {scheduler, startedTasks, decisions, now};
 }
@@ -158,7 +153,7 @@
 					attempt: 'r1/j1',
 					waitedMs: 0,
 					patienceMs: 60_000,
-					tasks: [{name: 'j1.0.0.0', needs, declaredMs: 60_000}],
+					tasks: [{name: 'j1.0.0.0', needs, declaredMs: 10_000}],
 				},
 				'r1',
 				false,
@@ -166,11 +161,12 @@
 			);
 			expect(decisions.at(-1)).toMatchObject({event: 'placed'});
 			stall(400);
-			await pause(30);
+			await vi.waitFor(() => {
+				expect(decisions).toContainEqual(
+					expect.objectContaining({event: 'run-ended', reason: 'not-started'}),
+				);
+			});
 			expect(startedTasks).toEqual([]);
-			expect(decisions).toContainEqual(
-				expect.objectContaining({event: 'run-ended', reason: 'not-started'}),
-			);
 		},
 	);
 });
