Count a list of workers as whole only once they can have registered again

Cause: a process that knew no workers while the store was away took the first list after the outage for whole, although entries that expired meanwhile come back within about two seconds only. As a new leader it waited for the reports of the listed workers and then started jobs that others may have run.

Change: such a process has no whole list until 2.5 s after the end of the outage, or until it gets one from a peer. Meanwhile it asks peers for theirs, confirms no list to others, does not merge zones because of it, and does not read the list at each check. A process that knew workers keeps them for that time, as before, so that its list stays whole.

Not covered: a process that starts just after the return of the store sees no outage. Waiting after each start would delay every restart of all.

--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -646,10 +646,10 @@
 		if (this.#leadership.ledZones.size > 0) {
 			this.#scheduler.recordCurrentList(
 				this.#listCurrentAtMs(now),
-				this.#storeFollower.isReachable,
+				this.#storeFollower.canReadWholeList(now),
 			);
 			if (
-				this.#storeFollower.isReachable &&
+				this.#storeFollower.canReadWholeList(now) &&
 				this.#scheduler.pool.isListOutdated
 			) {
 				this.#storeFollower.requestWorkers();
@@ -815,7 +815,7 @@
 				this.#restoreWorkersOfZone(change.zone, now);
 				this.#scheduler.recordCurrentList(
 					this.#listCurrentAtMs(now),
-					this.#storeFollower.isReachable,
+					this.#storeFollower.canReadWholeList(now),
 				);
 				this.#scheduler.startLeadingZone(change.zone, change.token, now);
 				this.#zoneReporter.handleClaim();
@@ -880,6 +880,11 @@
 
 	/** Returns what heartbeats tell of this entry VM besides its membership and leadership. */
 	#readState(now: number): NodeState {
+		const readsWholeList =
+			Math.max(
+				this.#storeFollower.ownWorkersAgeMs(now),
+				this.#storeFollower.workersAgeMs(now),
+			) <= staleStoreDataMs;
 		return {
 			isStopping: this.#isStopping,
 			scope: this.#scope,
@@ -889,10 +894,8 @@
 			...(this.#evacuations.entries.length > 0
 				? {evacuations: this.#evacuations.entries}
 				: {}),
-			needsKnowledge:
-				this.#leadership.ledZones.size > 0 &&
-				this.#storeFollower.ownWorkersAgeMs(now) > staleStoreDataMs,
-			readsStore: this.#storeFollower.ownWorkersAgeMs(now) < staleStoreDataMs,
+			needsKnowledge: this.#leadership.ledZones.size > 0 && !readsWholeList,
+			readsStore: readsWholeList,
 			versions: {
 				state: this.#desiredState?.version ?? 0,
 				workers: this.#receivedWorkersVersion ?? this.#workersVersion,
--- a/packages/verbenarouter/src/pool/store-follower.ts
+++ b/packages/verbenarouter/src/pool/store-follower.ts
@@ -47,6 +47,8 @@
  * live longer than this.
  */
 const expiredEntriesAgeMs = 2000;
+/** Time after an outage of the store within which workers register again; the platform specifies about two seconds. */
+const reregistrationMs = 2500;
 /** Largest number of ignored requests that are reported. */
 const maxReportedKeys = 100;
 /** Delay after a failed read. */
@@ -97,6 +99,8 @@
 	#workersReadAtMs = Number.NEGATIVE_INFINITY;
 	/** Time at which this process requested the list of workers that it last read. */
 	#ownWorkersReadAtMs = Number.NEGATIVE_INFINITY;
+	/** Time until which the list may lack living workers, as there was none when an outage of the store ended. */
+	#isPartialUntilMs = Number.NEGATIVE_INFINITY;
 
 	constructor(
 		client: StoreReader,
@@ -110,9 +114,14 @@
 		this.#now = now;
 	}
 
-	/** Returns the age in milliseconds of the list of workers, read here or received from a peer; infinite if there is none. */
+	/**
+	 * Returns the age in milliseconds of the whole list of workers, read here or received from a peer; infinite if there is none,
+	 * as in a process that knew no workers at the end of an outage of the store, until they can have registered again.
+	 */
 	workersAgeMs(now: number): number {
-		return now - this.#workersReadAtMs;
+		return now < this.#isPartialUntilMs
+			? Number.POSITIVE_INFINITY
+			: now - this.#workersReadAtMs;
 	}
 
 	/** Returns the time in milliseconds since this process requested the list that it last read; infinite before the first read. */
@@ -120,6 +129,11 @@
 		return now - this.#ownWorkersReadAtMs;
 	}
 
+	/** Whether the next read of the store returns a whole list of workers. */
+	canReadWholeList(now: number): boolean {
+		return this.#isReachable && now >= this.#isPartialUntilMs;
+	}
+
 	/** Whether the last read succeeded. */
 	get isReachable(): boolean {
 		return this.#isReachable;
@@ -163,6 +177,7 @@
 
 		this.directory.replaceAll(workers, now);
 		this.#workersReadAtMs = now - ageMs;
+		this.#isPartialUntilMs = Number.NEGATIVE_INFINITY;
 		return true;
 	}
 
@@ -328,6 +343,9 @@
 			this.#isReachable = isReachable;
 			if (isReachable) {
 				this.directory.handleStoreReconnect(now);
+				if (this.#workersReadAtMs === Number.NEGATIVE_INFINITY) {
+					this.#isPartialUntilMs = now + reregistrationMs;
+				}
 			}
 
 			this.#listener.onReachabilityChange(isReachable, reason);
