Record the ends of runs in the model, at the time when a lease ends

A worker of the model noticed the end of the first lease of a start only at its next event, as that end was scheduled only for runs that were there before. The overlaps were right, since they are looked for after an update; the times of ends were not.

--- a/packages/core/src/tests/model-parts.ts
+++ b/packages/core/src/tests/model-parts.ts
@@ -214,6 +214,7 @@
 		});
 		this.world.recordStart(this, command);
 		this.#scheduleUpdate(now + runMs);
+		this.#scheduleUpdate(this.#lapsesAtMs);
 		return {kind: 'done', clockMs: this.#clockMs};
 	}
 
@@ -266,6 +267,7 @@
 		}
 
 		this.runs.delete(task);
+		this.world.recordEnd?.(this, {task, run: active.run, how});
 		this.#lastRuns.set(
 			task,
 			Math.max(active.run, this.#lastRuns.get(task) ?? 0),
@@ -300,6 +302,7 @@
 	takeSendDelayMs?(sender: string, isStart: boolean): number;
 	runTimeOf(task: string): number;
 	recordStart(worker: ModelWorker, command: StartCommand): void;
+	recordEnd?(worker: ModelWorker, end: Omit<ReportedEnd, 'number'>): void;
 };
 
 /** Sends the commands of one entry VM to workers; they may be delayed, and their outcomes lost. */
--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -17,6 +17,7 @@
 	type PoolJob,
 	type PoolScope,
 	type Random,
+	type ReportedEnd,
 	type StartCommand,
 	type WorkerEntry,
 	type ZoneRoom,
@@ -958,6 +959,11 @@
 		}
 	}
 
+	recordEnd(worker: ModelWorker, end: Omit<ReportedEnd, 'number'>): void {
+		const {task, run, how} = end;
+		this.log(`${worker.entry.id} ends ${task} run ${run} ${how}`);
+	}
+
 	isOpen(left: string, right: string): boolean {
 		return this.#findLink(left, right).isOpen;
 	}
