Add a failing test of a copy that the leader of a part of the region sees first

The zone of the leader of the region is cut off. Its successor claims the other zones only, as that zone has no live entry VM for it. A copy of a job, 1.3 s after the reset connection of its caller, is new to the successor: it is not marked as unsettled, and unknownRunsEndByMs counts the workers of led zones only, although the job may run in all zones. It starts at once, while the former leader keeps the first run alive until it gives up the receiver.

--- a/packages/verbenarouter/src/tests/region-leader-model.test.ts
+++ b/packages/verbenarouter/src/tests/region-leader-model.test.ts
@@ -110,4 +110,16 @@
 			[1, 2, 35],
 		);
 	});
+
+	it('does not start a copy that it sees first while a leader that is cut off runs the job in a zone without live entry VMs', () => {
+		expectNoOverlapInScript((stage) => {
+			planWithLeader(stage, (leader, [first = '', second = '']) => {
+				stage.sendJob(5000, 'copied', 3000, [first, second]);
+				stage.resetCaller(5100, 'copied');
+				stage.plan(5800, ({cutZone}) => {
+					cutZone(findZone(leader), 2000, false);
+				});
+			});
+		});
+	});
 });
