Show a second run beside one on a worker that has lost its entry

A worker that cannot reach the store loses its entry, but its leader still reaches it and extends the leases of its runs. When that leader is lost, its successor reads a list without the worker, takes the reports of all others for complete and starts the job again 40 ms after its claim, under the same number.

--- a/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
@@ -197,6 +197,14 @@
 		});
 	});
 
+	it('do not start a job again that runs on a worker which has lost its entry in the store, when its leader is lost', () => {
+		expectNoOverlapInScript((stage) => {
+			stage.sendJob(3000, 'unlisted', 6000, ['zone-a-entry-2']);
+			stage.unlistWorkersOf(3500, 'unlisted');
+			stage.lose(7500, ['zone-a-entry-1'], 3000);
+		});
+	});
+
 	it('do not start a job of another zone again, under a leader of the region that lists no worker of that zone', () => {
 		expectNoOverlapInScript((stage) => {
 			// The processes that start during the outage know only the workers that former leaders hand over to them.
--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -1311,6 +1311,14 @@
 					run(this.#faultTargets);
 				});
 			},
+			unlistWorkersOf: (atMs, id) => {
+				events.add(atMs, () => {
+					for (const {worker} of findActiveRuns(`${id}.0.0.0`, this.workers)) {
+						this.#missingUntilMs.set(worker, Number.POSITIVE_INFINITY);
+						this.log(`store lists ${worker} no longer`);
+					}
+				});
+			},
 			stopStore: (atMs, durationMs) => {
 				events.add(atMs, () => {
 					this.#storeDownUntilMs = atMs + durationMs;
--- a/packages/verbenarouter/src/tests/zone-model-settings.ts
+++ b/packages/verbenarouter/src/tests/zone-model-settings.ts
@@ -77,6 +77,8 @@
 	stop(atMs: number, entryVm: string): void;
 	/** Lets no commands reach the workers that run a job by then, for a time. */
 	silenceWorkersOf(atMs: number, id: string, durationMs: number): void;
+	/** Removes the workers that run a job by then from the store's list; they run on. */
+	unlistWorkersOf(atMs: number, id: string): void;
 	/** Lets the store be read by nobody for a time. */
 	stopStore(atMs: number, durationMs: number): void;
 	/** Plans a change of the processes, streams, workers or the store. */
