Keep the best sample of a worker's clock, not the latest

Cause: the offset of a worker's clock was taken from the latest answer, by the time at which it was read. An answer that was late, or was read late after a stall, made the next leases that much shorter: 538 ms instead of 1,000 once.

Change: the largest offset of the worker's process is kept, less 2 % of the time since the sample before, which is what a clock may lose. It starts anew with the process (`born`).

Why no lease becomes too long. W(t) is the worker's clock, L the longest lease. A sample is at most W at the time at which it is read. By induction so is the estimate at each sample: W - t falls by 2 % of the time at most, and the kept offset is lowered by as much. Between two samples the estimate is ahead of W by at most 2 % of the time since the last one, as before. A command that is sent at s and executed at x gives a lease until min(deadline, W(x) + L) on the worker's clock, as the worker shortens longer ones. If x <= s + 150 ms, it has ended by s + 150 ms + 1.02 L, which is what `recordLeaseExtension` records, whatever the estimate is. If x is later, the deadline ends it by s + 1.02 (L + d) with d the lead of the estimate, within the same bound while the last sample is at most 7.3 s old; busy workers are sampled every 0.46 s. For a worker that was idle for longer, only a command that is executed more than 150 ms after it was sent can exceed the bound, as before this change.

Ruled out: lowering the estimate between samples too. It would be right for such commands, but an idle worker gets no commands, and after 50 s its next start would be late on arrival.

An answer to a start has no `born`. One of a former process is not sampled, as the runs of that process are over when the report of the new one has been read.

--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -188,6 +188,7 @@
 	clockBehindMs = 0;
 	#isSynced = false;
 	#clockOffsetMs: number | undefined;
+	#clockSampledAtMs = Number.NEGATIVE_INFINITY;
 	#bornMs: number | undefined;
 	#used: Resources = {processorMillis: 0, memoryMb: 0, accelerators: 0};
 	#hasSuspect = false;
@@ -293,18 +294,27 @@
 
 	/**
 	 * Updates the clock offset and the process's start time; returns whether the process has restarted, which resets
-	 * its history.
+	 * its history. `now` is the time at which an answer with the worker's time was read. Of the offsets of one process the
+	 * largest is kept, less what a slow clock may have lost since: then the estimate is at no sample ahead of the clock.
 	 */
 	sampleClock(clockMs: number, bornMs: number | undefined, now: number) {
 		const hasRestarted =
 			bornMs !== undefined &&
 			this.#bornMs !== undefined &&
 			bornMs > this.#bornMs;
+		const offsetMs = clockMs - now;
+		const knownOffsetMs = hasRestarted ? undefined : this.#clockOffsetMs;
 		this.clockBehindMs =
-			hasRestarted || this.#clockOffsetMs === undefined
-				? 0
-				: now + this.#clockOffsetMs - clockMs;
-		this.#clockOffsetMs = clockMs - now;
+			knownOffsetMs === undefined ? 0 : knownOffsetMs - offsetMs;
+		// An answer that was late, or was read late, gives an offset that is too low, never one that is too high.
+		this.#clockOffsetMs =
+			knownOffsetMs === undefined
+				? offsetMs
+				: Math.max(
+						offsetMs,
+						knownOffsetMs - maxClockDriftRatio * (now - this.#clockSampledAtMs),
+					);
+		this.#clockSampledAtMs = now;
 		if (bornMs !== undefined) {
 			this.#bornMs = Math.max(bornMs, this.#bornMs ?? bornMs);
 		}
