Tell possible successors of workers that run tasks without an entry in the store

Cause: the list of the store was taken for all workers on which an earlier leader may have runs. A worker that is cut off from the store, and not from its leader, loses its entry and keeps its runs for as long as that leader extends their lease.

Workers that do not answer are left out, so that one that has left delays no successor.

--- a/packages/core/src/worker-directory.ts
+++ b/packages/core/src/worker-directory.ts
@@ -10,6 +10,8 @@
 	readonly entry: WorkerEntry;
 	/** Time from which the store has not listed the worker; `undefined` while it does. */
 	readonly missingSinceMs: number | undefined;
+	/** Time until which the entry is kept although the store does not list it, as a leader has recently had a report. */
+	readonly keptUntilMs: number;
 };
 
 /**
@@ -42,17 +44,26 @@
 
 	/** Adds or replaces an entry that the store lists. */
 	put(entry: WorkerEntry): void {
-		this.#records.set(entry.id, {entry, missingSinceMs: undefined});
+		this.#records.set(entry.id, {
+			entry,
+			missingSinceMs: undefined,
+			keptUntilMs:
+				this.#records.get(entry.id)?.keptUntilMs ?? Number.NEGATIVE_INFINITY,
+		});
 	}
 
 	/** Adds a worker that the store may not list at present, although a leader was recently in contact with it. */
 	addUnlisted(entry: WorkerEntry, now: number): void {
-		if (!this.#records.has(entry.id)) {
+		const record = this.#records.get(entry.id);
+		const keptUntilMs = now + reregistrationMs;
+		if (record === undefined) {
 			this.#keepMissingUntilMs = Math.max(
 				this.#keepMissingUntilMs,
-				now + reregistrationMs,
+				keptUntilMs,
 			);
-			this.#records.set(entry.id, {entry, missingSinceMs: now});
+			this.#records.set(entry.id, {entry, missingSinceMs: now, keptUntilMs});
+		} else {
+			this.#records.set(entry.id, {...record, keptUntilMs});
 		}
 	}
 
@@ -65,7 +76,7 @@
 			return;
 		}
 
-		if (now < this.#keepMissingUntilMs) {
+		if (now < Math.max(this.#keepMissingUntilMs, record.keptUntilMs)) {
 			this.#records.set(id, {
 				...record,
 				missingSinceMs: record.missingSinceMs ?? now,
@@ -84,8 +95,11 @@
 
 	/** Returns the workers that may be alive; drops those that have not registered again in time. */
 	entries(now: number): readonly WorkerEntry[] {
-		for (const [id, {missingSinceMs}] of this.#records) {
-			if (missingSinceMs !== undefined && now >= this.#keepMissingUntilMs) {
+		for (const [id, {missingSinceMs, keptUntilMs}] of this.#records) {
+			if (
+				missingSinceMs !== undefined &&
+				now >= Math.max(this.#keepMissingUntilMs, keptUntilMs)
+			) {
 				this.#records.delete(id);
 			}
 		}
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -244,6 +244,19 @@
 		return this.#capacity;
 	}
 
+	/**
+	 * Entries of workers that the platform lists no longer, but that still report and have runs: they are cut off from the
+	 * store. A successor of this leader has to know of them.
+	 */
+	get unlistedEntries(): readonly WorkerEntry[] {
+		return this.workers
+			.filter(
+				({isListed, runs, contactFailures}) =>
+					!isListed && runs.size > 0 && contactFailures === 0,
+			)
+			.map(({entry}) => entry);
+	}
+
 	/** Returns the worker with an identifier if this entry VM leads it. */
 	findWorker(id: string): PoolWorker | undefined {
 		return this.#workers.get(id);
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -669,6 +669,7 @@
 		if (now - this.#lastDirectoryCheckMs >= directoryCheckIntervalMs) {
 			this.#lastDirectoryCheckMs = now;
 			this.#refreshWorkers('time');
+			this.#sendUnlistedWorkers(now);
 			this.#applyLeadershipChanges(
 				[...this.#leadership.ledZones.keys()].flatMap((zone) =>
 					this.#leadership.releaseIfUnreachable(
@@ -807,7 +808,10 @@
 			if (change.kind === 'dropped' && newLeader !== undefined) {
 				this.#overlayNode.send(newLeader, {
 					type: 'hand-over',
-					workers: this.#workerEntries.filter(({zone}) => zone === change.zone),
+					workers: [
+						...this.#workerEntries,
+						...this.#scheduler.pool.unlistedEntries,
+					].filter(({zone}) => zone === change.zone),
 				});
 			}
 
@@ -1198,6 +1202,22 @@
 		if (this.#leadership.ledZones.size > 0) {
 			const now = this.#now();
 			this.#scheduler.updateWorkers(entries, now, this.#listCurrentAtMs(now));
+			this.#sendUnlistedWorkers(now);
+		}
+	}
+
+	/** Tells leaders and candidates of workers that have runs for this leader although the store does not list them. */
+	#sendUnlistedWorkers(now: number): void {
+		const workers = this.#scheduler.pool.unlistedEntries;
+		if (workers.length > 0) {
+			this.#overlayNode.sendToAll(
+				selectLossRecipients(
+					[],
+					this.#leadership.livePeers(now),
+					this.#settings.name,
+				),
+				{type: 'hand-over', workers},
+			);
 		}
 	}
 
--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -491,6 +491,7 @@
 		if (now - this.#lastDirectoryCheckMs >= directoryCheckIntervalMs) {
 			this.#lastDirectoryCheckMs = now;
 			this.#refreshWorkers();
+			this.#sendUnlistedWorkers();
 			this.#applyChanges(
 				[...this.leadership.ledZones.keys()].flatMap((zone) =>
 					this.leadership.releaseIfUnreachable(
@@ -606,6 +607,18 @@
 		this.world.log(`${this.name} lists ${entries.length} workers`);
 		if (this.leadership.ledZones.size > 0) {
 			this.scheduler.updateWorkers(entries, this.#now, this.#listReadAtMs);
+			this.#sendUnlistedWorkers();
+		}
+	}
+
+	#sendUnlistedWorkers(): void {
+		const workers = this.scheduler.pool.unlistedEntries;
+		for (const peer of selectLossRecipients(
+			[],
+			workers.length > 0 ? this.leadership.livePeers(this.#now) : [],
+			this.name,
+		)) {
+			this.send(peer, {type: 'hand-over', workers});
 		}
 	}
 
@@ -669,7 +682,10 @@
 			if (newLeader !== undefined) {
 				this.send(newLeader, {
 					type: 'hand-over',
-					workers: this.#workerEntries.filter(({zone}) => zone === change.zone),
+					workers: [
+						...this.#workerEntries,
+						...this.scheduler.pool.unlistedEntries,
+					].filter(({zone}) => zone === change.zone),
 				});
 			}
 		}
