Add a failing test of a copy at one of several leaders while jobs are for all zones

When a leader of the region stops while no other entry VM is warm, each zone gets its own leader for some seconds, but the scope stays that of the region. A job runs under the leader of one zone; the connection of its caller is reset, and the copy reaches the leader of another zone, which does not know the job and starts it. PoolNode announces jobs whose callers may be elsewhere under the scope of zones only (#updateReturnableJobs). A wait for runs of earlier leaders does not help: the run is alive for as long as it takes.

--- a/packages/verbenarouter/src/tests/region-leader-model.test.ts
+++ b/packages/verbenarouter/src/tests/region-leader-model.test.ts
@@ -71,6 +71,25 @@
 	});
 }
 
+/**
+ * Replaces all entry VMs, so that no successor is warm, and stops the leader at 6000 ms: until 9000 ms each zone has its own
+ * leader, while receivers send jobs for all zones. Plans with an entry VM of each of two zones.
+ */
+function planParting(
+	stage: ZoneStage,
+	plan: (receivers: readonly [string, string]) => void,
+): void {
+	planWithLeader(stage, (leader, outer) => {
+		stage.lose(
+			4600,
+			entryVms.filter((name) => name !== leader),
+			200,
+		);
+		stage.stop(6000, leader);
+		plan([outer[0]!, outer[2]!]);
+	});
+}
+
 describe('a leader of the region', () => {
 	it('completes a job that it starts', () => {
 		expectNoOverlapInScript((stage) => {
@@ -122,4 +141,13 @@
 			});
 		});
 	});
+
+	it('does not start a copy while the leader of another zone, which has not merged yet, keeps the run of the job alive', () => {
+		expectNoOverlapInScript((stage) => {
+			planParting(stage, ([first, second]) => {
+				stage.sendJob(6500, 'copied', 4000, [first, second]);
+				stage.resetCaller(6600, 'copied');
+			});
+		});
+	});
 });
