Add a failing test of a waiting job whose copy another leader runs

As before, but the job waits for room when its caller sends the copy to the leader of another zone. That one starts the copy, which nobody runs; the first leader starts the job when it has room, as nothing tells it of the copy under the scope of the region.

--- a/packages/verbenarouter/src/tests/region-leader-model.test.ts
+++ b/packages/verbenarouter/src/tests/region-leader-model.test.ts
@@ -150,4 +150,17 @@
 			});
 		});
 	});
+
+	it('does not start a waiting job while the leader of another zone, which has not merged yet, runs its copy', () => {
+		expectNoOverlapInScript((stage) => {
+			planParting(stage, ([first, second]) => {
+				for (let index = 0; index < 4; index += 1) {
+					stage.sendJob(6500, `filling${index}`, 1700, [first]);
+				}
+
+				stage.sendJob(6600, 'copied', 3000, [first, second]);
+				stage.resetCaller(6700, 'copied');
+			});
+		});
+	});
 });
