Add a failing test of a worker that starts anew under its id after a claim

A successor has reports of all workers and starts a job that was submitted to its frozen predecessor, whose start is still on its way. The worker of that start has restarted under the same id since its report to the successor: it has forgotten the successor's token, which an idle worker is sent only once, and accepts the older one. The lease of the late start is a time on the former clock, so that the run gets the longest lease.

--- a/packages/verbenarouter/src/tests/region-leader-model.test.ts
+++ b/packages/verbenarouter/src/tests/region-leader-model.test.ts
@@ -163,4 +163,17 @@
 			});
 		});
 	});
+
+	it('does not start a job elsewhere while the start by a frozen leader is carried out late on a worker that has started anew under its id', () => {
+		expectNoOverlapInScript(
+			(stage) => {
+				planLateStart(stage, 580);
+				stage.stopStore(7050, 1000);
+				stage.plan(7055, ({restartWorker}) => {
+					restartWorker(lateWorker);
+				});
+			},
+			[2, 3, 4],
+		);
+	});
 });
