Let the test runner handle its messages between plays of the models

The plays are synchronous and follow each other without a turn of the event loop. On a machine with a load average of 26 vitest ended a run of 74 files with 'Timeout calling onTaskUpdate' while no test but the listed ones failed. Each test is now followed by one turn of the event loop.

--- a/packages/verbenarouter/src/tests/region-leader-model.test.ts
+++ b/packages/verbenarouter/src/tests/region-leader-model.test.ts
@@ -1,4 +1,4 @@
-import {describe, expect, it} from 'vitest';
+import {afterEach, describe, expect, it} from 'vitest';
 import {listEntryVms, regionShape} from './zone-faults.js';
 import {playZoneModel} from './zone-leaders-model.js';
 import {
@@ -90,6 +90,13 @@
 	});
 }
 
+// The plays are synchronous; without a pause the test runner's own messages time out on a busy machine.
+afterEach(async () => {
+	await new Promise((resolve) => {
+		setImmediate(resolve);
+	});
+});
+
 describe('a leader of the region', () => {
 	it('completes a job that it starts', () => {
 		expectNoOverlapInScript((stage) => {
--- a/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
@@ -1,4 +1,4 @@
-import {describe, expect, it} from 'vitest';
+import {afterEach, describe, expect, it} from 'vitest';
 import {zoneShape} from './zone-faults.js';
 import {playZoneModel, zoneModelEntryVms} from './zone-leaders-model.js';
 import {
@@ -63,6 +63,13 @@
 /** Names of jobs that occupy all workers of a zone. */
 const fillingJobs = Array.from({length: 8}, (_, index) => `filling${index}`);
 
+// The plays are synchronous; without a pause the test runner's own messages time out on a busy machine.
+afterEach(async () => {
+	await new Promise((resolve) => {
+		setImmediate(resolve);
+	});
+});
+
 describe('leaders of zones', () => {
 	it('refuse, overflow and balance on model days, so that these show faults of all three', () => {
 		const days = [1, 2, 3].map((seed) => playZoneModel('calm', seed));
