Test that a job that a leader reads after a suspension counts as unsettled

A leader that was stalled reads old messages in the order of their stream. The first old heartbeat makes its sender recent, so that the old submission after it is taken for a new one, although its receiver may have given the job to the successor meanwhile.

--- a/packages/core/src/tests/leader-suspension.test.ts
+++ b/packages/core/src/tests/leader-suspension.test.ts
@@ -40,6 +40,25 @@
 		expect(fixture.starts).toHaveLength(1);
 	});
 
+	it.each([0, 200])(
+		'starts no job that it reads %d ms later, and that its receiver may have sent elsewhere, before it knows the other zone',
+		(delayMs) => {
+			const fixture = leaderFixture();
+			const job = poolJobFixture('j1', 1, {patienceMs: 60_000, runMs: 5000});
+			fixture.scheduler.flush(resumedAtMs);
+			fixture.scheduler.tick(resumedAtMs + 1);
+			fixture.scheduler.recordCurrentList(resumedAtMs + 2, true);
+			fixture.receiveReport('w1', resumedAtMs + 3);
+			const readAtMs = resumedAtMs + delayMs;
+			fixture.tickUntil(resumedAtMs + 20, readAtMs);
+			fixture.scheduler.submit(job, 'r1', false, readAtMs + 5);
+			fixture.tickUntil(readAtMs + 20, readAtMs + 1840);
+			expect(fixture.starts).toEqual([]);
+			fixture.tickUntil(readAtMs + 1860, readAtMs + 1900);
+			expect(fixture.starts).toHaveLength(1);
+		},
+	);
+
 	it('ignores a report that was requested before, and starts nothing in the room that it frees', () => {
 		const fixture = leaderFixture();
 		for (const id of ['j1', 'j2', 'j3']) {
