Take a job that is read after a suspension for one that another leader may have

Cause: a submission counts as out of date unless its sender has sent a recent heartbeat. A leader that continues after a stall reads both from one stream, and the first old heartbeat makes its sender recent. The old submission after it was taken for a new job, and only workers of the zones that this leader leads were waited for.

Change: what is admitted while a leader is suspended, or within 400 ms after the tick that ends it, is unsettled: it waits for all zones that the job may run in, as a job does that was submitted before. 400 ms is the silence after which a receiver gives a leader up; one that sends later has heard the leader again. Jobs that may run in led zones only start as soon as their workers have reported.

Ruled out: asking the receiver for such jobs again. Each message after the first old heartbeat looks the same, and a heartbeat has no time of its sending.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -140,6 +140,11 @@
  * the one that may have passed before.
  */
 const maxSuspensionMs = 280;
+/**
+ * Time in milliseconds after a suspension in which messages from before its end may still be read: that of silence after
+ * which receivers give a leader up, so that later ones are from receivers which have heard it since.
+ */
+const maxReadDelayMs = 400;
 /**
  * Time in milliseconds from the receipt of an indeterminate job until an earlier leader's list of workers has arrived,
  * which is sent together with the first jobs.
@@ -178,6 +183,8 @@
 	#tickedAtMs: number | undefined;
 	/** Whether a suspension has been noticed since the last tick: nothing is started until the next one. */
 	#isSuspended = false;
+	/** Time of the tick that ended the last suspension. */
+	#resumedAtMs = Number.NEGATIVE_INFINITY;
 	/** Whether waiting tasks may have become placeable since the last attempt to place them. */
 	#needsPlacement = true;
 
@@ -690,6 +697,7 @@
 		const wasSuspended = this.#isSuspended;
 		this.#recordCheck(now);
 		if (wasSuspended) {
+			this.#resumedAtMs = now;
 			// Reports that were requested since the suspension was noticed may also be from before a further one.
 			this.#markJobsUnsettled(now);
 			this.pool.requireNewReports(now);
@@ -1174,7 +1182,10 @@
 
 		const wasSubmittedUnderOtherToken =
 			job.leaderToken !== undefined && job.leaderToken !== this.pool.token;
-		if (isResubmitted || wasSubmittedUnderOtherToken) {
+		// The receiver may have submitted the job to a successor since it sent a message that was read late.
+		const mayBeReadLate =
+			this.#isSuspended || now - this.#resumedAtMs < maxReadDelayMs;
+		if (isResubmitted || wasSubmittedUnderOtherToken || mayBeReadLate) {
 			scheduledJob.markUnsettled(job.earlierToken ?? 0, now);
 		}
 
