Show that a new leader starts a task again whose last crash it was not told of

A leader tells the receivers of the jobs, the leaders and the candidates once which runs were lost. One that it can't reach at that time, or that has not got the message when the leader is killed, never hears of it, and starts a task again for a copy of a request that was given up. Traced in the scenario of crashing-tasks.test.ts beside ten busy processes (a load average of 27 on eight processors), in the second of two repetitions: the leader recorded the third lost run and answered, was killed about 30 ms later, and the candidate of the other zone knew of two lost runs when the copy came: 4 starts instead of 3 and the right answer.

--- a/testing/src/tests/crashing-tasks.test.ts
+++ b/testing/src/tests/crashing-tasks.test.ts
@@ -112,6 +112,34 @@
 		},
 	);
 
+	it('is not started again by a new leader that was out of reach when the last crash was reported', async () => {
+		const {installation, submit, leader, startCount} =
+			await crashingJobFixture();
+		const {entryVms} = installation;
+		const others = entryVms.filter(({zone}) => zone !== leader.zone);
+		const answer = submit(
+			entryVms.find(
+				(entryVm) => entryVm !== leader && !others.includes(entryVm),
+			)!,
+		);
+		await waitForStarts(startCount, 1);
+		await sleep(300);
+		for (const {child} of others) {
+			child.kill('SIGSTOP');
+		}
+
+		await answer;
+		for (const {child} of others) {
+			child.kill('SIGCONT');
+		}
+
+		await sleep(1000);
+		leader.child.kill('SIGKILL');
+		await sleep(300);
+		const {body} = await submit(others[0]!);
+		expect([startCount(), body]).toEqual([2, givenUpBody]);
+	});
+
 	it('is started twice if its receiver is killed and the caller sends the job to another entry VM', async () => {
 		const {submit, receiver, other, startCount} = await crashingJobFixture();
 		const lost = submit(receiver);
