Pass lost runs on to entry VMs that were out of reach when they were reported

Cause: lost runs were sent once, by the leader that recorded them, to the peers that were live and connected for it then. A leader that was killed right after, or a peer that was out of reach, left the next leader without them, which then started a task again that had crashed two workers. Each entry VM now keeps the lost runs that it has recorded or heard of for 5 s, longer than a copy of a request takes, and passes them on: to the leaders and candidates when a peer is lost, and to each peer that a stream opens to. Records are merged as sets, so repetitions change nothing; those known already are not kept for longer. Ruled out: holding the answer back until all candidates have confirmed the record, which delays it by the slowest of them.

--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -38,6 +38,7 @@
 } from './knowledge-exchange.js';
 import {computeWorkersVersion, describeWorker} from './knowledge-schedule.js';
 import {selectLossRecipients} from './loss-recipients.js';
+import {LossRelay} from './loss-relay.js';
 import {type PoolLog} from './pool-log.js';
 import {ReturnableExchange} from './returnable-exchange.js';
 import {StoreFollower} from './store-follower.js';
@@ -130,6 +131,7 @@
 	#listConfirmedAtMs = Number.NEGATIVE_INFINITY;
 	readonly #zoneReporter: ZoneReporter;
 	readonly #returnableExchange: ReturnableExchange;
+	readonly #lossRelay = new LossRelay();
 
 	constructor(settings: EntrySettings, log: PoolLog, now: () => number) {
 		this.#settings = settings;
@@ -276,10 +278,12 @@
 				},
 				onLost: (name) => {
 					this.#scheduler.markReceiverUnreachable(name, now());
+					this.#sendRecentLostRuns(this.#selectLossRecipients([]));
 				},
 				onOpen: (name) => {
 					this.#knowledgeExchange.handleOpen(name);
 					this.#jobReceiver.handleOpen(name, now());
+					this.#sendRecentLostRuns([name]);
 				},
 				onElectionChange: () => {
 					this.#scheduleLeadershipUpdate();
@@ -872,13 +876,26 @@
 		lostRuns: readonly LostRun[],
 	): void {
 		this.#jobReceiver.recordLostRuns(lostRuns);
-		this.#overlayNode.sendToAll(
-			selectLossRecipients(
-				receivers,
-				this.#leadership.livePeers(this.#now()),
-				this.#settings.name,
-			),
-			{type: 'lost-runs', lostRuns},
+		this.#lossRelay.record(lostRuns, this.#now());
+		this.#overlayNode.sendToAll(this.#selectLossRecipients(receivers), {
+			type: 'lost-runs',
+			lostRuns,
+		});
+	}
+
+	/** Passes on the lost runs of the last seconds. */
+	#sendRecentLostRuns(names: readonly string[]): void {
+		const lostRuns = this.#lossRelay.recent(this.#now());
+		if (lostRuns.length > 0) {
+			this.#overlayNode.sendToAll(names, {type: 'lost-runs', lostRuns});
+		}
+	}
+
+	#selectLossRecipients(receivers: readonly string[]): readonly string[] {
+		return selectLossRecipients(
+			receivers,
+			this.#leadership.livePeers(this.#now()),
+			this.#settings.name,
 		);
 	}
 
@@ -986,6 +1003,7 @@
 			}
 
 			case 'lost-runs': {
+				this.#lossRelay.record(message.lostRuns, now);
 				this.#jobReceiver.recordLostRuns(message.lostRuns);
 				this.#scheduler.importLostRuns(message.lostRuns, now);
 				break;
