Show that jobs are refused while the leader of the zone with room changes

A job that its own zone refuses as busy is sent to the zone with the most room. While that zone has no leader, or its new one has not reported its room yet, nobody has room, and the job is refused at once (429), although the change takes some tenths of a second. Seen in each of five repetitions of 'never runs a task twice at the same time when the leader of a zone that jobs overflow to is killed', at a load average of 28 to 36 on eight processors: 5 to 29 of 160 jobs were answered 429, in one of them 26 in a row after the kill.

--- a/packages/verbenarouter/src/tests/zone-router.test.ts
+++ b/packages/verbenarouter/src/tests/zone-router.test.ts
@@ -192,6 +192,41 @@
 		}
 	});
 
+	it('lets a job that its busy zone refuses wait while the leader of another zone changes, and sends it home if that one has no room', () => {
+		for (const [spareMillis, zone] of [
+			[20_000, 'b'],
+			[0, undefined],
+		] as const) {
+			const rooms = {list: [roomFixture('b', 0)]};
+			const {router, jobs, pending} = routerFixture({
+				findRooms: () => rooms.list,
+			});
+			jobs.markSent(pending, {name: 'leader-a', token: 1}, ['a']);
+			const redirect = (time: number) =>
+				router.redirectRefused(pending, 'leader-a', refusal, time);
+			expect(redirect(now)).toBe(false);
+			rooms.list = [];
+			expect(redirect(now + 20)).toBe(true);
+			expect(router.prepare(pending, now + 40)).toBe(false);
+			rooms.list = [roomFixture('b', spareMillis)];
+			expect(router.prepare(pending, now + 60)).toBe(true);
+			expect(pending.overflowZone).toBe(zone);
+		}
+	});
+
+	it('lets no job wait for a zone that has had no leader for long', () => {
+		const rooms = {list: [roomFixture('b', 0)]};
+		const {router, jobs, pending} = routerFixture({
+			findRooms: () => rooms.list,
+		});
+		jobs.markSent(pending, {name: 'leader-a', token: 1}, ['a']);
+		router.redirectRefused(pending, 'leader-a', refusal, now);
+		rooms.list = [];
+		expect(
+			router.redirectRefused(pending, 'leader-a', refusal, now + 950),
+		).toBe(false);
+	});
+
 	it('redirects no job that more than one leader may have', () => {
 		const {router, jobs, pending} = routerFixture({
 			findRooms: () => [roomFixture('b', 20_000)],
