Add a failing test of a copy beside a late start in a zone that nobody claims

A leader of the region starts a job on a worker of a zone whose entry VMs are lost, and freezes; the order is carried out 0.46 s later. The successor cannot claim that zone, and a copy of the job, 1.3 s after the reset connection of its caller, is new to it: it waits for no worker of that zone, and starts the copy at once. Nobody commands the first worker, so that its run lapses at the end of its first lease.

--- a/packages/verbenarouter/src/tests/region-leader-model.test.ts
+++ b/packages/verbenarouter/src/tests/region-leader-model.test.ts
@@ -50,9 +50,14 @@
 
 /**
  * Lets a leader freeze for good when it starts the job `held` on the late worker, the only one with room at 6550 ms. The order
- * is carried out `delayMs` later; the successor has claimed all zones by 7020 ms, when the other workers have room too.
+ * is carried out `delayMs` later; the successor has claimed its zones by 7020 ms, when the other workers have room too. The
+ * job is sent at `sentAtMs`, and waits for the room.
  */
-function planLateStart(stage: ZoneStage, delayMs: number): void {
+function planLateStart(
+	stage: ZoneStage,
+	delayMs: number,
+	sentAtMs = 6550,
+): void {
 	stage.plan(0, ({loseEntries}) => {
 		loseEntries([lateWorker], 0, 5000);
 	});
@@ -61,7 +66,13 @@
 			stage.sendJob(4600, `filling${index}`, 2300, [first]);
 		}
 
-		stage.sendJob(6550, 'held', 3000, [second]);
+		const fillingMs = 6600 - sentAtMs;
+		if (fillingMs > 100) {
+			stage.sendJob(sentAtMs - 50, 'last1', fillingMs, [first]);
+			stage.sendJob(sentAtMs - 50, 'last2', fillingMs, [first]);
+		}
+
+		stage.sendJob(sentAtMs, 'held', 3000, [second, first]);
 		stage.plan(6500, ({standBeforeSend}) => {
 			standBeforeSend(leader, delayMs, 0, true);
 		});
@@ -183,4 +194,20 @@
 			[2, 3, 4],
 		);
 	});
+
+	it('does not start a copy that it sees first while the start by a frozen leader is carried out late in a zone without live entry VMs', () => {
+		expectNoOverlapInScript(
+			(stage) => {
+				planLateStart(stage, 462, 5700);
+				stage.resetCaller(5720, 'held');
+				stage.plan(6600, ({lose}) => {
+					lose(
+						entryVms.filter((name) => findZone(name) === 'zone-d'),
+						4000,
+					);
+				});
+			},
+			[1, 3, 5],
+		);
+	});
 });
