--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -837,7 +837,11 @@
 	readonly #silentUntilMs = new Map<string, number>();
 	/** Time until which the store does not list a worker. */
 	readonly #missingUntilMs = new Map<string, number>();
-	readonly #zoneCutUntilMs = new Map<string, number>();
+	readonly #zoneCuts = new Map<
+		string,
+		{readonly untilMs: number; readonly isDelaying: boolean}
+	>();
+
 	readonly #calls = new Map<string, Call>();
 	readonly #overlaps: TracedOverlap[] = [];
 	readonly #falseRefusals = new Set<string>();
@@ -942,15 +946,21 @@
 		const {now} = this.events;
 		const senderZone = this.zoneByVm.get(sender)!;
 		const {zone} = this.workers.get(worker)!.entry;
-		const isCut =
-			senderZone !== zone &&
-			[senderZone, zone].some(
-				(cutZone) => (this.#zoneCutUntilMs.get(cutZone) ?? 0) > now,
-			);
-		if (isCut || (this.#silentUntilMs.get(worker) ?? 0) > now) {
+		if ((this.#silentUntilMs.get(worker) ?? 0) > now) {
 			return undefined;
 		}
 
+		const cuts = [senderZone, zone].flatMap(
+			(cutZone) => this.#zoneCuts.get(cutZone) ?? [],
+		);
+		const cut = cuts.find(({untilMs}) => untilMs > now);
+		if (senderZone !== zone && cut !== undefined) {
+			// What is sent during a short cut may arrive after it.
+			return cut.isDelaying
+				? cut.untilMs - now + this.drawDelayMs()
+				: undefined;
+		}
+
 		return this.random() < this.settings.lateCommandProbability
 			? 100 + 1400 * this.random()
 			: this.drawDelayMs();
@@ -1242,7 +1252,10 @@
 			},
 			cutZone: (zone, durationMs, isDelaying) => {
 				this.log(`zone cut ${zone} for ${durationMs.toFixed(0)} ms`);
-				this.#zoneCutUntilMs.set(zone, events.now + durationMs);
+				this.#zoneCuts.set(zone, {
+					untilMs: events.now + durationMs,
+					isDelaying,
+				});
 				for (const [inner, innerZone] of zoneByVm) {
 					for (const [outer, outerZone] of zoneByVm) {
 						if (innerZone === zone && outerZone !== zone) {
