Show two runs after a stop that comes too late while a zone is cut off

A job of a lost caller or receiver that cannot be announced to a zone is stopped before a copy can arrive there. If its leader is frozen at that time, or the worker gets no command, the lease that was extended before lasts up to 1 s longer, and the copy starts beside the run. Each needs three faults at once: the loss, a cut and the delay.

--- a/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
@@ -266,4 +266,28 @@
 			stage.lose(8320, ['zone-a-entry-1'], 5000);
 		});
 	});
+
+	it('does not leave a job of a lost caller at work when it is frozen at the time of the stop, while a zone is cut off', () => {
+		expectNoOverlapUnderOneLeader((stage) => {
+			stage.sendJob(7100, 'moved', 3600, ['zone-a-entry-2', 'zone-b-entry-2']);
+			stage.plan(7300, ({cutZone}) => {
+				cutZone('zone-b', 3000, false);
+			});
+			stage.resetCaller(7900, 'moved');
+			stage.plan(8930, ({stand}) => {
+				stand('zone-a-entry-1', 900);
+			});
+		});
+	});
+
+	it('does not leave a job of a lost receiver at work when its worker gets no stop, while the zone of the receiver is cut off', () => {
+		expectNoOverlapUnderOneLeader((stage) => {
+			stage.sendJob(7100, 'moved', 3600, ['zone-c-entry-2', 'zone-c-entry-3']);
+			stage.plan(7600, ({cutZone}) => {
+				cutZone('zone-c', 2500, false);
+			});
+			stage.resetCaller(7850, 'moved');
+			stage.silenceWorkersOf(8500, 'moved', 700);
+		});
+	});
 });
