Leave a zone to its own entry VMs before another zone's one claims it

An entry VM connected to a zone, heard only the one that was stopping, and claimed the zone 5 ms later, while a candidate of the zone claimed it 40 ms after.

Change: under leaders of zones, an entry VM of another zone claims a zone 0.4 s after it has lost its leader, or after the first entry VM of the zone is heard, whichever is later: the time for which a named successor is waited for. A successor that the leader names still claims at once.

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -108,7 +108,10 @@
 	 * alive.
 	 */
 	readonly isolatedGraceMs: number;
-	/** Time for which the named successor of a zone that is handed over is waited for, if it is live. */
+	/**
+	 * Time for which the named successor of a zone that is handed over is waited for, if it is live, and for which the entry VMs
+	 * of a zone are waited for before another zone's one claims it.
+	 */
 	readonly handOverMs: number;
 	/** Time as a leader after which a process is warm. While no process is warm, each zone has its own leader. */
 	readonly warmUpMs: number;
@@ -703,6 +706,7 @@
 		// Candidates that have started together are staggered too, or each would claim when its start grace ends.
 		return (
 			Math.max(
+				this.#earliestForeignClaimMs(zone, leaderlessSinceMs, now),
 				(this.#startedAtMs ?? now) +
 					(mayHaveUnheardLeader ? noPeersGraceMs : startGraceMs),
 				leaderlessSinceMs +
@@ -714,6 +718,28 @@
 		);
 	}
 
+	/**
+	 * Returns the time until which a zone is left to its own entry VMs under leaders of zones. One that has just connected to the
+	 * zone may have heard only the entry VM that stops, and not the one that claims.
+	 */
+	#earliestForeignClaimMs(
+		zone: string,
+		leaderlessSinceMs: number,
+		now: number,
+	): number {
+		if (this.#scope === 'region' || zone === this.#self.zone) {
+			return Number.NEGATIVE_INFINITY;
+		}
+
+		const heardSinceMs = [...this.#peers.values()]
+			.filter((peer) => peer.heartbeat.zone === zone && this.#isLive(peer, now))
+			.map(({liveSinceMs}) => liveSinceMs);
+		return (
+			Math.max(leaderlessSinceMs, Math.min(...heardSinceMs)) +
+			this.#settings.handOverMs
+		);
+	}
+
 	/**
 	 * Whether a live peer leads a zone, or reports a leader of it, with a higher fencing token than this entry VM's.
 	 */
--- a/packages/core/src/tests/leadership.test.ts
+++ b/packages/core/src/tests/leadership.test.ts
@@ -574,6 +574,17 @@
 		expect(simulate(leadership, 1020, 2500, [stopping])).toEqual([]);
 	});
 
+	it('is not claimed at once by an entry VM of another zone that has just heard of the zone, and only of the stopping one', () => {
+		const leadership = createZonalLeadership('b1', 'zone-b');
+		const alone = {...stopping, yields: {}};
+		const {handOverMs} = defaultLeadershipSettings;
+		simulate(leadership, 0, 1000, [heartbeatFixture('b2', {zone: 'zone-b'})]);
+		expect(simulate(leadership, 1020, 1000 + handOverMs, [alone])).toEqual([]);
+		expect(
+			simulate(leadership, 1020 + handOverMs, 1520 + handOverMs, [alone]),
+		).toContain('zone-a');
+	});
+
 	it('is handed over once a candidate is live, if none was when the stop began', () => {
 		const leadership = createZonalLeadership('a1');
 		simulate(leadership, 0, 1000);
