Show two runs of a job whose caller was reset shortly before the loss of all

A caller whose connection breaks sends a copy 1.3 s later, to any zone. The leader that runs the job announces it to the leaders of the other zones. If all entry VMs are lost 0.6 s after the break, all that were told are lost, and the lease that the lost leader had just extended lasts until 1.0 s after the loss. The copy comes 0.7 s after it, and the new leader of another zone starts it beside the run. returnable-jobs.md takes the break and the loss for one moment.

--- a/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
@@ -166,6 +166,24 @@
 		});
 	});
 
+	it('do not start a copy in another zone after the loss of all if its caller was reset before, while the lease of the run lasts', () => {
+		expectNoOverlapInScript((stage) => {
+			stage.sendJob(3000, 'reset', 3600, ['zone-a-entry-2', 'zone-b-entry-2']);
+			stage.resetCaller(3400, 'reset');
+			for (const [zone, restartMs] of [
+				['zone-a', 550],
+				['zone-b', 300],
+				['zone-c', 300],
+			] as const) {
+				stage.lose(
+					4000,
+					zoneModelEntryVms.filter((name) => name.startsWith(zone)),
+					restartMs,
+				);
+			}
+		});
+	});
+
 	it('do not start a copy in another zone after the loss of all entry VMs of a zone while its new leader keeps the run alive', () => {
 		expectNoOverlapInScript((stage) => {
 			stage.sendJob(3000, 'lost', 3600, ['zone-a-entry-2', 'zone-b-entry-2']);
