Keep a start that left after the request for the report that shows a restart

Cause: the report that shows the restart of a worker's process ended all runs that the leader had ordered there as lapsed, also one whose start left after that report was requested and reached the new process after it was made. The leader started run 2 elsewhere at once, while run 1 was at work.

Change: such a run stays ordered until the outcome of its start is known: confirmed by the new process, or sent again to the same worker under the same number. A start that left before the request is over, as before: the new process would have listed it.

--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -1076,7 +1076,7 @@
 		now: number,
 	): void {
 		if (this.#sampleClock(worker, report.clockMs, report.bornMs, now)) {
-			this.#handleRestart(worker, now);
+			this.#handleRestart(worker, sentAtMs, now);
 		}
 
 		if (worker.contactFailures >= maxContactFailures) {
@@ -1216,16 +1216,20 @@
 		}
 	}
 
-	#handleRestart(worker: PoolWorker, now: number): void {
+	#handleRestart(worker: PoolWorker, sentAtMs: number, now: number): void {
 		this.#listener.handleWorkerChange(worker, 'restarted');
 		this.#listener.handleWorkerLoss(worker, 'crashed');
 		for (const task of worker.orphans.keys()) {
 			this.#removeOrphan(worker, task);
 		}
 
-		// The report lists the runs whose start commands the new process has executed, and waiting tasks adopt them from it.
-		// All other runs are assumed to have ended with the earlier process.
-		for (const run of worker.runs.values()) {
+		// The report lists the runs whose start commands the new process had executed by then, and waiting tasks adopt them from
+		// it. A start that left after the request for the report may reach the new process later; its outcome will tell. All
+		// other runs have ended with the earlier process.
+		const ended = [...worker.runs.values()].filter(
+			({state, lastSentAtMs}) => state !== 'ordered' || lastSentAtMs < sentAtMs,
+		);
+		for (const run of ended) {
 			run.lossCause = 'crashed';
 			this.#endRun(worker, run, 'lapsed', now);
 		}
