Send a start, and handle its outcome, only for the run that is current then

Cause: the sender of commands knew a start by its task. A start that had not left yet left although its leader had dropped the zone in the same turn of the event loop, as at a hand-over or when a higher token is read after a flush. And the outcome of a run that was over, as a late refusal, was taken for that of the next run of the task on the same worker: that one counted as not started, and another followed while it might be at work.

Change: a start leaves only while its run is ordered under its number and the leader has the token of the command; an outcome counts only for the run with its number, as late confirmations did already.

--- a/packages/verbenarouter/src/pool/worker-command-sender.ts
+++ b/packages/verbenarouter/src/pool/worker-command-sender.ts
@@ -45,6 +45,12 @@
 		},
 		start(command) {
 			const {worker, task, run} = command;
+			// A run may have ended, and another one followed, while its command or outcome was on the way.
+			const findRun = () => {
+				const current = scheduler().pool.findWorker(worker.id)?.runs.get(task);
+				return current?.run === run ? current : undefined;
+			};
+
 			const timing = new StartTiming(command, startLog?.leaseMs ?? 0);
 			const logIfLate = (outcome: CommandOutcome): void => {
 				const fields = timing.describe(outcome, now());
@@ -58,24 +64,26 @@
 					command,
 					(outcome) => {
 						logIfLate(outcome);
-						// Another run of the task may have followed; a refusal may be of a command that another copy has overtaken.
-						if (
-							outcome.kind === 'done' &&
-							scheduler().pool.findWorker(worker.id)?.runs.get(task)?.run ===
-								run
-						) {
+						// A refusal may be of a command that another copy has overtaken.
+						if (outcome.kind === 'done' && findRun() !== undefined) {
 							scheduler().handleStartOutcome(worker.id, task, outcome, now());
 						}
 					},
 					() => {
 						const time = now();
 						timing.recordSending(time);
-						return time <= command.sendUntilMs;
+						return (
+							time <= command.sendUntilMs &&
+							findRun()?.state === 'ordered' &&
+							scheduler().pool.token === command.fencingToken
+						);
 					},
 				),
 				(outcome) => {
 					logIfLate(outcome);
-					scheduler().handleStartOutcome(worker.id, task, outcome, now());
+					if (findRun() !== undefined) {
+						scheduler().handleStartOutcome(worker.id, task, outcome, now());
+					}
 				},
 			);
 		},
--- a/packages/verbenarouter/src/tests/worker-command-sender.test.ts
+++ b/packages/verbenarouter/src/tests/worker-command-sender.test.ts
@@ -6,6 +6,8 @@
 	ObjectiveOrder,
 	PoolScheduler,
 	type PoolDecision,
+	type PoolJob,
+	type WorkerEntry,
 } from '@verbenarouter/core';
 import {WorkerClient} from '@verbenarouter/platform';
 import {afterEach, describe, expect, it, vi} from 'vitest';
@@ -25,6 +27,19 @@
 	}
 });
 
+function jobFixture(): PoolJob {
+	const needs = {processorMillis: 1000, memoryMb: 1, accelerators: 0};
+	return {
+		id: 'j1',
+		queue: 'q',
+		spec: '',
+		attempt: 'r1/j1',
+		waitedMs: 0,
+		patienceMs: 60_000,
+		tasks: [{name: 'j1.0.0.0', needs, declaredMs: 10_000}],
+	};
+}
+
 /** Keeps this process from running anything else for a time in milliseconds. */
 function stall(durationMs: number): void {
 	const untilMs = performance.now() + durationMs;
@@ -138,6 +153,60 @@
 }
 
 describe('the sender of commands to workers', () => {
+	it.each([
+		['on an open connection', true],
+		['on a connection that is being opened', false],
+	])(
+		'does not send a start %s after its leader has dropped the zone',
+		async (_case, keepsOpen) => {
+			const {scheduler, startedTasks, now} = await leaderFixture(keepsOpen);
+			scheduler.submit(jobFixture(), 'r1', false, now());
+			scheduler.stopLeadingZones(['a'], now());
+			await new Promise((resolve) => {
+				setTimeout(resolve, 100);
+			});
+			expect(startedTasks).toEqual([]);
+		},
+	);
+
+	it('does not take the outcome of an earlier run for that of the next run of the task', async () => {
+		const outcomes: unknown[] = [];
+		const scheduler = {
+			pool: {findWorker: () => ({runs: new Map([['j1.0.0.0', {run: 2}]])})},
+			handleStartOutcome(...outcome: readonly unknown[]) {
+				outcomes.push(outcome);
+			},
+		} as unknown as PoolScheduler;
+		const client = {
+			start: async () => ({kind: 'refused', reason: 'old-run'}),
+		} as unknown as WorkerClient;
+		const sender = createWorkerCommandSender(
+			client,
+			() => scheduler,
+			() => 0,
+			(error) => {
+				throw error;
+			},
+		);
+		for (const run of [1, 2]) {
+			sender.start({
+				worker: {id: 'w1'} as WorkerEntry,
+				fencingToken: 7,
+				task: 'j1.0.0.0',
+				run,
+				spec: '',
+				leaseExpiresAtMs: 1000,
+				decidedAtMs: 0,
+				sendUntilMs: 280,
+			});
+		}
+
+		await new Promise((resolve) => {
+			setImmediate(resolve);
+		});
+		expect(outcomes).toHaveLength(1);
+	});
+
 	it.each([
 		['on an open connection', true],
 		['on a connection that is being opened', false],
@@ -146,21 +215,7 @@
 		async (_case, keepsOpen) => {
 			const {scheduler, startedTasks, decisions, now} =
 				await leaderFixture(keepsOpen);
-			const needs = {processorMillis: 1000, memoryMb: 1, accelerators: 0};
-			scheduler.submit(
-				{
-					id: 'j1',
-					queue: 'q',
-					spec: '',
-					attempt: 'r1/j1',
-					waitedMs: 0,
-					patienceMs: 60_000,
-					tasks: [{name: 'j1.0.0.0', needs, declaredMs: 10_000}],
-				},
-				'r1',
-				false,
-				now(),
-			);
+			scheduler.submit(jobFixture(), 'r1', false, now());
 			expect(decisions.at(-1)).toMatchObject({event: 'placed'});
 			stall(400);
 			await vi.waitFor(() => {
