--- a/packages/verbenarouter/src/tests/worker-command-sender.test.ts
+++ b/packages/verbenarouter/src/tests/worker-command-sender.test.ts
@@ -27,6 +27,19 @@
 	}
 });
 
+function workerFixture(address: string): WorkerEntry {
+	return {
+		id: 'w1',
+		service: 'menu',
+		address,
+		zone: 'a',
+		state: 'ready',
+		capacity: {processorMillis: 64_000, memoryMb: 1000, accelerators: 0},
+		labels: [],
+		bornMs: 1,
+	};
+}
+
 function jobFixture(): PoolJob {
 	const needs = {processorMillis: 1000, memoryMb: 1, accelerators: 0};
 	return {
@@ -126,20 +139,8 @@
 			},
 		],
 	});
-	const capacity = {processorMillis: 64_000, memoryMb: 1000, accelerators: 0};
 	scheduler.updateWorkers(
-		[
-			{
-				id: 'w1',
-				service: 'menu',
-				address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-				zone: 'a',
-				state: 'ready',
-				capacity,
-				labels: [],
-				bornMs: 1,
-			},
-		],
+		[workerFixture(`127.0.0.1:${(server.address() as AddressInfo).port}`)],
 		now(),
 	);
 	scheduler.startLeadingZone('a', 7, now());
@@ -190,7 +191,7 @@
 		);
 		for (const run of [1, 2]) {
 			sender.start({
-				worker: {id: 'w1'} as WorkerEntry,
+				worker: workerFixture('127.0.0.1:1'),
 				fencingToken: 7,
 				task: 'j1.0.0.0',
 				run,
