Forget lost runs although entry VMs pass them on again and again

Cause: a record was forgotten after 5 s and counted as new when another entry VM passed it on, so that two that connect every 4 s kept it for ever.

Found in review.

--- a/packages/verbenarouter/src/pool/loss-relay.ts
+++ b/packages/verbenarouter/src/pool/loss-relay.ts
@@ -6,6 +6,9 @@
  */
 const retentionMs = 5000;
 
+/** Time for which a record is remembered after that, so that it does not count as new when others pass it on. */
+const memoryMs = 60_000;
+
 type Report = {readonly lostRun: LostRun; readonly atMs: number};
 
 /**
@@ -23,16 +26,18 @@
 			const {atMs = now} = this.#reports.get(key) ?? {};
 			this.#reports.set(key, {lostRun, atMs});
 		}
-	}
 
-	/** Returns the lost runs that were first reported a short time ago. */
-	recent(now: number): readonly LostRun[] {
 		for (const [key, {atMs}] of this.#reports) {
-			if (now - atMs > retentionMs) {
+			if (now - atMs > memoryMs) {
 				this.#reports.delete(key);
 			}
 		}
+	}
 
-		return [...this.#reports.values()].map(({lostRun}) => lostRun);
+	/** Returns the lost runs that were first reported a short time ago. */
+	recent(now: number): readonly LostRun[] {
+		return [...this.#reports.values()]
+			.filter(({atMs}) => now - atMs <= retentionMs)
+			.map(({lostRun}) => lostRun);
 	}
 }
