Give up a job of a lost caller that can neither run nor start

Cause: 0.9 s after the loss of its caller nothing of a job may start. One without a run stayed announced until its caller's deadline, so that a copy at another leader waited for it that long. A start without an answer was sent again after that time too, and so could leave 0.4 s later than the sum in docs/design/returnable-jobs.md allows. A job that arrived within 0.4 s after a suspension, and was admitted later, counted as new.

Change: such a job is given up at the next check; its start is not repeated but stopped; the time of arrival counts. A second loss of the caller no longer moves the first.

Found in review.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -657,10 +657,21 @@
 	): void {
 		this.#now = now;
 		this.#judgeSuspension(now);
-		const run = this.pool.findWorker(workerId)?.runs.get(taskName);
-		const spec =
-			run === undefined ? '' : (this.#jobs.get(run.jobId)?.job.spec ?? '');
-		this.pool.handleStartOutcome(workerId, taskName, spec, outcome, now);
+		const worker = this.pool.findWorker(workerId);
+		const run = worker?.runs.get(taskName);
+		const job = run === undefined ? undefined : this.#jobs.get(run.jobId);
+		if (
+			worker !== undefined &&
+			run?.state === 'ordered' &&
+			outcome.kind === 'silent' &&
+			job?.mayStart(now) === false
+		) {
+			this.pool.stopRun(run, worker, now);
+		} else {
+			const spec = job?.job.spec ?? '';
+			this.pool.handleStartOutcome(workerId, taskName, spec, outcome, now);
+		}
+
 		this.#requestFlush(now);
 	}
 
@@ -1153,7 +1164,7 @@
 				}),
 			receivedAtMs,
 		);
-		this.#recordEarlierRuns(scheduledJob, isResubmitted, now);
+		this.#recordEarlierRuns(scheduledJob, isResubmitted, receivedAtMs, now);
 		if (this.#mayRunElsewhere(job.id, now)) {
 			scheduledJob.isIndeterminate = true;
 			this.#logJobDecision('joined', job.id, 'held-elsewhere', {receiver});
@@ -1172,6 +1183,7 @@
 	#recordEarlierRuns(
 		scheduledJob: ScheduledJob,
 		isResubmitted: boolean,
+		receivedAtMs: number,
 		now: number,
 	): void {
 		const {job} = scheduledJob;
@@ -1184,7 +1196,7 @@
 			job.leaderToken !== undefined && job.leaderToken !== this.pool.token;
 		// The receiver may have submitted the job to a successor since it sent a message that was read late.
 		const mayBeReadLate =
-			this.#isSuspended || now - this.#resumedAtMs < maxReadDelayMs;
+			this.#isSuspended || receivedAtMs - this.#resumedAtMs < maxReadDelayMs;
 		if (isResubmitted || wasSubmittedUnderOtherToken || mayBeReadLate) {
 			scheduledJob.markUnsettled(job.earlierToken ?? 0, now);
 		}
@@ -1749,6 +1761,22 @@
 			return;
 		}
 
+		if (
+			job.callerLostAtMs !== undefined &&
+			!job.mayStart(now) &&
+			!job.tasks.some(({state}) => state === 'placed')
+		) {
+			// Nothing of it runs or may be started, so that its announcement would only hold up a copy elsewhere.
+			this.#abandonJob(
+				job,
+				this.#hasCertainlyNotRun(job, now)
+					? {kind: 'not-run', reason: 'caller-left'}
+					: {kind: 'may-have-run', reason: 'caller-left'},
+				now,
+			);
+			return;
+		}
+
 		const mayWaitForOtherRuns =
 			job.isIndeterminate || job.unsettledSinceMs === undefined;
 		if (job.hasStarted) {
--- a/packages/verbenarouter/src/pool/job-receiver.ts
+++ b/packages/verbenarouter/src/pool/job-receiver.ts
@@ -126,7 +126,7 @@
 			isReset &&
 			(pending.overflowZone === undefined || pending.resolvers.length > 1);
 		if (isContinued) {
-			pending.callerLostAtMs = now;
+			pending.callerLostAtMs ??= now;
 			this.#sendCallerMessage({type: 'caller-lost', id}, pending, now);
 			return;
 		}
