State exactly what first-seen jobs and the time to send starts rest on

The rule read as if a leader led every zone of a job that it sees first, and two comments as if a leader could not be superseded within 280 ms of a check.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -1044,7 +1044,7 @@
 		this.pool.requireNewReports(now);
 	}
 
-	/** Records that the leader has ticked, or claimed its first zone; peers get its next heartbeat within moments. */
+	/** Records that the leader has ticked, or claimed its first zone; its next heartbeat is sent in the same turn. */
 	#recordCheck(now: number): void {
 		this.#isSuspended = false;
 		this.#tickedAtMs = now;
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -174,7 +174,7 @@
 export class WorkerPool {
 	/** Learned speeds of the kinds of workers. */
 	readonly kindSpeeds = new WorkerKindSpeeds();
-	/** Time until which this leader has certainly not been superseded; no start and no extension of a lease is sent later. */
+	/** Time until which silence of this leader cannot have made peers claim its zones; no start and no extension of a lease is sent later. */
 	certainUntilMs = Number.POSITIVE_INFINITY;
 	readonly #commandSender: WorkerCommandSender;
 	readonly #listener: WorkerPoolListener;
