--- a/packages/verbenarouter/src/tests/loss-relay.test.ts
+++ b/packages/verbenarouter/src/tests/loss-relay.test.ts
@@ -23,12 +23,14 @@
 	it('are not passed on for ever by entry VMs that connect again and again', () => {
 		const [first, second] = [new LossRelay(), new LossRelay()];
 		first.record([lostRunFixture(1)], startMs);
-		for (let now = startMs; now < startMs + 40_000; now += 4000) {
+		for (let now = startMs + 4000; now < startMs + 40_000; now += 4000) {
 			const [ofFirst, ofSecond] = [first.recent(now), second.recent(now)];
 			second.record(ofFirst, now);
 			first.record(ofSecond, now);
 		}
 
-		expect(first.recent(startMs + 40_000)).toEqual([]);
+		for (const relay of [first, second]) {
+			expect(relay.recent(startMs + 40_000)).toEqual([]);
+		}
 	});
 });
