Add review case 5: a late start reaches a worker that has started again

Tried: the first start of a task is on its way for 2.3 s, the repeated one starts it, and the worker crashes and starts again under its id meanwhile.

Seen, review/5/run.sh: the task runs on another worker and again on the restarted one, both at once for 999 to 1,001 ms: five times of five. With TROUBLE=0 it runs once (exit code 0). Three earlier forms with a task of 0.9 s and a copy of the request did not break the rule.

--- a/review/lib/installation.js
+++ b/review/lib/installation.js
@@ -220,6 +220,10 @@
 		});
 		await worker.listen('127.0.0.1');
 		this.workers.push(worker);
+		worker.onStartedAgain = () => {
+			this.store.put('keyed.servers', id, worker.entry);
+		};
+
 		worker.registeredEnd = this.store.put('keyed.servers', id, worker.entry);
 		this.record('worker-registered', {worker: id, cpu});
 		return worker;
