--- a/review/lib/installation.js
+++ b/review/lib/installation.js
@@ -349,7 +349,11 @@
 	}
 
 	/** Submits a job of `count` equal tasks; resolves with the answer. */
-	async submit(entryVm, id, {count, ms, cpu, limitMs}) {
+	async submit(
+		entryVm,
+		id,
+		{count, ms, cpu, limitMs, estimatedMs = ms, resetAfterMs},
+	) {
 		this.record('post', {id, entryVm: entryVm.name, count, ms, cpu});
 		const answer = await callEntryVm(entryVm.front, {
 			method: 'POST',
@@ -358,9 +362,10 @@
 			body: JSON.stringify({
 				spec: JSON.stringify({ms, cpu}),
 				bestEffort: true,
-				steps: [{count, cpu, memMb: 64, estimatedMs: ms}],
+				steps: [{count, cpu, memMb: 64, estimatedMs}],
 			}),
 			limitMs,
+			resetAfterMs,
 		});
 		this.record('post-answer', {id, entryVm: entryVm.name, ...answer});
 		return answer;
--- a/review/lib/stand-ins.js
+++ b/review/lib/stand-ins.js
@@ -178,6 +178,8 @@
 	/** All runs: worker, task, run number, start, end and how it ended; times in milliseconds of `performance.now`. */
 	runs = [];
 	state = 'ready';
+	/** Called when the worker has carried out a hold that extends its lease. */
+	onLeaseExtended = () => undefined;
 	/** Called when the worker's process has started again. */
 	onStartedAgain = () => undefined;
 	/**
@@ -341,6 +343,10 @@
 
 	#hold({deadlineMs = 0, lastSeen = 0, waitMs = 0}, response) {
 		this.#extendLease(deadlineMs);
+		if (deadlineMs > 0) {
+			this.onLeaseExtended();
+		}
+
 		this.#ends = this.#ends.filter(([number]) => number > lastSeen);
 		const answer = () => {
 			clearTimeout(timer);
@@ -473,7 +479,7 @@
  */
 export async function callEntryVm(
 	address,
-	{method, path, host, body = '', limitMs},
+	{method, path, host, body = '', limitMs, resetAfterMs},
 ) {
 	const [ip, port] = address.split(':');
 	return new Promise((resolve) => {
@@ -510,6 +516,12 @@
 			resolve({status: 0, body: 'no response in time'});
 			outgoing.destroy();
 		}, limitMs);
+		if (resetAfterMs !== undefined) {
+			setTimeout(() => {
+				outgoing.socket?.resetAndDestroy();
+			}, resetAfterMs);
+		}
+
 		outgoing.on('error', (error) => {
 			clearTimeout(timer);
 			resolve({status: 0, body: error.code ?? error.message});
