Withdraw the review's case of a late start, and keep the stand-ins beside the cases

A restarted worker holds nothing of before, so that the stand-in, which carried out an order after its own crash, was not a sound one.

The stand-ins lie in review/ itself, without what only that case needed.

--- a/review/1/case.js
+++ b/review/1/case.js
@@ -1,6 +1,6 @@
 /** Workers are added; then the store goes down and the leader is killed, which alone knew the newest worker. */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {newId, runCase} from '../lib/installation.js';
+import {newId, runCase} from '../installation.js';
 
 const zone = 'bc-lower-a';
 /** Resources of the small worker that is added last, which the job's task fills. */
--- a/review/lib/installation.js
+++ b/review/installation.js
@@ -14,7 +14,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Store, Worker, callEntryVm} from './stand-ins.js';
 
-const repository = path.resolve(import.meta.dirname, '../..');
+const repository = path.resolve(import.meta.dirname, '..');
 /** Exit code of a script whose case could not run. */
 const couldNotRun = 2;
 /** Longest time that a script may take. */
@@ -220,10 +220,6 @@
 		});
 		await worker.listen('127.0.0.1');
 		this.workers.push(worker);
-		worker.onStartedAgain = () => {
-			this.store.put('keyed.servers', id, worker.entry);
-		};
-
 		worker.registeredEnd = this.store.put('keyed.servers', id, worker.entry);
 		this.record('worker-registered', {worker: id, cpu});
 		return worker;
--- a/review/lib/stand-ins.js
+++ b/review/stand-ins.js
@@ -4,7 +4,6 @@
  */
 import {Buffer} from 'node:buffer';
 import {createServer, request as openRequest} from 'node:http';
-import {setTimeout as sleep} from 'node:timers/promises';
 
 /** Longest lease in milliseconds, `maxHoldMs`. */
 const maxLeaseMs = 1000;
@@ -180,14 +179,6 @@
 	state = 'ready';
 	/** Called when the worker has carried out a hold that extends its lease. */
 	onLeaseExtended = () => undefined;
-	/** Called when the worker's process has started again. */
-	onStartedAgain = () => undefined;
-	/**
-	 * How long the next start is on its way: it gets no answer, and is carried out by the process that is there then. `undefined`
-	 * for one that arrives at once.
-	 */
-	nextStartDelayMs = undefined;
-	#isUp = true;
 	#clockStartMs = 100_000 + Math.floor(Math.random() * 900_000);
 	#token = 0;
 	#leaseUntilMs = 0;
@@ -244,39 +235,6 @@
 		this.#server.close();
 	}
 
-	/** Ends the worker's process with all runs; it starts again under the same id and address, and knows nothing of before. */
-	async crash(downMs) {
-		this.record('worker-crashed', {worker: this.id});
-		this.#isUp = false;
-		clearTimeout(this.#leaseTimer);
-		for (const {run, timer} of this.#running.values()) {
-			clearTimeout(timer);
-			run.endMs = performance.now();
-			run.how = 'crashed';
-		}
-
-		this.#running.clear();
-		this.#ended.clear();
-		this.#waiting.clear();
-		this.#ends = [];
-		this.#endNumber = 0;
-		this.#token = 0;
-		this.#leaseUntilMs = 0;
-		const [host, port] = this.address.split(':');
-		this.#server.closeAllConnections();
-		this.#server.close();
-		await sleep(downMs);
-		this.bornMs = Date.now();
-		// The clock starts anew with the process.
-		this.#clockStartMs = -performance.now();
-		await new Promise((resolve) => {
-			this.#server.listen(Number(port), host, resolve);
-		});
-		this.#isUp = true;
-		this.record('worker-started-again', {worker: this.id});
-		this.onStartedAgain();
-	}
-
 	get #clockMs() {
 		return Math.floor(this.#clockStartMs + performance.now());
 	}
@@ -288,23 +246,6 @@
 		}
 
 		const body = JSON.parse(bytes.toString('utf8'));
-		const delayMs = this.nextStartDelayMs;
-		if (delayMs !== undefined && request.url === '/api/run-start') {
-			this.nextStartDelayMs = undefined;
-			const {task, run, deadlineMs, fencingToken} = body;
-			const fields = {worker: this.id, task, run, deadlineMs, fencingToken};
-			this.record('start-held', fields);
-			await sleep(delayMs);
-			this.record('start-carried-out-late', {
-				...fields,
-				clockMs: this.#clockMs,
-				token: this.#token,
-			});
-			if (!this.#isUp) {
-				return;
-			}
-		}
-
 		const expected = request.headers['x-expect-instance'];
 		if (expected !== undefined && expected !== this.id) {
 			this.#answer(response, 421, {});
