Log how old a leader's list of workers is when it claims and places

An old list, a missing report and an expired bound look the same without it.

`placed` now has `listAfterClaimMs`, the time at which the list was read relative to the claim, and the line of a claim has `listAgeMs` and `canReadStore`.

The new test covers the field of `placed`.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -1638,6 +1638,9 @@
 						? 'all-reported'
 						: 'time-bound',
 			...(unreported === 0 ? {} : {unreported}),
+			listAfterClaimMs: Math.round(
+				Math.max(-1e9, this.pool.listAfterClaimMs(jobZones)),
+			),
 			checkAgeMs: Math.round(now - (this.#tickedAtMs ?? now)),
 		};
 	}
--- a/packages/core/src/tests/stale-worker-list.test.ts
+++ b/packages/core/src/tests/stale-worker-list.test.ts
@@ -68,6 +68,28 @@
 		expect(fixture.starts).toHaveLength(1);
 	});
 
+	it('logs with each placement how long after the claim the list was read', () => {
+		const fixture = new SchedulerFixture();
+		fixture.scheduler.updateWorkers([workerFixture('w1')], startMs - 600);
+		fixture.scheduler.startLeadingZone('zone-a', 7, startMs);
+		fixture.scheduler.recordCurrentList(startMs - 600, true);
+		fixture.receiveReport('w1', startMs + 5);
+		fixture.scheduler.submit(
+			poolJobFixture('j1', 1, {patienceMs: 60_000}),
+			'r1',
+			true,
+			startMs + 10,
+		);
+		fixture.tickUntil(startMs + 20, startMs + 100);
+		fixture.scheduler.recordCurrentList(startMs + 110, true);
+		fixture.tickUntil(startMs + 120, startMs + 120);
+		expect(
+			fixture.decisions.filter(({event}) => event === 'placed'),
+		).toMatchObject([
+			{inputs: {settled: 'all-reported', listAfterClaimMs: 110}},
+		]);
+	});
+
 	it('starts such a job after the longest lease of another leader if the list cannot be read again', () => {
 		const fixture = new SchedulerFixture();
 		fixture.scheduler.updateWorkers([workerFixture('w1')], startMs - 50_000);
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -277,6 +277,14 @@
 		return !this.#hasCurrentList(this.zones);
 	}
 
+	/**
+	 * Returns how many milliseconds after the latest claim of these zones, or the latest request for reports of all their workers,
+	 * the list of workers was current; negative if it is older.
+	 */
+	listAfterClaimMs(zones: readonly string[]): number {
+		return this.#listCurrentAtMs - this.#findLatestClaimMs(zones);
+	}
+
 	/** Whether the store is reachable, so that the list of workers is soon read again after a claim. */
 	get canReadList(): boolean {
 		return this.#canReadList;
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -804,7 +804,12 @@
 	): void {
 		const now = this.#now();
 		for (const change of changes) {
-			this.#log.write({event: 'leadership', ...change, cause});
+			this.#log.write({
+				event: 'leadership',
+				...change,
+				cause,
+				...(change.kind === 'claimed' ? this.#describeList(now) : {}),
+			});
 			this.#decisionCounts.recordLeadership(change, cause);
 			const newLeader =
 				this.#leadership.successors.get(change.zone) ??
@@ -1239,6 +1244,15 @@
 		}
 	}
 
+	/** Returns what shows afterwards whether a claim was made with a current list of workers. */
+	#describeList(now: number): Readonly<Record<string, boolean | number>> {
+		const listAgeMs = now - this.#listCurrentAtMs(now);
+		return {
+			...(Number.isFinite(listAgeMs) ? {listAgeMs: Math.round(listAgeMs)} : {}),
+			canReadStore: this.#storeFollower.isReachable,
+		};
+	}
+
 	/** Latest time at which the list of workers was read here or by a peer, or a reader of the store announced the same one. */
 	#listCurrentAtMs(now: number): number {
 		return Math.max(
