Take a list of workers for whole only if it was read after the claim

Cause: a new leader starts a job of its predecessor at once if every worker on its list has reported under its token. While the store could not be read, a list that was read up to 1.5 s before the claim counted as the one that the predecessor had used. But a leader uses a worker from the moment that it reads its entry, and a candidate gets that entry up to 2 s later. The age of a list says nothing of that: also one that is 10 ms old may lack a worker on which the predecessor has a run. The reports of all listed workers were then taken for those of all workers.

Evidence: the successor claims with `listAgeMs` 678 and `canReadStore` false, and places the running task with `settled` all-reported and `listAfterClaimMs` -678. Ruled out: a missing report (none unreported at the placement), the bound of 1.85 s (`time-bound` is not what was logged), and the interval of 2 s between two copies of the list, which only makes the gap longer: the new test of the model has no such interval, each of its processes reads the store itself.

Change: without a list that was read after the claim, here or by a peer, no set of reports is complete. Jobs wait for such a list, or until the leases that the predecessor can have given have ended, 1.85 s after the claim. That was so before for every claim later than 1.5 s into an outage, and for every claim while the store is reachable. It holds for new jobs, for resubmitted ones and after a suspension, since all three ask the same function.

The test of stale-worker-list that a list from just before the claim is accepted while the store is unreachable asserted the fault; it now asserts for both states of the store that the list is waited for. Fixtures of other tests that relied on the exception read the list after the claim.

--- a/packages/core/src/tests/leader-suspension.test.ts
+++ b/packages/core/src/tests/leader-suspension.test.ts
@@ -15,6 +15,7 @@
 		() => undefined,
 	);
 	fixture.leadIdleWorkers([workerFixture('w1')], startMs - 100);
+	fixture.scheduler.recordCurrentList(startMs - 100, true);
 	fixture.tickUntil(startMs - 80, startMs);
 	return fixture;
 }
--- a/packages/core/src/tests/leaders-model.ts
+++ b/packages/core/src/tests/leaders-model.ts
@@ -222,6 +222,8 @@
 				}
 			}
 
+			// The list of workers never changes here, so that each check may take it for read anew.
+			this.scheduler.recordCurrentList(this.#now, true);
 			this.scheduler.tick(this.#now);
 		}
 
--- a/packages/core/src/tests/stale-worker-list.test.ts
+++ b/packages/core/src/tests/stale-worker-list.test.ts
@@ -44,29 +44,28 @@
 	});
 
 	it.each([
-		[
-			'waits for a list that was read after the claim while the store is reachable',
-			true,
-			0,
-		],
-		[
-			'accepts a list from just before the claim while the store is unreachable',
-			false,
-			1,
-		],
-	] as const)('%s', (_, canReadList, startCount) => {
-		const fixture = new SchedulerFixture();
-		fixture.scheduler.updateWorkers([workerFixture('w1')], startMs - 600);
-		fixture.scheduler.startLeadingZone('zone-a', 7, startMs);
-		fixture.scheduler.recordCurrentList(startMs - 600, canReadList);
-		fixture.receiveReport('w1', startMs + 5);
-		fixture.scheduler.submit(poolJobFixture('j1'), 'r1', true, startMs + 10);
-		fixture.tickUntil(startMs + 20, startMs + 100);
-		expect(fixture.starts).toHaveLength(startCount);
-		fixture.scheduler.recordCurrentList(startMs + 110, canReadList);
-		fixture.tickUntil(startMs + 120, startMs + 120);
-		expect(fixture.starts).toHaveLength(1);
-	});
+		['while the store is reachable', true],
+		['while the store is unreachable', false],
+	] as const)(
+		'waits for a list that was read after the claim, %s',
+		(_, canReadList) => {
+			const fixture = new SchedulerFixture();
+			fixture.scheduler.updateWorkers([workerFixture('w1')], startMs - 600);
+			fixture.scheduler.startLeadingZone('zone-a', 7, startMs);
+			fixture.scheduler.recordCurrentList(startMs - 600, canReadList);
+			fixture.receiveReport('w1', startMs + 5);
+			const job = poolJobFixture('j1', 1, {
+				runMs: 5000,
+				patienceMs: 60_000,
+			});
+			fixture.scheduler.submit(job, 'r1', true, startMs + 10);
+			fixture.tickUntil(startMs + 20, startMs + 100);
+			expect([fixture.starts, fixture.answers]).toEqual([[], []]);
+			fixture.scheduler.recordCurrentList(startMs + 110, canReadList);
+			fixture.tickUntil(startMs + 120, startMs + 120);
+			expect(fixture.starts).toHaveLength(1);
+		},
+	);
 
 	it('logs with each placement how long after the claim the list was read', () => {
 		const fixture = new SchedulerFixture();
--- a/packages/core/src/tests/two-leaders.test.ts
+++ b/packages/core/src/tests/two-leaders.test.ts
@@ -55,10 +55,12 @@
 		}
 	}
 
+	/** Applies changes of leadership, and reads the list of workers at once after a claim. */
 	apply(changes: ReturnType<Leadership['tick']>, now: number): void {
 		for (const change of changes) {
 			if (change.kind === 'claimed') {
 				this.scheduler.startLeadingZone(change.zone, change.token, now);
+				this.scheduler.recordCurrentList(now, true);
 			}
 		}
 	}
@@ -202,6 +204,7 @@
 		);
 		fixture.tickUntil(now + 20, now + 40);
 		fixture.scheduler.tick(now + 500);
+		fixture.scheduler.recordCurrentList(now + 505, true);
 		fixture.receiveReport('w1', now + 510);
 		fixture.receiveReport('w2', now + 510);
 		fixture.tickUntil(now + 520, now + 600);
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -139,11 +139,6 @@
 /** Failed commands in a row after which the pool no longer extends the lease, so that it is certain to expire. */
 const maxContactFailures = 2;
 
-/**
- * Longest time before a claim at which the list of workers may have been current if it cannot be read again: a lost leader is
- * noticed and succeeded within this time.
- */
-const maxListAgeAtClaimMs = 1500;
 /** Time after a claim within which a reachable store returns the list of workers. */
 const listReadMs = 500;
 /** Time in milliseconds from which a sample of a worker's clock counts as behind: the answer was late, or was read late. */
@@ -919,10 +914,12 @@
 		}
 	}
 
-	/** Whether the list of workers shows all on which earlier leaders of these zones may have started runs. */
+	/**
+	 * Whether the list of workers shows all on which earlier leaders of these zones may have started runs. One that was read before
+	 * the claim need not: a leader uses workers that have registered since.
+	 */
 	#hasCurrentList(zones: readonly string[]): boolean {
-		const maxAgeMs = this.#canReadList ? 0 : maxListAgeAtClaimMs;
-		return this.#listCurrentAtMs >= this.#findLatestClaimMs(zones) - maxAgeMs;
+		return this.listAfterClaimMs(zones) >= 0;
 	}
 
 	/** Whether the list of workers is being read after a claim. */
--- a/packages/verbenarouter/src/tests/region-leader-model.test.ts
+++ b/packages/verbenarouter/src/tests/region-leader-model.test.ts
@@ -148,6 +148,30 @@
 		);
 	});
 
+	it('does not start a job again that its lost predecessor runs on a worker which registered just before an outage of the store', () => {
+		expectNoOverlapInScript((stage) => {
+			stage.plan(0, ({loseEntries}) => {
+				loseEntries([lateWorker], 0, 5900);
+			});
+			planWithLeader(stage, (leader, [first = '', second = '']) => {
+				for (let index = 0; index < 14; index += 1) {
+					stage.sendJob(4600, `filling${index}`, 2300, [first]);
+				}
+
+				// Only the leader reads the list that has the late worker.
+				stage.plan(5850, ({turnAwayFromStore}) => {
+					turnAwayFromStore(
+						entryVms.filter((name) => name !== leader),
+						6000,
+					);
+				});
+				stage.stopStore(6350, 3000);
+				stage.sendJob(6400, 'held', 3000, [second, first]);
+				stage.lose(6600, [leader], 5000);
+			});
+		});
+	});
+
 	it('does not start a copy that it sees first while a leader that is cut off runs the job in a zone without live entry VMs', () => {
 		expectNoOverlapInScript((stage) => {
 			planWithLeader(stage, (leader, [first = '', second = '']) => {
--- a/packages/verbenarouter/src/tests/worker-command-sender.test.ts
+++ b/packages/verbenarouter/src/tests/worker-command-sender.test.ts
@@ -144,6 +144,7 @@
 		now(),
 	);
 	scheduler.startLeadingZone('a', 7, now());
+	scheduler.recordCurrentList(now(), true);
 	await vi.waitFor(() => {
 		// A tick repeats a report that has timed out.
 		scheduler.tick(now());
--- a/packages/verbenarouter/src/tests/zone-faults.ts
+++ b/packages/verbenarouter/src/tests/zone-faults.ts
@@ -136,6 +136,8 @@
 		outageMs: number,
 		missingMs: number,
 	): void;
+	/** Lets the store turn away the reads of some entry VMs. */
+	turnAwayFromStore(entryVms: readonly string[], durationMs: number): void;
 	restartWorker(worker: string): void;
 	log(line: string): void;
 };
--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -848,6 +848,8 @@
 	readonly #trace: string[] = [];
 	readonly #runTimesMs = new Map<string, number>();
 	#storeDownUntilMs = 0;
+	/** Times until which the store turns away entry VMs, by name. */
+	readonly #turnedAwayUntilMs = new Map<string, number>();
 	#startCount = 0;
 	#completedCount = 0;
 	#refusedCount = 0;
@@ -1039,7 +1041,12 @@
 
 	/** Passes the store's list of workers to a process, unless the store is away. */
 	readStore(process: ModelProcess): void {
-		const isReachable = this.events.now >= this.#storeDownUntilMs;
+		const isReachable =
+			this.events.now >=
+			Math.max(
+				this.#storeDownUntilMs,
+				this.#turnedAwayUntilMs.get(process.name) ?? 0,
+			);
 		process.setStoreReachable(isReachable);
 		if (isReachable) {
 			process.applyWorkers(this.workerEntries);
@@ -1287,6 +1294,12 @@
 					this.#missingUntilMs.set(id, events.now + outageMs + missingMs);
 				}
 			},
+			turnAwayFromStore: (entryVms, durationMs) => {
+				this.log(`store turns away ${entryVms.join(' ')}`);
+				for (const name of entryVms) {
+					this.#turnedAwayUntilMs.set(name, events.now + durationMs);
+				}
+			},
 			restartWorker: (worker) => {
 				this.log(`${worker} has started anew`);
 				this.workers.get(worker)?.restart();
