Count a list of workers as read once the last page of its changes is

What callers would have seen: after the leader was cut off from the store for some seconds, a leader that claims then, or the one that has returned, takes its list for current although the rest of the changes follows in the next page. A worker that registered meanwhile is missing from it, and a task that it runs for the former leader can be started again.

Cause: the store returns at most 1 MB a read, and its response names the end of the topic. `StoreClient` skipped that offset, and `StoreFollower` dated the list by the request of any read that had succeeded. With 810 workers that write about 300 bytes every 1.5 s a page is full after some 6 s; the next one was requested 0.4 s later.

Change: a page carries the end of the topic. A page that doesn't reach it leaves the age of the list as it is, and the next one is read at once.

--- a/packages/platform/src/store-client.ts
+++ b/packages/platform/src/store-client.ts
@@ -20,6 +20,8 @@
 export type KeyedRecordPage = {
 	readonly records: readonly KeyedRecord[];
 	readonly nextOffset: number;
+	/** Offset after the newest record of the topic; above `nextOffset` if the page was cut short at its largest size. */
+	readonly endOffset: number;
 };
 
 /** Why a call to the store failed. */
@@ -67,7 +69,7 @@
 			nextOffset ??= result.value.nextOffset;
 			afterKey = result.value.hasMore ? records.at(-1)?.key : undefined;
 			if (afterKey === undefined) {
-				return ok({records, nextOffset});
+				return ok({records, nextOffset, endOffset: nextOffset});
 			}
 		}
 
@@ -141,7 +143,10 @@
 		topic: string,
 		afterKey: string | undefined,
 	): Promise<
-		Result<KeyedRecordPage & {readonly hasMore: boolean}, StoreFailure>
+		Result<
+			Omit<KeyedRecordPage, 'endOffset'> & {readonly hasMore: boolean},
+			StoreFailure
+		>
 	> {
 		// The store's name for the parameter with the last key of the previous page is `dependsOn`.
 		const afterParameter =
@@ -221,7 +226,11 @@
 				code: 'bad-answer',
 				message: 'the response body is shorter than its header',
 			})
-		: ok({records, nextOffset: fromOffset + records.length});
+		: ok({
+				records,
+				nextOffset: fromOffset + records.length,
+				endOffset: Number(body.readBigUInt64BE()),
+			});
 }
 
 /** Encodes a record for `log-append`, in the format of {@link decodeRecords}. */
--- a/packages/verbenarouter/src/pool/store-follower.ts
+++ b/packages/verbenarouter/src/pool/store-follower.ts
@@ -253,16 +253,19 @@
 		}
 
 		this.#setReachable(true, topic.name, now);
-		if (topic.name === workersTopic) {
+		const {records, nextOffset, endOffset} = result.value;
+		if (nextOffset < endOffset && records.length > 0) {
+			topic.nextReadAtMs = now;
+		} else if (topic.name === workersTopic) {
 			this.#workersReadAtMs = Math.max(this.#workersReadAtMs, startedAtMs);
 			this.#ownWorkersReadAtMs = startedAtMs;
 		}
 
-		topic.nextOffset = result.value.nextOffset;
+		topic.nextOffset = nextOffset;
 		if (topic.name === stateTopic) {
 			this.#handleStateRecords(result.value);
 			this.#handleEvacuationRecords(result.value, readStart);
-		} else if (readStart.isSnapshot || result.value.records.length > 0) {
+		} else if (readStart.isSnapshot || records.length > 0) {
 			this.#handleWorkerRecords(result.value, readStart.isSnapshot, now);
 		}
 	}
--- a/packages/verbenarouter/src/tests/store-follower.test.ts
+++ b/packages/verbenarouter/src/tests/store-follower.test.ts
@@ -25,7 +25,7 @@
 ): StoreReader {
 	return {
 		readNewest: async (topic) =>
-			ok({records: records.get(topic) ?? [], nextOffset: 7}),
+			ok({records: records.get(topic) ?? [], nextOffset: 7, endOffset: 7}),
 		read: async () =>
 			new Promise(() => {
 				// No record follows.
@@ -36,6 +36,16 @@
 	};
 }
 
+/** Encodes the entry of a worker as the store has it. */
+function encodeWorker(id: string): string {
+	const {capacity, bornMs, ...entry} = workerFixture(id);
+	return JSON.stringify({
+		...entry,
+		capacity: {cpu: capacity.processorMillis, memMb: capacity.memoryMb},
+		born: bornMs,
+	});
+}
+
 function followerFixture(
 	store: StoreReader,
 	readClock: () => number = () => now,
@@ -164,6 +174,46 @@
 		expect(follower.ownWorkersAgeMs(time)).toBe(460);
 	});
 
+	// The store cuts a page at its largest size, so that a process which was cut off reads the changes in several pages.
+	it('has no current list of workers before it has read the last page of their changes', async () => {
+		let time = now;
+		const laterIds = ['w1', 'w2'];
+		const endOffset = 7 + laterIds.length;
+		const {read, ...store} = storeFixture();
+		const {follower} = followerFixture(
+			{
+				...store,
+				async read(topic, nextOffset, waitMs) {
+					const id = topic === 'keyed.servers' ? laterIds.shift() : undefined;
+					return id === undefined
+						? read(topic, nextOffset, waitMs)
+						: ok({
+								records: [{key: id, value: encodeWorker(id)}],
+								nextOffset: nextOffset + 1,
+								endOffset,
+							});
+				},
+			},
+			() => time,
+		);
+		const ids = () => follower.directory.entries(time).map(({id}) => id);
+		await readOnce(follower, true);
+		time += 5000;
+		const pageAges: Array<readonly [readonly string[], number]> = [];
+		follower.setActive(true, true);
+		follower.tick(time);
+		for (const _page of [1, 2]) {
+			// eslint-disable-next-line no-await-in-loop -- one page after the other
+			await Promise.resolve();
+			pageAges.push([ids(), follower.workersAgeMs(time)]);
+		}
+
+		expect(pageAges).toEqual([
+			[['w1'], 5000],
+			[['w1', 'w2'], 0],
+		]);
+	});
+
 	it.each([
 		['has a whole list once the workers can have registered again', false],
 		['keeps its whole list', true],
--- a/testing/src/pool/store-stand-in.ts
+++ b/testing/src/pool/store-stand-in.ts
@@ -23,6 +23,8 @@
 export class StoreStandIn {
 	/** Whether every request is refused with status 503. */
 	isDown = false;
+	/** Largest size of the records that one read returns; the first one is returned whatever its size. */
+	maxPageBytes = 1024 * 1024;
 	readonly #server: Server;
 	readonly #topics = new Map<string, Topic>();
 
@@ -135,15 +137,16 @@
 			topic.pendingReads.delete(respondToRead);
 			const header = Buffer.alloc(16);
 			header.writeBigUInt64BE(BigInt(topic.records.length));
+			const records = topic.records
+				.slice(from)
+				.map(({key, value}) => encodeRecord(key, value));
+			let pageBytes = 0;
+			const page = records.filter(({length}, index) => {
+				pageBytes += length;
+				return index === 0 || pageBytes <= this.maxPageBytes;
+			});
 			response.writeHead(200);
-			response.end(
-				Buffer.concat([
-					header,
-					...topic.records
-						.slice(from)
-						.map(({key, value}) => encodeRecord(key, value)),
-				]),
-			);
+			response.end(Buffer.concat([header, ...page]));
 		};
 
 		const timer = setTimeout(respondToRead, Number(parameters.get('waitMs')));
