Announce and confirm only the list of workers that was applied

What callers would have seen: a leader that cannot read the store itself takes its list for confirmed by a reader of the store which has another one, and may start a task that runs on a worker it lacks.

Cause: an entry VM announces the version that the sender gave the last list, since it may keep further workers beside it and its own version differs then. The version was recorded for every list that arrived, also for one that was not applied because the own one had been read later. A reader of the store that announced the same version then dated a list that was never applied here.

Change: the versions and the confirmation are a class of their own, WorkerListVersion, which records the version of an applied list only.

Measured: with the condition left out, as before, the new test "does not take a list that it lacks for its own" fails, and passes with it.

--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -43,6 +43,7 @@
 import {ReturnableExchange} from './returnable-exchange.js';
 import {StoreFollower} from './store-follower.js';
 import {createWorkerCommandSender} from './worker-command-sender.js';
+import {WorkerListVersion} from './worker-list-version.js';
 import {ZoneReporter} from './zone-reporter.js';
 import {type ZoneView} from './zone-router.js';
 
@@ -124,11 +125,7 @@
 	/** Workers whose entries expired while their zone was partitioned; their runs may continue. */
 	readonly #partitionedWorkers = new Map<string, WorkerEntry>();
 	readonly #knowledgeExchange: KnowledgeExchange;
-	#workersVersion = '';
-	/** Version of the list of workers that a peer has sent since the last read of the store. */
-	#receivedWorkersVersion: string | undefined;
-	/** Latest time at which a peer that reads the store had the same list of workers, less the longest age of its list. */
-	#listConfirmedAtMs = Number.NEGATIVE_INFINITY;
+	readonly #listVersion = new WorkerListVersion();
 	readonly #zoneReporter: ZoneReporter;
 	readonly #returnableExchange: ReturnableExchange;
 	readonly #lossRelay = new LossRelay();
@@ -924,7 +921,7 @@
 			readsStore: readsWholeList,
 			versions: {
 				state: this.#desiredState?.version ?? 0,
-				workers: this.#receivedWorkersVersion ?? this.#workersVersion,
+				workers: this.#listVersion.announced,
 			},
 		};
 	}
@@ -969,7 +966,14 @@
 					from,
 				);
 				this.#knowledgeExchange.recordHeartbeat(from, message, now);
-				this.#confirmList(message, now);
+				if (message.readsStore) {
+					this.#listVersion.handleAnnounced(
+						message.knows?.workers,
+						staleStoreDataMs,
+						now,
+					);
+				}
+
 				break;
 			}
 
@@ -1096,9 +1100,7 @@
 						this.#refreshWorkers(from);
 					}
 
-					if (versions?.workers !== '') {
-						this.#receivedWorkersVersion = versions?.workers;
-					}
+					this.#listVersion.handleReceived(versions?.workers, isNewer);
 				}
 
 				break;
@@ -1154,7 +1156,7 @@
 	get #ownVersions(): KnowledgeVersions {
 		return {
 			state: this.#desiredState?.version ?? 0,
-			workers: this.#workersVersion,
+			workers: this.#listVersion.own,
 		};
 	}
 
@@ -1208,14 +1210,14 @@
 		this.#retainPartitionedWorkers(entries);
 		this.#workerEntries = entries;
 		if (source === 'store') {
-			this.#receivedWorkersVersion = undefined;
+			this.#listVersion.handleStoreRead();
 		}
 
 		if (!isChanged) {
 			return;
 		}
 
-		this.#workersVersion = computeWorkersVersion(entries);
+		this.#listVersion.own = computeWorkersVersion(entries);
 		this.#log.write({
 			event: 'workers',
 			ready: entries.filter(({state}) => state === 'ready').length,
@@ -1257,23 +1259,10 @@
 	#listCurrentAtMs(now: number): number {
 		return Math.max(
 			now - this.#storeFollower.workersAgeMs(now),
-			this.#listConfirmedAtMs,
+			this.#listVersion.confirmedAtMs,
 		);
 	}
 
-	/** Records that a peer which reads the store has the same list of workers. */
-	#confirmList(
-		{readsStore, knows}: PoolMessage & {readonly type: 'heartbeat'},
-		now: number,
-	): void {
-		if (
-			readsStore &&
-			knows?.workers === (this.#receivedWorkersVersion ?? this.#workersVersion)
-		) {
-			this.#listConfirmedAtMs = now - staleStoreDataMs;
-		}
-	}
-
 	/**
 	 * Retains workers whose entries expire while no entry VM of their zone is live: another leader may still extend the
 	 * leases of their runs.
@@ -1301,7 +1290,7 @@
 		}
 
 		this.#workerEntries = this.#storeFollower.directory.entries(now);
-		this.#workersVersion = computeWorkersVersion(this.#workerEntries);
+		this.#listVersion.own = computeWorkersVersion(this.#workerEntries);
 	}
 
 	/** Returns what the choice of a zone depends on. */
