Keep workers that peers list after a process has read its first list

What callers would have seen: a process that starts just after an outage of the store reads a list without the workers whose entries have expired and that have not registered again yet. If it leads next, a task that one of them runs for the lost leader can be started again.

Cause: the list that the leader sends on a new stream has these workers, since processes that saw the outage keep them for 2.5 s. It was dropped, as the own list had been read later.

Change: for 2.5 s after the first read of a process that had no list, an older list of a peer adds the workers that the own one lacks, until the end of that time. A process that had a list before its first read is not affected, so that workers which have left delay no change of leaders.

What remains open, and the sum that bounds the case of a process which had a list, are in the design note.

--- a/packages/core/src/worker-directory.ts
+++ b/packages/core/src/worker-directory.ts
@@ -67,6 +67,26 @@
 		}
 	}
 
+	/**
+	 * Adds the workers of a list that the store does not list; only within the period for missing entries, and until its end.
+	 * Returns whether there are any.
+	 */
+	addMissing(entries: readonly WorkerEntry[], now: number): boolean {
+		const missing =
+			now < this.#keepMissingUntilMs
+				? entries.filter(({id}) => !this.#records.has(id))
+				: [];
+		for (const entry of missing) {
+			this.#records.set(entry.id, {
+				entry,
+				missingSinceMs: now,
+				keptUntilMs: Number.NEGATIVE_INFINITY,
+			});
+		}
+
+		return missing.length > 0;
+	}
+
 	/**
 	 * Removes a worker that the store no longer lists; within the period for missing entries, only marks it as missing.
 	 */
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -1088,7 +1088,7 @@
 				}
 
 				if (workers !== undefined) {
-					const isNewer = this.#storeFollower.applyPeerWorkers(
+					const effect = this.#storeFollower.applyPeerWorkers(
 						workers,
 						{
 							ageMs,
@@ -1096,11 +1096,14 @@
 						},
 						now,
 					);
-					if (isNewer) {
+					if (effect !== 'ignored') {
 						this.#refreshWorkers(from);
 					}
 
-					this.#listVersion.handleReceived(versions?.workers, isNewer);
+					this.#listVersion.handleReceived(
+						versions?.workers,
+						effect === 'replaced',
+					);
 				}
 
 				break;
--- a/packages/verbenarouter/src/pool/store-follower.ts
+++ b/packages/verbenarouter/src/pool/store-follower.ts
@@ -30,6 +30,9 @@
 	onReachabilityChange(isReachable: boolean, reason: string): void;
 };
 
+/** What the list of a peer has changed here. */
+export type PeerListEffect = 'replaced' | 'merged' | 'ignored';
+
 /** The calls to the store that the follower makes. */
 export type StoreReader = Pick<StoreClient, 'read' | 'readNewest' | 'close'>;
 
@@ -159,16 +162,21 @@
 
 	/**
 	 * Replaces the list of workers by the one that another entry VM has, which was read `ageMs` milliseconds ago, if that is
-	 * newer; returns whether it is. `version` is the version that the sender gives it, empty if the sender has no list:
+	 * newer. Shortly after the own first read, which may have been shortly after an outage of the store, an older list adds the
+	 * workers whose entries have expired. `version` is the version that the sender gives it, empty if the sender has no list:
 	 * the last build sends an empty list then.
 	 */
 	applyPeerWorkers(
 		workers: readonly WorkerEntry[],
 		{ageMs, version}: {readonly ageMs: number; readonly version?: string},
 		now: number,
-	): boolean {
-		if (version === '' || ageMs >= this.workersAgeMs(now)) {
-			return false;
+	): PeerListEffect {
+		if (version === '') {
+			return 'ignored';
+		}
+
+		if (ageMs >= this.workersAgeMs(now)) {
+			return this.directory.addMissing(workers, now) ? 'merged' : 'ignored';
 		}
 
 		if (this.workersAgeMs(now) > expiredEntriesAgeMs) {
@@ -178,7 +186,7 @@
 		this.directory.replaceAll(workers, now);
 		this.#workersReadAtMs = now - ageMs;
 		this.#isPartialUntilMs = Number.NEGATIVE_INFINITY;
-		return true;
+		return 'replaced';
 	}
 
 	/** Starts or stops following the desired state and the list of workers; data that was read is kept. */
@@ -257,6 +265,10 @@
 		if (nextOffset < endOffset && records.length > 0) {
 			topic.nextReadAtMs = now;
 		} else if (topic.name === workersTopic) {
+			if (this.#workersReadAtMs === Number.NEGATIVE_INFINITY) {
+				this.directory.handleStoreReconnect(now);
+			}
+
 			this.#workersReadAtMs = Math.max(this.#workersReadAtMs, startedAtMs);
 			this.#ownWorkersReadAtMs = startedAtMs;
 		}
