Claim no zone while a peer under a leader of the region hears its leader

What callers saw: after the loss of a leader during an outage of the store, a second change of leaders 0.9 s later, and up to 2 s more without service.

Cause: a process starts with leaders of zones until it knows the list of workers or follows a leader. In that scope it ignored what peers of other zones hear of its zone's leader, as they notice its loss late. While the store is away the registry can't be read either, and the first peer that the process hears is often such a one. Under a leader of the region that peer exchanges heartbeats with the leader at the fast interval, so it notices the loss as soon as any other.

Change: what a peer with the scope `region` hears counts in either scope.

The new test fails before (the zone is claimed) and passes after.

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -637,6 +637,7 @@
 			(peer) =>
 				this.#isLive(peer, now) &&
 				(this.#scope === 'region' ||
+					peer.heartbeat.scope === 'region' ||
 					peer.heartbeat.zone === zone ||
 					Object.keys(peer.heartbeat.leads).length > 0) &&
 				peer.lastHeartbeatAtMs > leaderlessSinceMs &&
--- a/packages/core/src/tests/leadership.test.ts
+++ b/packages/core/src/tests/leadership.test.ts
@@ -515,6 +515,21 @@
 		expect([...regional.ledZones.keys()]).toEqual(['zone-a']);
 	});
 
+	// A process that has started anew leads on its own until it knows the list of workers, and hears its peers one by one.
+	it('does not claim its zone after a restart while a peer under a leader of the region hears that leader', () => {
+		const peer = heartbeatFixture('b', {
+			zone: 'zone-b',
+			scope: 'region',
+			hears: {'zone-a': 5, 'zone-b': 5},
+		});
+		const restarted = createZonalLeadership('a');
+		expect(simulate(restarted, 0, 3000, [peer])).toEqual([]);
+		const zonal = createZonalLeadership('a');
+		expect(simulate(zonal, 0, 3000, [{...peer, scope: 'zone'}])).toEqual([
+			'zone-a',
+		]);
+	});
+
 	it('hands no zone to an entry VM with the other scope, which would hand it back', () => {
 		const zonal = createZonalLeadership('a');
 		const lastBuild = heartbeatFixture('c', {zone: 'zone-b'});
