--- a/packages/verbenarouter/src/tests/region-leader-model.test.ts
+++ b/packages/verbenarouter/src/tests/region-leader-model.test.ts
@@ -122,6 +122,7 @@
 		['regionStalls', [1, 2, 101]],
 		['regionLeaderCuts', [1, 101]],
 		['regionResets', [1, 101]],
+		['regionLateWorkers', [1, 281]],
 	] as const)(
 		'never has a task run twice at the same time on model days of the kind %s',
 		(day: keyof typeof zoneModelDays, seeds: readonly number[]) => {
--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -885,7 +885,22 @@
 
 	/** Plays the model to its end. */
 	play(): ZoneModelResult {
-		const {calmMs, durationMs, lossesOfAllAtMs, jobIntervalMs} = this.settings;
+		const {
+			calmMs,
+			durationMs,
+			lossesOfAllAtMs,
+			jobIntervalMs,
+			lateWorkerShare,
+		} = this.settings;
+		for (const id of this.workers.keys()) {
+			if (lateWorkerShare > 0 && this.random() < lateWorkerShare) {
+				this.#missingUntilMs.set(
+					id,
+					calmMs + (durationMs - calmMs) * this.random(),
+				);
+			}
+		}
+
 		for (const name of this.zoneByVm.keys()) {
 			this.#start(name);
 		}
--- a/packages/verbenarouter/src/tests/zone-model-settings.ts
+++ b/packages/verbenarouter/src/tests/zone-model-settings.ts
@@ -52,6 +52,8 @@
 	readonly slowMessageShare: number;
 	/** Probability that the store cannot be read for some seconds. */
 	readonly storeOutageProbability: number;
+	/** Share of the workers that register during the play. */
+	readonly lateWorkerShare: number;
 	/** Share of the copies that callers send to another zone although their own has entry VMs. */
 	readonly movingShare: number;
 	/** Whether callers wait for an entry VM of their own zone while none is up. */
@@ -109,6 +111,7 @@
 	lossProbability: 0.005,
 	slowMessageShare: 0.02,
 	storeOutageProbability: 0,
+	lateWorkerShare: 0,
 	movingShare: 0,
 	staysInZone: false,
 };
@@ -173,6 +176,13 @@
 		leaderStopProbability: 0.05,
 		leaderKillProbability: 0.02,
 	},
+	/** Workers register while the store can't be read at times and leaders are lost. */
+	lateWorkers: {
+		...calmDay,
+		lateWorkerShare: 0.5,
+		storeOutageProbability: 0.06,
+		leaderKillProbability: 0.05,
+	},
 	all: {
 		...calmDay,
 		killProbability: 0.015,
@@ -260,6 +270,13 @@
 		killProbability: 0.04,
 		leaderStallProbability: 0.06,
 	},
+	regionLateWorkers: {
+		...regionDay,
+		resetProbability: 0,
+		lateWorkerShare: 0.5,
+		storeOutageProbability: 0.06,
+		leaderKillProbability: 0.05,
+	},
 	regionRestarts: {
 		...regionDay,
 		workerRestartProbability: 0.1,
