--- a/review/small-site.js
+++ b/review/small-site.js
@@ -27,7 +27,7 @@
 const scriptLimitMs = 110_000;
 
 /** Bounds from the table of the site, in milliseconds. */
-export const bounds = {cancelMs: 3000, stopTimeoutMs: 50, contactMs: 3000};
+const bounds = {cancelMs: 3000, stopTimeoutMs: 50};
 
 /** Whether the disruption takes place. */
 export const hasTrouble = process.env.TROUBLE !== '0';
@@ -155,7 +155,7 @@
 					bounds: {
 						maxHoldMs: 1000,
 						stopTimeoutMs: bounds.stopTimeoutMs,
-						graceS: this.#options.graceS ?? 6,
+						graceS: 6,
 					},
 				}),
 			);
@@ -167,7 +167,6 @@
 				readinessPort: ports[first + 1],
 				log: [],
 				exits: [],
-				mayRestart: true,
 			};
 			this.entryVms.push(entryVm);
 			this.spawn(entryVm);
@@ -209,13 +208,11 @@
 			entryVm.exits.push({code, signal});
 			if (!this.#isClosed) {
 				this.note(`${entryVm.name} has ended: ${signal ?? code}`);
-				if (entryVm.mayRestart) {
-					setTimeout(() => {
-						if (!this.#isClosed) {
-							this.spawn(entryVm);
-						}
-					}, restartMs);
-				}
+				setTimeout(() => {
+					if (!this.#isClosed) {
+						this.spawn(entryVm);
+					}
+				}, restartMs);
 			}
 		});
 	}
@@ -233,32 +230,32 @@
 		);
 	}
 
-	/** Submits a job of one step; resolves with the answer. With `leaveAfterMs`, the caller closes its channel after that time, with `resetAfterMs` it is reset. */
+	/** Submits a job of one step; resolves with the answer. */
 	async submit(entryVm, id, job) {
 		this.note(
 			`POST ${id} to ${entryVm.name}: ${job.count} tasks of ${job.runMs} ms, X-Deadline-Ms ${job.deadlineMs}`,
 		);
-		const answer = await this.submitQuietly(entryVm, id, job);
-		this.note(`POST ${id} to ${entryVm.name} -> ${describe(answer)}`);
-		return answer;
-	}
-
-	/** Submits a job without a line in the record. */
-	async submitQuietly(
-		entryVm,
-		id,
-		{count, runMs, needsMillis, deadlineMs, leaveAfterMs, resetAfterMs},
-	) {
-		return send(entryVm.callerPort, 'POST', prefix + id, {
-			deadlineMs,
-			leaveAfterMs,
-			resetAfterMs,
+		const answer = await send(entryVm.callerPort, 'POST', prefix + id, {
+			deadlineMs: job.deadlineMs,
 			body: JSON.stringify({
-				spec: formatTaskSpec({runMs, needsMillis, crashesWorker: false}),
+				spec: formatTaskSpec({
+					runMs: job.runMs,
+					needsMillis: job.needsMillis,
+					crashesWorker: false,
+				}),
 				bestEffort: true,
-				steps: [{count, cpu: needsMillis, memMb: 64, estimatedMs: runMs}],
+				steps: [
+					{
+						count: job.count,
+						cpu: job.needsMillis,
+						memMb: 64,
+						estimatedMs: job.runMs,
+					},
+				],
 			}),
 		});
+		this.note(`POST ${id} to ${entryVm.name} -> ${describe(answer)}`);
+		return answer;
 	}
 
 	/** Cancels a job; resolves with the answer and its time. */
@@ -289,27 +286,6 @@
 		);
 	}
 
-	/** The pairs of runs of one task of a job that were at work at the same time, with the time for which they were. */
-	findOverlaps(id) {
-		const runs = this.runsOf(id);
-		const endOf = ({endedAtMs}) => endedAtMs ?? performance.now();
-		return runs.flatMap((first, index) =>
-			runs
-				.slice(index + 1)
-				.filter(
-					({task, startedAtMs}) =>
-						task === first.task && startedAtMs < endOf(first),
-				)
-				.map((second) => ({
-					task: first.task,
-					workers: [first.worker, second.worker],
-					forMs: Math.round(
-						Math.min(endOf(first), endOf(second)) - second.startedAtMs,
-					),
-				})),
-		);
-	}
-
 	/** Writes the record and ends all processes. */
 	async close(recordPath, ids, summary) {
 		for (const id of ids) {
@@ -397,7 +373,7 @@
 	port,
 	method,
 	target,
-	{body = '', deadlineMs = 5000, leaveAfterMs, resetAfterMs} = {},
+	{body = '', deadlineMs = 5000} = {},
 ) {
 	return new Promise((resolve) => {
 		const outgoing = request(
@@ -431,17 +407,6 @@
 			resolve({status: 0, body: String(error)});
 		});
 		outgoing.end(body);
-		if (leaveAfterMs !== undefined) {
-			setTimeout(() => {
-				outgoing.destroy();
-			}, leaveAfterMs);
-		}
-
-		if (resetAfterMs !== undefined) {
-			setTimeout(() => {
-				outgoing.socket.resetAndDestroy();
-			}, resetAfterMs);
-		}
 	});
 }
 
