--- a/review/small-site.js
+++ b/review/small-site.js
@@ -29,9 +29,6 @@
 /** Bounds from the table of the site, in milliseconds. */
 const bounds = {cancelMs: 3000, stopTimeoutMs: 50};
 
-/** Whether the disruption takes place. */
-export const hasTrouble = process.env.TROUBLE !== '0';
-
 /** Fills the project's template of the settings in, as far as it uses the platform's syntax. */
 function fillTemplate(fields) {
 	const find = (name) => {
@@ -425,7 +422,7 @@
 	}, scriptLimitMs);
 	const finish = async (ids, summary, code) => {
 		clearTimeout(timer);
-		await site.close(recordPath, ids, [`trouble: ${hasTrouble}`, ...summary]);
+		await site.close(recordPath, ids, summary);
 		console.log(summary.join('\n'));
 		// eslint-disable-next-line unicorn/no-process-exit -- this is the end of a script
 		process.exit(code);
