Log why a leader takes a receiver for lost

Neither the moment of the loss nor what it was judged by was logged, only that the jobs were given up 0.6 s later.

Change: the leader logs `receiver-lost` with the number of jobs, the silence, the announced interval and the excluded part of the silence.

Result: no decision depends on it.

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -191,6 +191,17 @@
 	readonly excludedMs: number;
 };
 
+/** How long nothing was heard of a peer, in milliseconds, and what its liveness is judged by. */
+export type PeerSilence = {
+	readonly silentMs: number;
+	/** Interval that the peer has announced. */
+	readonly intervalMs: number;
+	/** Part of the silence in which this process read no messages. */
+	readonly excludedMs: number;
+	/** Whether the connection has broken since the newest heartbeat. */
+	readonly isDisconnected: boolean;
+};
+
 /** Longest time since a heartbeat for which it counts as recent, also from a peer that announces a longer interval. */
 const maxRecentMs = 1600;
 /** Length of the time steps that fencing tokens count, so that later claims get higher tokens without coordination. */
@@ -377,6 +388,19 @@
 		);
 	}
 
+	/** Returns how long nothing was heard of a peer, and what its liveness is judged by; `undefined` for one that is unknown. */
+	describeSilence(name: string, now: number): PeerSilence | undefined {
+		const peer = this.#peers.get(name);
+		return (
+			peer && {
+				silentMs: now - peer.lastHeartbeatAtMs,
+				intervalMs: peer.heartbeat.intervalMs,
+				excludedMs: peer.excludedMs,
+				isDisconnected: peer.isDisconnected,
+			}
+		);
+	}
+
 	/** Returns the newest heartbeats of the live peers. */
 	livePeers(now: number): readonly Heartbeat[] {
 		return [...this.#peers.values()]
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -479,17 +479,24 @@
 		}
 	}
 
-	/** Does the same for all receivers that `isReachable` does not accept. */
+	/**
+	 * Does the same for all receivers that `isReachable` does not accept. Returns those of which a job was not marked before,
+	 * with the number of such jobs.
+	 */
 	markUnreachableReceivers(
 		isReachable: (receiver: string) => boolean,
 		now: number,
-	): void {
+	): ReadonlyMap<string, number> {
 		this.#begin(now);
+		const newlyLost = new Map<string, number>();
 		for (const job of this.#jobs.values()) {
-			if (!isReachable(job.receiver)) {
-				job.receiverLostAtMs ??= now;
+			if (job.receiverLostAtMs === undefined && !isReachable(job.receiver)) {
+				job.receiverLostAtMs = now;
+				newlyLost.set(job.receiver, (newlyLost.get(job.receiver) ?? 0) + 1);
 			}
 		}
+
+		return newlyLost;
 	}
 
 	/**
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -656,12 +656,7 @@
 				this.#storeFollower.requestWorkers();
 			}
 
-			this.#scheduler.markUnreachableReceivers(
-				(receiver) =>
-					receiver === this.#settings.name ||
-					this.#leadership.isPeerLive(receiver, now),
-				now,
-			);
+			this.#markUnreachableReceivers(now);
 			this.#scheduler.tick(now);
 		}
 
@@ -698,6 +693,24 @@
 		}
 	}
 
+	/** Starts no more tasks for receivers of which no heartbeats arrive. */
+	#markUnreachableReceivers(now: number): void {
+		const newlyLost = this.#scheduler.markUnreachableReceivers(
+			(receiver) =>
+				receiver === this.#settings.name ||
+				this.#leadership.isPeerLive(receiver, now),
+			now,
+		);
+		for (const [receiver, jobs] of newlyLost) {
+			this.#log.write({
+				event: 'receiver-lost',
+				receiver,
+				jobs,
+				...this.#leadership.describeSilence(receiver, now),
+			});
+		}
+	}
+
 	/**
 	 * Tells other leaders, and candidates that may succeed this one, which jobs they may get from callers. A leader of all zones
 	 * has to tell candidates too: its successor may have claimed some zones only when it gets such a job.
