Play late processes and cuts that nobody notices in the model of leaders

Its processes always announced the short intervals of heartbeats, whatever they had stood still for, so that each peer counted as lost after 0.4 s of silence. A cut closed the streams at both ends after 0.8 s and told both, while in the program a closing during a cut is not delivered, and the silence of a late peer is borne for 1.6 s. And cuts of a zone ended after 2.7 s at the latest, before the leaders on both sides could start the same task.

--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -142,6 +142,8 @@
 	#isRoundDue = false;
 	#lastRoundMs = Number.NEGATIVE_INFINITY;
 	#lastDirectoryCheckMs = 0;
+	/** How late this process runs, by which it announces longer intervals of heartbeats. */
+	readonly #eventLoopDelay = new EventLoopDelay(tickIntervalMs);
 	readonly #stallDelay = new EventLoopDelay(tickIntervalMs);
 	#areChecksDeferred = false;
 	#isLeadershipUpdateScheduled = false;
@@ -309,6 +311,7 @@
 		this.#schedule(tickIntervalMs, () => {
 			this.tick();
 		});
+		this.#eventLoopDelay.recordCheck(this.#now);
 		const isStalled = this.#excludeStall();
 		if (this.#areChecksDeferred) {
 			return;
@@ -712,7 +715,10 @@
 
 	#sendDueHeartbeats(): void {
 		const now = this.#now;
-		const intervals = computeHeartbeatIntervals(overlaySize, 0);
+		const intervals = computeHeartbeatIntervals(
+			overlaySize,
+			this.#eventLoopDelay.largestMs(now),
+		);
 		if (this.#isRoundDue && now - this.#lastRoundMs >= intervals.roundGapMs) {
 			this.#isRoundDue = false;
 			this.#lastRoundMs = now;
@@ -1163,8 +1169,8 @@
 		return link;
 	}
 
-	/** Closes the stream between two entry VMs; both notice it if they run. */
-	#closeLink(left: string, right: string): void {
+	/** Closes the stream between two entry VMs; both notice it if they run, unless a cut conceals it. */
+	#closeLink(left: string, right: string, isConcealed = false): void {
 		const link = this.#findLink(left, right);
 		if (!link.isOpen) {
 			return;
@@ -1180,11 +1186,14 @@
 			this.#staleMs.delete(`${peer} ${name}`);
 			this.#lastDeliveryMs.delete(`${peer} ${name}`);
 			const process = this.#processes.get(name);
-			this.events.add(this.events.now + 3 * this.random(), () => {
-				process?.handle(() => {
-					process.handleLost(peer);
-				}, peer);
-			});
+			const delayMs = 3 * this.random();
+			if (!isConcealed) {
+				this.events.add(this.events.now + delayMs, () => {
+					process?.handle(() => {
+						process.handleLost(peer);
+					}, peer);
+				});
+			}
 		}
 	}
 
@@ -1220,7 +1229,10 @@
 		this.#openLink(left, right, 5 + 30 * this.random());
 	}
 
-	/** Lets no messages pass between two entry VMs for a time. A stream that is silent for long is closed. */
+	/**
+	 * Lets no messages pass between two entry VMs for a time. The sender replaces a stream that is silent for long; the other
+	 * end notices nothing, as the closing is not delivered either.
+	 */
 	#cut(
 		left: string,
 		right: string,
@@ -1237,7 +1249,8 @@
 				Math.min(untilMs, this.events.now + staleStreamMs),
 				() => {
 					if (link.epoch === epoch) {
-						this.#breakLink(left, right);
+						this.#closeLink(left, right, true);
+						this.#openLink(left, right, 5 + 30 * this.random());
 					}
 				},
 			);
@@ -1606,6 +1619,10 @@
 					20 + 1500 * this.random() ** 2,
 				);
 			}
+
+			if (this.#happens(settings.delayProbability)) {
+				this.#faultTargets.stand(process.name, 150 + 100 * this.random());
+			}
 		}
 
 		if (this.#happens(settings.silenceProbability)) {
@@ -1655,7 +1672,7 @@
 
 		if (this.#happens(settings.zoneCutProbability)) {
 			const zone = this.#pick(this.zones)!;
-			const durationMs = 200 + 2500 * this.random();
+			const durationMs = settings.shortestZoneCutMs + 2500 * this.random();
 			const isDelaying = this.random() < 0.5;
 			this.#faultTargets.cutZone(zone, durationMs, isDelaying);
 		}
--- a/packages/verbenarouter/src/tests/zone-model-settings.ts
+++ b/packages/verbenarouter/src/tests/zone-model-settings.ts
@@ -34,10 +34,14 @@
 	readonly lossesOfAllAtMs: readonly number[];
 	/** Probability that a process handles nothing for a while. */
 	readonly stallProbability: number;
+	/** Probability that a process is late by 150 to 250 ms, so that it sends heartbeats less often for some seconds. */
+	readonly delayProbability: number;
 	/** Probability that no messages pass between two entry VMs for a while. */
 	readonly cutProbability: number;
 	/** Probability that no messages and commands pass between a zone and all others for a while. */
 	readonly zoneCutProbability: number;
+	/** Duration of the shortest such time; the longest one is 2500 ms longer. */
+	readonly shortestZoneCutMs: number;
 	/** Probability that the stream between two entry VMs breaks. */
 	readonly breakProbability: number;
 	/** Probability that the connection of a caller is reset. */
@@ -102,8 +106,10 @@
 	leaderStopProbability: 0,
 	lossesOfAllAtMs: [],
 	stallProbability: 0,
+	delayProbability: 0,
 	cutProbability: 0,
 	zoneCutProbability: 0,
+	shortestZoneCutMs: 200,
 	breakProbability: 0,
 	resetProbability: 0,
 	silenceProbability: 0,
@@ -252,6 +258,15 @@
 		leaderKillProbability: 0.03,
 	},
 	regionZoneCuts: {...regionDay, zoneCutProbability: 0.04},
+	/** The same while all processes are late again and again, and tasks are long. */
+	regionLateZoneCuts: {
+		...regionDay,
+		resetProbability: 0,
+		longestRunMs: 6000,
+		delayProbability: 0.015,
+		zoneCutProbability: 0.04,
+		shortestZoneCutMs: 2000,
+	},
 	regionLeaderCuts: {...regionDay, leaderCutProbability: 0.05},
 	regionResets: {...regionDay, leaderResetProbability: 0.06},
 	regionStops: {
