--- a/packages/core/src/heartbeat-check.ts
+++ b/packages/core/src/heartbeat-check.ts
@@ -24,6 +24,8 @@
 const maxTokenLeadMs = 3_600_000;
 /** Fencing tokens of one millisecond. */
 const tokensPerMs = 4000;
+/** Largest time in a heartbeat, in Unix milliseconds. */
+const maxTimeMs = 1e15;
 /** Largest position in the store's log; a larger one could never be superseded. */
 const maxPosition = 2 ** 50;
 /** Checks the heartbeats that other entry VMs send before anything relies on them. */
@@ -74,6 +76,14 @@
 			isEvacuated: isFlag,
 			position: isNumberUpTo(maxPosition),
 		});
+		const isGrant = isObjectOf({
+			epoch: isCount,
+			heartbeatSentAtMs: isNumberUpTo(maxTimeMs),
+		});
+		const isGrants: ValueCheck = (value) =>
+			typeof value === 'object' &&
+			value !== null &&
+			Object.values(value).every((grant) => isGrant(grant));
 		this.#checks = {
 			name: isShortText,
 			zone: isZone,
@@ -93,6 +103,8 @@
 			isCandidate: isOptional(isFlag),
 			evacuations: isOptional(isListOf(isEvacuation, knownZones.size)),
 			leaders: isOptional(isListOf(isLeader, knownZones.size)),
+			sentAtMs: isOptional(isNumberUpTo(maxTimeMs)),
+			grants: isOptional(isGrants),
 			members: isListOf(isMember, maxListedMembers),
 		};
 	}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -43,6 +43,7 @@
 export * from './overlay.js';
 export * from './lost-runs.js';
 export * from './jobs-elsewhere.js';
+export * from './receiver-grants.js';
 export * from './returnable-jobs.js';
 export * from './pool-job.js';
 export * from './pool-queue.js';
--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -1,4 +1,5 @@
 import {type ZoneEvacuation} from './zone-evacuations.js';
+import {type ReceiverGrant} from './receiver-grants.js';
 import {type ServiceWaits} from './zone-wait.js';
 
 /** A heartbeat: the state that an entry VM reports to its peers. */
@@ -45,6 +46,10 @@
 	readonly leaders?: readonly ReportedLeader[];
 	/** Zones that the operator has asked to evacuate, and those where the request was withdrawn; absent if there was none. */
 	readonly evacuations?: readonly ZoneEvacuation[];
+	/** Time of the sender's clock, in milliseconds, at which the heartbeat was sent; absent from the last build. */
+	readonly sentAtMs?: number;
+	/** Grants of the sender to the leaders that may have its jobs, by name; absent if there are none, and from the last build. */
+	readonly grants?: Readonly<Record<string, ReceiverGrant>>;
 	/** Entry VMs that appear in heartbeats, without those that only the store lists; empty in most heartbeats. */
 	readonly members: readonly MemberAddress[];
 };
@@ -191,6 +196,12 @@
 	readonly excludedMs: number;
 };
 
+/** When a heartbeat was sent, by the sender's clock, and when it arrived here, in milliseconds. */
+export type HeartbeatTimes = {
+	readonly sentAtMs: number;
+	readonly receivedAtMs: number;
+};
+
 /** How long nothing was heard of a peer, in milliseconds, and what its liveness is judged by. */
 export type PeerSilence = {
 	readonly silentMs: number;
@@ -388,6 +399,15 @@
 		);
 	}
 
+	/** Returns when the newest heartbeat of a peer was sent, by its clock, and when it arrived; `undefined` if it does not tell. */
+	findHeartbeatTimes(name: string): HeartbeatTimes | undefined {
+		const peer = this.#peers.get(name);
+		const sentAtMs = peer?.heartbeat.sentAtMs;
+		return peer === undefined || sentAtMs === undefined
+			? undefined
+			: {sentAtMs, receivedAtMs: peer.lastHeartbeatAtMs};
+	}
+
 	/** Returns how long nothing was heard of a peer, and what its liveness is judged by; `undefined` for one that is unknown. */
 	describeSilence(name: string, now: number): PeerSilence | undefined {
 		const peer = this.#peers.get(name);
--- a/packages/core/src/message-check.ts
+++ b/packages/core/src/message-check.ts
@@ -62,6 +62,10 @@
 	balancingWaitMs: isOptional(isDuration),
 	leaderToken: isOptional(isCount),
 	earlierToken: isOptional(isCount),
+	grant: isOptional(
+		isObjectOf({epoch: isCount, heartbeatSentAtMs: isDuration}),
+	),
+	earlierGrantAgeMs: isOptional(isDuration),
 	lostRuns: isOptional(isLostRuns),
 });
 
--- a/packages/core/src/pool-decision.ts
+++ b/packages/core/src/pool-decision.ts
@@ -24,6 +24,12 @@
 			readonly reason: WorkerStatusChange;
 			readonly inputs: Readonly<Record<string, number | string>>;
 	  }
+	/** The grant of a receiver has ended while it has jobs here, so that nothing of them is started or extended; or is renewed. */
+	| {
+			readonly event: 'receiver-held' | 'receiver-released';
+			readonly receiver: string;
+			readonly inputs: Readonly<Record<string, number | string>>;
+	  }
 	/** The leader has not ticked for long, or drops its last zone while starts are not confirmed. */
 	| {
 			readonly event: 'leader-suspended' | 'last-zone-dropped';
--- a/packages/core/src/pool-job.ts
+++ b/packages/core/src/pool-job.ts
@@ -1,4 +1,5 @@
 import {type LostRun} from './lost-runs.js';
+import {type ReceiverGrant} from './receiver-grants.js';
 
 /** Resources that a task needs while it runs, or that a worker has. */
 export type Resources = {
@@ -56,6 +57,16 @@
 	readonly leaderToken?: number;
 	/** Highest fencing token of the leaders that the receiver submitted the job to before; absent if there was none. */
 	readonly earlierToken?: number;
+	/**
+	 * The receiver's grant to the leader that it submits this copy to; absent if that is the same entry VM, sends no heartbeats to
+	 * the receiver, or is of the last build. Without one, the leader relies on the receiver's heartbeats alone.
+	 */
+	readonly grant?: ReceiverGrant;
+	/**
+	 * Milliseconds since the receiver read the newest heartbeat that it can have confirmed to a leader which it moved the job
+	 * away from; absent if there is none.
+	 */
+	readonly earlierGrantAgeMs?: number;
 	/** Runs of the job that leaders have reported as lost with their workers; leaders of the last build ignore them. */
 	readonly lostRuns?: readonly LostRun[];
 };
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -21,6 +21,7 @@
 	type PoolAnswer,
 	type PoolJob,
 } from './pool-job.js';
+import {ReceiverGrants, type ReceiverGrant} from './receiver-grants.js';
 import {type EndedJob, type ReturnableJob} from './returnable-jobs.js';
 import {parseJobId} from './task-name.js';
 import {decidePoolAdmission, type QueueOrder} from './pool-queue.js';
@@ -47,6 +48,7 @@
 import {
 	WorkerPool,
 	defaultWorkerPoolSettings,
+	type PriorRuns,
 	type WorkerPoolListener,
 	type RunOutcome,
 	type WorkerStatusChange,
@@ -78,7 +80,12 @@
 
 /** Settings of the scheduler. Times are in milliseconds. */
 export type SchedulerSettings = AnswerRetention & {
-	/** Time after which the jobs of an unreachable receiver are abandoned. */
+	/**
+	 * Time for which a receiver's grant lets this leader start and extend the runs of its jobs, from the sending of the heartbeat
+	 * that it confirms: two intervals of late processes, and a delay.
+	 */
+	readonly grantMs: number;
+	/** Time after which the jobs of an unreachable receiver, or of one whose grant has ended, are abandoned. */
 	readonly receiverTimeoutMs: number;
 	/** Multiple of the expected run time from which a run counts as stuck; few runs of sound workers take as long. */
 	readonly stuckFactor: number;
@@ -88,6 +95,7 @@
 
 /** Settings for callers that resend a lost job after 1.3 s. */
 export const defaultSchedulerSettings: SchedulerSettings = {
+	grantMs: 900,
 	receiverTimeoutMs: 600,
 	answerRetentionMs: 30_000,
 	maxRetainedAnswers: 20_000,
@@ -172,6 +180,9 @@
 	readonly #tails = new RunTimeTails();
 	readonly #lostRuns = new LostRunRegister();
 	readonly #jobsElsewhere = new JobsElsewhere();
+	readonly #grants = new ReceiverGrants();
+	/** Receivers whose grants have ended, with the time since when, as far as they have jobs here. */
+	#heldReceivers: ReadonlyMap<string, number> = new Map();
 	/** Submissions since the last flush, by job. */
 	readonly #submissions = new Map<string, Submission>();
 	#isFlushRequested = false;
@@ -499,6 +510,11 @@
 		return newlyLost;
 	}
 
+	/** Records that a receiver has confirmed a heartbeat of this leader: it had moved none of its jobs to another one by then. */
+	renewGrant(receiver: string, grant: ReceiverGrant, now: number): void {
+		this.#grants.renew(receiver, grant, now);
+	}
+
 	/**
 	 * Records that a job's caller lost its connection to `receiver` `lostForMs` milliseconds ago, and may submit the job to
 	 * another entry VM.
@@ -534,7 +550,8 @@
 	findReturnableJobs(now: number): readonly ReturnableJob[] {
 		const lostJobs = [...this.#jobs.values()].flatMap(
 			(job): readonly ReturnableJob[] => {
-				const {id, receiverLostAtMs, callerLostAtMs, hasStarted} = job;
+				const {id, callerLostAtMs, hasStarted} = job;
+				const receiverLostAtMs = this.#findReceiverLoss(job, now);
 				if (this.#isHeldElsewhere(job, now)) {
 					return [];
 				}
@@ -671,7 +688,8 @@
 			worker !== undefined &&
 			run?.state === 'ordered' &&
 			outcome.kind === 'silent' &&
-			job?.mayStart(now) === false
+			job !== undefined &&
+			!this.#mayStart(job, now)
 		) {
 			this.pool.stopRun(run, worker, now);
 		} else {
@@ -723,6 +741,7 @@
 		}
 
 		this.#stall.recordTick(now);
+		this.#updateHeldReceivers(now);
 		this.pool.tick(now, this.#listWaitingJobs().length > 0);
 		// The runs of a worker whose report is missing may have ended: this process may have been late to read it.
 		for (const worker of this.pool.workers.filter(
@@ -837,10 +856,24 @@
 		}
 
 		if (job !== undefined && task?.worker === worker.entry.id) {
+			if (
+				outcome === 'lapsed' &&
+				run.lossCause !== 'reported' &&
+				now >= worker.leaseExpiresByMs
+			) {
+				// Until then another leader may have got the job, and may have extended the lease of the run.
+				job.confirmationNeededSinceMs = worker.leaseExpiresByMs;
+			}
+
 			this.#handleTaskEnd(job, task, outcome, worker, now);
 		}
 	}
 
+	mayExtendRun({jobId}: WorkerRun, now: number): boolean {
+		const job = this.#jobs.get(jobId);
+		return job === undefined || this.#isGranted(job, now);
+	}
+
 	/** Adopts a run that a worker lists for a waiting task; returns whether there is such a task. */
 	tryAdoptRun(reportedRun: ReportedRun, worker: PoolWorker): boolean {
 		const job = this.#jobs.get(parseJobId(reportedRun.task));
@@ -1094,6 +1127,10 @@
 		{job, receiver, isResubmitted, receivedAtMs}: Submission,
 		now: number,
 	): ScheduledJob | undefined {
+		if (job.grant !== undefined) {
+			this.#grants.renew(receiver, job.grant, now);
+		}
+
 		const closedAttempt = this.#answeredJobs.findClosedAttempt(job.attempt);
 		if (closedAttempt !== undefined) {
 			// This attempt has been answered. A resubmitted job may have run under another leader since then.
@@ -1124,11 +1161,16 @@
 
 			knownJob.receiver = receiver;
 			knownJob.receiverLostAtMs = undefined;
+			knownJob.grantEpoch = job.grant?.epoch;
 			if (isResubmitted) {
 				// Another leader may have started the job after this leader received it first.
 				knownJob.isIndeterminate = true;
 				knownJob.zones = unionZones(knownJob.zones, job.zones);
-				knownJob.markUnsettled(job.earlierToken ?? 0, now);
+				knownJob.markUnsettled(
+					job.earlierToken ?? 0,
+					this.#computeOtherRunsEndByMs(job, receivedAtMs),
+					now,
+				);
 			}
 
 			this.#logJobDecision('joined', job.id, 'in-progress', {});
@@ -1195,6 +1237,7 @@
 	): void {
 		const {job} = scheduledJob;
 		scheduledJob.isIndeterminate = isResubmitted;
+		scheduledJob.grantEpoch = job.grant?.epoch;
 		for (const {task: name, run} of this.#lostRuns.ofJob(job.id)) {
 			scheduledJob.skipRunNumbers(name, run);
 		}
@@ -1205,7 +1248,11 @@
 		const mayBeReadLate =
 			this.#isSuspended || receivedAtMs - this.#resumedAtMs < maxReadDelayMs;
 		if (isResubmitted || wasSubmittedUnderOtherToken || mayBeReadLate) {
-			scheduledJob.markUnsettled(job.earlierToken ?? 0, now);
+			scheduledJob.markUnsettled(
+				job.earlierToken ?? 0,
+				this.#computeOtherRunsEndByMs(job, receivedAtMs),
+				now,
+			);
 		}
 
 		if (this.#answeredJobs.hadRuns(job.id)) {
@@ -1266,7 +1313,13 @@
 	/** Whether runs of a job that earlier leaders have started may be at work on workers that have not reported here yet. */
 	#mayRunUnseen(jobZones: readonly string[] | undefined, now: number): boolean {
 		const zones = jobZones ?? this.#options.zones;
-		return now < this.pool.priorRunsSettledAtMs(zones, 0, 0, now);
+		return (
+			now <
+			this.pool.priorRunsSettledAtMs(
+				{zones, otherRunsEndByMs: 0, earlierToken: 0},
+				now,
+			)
+		);
 	}
 
 	/** Refuses a job that cannot run, unless it may have started; returns whether it did. */
@@ -1332,10 +1385,96 @@
 	/** Records that a successor of this leader may have started any of the jobs. */
 	#markJobsUnsettled(now: number): void {
 		for (const job of this.#jobs.values()) {
-			job.markUnsettled(0, now);
+			job.markUnsettled(0, now + this.pool.priorRunsMs, now);
 		}
 	}
 
+	/**
+	 * Returns the time by which the runs have ended that another leader has started for a job: bounded by what its receiver has
+	 * confirmed to that leader, if it tells.
+	 */
+	#computeOtherRunsEndByMs(
+		{earlierGrantAgeMs}: PoolJob,
+		receivedAtMs: number,
+	): number {
+		return earlierGrantAgeMs === undefined
+			? receivedAtMs + this.pool.priorRunsMs
+			: receivedAtMs -
+					earlierGrantAgeMs +
+					this.#settings.grantMs +
+					this.pool.longestLeaseMs;
+	}
+
+	/** Returns the time at which the receiver's grant for a job ends unless it is renewed; infinite if it grants nothing. */
+	#grantEndsAtMs({receiver, grantEpoch}: ScheduledJob): number {
+		return grantEpoch === undefined
+			? Number.POSITIVE_INFINITY
+			: this.#grants.confirmedAtMs(receiver, grantEpoch) +
+					this.#settings.grantMs;
+	}
+
+	/** Whether this leader may start and extend runs of a job, as its receiver has it submitted to no other leader. */
+	#isGranted(job: ScheduledJob, now: number): boolean {
+		return now < this.#grantEndsAtMs(job);
+	}
+
+	/** Whether tasks of a job may be started now, as far as its receiver and its caller are concerned. */
+	#mayStart(job: ScheduledJob, now: number): boolean {
+		return (
+			job.mayStart(now) &&
+			this.#isGranted(job, now) &&
+			(job.grantEpoch === undefined ||
+				this.#grants.confirmedAtMs(job.receiver, job.grantEpoch) >=
+					job.confirmationNeededSinceMs)
+		);
+	}
+
+	/** Returns when the receiver of a job became unreachable, or its grant ended; `undefined` if neither is so. */
+	#findReceiverLoss(job: ScheduledJob, now: number): number | undefined {
+		const grantEndsAtMs = this.#grantEndsAtMs(job);
+		return grantEndsAtMs > now
+			? job.receiverLostAtMs
+			: Math.min(grantEndsAtMs, job.receiverLostAtMs ?? now);
+	}
+
+	/** Logs the receivers whose grants have ended, or are renewed, since the last tick. */
+	#updateHeldReceivers(now: number): void {
+		const jobs = [...this.#jobs.values()].filter(
+			(job) => !this.#isGranted(job, now),
+		);
+		const held = new Map<string, number>();
+		for (const job of jobs) {
+			const {receiver} = job;
+			const sinceMs = this.#heldReceivers.get(receiver);
+			if (!held.has(receiver) && sinceMs === undefined) {
+				this.#options.output.logDecision({
+					event: 'receiver-held',
+					receiver,
+					inputs: {
+						jobs: jobs.filter((other) => other.receiver === receiver).length,
+						endedForMs: Math.round(
+							Math.min(1e9, now - this.#grantEndsAtMs(job)),
+						),
+					},
+				});
+			}
+
+			held.set(receiver, sinceMs ?? now);
+		}
+
+		for (const [receiver, sinceMs] of this.#heldReceivers) {
+			if (!held.has(receiver)) {
+				this.#options.output.logDecision({
+					event: 'receiver-released',
+					receiver,
+					inputs: {heldMs: Math.round(now - sinceMs)},
+				});
+			}
+		}
+
+		this.#heldReceivers = held;
+	}
+
 	/** Marks tasks that another leader has reported as completed. */
 	#completeTasks(
 		job: ScheduledJob,
@@ -1468,7 +1607,7 @@
 			now,
 		);
 		const placeableJobs = this.#listWaitingJobs()
-			.filter((job) => job.mayStart(now) && pass.mayHaveRoom(job))
+			.filter((job) => this.#mayStart(job, now) && pass.mayHaveRoom(job))
 			.toSorted((left, right) =>
 				this.#options.queueOrder.compare(left, right, now),
 			);
@@ -1487,40 +1626,40 @@
 	 * Returns the time from which every run of a job that another leader sent a start command for has ended, cannot
 	 * start any more, or is known to this leader.
 	 */
-	#priorRunsSettledAtMs(
-		{unsettledSinceMs, earlierToken, zones}: ScheduledJob,
-		now: number,
-	): number {
-		const jobZones = zones ?? this.#options.zones;
-		const unknownRunsEndByMs = this.pool.unknownRunsEndByMs(jobZones, now);
+	#priorRunsSettledAtMs(job: ScheduledJob, now: number): number {
+		const {unsettledSinceMs} = job;
+		const priorRuns = this.#toPriorRuns(job);
+		const unknownRunsEndByMs = this.pool.unknownRunsEndByMs(
+			priorRuns.zones,
+			now,
+		);
 		return unsettledSinceMs === undefined
 			? unknownRunsEndByMs
 			: Math.max(
 					unknownRunsEndByMs,
 					unsettledSinceMs + workerListDelayMs,
-					this.pool.priorRunsSettledAtMs(
-						jobZones,
-						unsettledSinceMs,
-						earlierToken,
-						now,
-					),
+					this.pool.priorRunsSettledAtMs(priorRuns, now),
 				);
 	}
 
+	#toPriorRuns({
+		zones,
+		otherRunsEndByMs,
+		earlierToken,
+	}: ScheduledJob): PriorRuns {
+		return {
+			zones: zones ?? this.#options.zones,
+			otherRunsEndByMs,
+			earlierToken,
+		};
+	}
+
 	/** Returns the earliest time that {@link #priorRunsSettledAtMs} can become, if workers of newly led zones report at once. */
-	#earliestPriorRunsSettledAtMs(
-		{unsettledSinceMs, earlierToken, zones}: ScheduledJob,
-		now: number,
-	): number {
-		const jobZones = zones ?? this.#options.zones;
-		return unsettledSinceMs === undefined
-			? this.pool.earliestUnknownRunsEndByMs(jobZones, now)
-			: this.pool.earliestPriorRunsSettledAtMs(
-					jobZones,
-					unsettledSinceMs,
-					earlierToken,
-					now,
-				);
+	#earliestPriorRunsSettledAtMs(job: ScheduledJob, now: number): number {
+		const priorRuns = this.#toPriorRuns(job);
+		return job.unsettledSinceMs === undefined
+			? this.pool.earliestUnknownRunsEndByMs(priorRuns.zones, now)
+			: this.pool.earliestPriorRunsSettledAtMs(priorRuns, now);
 	}
 
 	/**
@@ -1622,19 +1761,16 @@
 
 	/** Returns what shows afterwards why a leader took a job for one that nobody else runs. */
 	#describeCertainty(
-		{unsettledSinceMs, earlierToken, zones}: ScheduledJob,
+		job: ScheduledJob,
 		now: number,
 	): Readonly<Record<string, number | string>> {
-		const jobZones = zones ?? this.#options.zones;
+		const {unsettledSinceMs, zones, receiver, grantEpoch} = job;
+		const priorRuns = this.#toPriorRuns(job);
+		const jobZones = priorRuns.zones;
 		const unreported = this.pool.countUnreportedWorkers(jobZones);
 		const areAllReported =
 			unsettledSinceMs !== undefined &&
-			this.pool.priorRunsSettledAtMs(
-				jobZones,
-				unsettledSinceMs,
-				earlierToken,
-				now,
-			) === now;
+			this.pool.priorRunsSettledAtMs(priorRuns, now) === now;
 		return {
 			ledZones: this.pool.zones.join(' '),
 			jobZones: zones?.join(' ') ?? '*',
@@ -1645,6 +1781,13 @@
 						? 'all-reported'
 						: 'time-bound',
 			...(unreported === 0 ? {} : {unreported}),
+			...(grantEpoch === undefined
+				? {}
+				: {
+						grantAgeMs: Math.round(
+							now - this.#grants.confirmedAtMs(receiver, grantEpoch),
+						),
+					}),
 			listAfterClaimMs: Math.round(
 				Math.max(-1e9, this.pool.listAfterClaimMs(jobZones)),
 			),
@@ -1755,12 +1898,14 @@
 
 	/** Drops a job whose receiver is lost, and abandons one that can no longer be answered in time. */
 	#checkJobTimeouts(job: ScheduledJob, now: number): void {
+		const receiverLostAtMs = this.#findReceiverLoss(job, now);
 		if (
-			job.receiverLostAtMs !== undefined &&
-			now - job.receiverLostAtMs >= this.#settings.receiverTimeoutMs
+			receiverLostAtMs !== undefined &&
+			now - receiverLostAtMs >= this.#settings.receiverTimeoutMs
 		) {
 			this.#logJobDecision('given-up', job.id, 'receiver-lost', {
 				receiver: job.receiver,
+				isGranted: this.#isGranted(job, now) ? 1 : 0,
 			});
 			this.#stopRuns(job, now);
 			this.#jobs.delete(job.id);
--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -138,6 +138,11 @@
 	accelerators: 0,
 };
 
+/** Computes the longest time in milliseconds for which a lease lasts after the command that grants it was sent. */
+export function computeLongestLeaseMs(leaseMs: number): number {
+	return leaseMs * (1 + maxClockDriftRatio) + maxCommandDelayMs;
+}
+
 /** The leader's record of one worker: its runs, orphans, lease, clock, health and pace. */
 export class PoolWorker {
 	/** Kind and size of the worker, see {@link kindOf}; stays the same while the capacity is smaller for a while. */
@@ -148,6 +153,8 @@
 	isListed = true;
 	/** Whether the operator has asked that nothing be started in the worker's zone. */
 	isEvacuated = false;
+	/** Whether the job of a run keeps the lease from being extended, so that nothing is started here either. */
+	isLeaseWithheld = false;
 	/** Whether the worker refuses starts beyond its capacity. */
 	guardsCapacity = true;
 	/** Runs of known jobs, by task. */
@@ -330,8 +337,7 @@
 
 	/** Records that a command which may extend the lease is sent now. */
 	recordLeaseExtension(now: number, leaseMs: number): void {
-		this.leaseExpiresByMs =
-			now + leaseMs * (1 + maxClockDriftRatio) + maxCommandDelayMs;
+		this.leaseExpiresByMs = now + computeLongestLeaseMs(leaseMs);
 	}
 
 	/** Resources that neither runs nor orphans use; negative amounts are possible. */
@@ -389,6 +395,7 @@
 			!this.isEvacuated &&
 			this.isSynced &&
 			this.orphans.size === 0 &&
+			!this.isLeaseWithheld &&
 			this.entry.state === 'ready' &&
 			this.contactFailures === 0 &&
 			now >= this.fullUntilMs &&
--- a/packages/core/src/scheduled-job.ts
+++ b/packages/core/src/scheduled-job.ts
@@ -64,6 +64,8 @@
 	 * has not found; `undefined` if this leader is certainly the only one that has the job.
 	 */
 	unsettledSinceMs: number | undefined;
+	/** Time by which the runs that another leader has started, or still starts, have ended; of no meaning while settled. */
+	otherRunsEndByMs = Number.NEGATIVE_INFINITY;
 	/** Highest fencing token under which another leader may have got the job. */
 	earlierToken: number;
 	/** Whether the job lost time because the workers had no leader, or the leader had no reports of them yet. */
@@ -72,6 +74,10 @@
 	isReassessed = false;
 	/** Zones whose workers may run the job, or may have run it for an earlier leader; `undefined` for all zones. */
 	zones: readonly string[] | undefined;
+	/** Epoch of the receiver's grant under which the job was submitted; `undefined` if the receiver has granted nothing. */
+	grantEpoch: number | undefined;
+	/** Time since which the receiver must have confirmed a heartbeat, as the lease of a run has ended then without a report. */
+	confirmationNeededSinceMs = Number.NEGATIVE_INFINITY;
 	/** Whether any run of the job has been placed, or found on a worker, or any task was done when the job arrived. */
 	hasStarted = false;
 
@@ -181,9 +187,17 @@
 		return this.tasks.every(({state}) => state === 'done');
 	}
 
-	/** Records that from now on another leader may have the job, after a resubmission or a new claim of this leader. */
-	markUnsettled(earlierToken: number, now: number): void {
+	/**
+	 * Records that from now on another leader may have the job, after a resubmission or a new claim of this leader, and the time
+	 * by which that leader's runs have ended.
+	 */
+	markUnsettled(
+		earlierToken: number,
+		otherRunsEndByMs: number,
+		now: number,
+	): void {
 		this.unsettledSinceMs = now;
+		this.otherRunsEndByMs = Math.max(this.otherRunsEndByMs, otherRunsEndByMs);
 		this.earlierToken = Math.max(this.earlierToken, earlierToken);
 	}
 
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -1,6 +1,7 @@
 import {FreeCapacityIndex} from './free-capacity-index.js';
 import {
 	PoolWorker,
+	computeLongestLeaseMs,
 	type ReportedEnd,
 	type ReportedRun,
 	type RunEndStatus,
@@ -37,6 +38,8 @@
 	tryAdoptRun(run: ReportedRun, worker: PoolWorker): boolean;
 	/** Offers the reported end of a run that the pool has no record of; returns whether a job has adopted it. */
 	tryAdoptEnd(end: ReportedEnd): boolean;
+	/** Whether the lease of a run may be extended now, as far as its job is concerned. */
+	mayExtendRun(run: WorkerRun, now: number): boolean;
 	/** Whether the job of a task has been answered or given up, so that its runs are of no use. */
 	isJobOver(task: string): boolean;
 	/** Handles the refusal of a fencing token by a worker that has received a higher one. */
@@ -107,6 +110,11 @@
 	readonly orphanClaimMs: number;
 	/** Time for which the end of an orphan is kept for a job that may still claim it. */
 	readonly orphanEndRetentionMs: number;
+	/**
+	 * Time before the end of a worker's lease at which its runs that may not be extended are stopped, if others need the lease:
+	 * allowances for the end of the lease, a stop and the report of its outcome.
+	 */
+	readonly withheldStopMs: number;
 	/** Time after which an unacknowledged stop is sent again. */
 	readonly stopRetryMs: number;
 	/**
@@ -125,6 +133,7 @@
 	orphanStopDelayMs: 700,
 	orphanClaimMs: 100,
 	orphanEndRetentionMs: 4000,
+	withheldStopMs: 500,
 	stopRetryMs: 60,
 	stopDurationMs: 50,
 };
@@ -148,6 +157,16 @@
 /** Allowance for commands of an earlier leader that were in transit at the claim, and for slow clocks of workers. */
 const leaseExpiryMarginMs = 150;
 
+/** What is known of the runs of a job that other leaders may have started. */
+export type PriorRuns = {
+	/** Zones in which the job may have run. */
+	readonly zones: readonly string[];
+	/** Time by which these runs have ended. */
+	readonly otherRunsEndByMs: number;
+	/** Highest token under which another leader may have the job. */
+	readonly earlierToken: number;
+};
+
 type LedZone = {
 	readonly token: number;
 	/** Time at which reports of all workers were last requested: at the claim, or after a suspension of this process. */
@@ -455,17 +474,14 @@
 	/**
 	 * Returns the time from which every run of a job that an earlier leader sent a start command for, and that no report
 	 * lists, is certain to have ended or never to start. The leader of another zone may keep such a run alive until it
-	 * stops the run as an orphan. `jobZones` are the zones in which the job may have run, `sinceMs` is the time since which
-	 * another leader may have the job, and `earlierToken` the highest token under which it may have it.
+	 * stops the run as an orphan.
 	 *
 	 * All reports under a token that is higher than `earlierToken` show every such run: later starts under lower tokens are
 	 * refused, and a leader that claims with a higher token needs all reports itself before it starts the job. They are all
 	 * reports only if the list of workers is current: others may run the job on workers that an older one lacks.
 	 */
 	priorRunsSettledAtMs(
-		jobZones: readonly string[],
-		sinceMs: number,
-		earlierToken: number,
+		{zones: jobZones, otherRunsEndByMs, earlierToken}: PriorRuns,
 		now: number,
 	): number {
 		const isFullySynced =
@@ -477,7 +493,7 @@
 			);
 		return isFullySynced
 			? now
-			: Math.max(sinceMs, this.#zonesChangedAtMs) + this.#priorRunsMs;
+			: Math.max(otherRunsEndByMs, this.#zonesChangedAtMs + this.priorRunsMs);
 	}
 
 	/**
@@ -525,12 +541,8 @@
 	 * Like `priorRunsSettledAtMs`, but assumes that workers send a requested report at once unless a command to them has failed,
 	 * and that the list of workers is read at once unless the store is unreachable.
 	 */
-	earliestPriorRunsSettledAtMs(
-		jobZones: readonly string[],
-		sinceMs: number,
-		earlierToken: number,
-		now: number,
-	): number {
+	earliestPriorRunsSettledAtMs(priorRuns: PriorRuns, now: number): number {
+		const {zones: jobZones, earlierToken} = priorRuns;
 		const areReportsOnTheirWay = [...this.#unsyncedWorkers].every(
 			({entry, contactFailures}) =>
 				contactFailures === 0 || !jobZones.includes(entry.zone),
@@ -540,7 +552,7 @@
 			(this.#isListOnItsWay(jobZones, now) || this.#hasCurrentList(jobZones)) &&
 			(this.isSyncing(now) || areReportsOnTheirWay)
 			? now
-			: this.priorRunsSettledAtMs(jobZones, sinceMs, earlierToken, now);
+			: this.priorRunsSettledAtMs(priorRuns, now);
 	}
 
 	/**
@@ -644,7 +656,8 @@
 				if (
 					run.sendCount < maxStartSends &&
 					!worker.isEvacuated &&
-					now <= this.certainUntilMs
+					now <= this.certainUntilMs &&
+					this.#mayExtendLease(worker, now)
 				) {
 					this.#sendStart(run, spec, worker, now);
 				} else {
@@ -776,6 +789,7 @@
 		for (const worker of this.#workers.values()) {
 			worker.expireRoomLimit(now);
 			this.#endLapsedRuns(worker, now);
+			this.#withholdLease(worker, now);
 			this.#sendStops(worker, hasWaitingTasks, now);
 			this.#sendHold(worker, now);
 		}
@@ -809,11 +823,16 @@
 	}
 
 	/** Longest time for which a run of an earlier leader can be at work after this one has claimed its worker. */
-	get #priorRunsMs(): number {
+	get priorRunsMs(): number {
 		const {leaseMs, orphanStopDelayMs} = this.#settings;
 		return leaseMs + orphanStopDelayMs + leaseExpiryMarginMs;
 	}
 
+	/** Longest time for which a run is at work after the last command that has extended its lease. */
+	get longestLeaseMs(): number {
+		return computeLongestLeaseMs(this.#settings.leaseMs);
+	}
+
 	#latestUnknownRunsEndMs(
 		jobZones: readonly string[],
 		isCounted: (worker: PoolWorker) => boolean,
@@ -843,7 +862,7 @@
 	/** Takes what a worker runs for unknown until it reports again, as another leader may command it. */
 	#requestReport(worker: PoolWorker, now: number): void {
 		worker.reportAwaitedSinceMs = now;
-		worker.unknownRunsEndByMs = now + this.#priorRunsMs;
+		worker.unknownRunsEndByMs = now + this.priorRunsMs;
 		worker.isSynced = false;
 	}
 
@@ -868,7 +887,7 @@
 		worker.pace.setBaseline(this.kindSpeeds.logSlowdown(worker.kind));
 		worker.reportAwaitedSinceMs = now;
 		worker.unknownRunsEndByMs =
-			(this.#zones.get(entry.zone)?.syncingSinceMs ?? now) + this.#priorRunsMs;
+			(this.#zones.get(entry.zone)?.syncingSinceMs ?? now) + this.priorRunsMs;
 		this.#workers.set(entry.id, worker);
 		this.#unsyncedWorkers.add(worker);
 		this.#workerList = undefined;
@@ -933,7 +952,7 @@
 	#unlistedRunsEndByMs(zones: readonly string[]): number {
 		return this.#hasCurrentList(zones)
 			? Number.NEGATIVE_INFINITY
-			: this.#findLatestClaimMs(zones) + this.#priorRunsMs;
+			: this.#findLatestClaimMs(zones) + this.priorRunsMs;
 	}
 
 	/** Returns the latest time at which one of these zones was claimed, or reports of all its workers were requested. */
@@ -990,7 +1009,12 @@
 	): void {
 		const token = this.#zones.get(worker.entry.zone)?.token;
 		const clockMs = worker.estimateClockMs(now);
-		if (token === undefined || clockMs === undefined) {
+		// The command extends the lease of all runs of the worker.
+		if (
+			token === undefined ||
+			clockMs === undefined ||
+			!this.#mayExtendLease(worker, now)
+		) {
 			this.#endRun(worker, run, 'not-started', now);
 			return;
 		}
@@ -1287,6 +1311,40 @@
 		}
 	}
 
+	/**
+	 * Records whether some job keeps the lease of a worker from being extended, and stops its runs in time for the others that
+	 * need the lease.
+	 */
+	#withholdLease(worker: PoolWorker, now: number): void {
+		const withheld = [...worker.runs.values()].filter(
+			(run) =>
+				run.state !== 'stopping' && !this.#listener.mayExtendRun(run, now),
+		);
+		worker.isLeaseWithheld = withheld.length > 0;
+		if (
+			withheld.length < worker.runs.size &&
+			worker.leaseExpiresByMs - now <= this.#settings.withheldStopMs
+		) {
+			for (const run of withheld) {
+				this.stopRun(run, worker, now);
+			}
+		}
+	}
+
+	/**
+	 * Whether a command may extend the lease of a worker, which applies to all its runs: not beside a run whose job, or that of an
+	 * orphan, may be started elsewhere once the present lease has ended.
+	 */
+	#mayExtendLease(worker: PoolWorker, now: number): boolean {
+		return (
+			worker.orphans.size === 0 &&
+			[...worker.runs.values()].every(
+				(run) =>
+					run.state === 'stopping' || this.#listener.mayExtendRun(run, now),
+			)
+		);
+	}
+
 	#sendStops(worker: PoolWorker, hasWaitingTasks: boolean, now: number): void {
 		const token = this.#zones.get(worker.entry.zone)?.token;
 		if (token === undefined || !worker.isSynced) {
@@ -1323,13 +1381,24 @@
 		}
 	}
 
-	/** Returns how long the worker may delay its report: until shortly after the next expected end of a run. */
-	#computeReportDelayMs(worker: PoolWorker, now: number): number {
+	/**
+	 * Returns how long the worker may delay its report: until shortly after the next expected end of a run. The next command
+	 * follows the report, so it is soon if this one does not extend the lease of runs.
+	 */
+	#computeReportDelayMs(
+		worker: PoolWorker,
+		extendsLease: boolean,
+		now: number,
+	): number {
 		if (!worker.isSynced || worker.contactFailures > 0) {
 			return 0;
 		}
 
 		const {maxReportDelayMs, reportDelayMarginMs} = this.#settings;
+		if (!extendsLease && worker.runs.size > 0) {
+			return reportDelayMarginMs;
+		}
+
 		const slowdown = worker.pace.slowdownFactor(now);
 		const remainingMs = [...worker.runs.values()]
 			.map(
@@ -1366,14 +1435,12 @@
 		}
 
 		const clockMs = worker.estimateClockMs(now);
-		// A lease applies to all runs of a worker. The job of an orphan may be started elsewhere once the lease has ended that its
-		// own leader gave it.
 		const extendsLease =
 			clockMs !== undefined &&
 			now <= this.certainUntilMs &&
 			worker.contactFailures < maxContactFailures &&
 			worker.runs.size > 0 &&
-			worker.orphans.size === 0;
+			this.#mayExtendLease(worker, now);
 		if (extendsLease) {
 			worker.recordLeaseExtension(now, this.#settings.leaseMs);
 		}
@@ -1383,7 +1450,7 @@
 			worker: worker.entry,
 			fencingToken: token,
 			acknowledgedEndNumber: worker.lastHandledEndNumber,
-			maxReportDelayMs: this.#computeReportDelayMs(worker, now),
+			maxReportDelayMs: this.#computeReportDelayMs(worker, extendsLease, now),
 			...(extendsLease
 				? {leaseExpiresAtMs: clockMs + this.#settings.leaseMs}
 				: {}),
--- a/packages/verbenarouter/src/overlay/overlay-node.ts
+++ b/packages/verbenarouter/src/overlay/overlay-node.ts
@@ -50,7 +50,7 @@
 /** What an entry VM tells others of itself besides its membership and the zones that it leads. */
 export type NodeState = Pick<
 	Heartbeat,
-	'isStopping' | 'scope' | 'spareMillis' | 'waits' | 'evacuations'
+	'isStopping' | 'scope' | 'spareMillis' | 'waits' | 'evacuations' | 'grants'
 > & {
 	readonly needsKnowledge: boolean;
 	readonly readsStore: boolean;
@@ -636,6 +636,7 @@
 							address: this.#self.peerAddress,
 							incarnation: this.#incarnation,
 							intervalMs,
+							sentAtMs: Math.floor(now),
 							processorShare: this.#self.processorShare,
 							isWarm: this.#leadership.isWarm,
 							leads: Object.fromEntries(this.#leadership.ledZones),
--- a/packages/verbenarouter/src/pool/job-receiver.ts
+++ b/packages/verbenarouter/src/pool/job-receiver.ts
@@ -1,14 +1,17 @@
 import {
 	computeAnswerWindowMs,
 	maxOverflowPatienceMs,
+	type HeartbeatTimes,
 	type LostRun,
 	type PoolAnswer,
 	type PoolJob,
+	type ReceiverGrant,
 	type ZoneLeader,
 } from '@verbenarouter/core';
 import {type PoolMessage} from '@verbenarouter/peer';
 import {type LogFields} from '../logger.js';
 import {GivenUpJobs, type GiveUpReason} from './given-up-jobs.js';
+import {LeaderGrants} from './leader-grants.js';
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {
 	ZoneRouter,
@@ -45,6 +48,10 @@
 	readonly placesByZone: (leader: string, now: number) => boolean;
 	/** Whether messages can be sent to another entry VM. */
 	readonly isOpen: (name: string) => boolean;
+	/** Returns when the newest heartbeat of a leader was sent and arrived; `undefined` if it does not tell or has sent none. */
+	readonly findHeartbeatTimes: (leader: string) => HeartbeatTimes | undefined;
+	/** Epoch of the first grants of this process, higher than those of the processes before it. */
+	readonly firstEpoch: number;
 	/** Keeps a connection to the leader of a zone for some seconds, and opens one if there is none. */
 	readonly useLeader: (zone: string, now: number) => void;
 	/** Sends a message to a leader, which may be this entry VM; returns false if there is no stream to it. */
@@ -65,9 +72,14 @@
 	readonly #pendingJobs = new PendingJobs();
 	readonly #givenUpJobs = new GivenUpJobs();
 	readonly #zoneRouter: ZoneRouter;
+	readonly #grants: LeaderGrants;
 
 	constructor(options: JobReceiverOptions) {
 		this.#options = options;
+		this.#grants = new LeaderGrants(
+			options.firstEpoch,
+			options.findHeartbeatTimes,
+		);
 		this.#zoneRouter = new ZoneRouter(
 			this.#pendingJobs,
 			options.readZoneView,
@@ -92,6 +104,23 @@
 		return this.#pendingJobs.get(id) !== undefined;
 	}
 
+	/** Returns the grants to the leaders that have, or are to get, jobs of this receiver, by the leader's name. */
+	listGrants(): Readonly<Record<string, ReceiverGrant>> {
+		const leaders = new Set([
+			this.#options.findOwnLeader(),
+			...this.#pendingJobs.all.map(({sentTo}) => sentTo),
+		]);
+		return Object.fromEntries(
+			[...leaders].flatMap((leader) => {
+				const grant =
+					leader === undefined ? undefined : this.#findGrant(leader);
+				return leader === undefined || grant === undefined
+					? []
+					: [[leader, grant]];
+			}),
+		);
+	}
+
 	/** Submits a job of a caller, or lets the caller wait for the pending job with its identifier. */
 	receive(
 		job: PoolJob,
@@ -298,10 +327,39 @@
 		}
 
 		if (pending.sentTo !== undefined && pending.sentTo !== leader) {
-			this.#giveUpAtLeader(pending.sentTo, pending, 'moved', now);
+			this.#moveAway(pending, pending.sentTo, now);
 		}
 
-		const {earlierToken} = pending;
+		const {job, isResubmitted} = this.#createSubmission(pending, leader, now);
+		this.#givenUpJobs.remove(leader, job.id);
+		this.#options.send(leader, {type: 'submit', job, isResubmitted}, now);
+		if (pending.callerLostAtMs !== undefined) {
+			const lostForMs = Math.round(now - pending.callerLostAtMs);
+			this.#options.send(
+				leader,
+				{type: 'caller-lost', id: job.id, lostForMs},
+				now,
+			);
+		}
+	}
+
+	/** Has a leader give up a job that is moved to another one, and ends the grant under which the leader has it. */
+	#moveAway(pending: PendingJob, leader: string, now: number): void {
+		pending.movedGrantAtMs = Math.max(
+			pending.movedGrantAtMs ?? 0,
+			this.#grants.latestConfirmationMs(leader) ?? now,
+		);
+		this.#grants.end(leader, pending.sentEpoch);
+		this.#giveUpAtLeader(leader, pending, 'moved', now);
+	}
+
+	/** Records that a job is sent to a leader, and returns the job as that leader gets it. */
+	#createSubmission(
+		pending: PendingJob,
+		leader: string,
+		now: number,
+	): Pick<ReceiverMessage & {type: 'submit'}, 'job' | 'isResubmitted'> {
+		const {earlierToken, movedGrantAtMs} = pending;
 		const balancingWaitMs = this.#zoneRouter.findBalancingWaitMs(pending, now);
 		const leaderToken =
 			this.#options.findLeader(pending.overflowZone ?? this.#options.zone, now)
@@ -311,13 +369,19 @@
 			{name: leader, token: leaderToken},
 			this.#findZonesForJob(pending, leader, now),
 		);
+		pending.sentEpoch = this.#grants.epochOf(leader);
+		const grant = this.#findGrant(leader);
 		const {doneTasks, zones, refusedBy, isBalanced, lostRuns} = pending;
 		const refusingZones = refusedBy.length + Number(isBalanced);
-		const job = {
+		const job: PoolJob = {
 			...pending.job,
 			waitedMs: now - pending.receivedAtMs,
 			leaderToken,
 			...(earlierToken === undefined ? {} : {earlierToken}),
+			...(grant === undefined ? {} : {grant}),
+			...(movedGrantAtMs === undefined
+				? {}
+				: {earlierGrantAgeMs: Math.floor(Math.max(0, now - movedGrantAtMs))}),
 			...(doneTasks.length > 0 ? {doneTasks} : {}),
 			...(lostRuns.length > 0 ? {lostRuns} : {}),
 			...(zones === undefined ? {} : {zones}),
@@ -329,16 +393,7 @@
 						patienceMs: Math.min(pending.job.patienceMs, maxOverflowPatienceMs),
 					}),
 		};
-		this.#givenUpJobs.remove(leader, job.id);
-		this.#options.send(leader, {type: 'submit', job, isResubmitted}, now);
-		if (pending.callerLostAtMs !== undefined) {
-			const lostForMs = Math.round(now - pending.callerLostAtMs);
-			this.#options.send(
-				leader,
-				{type: 'caller-lost', id: job.id, lostForMs},
-				now,
-			);
-		}
+		return {job, isResubmitted};
 	}
 
 	/** Tells all leaders that may have a job that its caller may submit it to any entry VM, or that it has come back. */
@@ -375,6 +430,25 @@
 			pending.withoutLeaderSinceMs ??= now;
 			this.#sendToLeader(pending, now);
 		}
+
+		this.#resubmitWithoutGrant(now);
+	}
+
+	/** Submits again the jobs that stay with a leader from which others were moved, as that has ended its grant. */
+	#resubmitWithoutGrant(now: number): void {
+		for (const pending of this.#pendingJobs.all.filter(
+			({sentTo, sentEpoch}) =>
+				sentTo !== undefined && sentEpoch !== this.#grants.epochOf(sentTo),
+		)) {
+			this.#sendToLeader(pending, now);
+		}
+	}
+
+	/** Returns the grant to a leader; an entry VM needs none for the jobs that it has received itself. */
+	#findGrant(leader: string): ReceiverGrant | undefined {
+		return leader === this.#options.name
+			? undefined
+			: this.#grants.grantTo(leader);
 	}
 
 	/** Computes the time for which a job may wait for a leader and still be answered in time, by its caller's estimates. */
--- a/packages/verbenarouter/src/pool/pending-jobs.ts
+++ b/packages/verbenarouter/src/pool/pending-jobs.ts
@@ -30,6 +30,13 @@
 	sentTo: string | undefined;
 	/** Highest fencing token of the leaders to which the job was sent; `undefined` before the first. */
 	earlierToken: number | undefined;
+	/** Epoch of the grant to that leader when the job was last sent to it. */
+	sentEpoch: number;
+	/**
+	 * When the newest heartbeat arrived that can have been confirmed to a leader which the job was moved away from; `undefined`
+	 * if it was not moved.
+	 */
+	movedGrantAtMs: number | undefined;
 	/** Leaders to which the job was sent, without those in `refusedBy`; each may have started it. */
 	readonly leaders: Set<string>;
 	/** Zones whose workers may have run the job for these leaders; `undefined` for all zones. */
@@ -86,6 +93,8 @@
 			callerLostAtMs: undefined,
 			sentTo: undefined,
 			earlierToken: undefined,
+			sentEpoch: 0,
+			movedGrantAtMs: undefined,
 			leaders: new Set(),
 			zones: [],
 			withoutLeaderSinceMs: now,
@@ -183,6 +192,7 @@
 		pending.sendCount = 0;
 		pending.zones = [];
 		pending.earlierToken = undefined;
+		pending.movedGrantAtMs = undefined;
 	}
 
 	/**
@@ -233,5 +243,6 @@
 		pending.sendCount = 0;
 		pending.sentTo = undefined;
 		pending.earlierToken = undefined;
+		pending.movedGrantAtMs = undefined;
 	}
 }
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -145,6 +145,9 @@
 			findLeader: (zone, time) => this.#overlayNode.findLeader(zone, time),
 			placesByZone: (leader, time) => this.#placesByZone(leader, time),
 			isOpen: (name) => this.#overlayNode.isOpen(name),
+			findHeartbeatTimes: (leader) =>
+				this.#leadership.findHeartbeatTimes(leader),
+			firstEpoch: Math.floor(now()),
 			useLeader: (zone, time) => {
 				this.#overlayNode.useLeader(zone, time);
 			},
@@ -927,6 +930,7 @@
 			...(this.#scope === 'zone' && this.#leadership.ledZones.size > 0
 				? this.#zoneReporter.read(now)
 				: {}),
+			grants: this.#jobReceiver.listGrants(),
 			...(this.#evacuations.entries.length > 0
 				? {evacuations: this.#evacuations.entries}
 				: {}),
@@ -974,6 +978,11 @@
 		const now = this.#now();
 		switch (message.type) {
 			case 'heartbeat': {
+				const grant = message.heartbeat.grants?.[this.#settings.name];
+				if (grant !== undefined) {
+					this.#scheduler.renewGrant(from, grant, now);
+				}
+
 				this.#handleEvacuationChanges(
 					this.#evacuations.merge(message.heartbeat.evacuations ?? []),
 					from,
--- a/packages/verbenarouter/src/tests/job-receiver.test.ts
+++ b/packages/verbenarouter/src/tests/job-receiver.test.ts
@@ -1,5 +1,6 @@
 import {
 	type DesiredState,
+	type HeartbeatTimes,
 	type PoolAnswer,
 	type PoolJob,
 	type ZoneLeader,
@@ -63,6 +64,8 @@
 	);
 
 	readonly unreachable = new Set<string>();
+	/** Times of the newest heartbeat of each leader. */
+	readonly heartbeats = new Map<string, HeartbeatTimes>();
 	readonly answers: PoolAnswer[] = [];
 	readonly receiver: JobReceiver;
 	/** The messages that were sent on an open stream. */
@@ -88,6 +91,8 @@
 			findLeader: (zone) => this.leaders.get(zone),
 			placesByZone: () => true,
 			isOpen: (name) => !this.unreachable.has(name),
+			findHeartbeatTimes: (leader) => this.heartbeats.get(leader),
+			firstEpoch: 1,
 			useLeader: () => undefined,
 			send: (to, message) => {
 				const isSent = !this.unreachable.has(to);
@@ -464,3 +469,63 @@
 		);
 	});
 });
+
+describe('the grant of a receiver', () => {
+	it('confirms the newest heartbeat of the leader, in heartbeats and with each submission', () => {
+		const fixture = new ReceiverFixture();
+		fixture.heartbeats.set('leader-a', {sentAtMs: 50, receivedAtMs: 900});
+		fixture.receive('j1');
+		expect(fixture.takeSubmissions()[0]!.job.grant).toEqual({
+			epoch: 1,
+			heartbeatSentAtMs: 50,
+		});
+		fixture.heartbeats.set('leader-a', {sentAtMs: 150, receivedAtMs: 1000});
+		expect(fixture.receiver.listGrants()).toEqual({
+			'leader-a': {epoch: 1, heartbeatSentAtMs: 150},
+		});
+	});
+
+	it('is not given to a leader whose heartbeats do not tell when they were sent', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		expect(fixture.takeSubmissions()[0]!.job.grant).toBeUndefined();
+		expect(fixture.receiver.listGrants()).toEqual({});
+	});
+
+	it('of the former leader ends when a job is moved, and the next leader is told its age', () => {
+		const fixture = new ReceiverFixture();
+		fixture.heartbeats.set('leader-a', {sentAtMs: 50, receivedAtMs: 900});
+		fixture.receive('j1');
+		fixture.takeSubmissions();
+		fixture.changeLeader('next-a', startMs + 400);
+		const [submission] = fixture.takeSubmissions();
+		expect(submission!.job.earlierGrantAgeMs).toBe(500);
+		fixture.changeLeader('leader-a', startMs + 500);
+		// Its record of the job may be older than the runs of the other leader.
+		expect(fixture.takeSubmissions()[0]!.job.grant!.epoch).toBe(2);
+	});
+
+	it('is as old as the move for a leader whose heartbeats do not tell when they were sent', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.takeSubmissions();
+		fixture.changeLeader('next-a', startMs + 400);
+		expect(fixture.takeSubmissions()[0]!.job.earlierGrantAgeMs).toBe(0);
+	});
+
+	it('is given anew, with a submission, for the jobs that stay with a leader from which others were moved', () => {
+		const fixture = new ReceiverFixture(longWait);
+		fixture.heartbeats.set('leader-b', {sentAtMs: 50, receivedAtMs: 900});
+		fixture.receive('overflowed');
+		fixture.receiver.receiveAnswer('leader-a', 'overflowed', refusal, startMs);
+		fixture.changeLeader('leader-b', startMs + 10);
+		fixture.receive('home', startMs + 20);
+		fixture.takeSubmissions();
+		fixture.changeLeader('leader-a', startMs + 30);
+		expect(
+			fixture
+				.takeSubmissions()
+				.map(({to, job}) => `${job.id} ${to} ${job.grant?.epoch}`),
+		).toEqual(['home leader-a undefined', 'overflowed leader-b 2']);
+	});
+});
--- a/packages/verbenarouter/src/tests/receiver-model.ts
+++ b/packages/verbenarouter/src/tests/receiver-model.ts
@@ -61,6 +61,8 @@
 			findLeader: (other, now) => leadership.findLeader(other, now),
 			placesByZone: () => true,
 			isOpen: options.isOpen,
+			findHeartbeatTimes: (leader) => leadership.findHeartbeatTimes(leader),
+			firstEpoch: Math.floor(options.now()),
 			useLeader() {
 				// All entry VMs of the model are connected to each other.
 			},
@@ -71,6 +73,11 @@
 		});
 	}
 
+	/** Grants to the leaders of the receiver's jobs. */
+	get grants(): ReturnType<JobReceiver['listGrants']> {
+		return this.#jobReceiver.listGrants();
+	}
+
 	/** Number of jobs without an answer. */
 	get size(): number {
 		return this.#jobReceiver.size;
--- a/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
@@ -3,6 +3,7 @@
 import {playZoneModel, zoneModelEntryVms} from './zone-leaders-model.js';
 import {
 	type ZoneModelSettings,
+	type ZoneStage,
 	type zoneModelDays,
 } from './zone-model-settings.js';
 
@@ -54,6 +55,31 @@
 	}
 }
 
+/**
+ * Cuts zone-c off at 7600 ms. Its entry VMs are late before, so that they announce long intervals of heartbeats, and the leader
+ * is late after, so that it takes their silence for its own.
+ */
+function planLateCutOfZoneC(stage: ZoneStage): void {
+	for (const [index, entryVm] of [
+		'zone-c-entry-1',
+		'zone-c-entry-2',
+		'zone-c-entry-3',
+	].entries()) {
+		stage.plan(6700 + 150 * index, ({stand}) => {
+			stand(entryVm, 250);
+		});
+	}
+
+	stage.plan(7600, ({cutZone}) => {
+		cutZone('zone-c', 4000, false);
+	});
+	for (const atMs of [8050, 8300, 8550, 8800, 9050]) {
+		stage.plan(atMs, ({stand}) => {
+			stand('zone-a-entry-1', 200);
+		});
+	}
+}
+
 /** Names of jobs that occupy all workers of a zone. */
 const fillingJobs = Array.from({length: 8}, (_, index) => `filling${index}`);
 
@@ -298,6 +324,25 @@
 		});
 	});
 
+	it('does not start a task again whose run the leader of a zone that was cut off has adopted, while the receiver counts as live', () => {
+		expectNoOverlapUnderOneLeader((stage) => {
+			// The first zone is full, so that the job runs in zone-c.
+			for (const id of fillingJobs) {
+				stage.sendJob(7000, id, 1800, ['zone-a-entry-3']);
+			}
+
+			planLateCutOfZoneC(stage);
+			stage.sendJob(7300, 'adopted', 4000, ['zone-c-entry-2']);
+		});
+	});
+
+	it('does not keep the run of a receiver that is cut off at work until the leader of its zone may start the task again', () => {
+		expectNoOverlapUnderOneLeader((stage) => {
+			planLateCutOfZoneC(stage);
+			stage.sendJob(7300, 'kept', 4000, ['zone-c-entry-2']);
+		});
+	});
+
 	it('does not leave a job of a lost receiver at work when its worker gets no stop, while the zone of the receiver is cut off', () => {
 		expectNoOverlapUnderOneLeader((stage) => {
 			stage.sendJob(7100, 'moved', 3600, ['zone-c-entry-2', 'zone-c-entry-3']);
--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -539,6 +539,11 @@
 	#receiveHeartbeat(heartbeat: Heartbeat): void {
 		const hasChanged = this.leadership.hasChanged(heartbeat, this.#now);
 		this.leadership.receiveHeartbeat(heartbeat, this.#now);
+		const grant = heartbeat.grants?.[this.name];
+		if (grant !== undefined) {
+			this.scheduler.renewGrant(heartbeat.name, grant, this.#now);
+		}
+
 		if (!hasChanged) {
 			return;
 		}
@@ -763,6 +768,8 @@
 			address: this.name,
 			incarnation: this.incarnation,
 			intervalMs,
+			sentAtMs: Math.floor(this.#now),
+			grants: this.receiver.grants,
 			processorShare: this.processorShare,
 			isStopping: this.isStopping,
 			isWarm: this.leadership.isWarm,
