Extend no lease beside a run whose stop may be lost

A job that is given up has its runs stopped, and the time by which they are over rests on the stop or on the end of the lease. But a command for any run of a worker extends the lease of all of them, also that of a run that is being stopped: if the stop commands are lost and the next hold command is not, the run goes on for another lease, beside the copy of its job elsewhere.

Change: while a worker has not confirmed a stop, no command extends its lease and nothing is started there.

Why it works: the last extension is then older than the first stop command.

--- a/packages/core/src/pool-worker.ts
+++ b/packages/core/src/pool-worker.ts
@@ -155,6 +155,8 @@
 	isEvacuated = false;
 	/** Whether the job of a run keeps the lease from being extended, so that nothing is started here either. */
 	isLeaseWithheld = false;
+	/** Tasks whose runs are being stopped, while the worker has not confirmed the stop. */
+	readonly unconfirmedStops = new Set<string>();
 	/** Whether the worker refuses starts beyond its capacity. */
 	guardsCapacity = true;
 	/** Runs of known jobs, by task. */
@@ -396,6 +398,7 @@
 			this.isSynced &&
 			this.orphans.size === 0 &&
 			!this.isLeaseWithheld &&
+			this.unconfirmedStops.size === 0 &&
 			this.entry.state === 'ready' &&
 			this.contactFailures === 0 &&
 			now >= this.fullUntilMs &&
@@ -450,6 +453,7 @@
 	/** Removes the run of a task, and frees its resources. */
 	removeRun(task: string): void {
 		this.runs.delete(task);
+		this.unconfirmedStops.delete(task);
 		this.#updateUsed();
 	}
 
--- a/packages/core/src/tests/receiver-grants.test.ts
+++ b/packages/core/src/tests/receiver-grants.test.ts
@@ -281,4 +281,28 @@
 		);
 		expect(fixture.now).toBeLessThan(startMs + grantMs + longestLeaseMs + 40);
 	});
+
+});
+
+describe('a run whose stop is not confirmed', () => {
+	it('keeps the lease of its worker from being extended', () => {
+		const fixture = new GrantFixture();
+		fixture.submit('j1', 'r1');
+		fixture.submit('j2', 'r1');
+		const [{worker} = {worker: ''}] = fixture.confirmStarts();
+		const running = ['j1.0.0.0', 'j2.0.0.0'].map((task) => ({task, run: 1}));
+		fixture.receiveReport(worker, fixture.now, {running});
+		fixture.holds.length = 0;
+		fixture.scheduler.cancel('j1', 'caller-left', 'r1', fixture.now);
+		fixture.receiveReport(worker, fixture.now, {running});
+		expect(fixture.takeIsExtended(worker)).toBe(false);
+		fixture.scheduler.handleStopOutcome(
+			worker,
+			'j1.0.0.0',
+			{kind: 'done', clockMs: fixture.now},
+			fixture.now,
+		);
+		fixture.receiveReport(worker, fixture.now, {running});
+		expect(fixture.takeIsExtended(worker)).toBe(true);
+	});
 });
--- a/packages/core/src/worker-pool.ts
+++ b/packages/core/src/worker-pool.ts
@@ -690,6 +690,7 @@
 		run.state = 'stopping';
 		run.confirmedAtMs = undefined;
 		run.lastSentAtMs = now;
+		worker.unconfirmedStops.add(run.task);
 		this.#commandSender.stop({
 			worker: worker.entry,
 			fencingToken: token,
@@ -714,6 +715,7 @@
 		const run = worker.runs.get(task);
 		if (outcome.kind === 'done' && run?.state === 'stopping') {
 			run.confirmedAtMs ??= now;
+			worker.unconfirmedStops.delete(task);
 			this.#expediteHold(worker, now);
 		}
 	}
@@ -1333,11 +1335,12 @@
 
 	/**
 	 * Whether a command may extend the lease of a worker, which applies to all its runs: not beside a run whose job, or that of an
-	 * orphan, may be started elsewhere once the present lease has ended.
+	 * orphan, may be started elsewhere once the present lease has ended, nor while the stop of a run may be lost.
 	 */
 	#mayExtendLease(worker: PoolWorker, now: number): boolean {
 		return (
 			worker.orphans.size === 0 &&
+			worker.unconfirmedStops.size === 0 &&
 			[...worker.runs.values()].every(
 				(run) =>
 					run.state === 'stopping' || this.#listener.mayExtendRun(run, now),
