Remember which jobs another leader may run, for copies of them

Change: a leader keeps for each job that was moved to it the time by which the runs of the former leaders have ended, and lets copies wait for it too.

Why it works: the bound is a property of the job, whoever submits it. Not covered: a copy that another leader gets, which has not had the job.

Result: the test of receiver-grants.test.ts fails without the change (the copy starts on its arrival, 1300 ms after the submission, instead of after 2060 ms) and passes.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -183,6 +183,12 @@
 	readonly #grants = new ReceiverGrants();
 	/** Receivers whose grants have ended, with the time since when, as far as they have jobs here. */
 	#heldReceivers: ReadonlyMap<string, number> = new Map();
+	/** Jobs of which another leader may have runs, for copies of their requests after these jobs were answered. */
+	readonly #jobsOfOtherLeaders = new Map<
+		string,
+		Pick<PriorRuns, 'otherRunsEndByMs' | 'earlierToken'>
+	>();
+
 	/** Submissions since the last flush, by job. */
 	readonly #submissions = new Map<string, Submission>();
 	#isFlushRequested = false;
@@ -758,6 +764,7 @@
 		this.#reassessJobs(now);
 		this.#answeredJobs.evict(now);
 		this.#jobsElsewhere.evict(now);
+		this.#evictJobsOfOtherLeaders(now);
 		this.#placeWaitingTasks(now);
 	}
 
@@ -1131,6 +1138,10 @@
 			this.#grants.renew(receiver, job.grant, now);
 		}
 
+		if (isResubmitted) {
+			this.#recordJobOfOtherLeader(job, receivedAtMs);
+		}
+
 		const closedAttempt = this.#answeredJobs.findClosedAttempt(job.attempt);
 		if (closedAttempt !== undefined) {
 			// This attempt has been answered. A resubmitted job may have run under another leader since then.
@@ -1255,6 +1266,20 @@
 			);
 		}
 
+		const known = this.#jobsOfOtherLeaders.get(job.id);
+		const zones = job.zones ?? this.#options.zones;
+		if (
+			known !== undefined &&
+			this.pool.priorRunsSettledAtMs({...known, zones}, now) > now
+		) {
+			scheduledJob.isIndeterminate = true;
+			scheduledJob.markUnsettled(
+				known.earlierToken,
+				known.otherRunsEndByMs,
+				now,
+			);
+		}
+
 		if (this.#answeredJobs.hadRuns(job.id)) {
 			this.#adoptStoppingRuns(scheduledJob);
 		}
@@ -1475,6 +1500,26 @@
 		this.#heldReceivers = held;
 	}
 
+	/** Keeps the bound on the runs of other leaders of a job that a receiver has moved here, until they have ended. */
+	#recordJobOfOtherLeader(job: PoolJob, receivedAtMs: number): void {
+		const known = this.#jobsOfOtherLeaders.get(job.id);
+		this.#jobsOfOtherLeaders.set(job.id, {
+			otherRunsEndByMs: Math.max(
+				known?.otherRunsEndByMs ?? 0,
+				this.#computeOtherRunsEndByMs(job, receivedAtMs),
+			),
+			earlierToken: Math.max(known?.earlierToken ?? 0, job.earlierToken ?? 0),
+		});
+	}
+
+	#evictJobsOfOtherLeaders(now: number): void {
+		for (const [id, {otherRunsEndByMs}] of this.#jobsOfOtherLeaders) {
+			if (otherRunsEndByMs <= now) {
+				this.#jobsOfOtherLeaders.delete(id);
+			}
+		}
+	}
+
 	/** Marks tasks that another leader has reported as completed. */
 	#completeTasks(
 		job: ScheduledJob,
--- a/packages/core/src/tests/receiver-grants.test.ts
+++ b/packages/core/src/tests/receiver-grants.test.ts
@@ -282,6 +282,23 @@
 		expect(fixture.now).toBeLessThan(startMs + grantMs + longestLeaseMs + 40);
 	});
 
+	it('to an earlier leader is remembered for a copy of a job that was answered as possibly run', () => {
+		const fixture = new GrantFixture(['zone-a', 'zone-b']);
+		fixture.submit(
+			longJobFixture('j1', 1, {patienceMs: 700, earlierGrantAgeMs: 10}),
+			'r1',
+			true,
+		);
+		fixture.pass(1300, {});
+		expect(fixture.answers.map(({answer}) => answer.kind)).toEqual([
+			'may-have-run',
+		]);
+		fixture.submit(longJobFixture('j1', 1, {attempt: 'r2/1'}), 'r2');
+		fixture.passUntilStart();
+		expect(fixture.now).toBeGreaterThanOrEqual(
+			startMs + grantMs + longestLeaseMs - 10,
+		);
+	});
 });
 
 describe('a run whose stop is not confirmed', () => {
