Tell other leaders of jobs by what is confirmed, not by who counts as live

What callers could see: a task runs twice at the same time, for up to some tenths of a second, when its caller's connection or its receiver is lost beside a silent cut of a zone whose entry VMs were late before.

A leader stops the runs of such a job before a copy of it can arrive, unless the leaders of all other zones know of it. A zone that it leads itself counted as its own while an entry VM of it was live, which is judged patiently: 1.6 s and more for late ones, while the zone claims itself after 0.45 s and starts the copy. And the loss of a receiver was announced only when it counted as lost.

Evidence: two scripts of the model, without random faults (zone-leaders-model.test.ts). For the second one the model had to conceal that a process is lost behind a cut.

Change: a led zone counts as the leader's own only while an entry VM of it has confirmed a heartbeat that was sent in the last 0.35 s. Jobs of a receiver that has confirmed nothing for 0.6 s are announced, and their runs stopped 0.3 s later if some leader does not confirm that it knows of them; else they are held for another 0.6 s.

Why it works: both conclusions rest on confirmations now (sums in docs/design/returnable-jobs.md).

--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -450,14 +450,24 @@
 	}
 
 	/**
-	 * Finds the live leader of each zone that another entry VM leads; `undefined` for a zone without one, and for a led zone
-	 * without a live entry VM, which may have got another leader behind a partition.
+	 * Finds the live leader of each zone that another entry VM leads; `undefined` for a zone without one, and for a led zone of
+	 * which no live entry VM confirms the heartbeats of this one: it may have got another leader behind a partition. `isConfirming`
+	 * is not asked for entry VMs of the last build, which confirm none.
 	 */
-	findOtherLeaders(now: number): ReadonlyArray<ZoneLeader | undefined> {
+	findOtherLeaders(
+		isConfirming: (name: string) => boolean,
+		now: number,
+	): ReadonlyArray<ZoneLeader | undefined> {
+		const isOwn = (zone: string) =>
+			this.#ledZones.has(zone) &&
+			(zone === this.#self.zone ||
+				this.livePeers(now).some(
+					(peer) =>
+						peer.zone === zone &&
+						(peer.sentAtMs === undefined || isConfirming(peer.name)),
+				));
 		return this.#zones
-			.filter(
-				(zone) => !this.#ledZones.has(zone) || !this.#hasLiveEntryVm(zone, now),
-			)
+			.filter((zone) => !isOwn(zone))
 			.map((zone) =>
 				this.#ledZones.has(zone) ? undefined : this.findLeader(zone, now),
 			);
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -141,6 +141,13 @@
 /** Multiple of the longest recent runs of a queue with rare long runs from which a run counts as stuck. */
 const tailStuckMargin = 1.5;
 const defaultRetryAfterMs = 2000;
+/** Time in milliseconds before the end of a grant from which other leaders are told of the jobs: until then they can confirm it. */
+const grantWarningTimeMs = 300;
+/**
+ * Time in milliseconds since a confirmed heartbeat was sent after which its zone may get another leader: 0.4 s of silence and
+ * 0.05 s in which peers are asked, less a check of this leader and a stop of its runs.
+ */
+const maxConfirmationAgeMs = 350;
 /** Number of tasks that one log line names at most. */
 const maxLoggedTasks = 20;
 /**
@@ -552,12 +559,21 @@
 		return this.pool.hasOrphans;
 	}
 
+	/**
+	 * Whether an entry VM confirms the heartbeats of this leader, so that it has not lost it, and none of its peers has claimed its
+	 * zone for that.
+	 */
+	isConfirming(entryVm: string, now: number): boolean {
+		return (
+			now - this.#grants.newestConfirmationMs(entryVm) <= maxConfirmationAgeMs
+		);
+	}
+
 	/** Returns the jobs with runs, or about to start some, whose callers may submit them to the leader of another zone. */
 	findReturnableJobs(now: number): readonly ReturnableJob[] {
 		const lostJobs = [...this.#jobs.values()].flatMap(
 			(job): readonly ReturnableJob[] => {
-				const {id, callerLostAtMs, hasStarted} = job;
-				const receiverLostAtMs = this.#findReceiverLoss(job, now);
+				const {id, callerLostAtMs, receiverLostAtMs, hasStarted} = job;
 				if (this.#isHeldElsewhere(job, now)) {
 					return [];
 				}
@@ -567,9 +583,14 @@
 					return [{id, cause: 'caller-lost', sinceMs: callerLostAtMs}];
 				}
 
-				return receiverLostAtMs === undefined || !hasStarted
-					? []
-					: [{id, cause: 'receiver-lost', sinceMs: receiverLostAtMs}];
+				const grantWarningMs = this.#grantEndsAtMs(job) - grantWarningTimeMs;
+				if (!hasStarted || (receiverLostAtMs ?? grantWarningMs) > now) {
+					return [];
+				}
+
+				return grantWarningMs > now
+					? [{id, cause: 'receiver-lost', sinceMs: receiverLostAtMs!}]
+					: [{id, cause: 'grant-ending', sinceMs: grantWarningMs}];
 			},
 		);
 		const unclaimed = this.pool
--- a/packages/core/src/receiver-grants.ts
+++ b/packages/core/src/receiver-grants.ts
@@ -43,6 +43,15 @@
 		);
 	}
 
+	/** Returns the time at which this leader sent the newest heartbeat that an entry VM has confirmed in any epoch. */
+	newestConfirmationMs(receiver: string): number {
+		return Math.max(
+			...(this.#epochs.get(receiver) ?? []).map(
+				({confirmedAtMs}) => confirmedAtMs,
+			),
+		);
+	}
+
 	/**
 	 * Returns the time at which this leader sent the newest heartbeat that the receiver has confirmed in an epoch; negative
 	 * infinity if there is none.
--- a/packages/core/src/returnable-jobs.ts
+++ b/packages/core/src/returnable-jobs.ts
@@ -5,11 +5,12 @@
  * Why the caller of a job may submit it to the leader of another zone.
  *
  * - `receiver-lost`, `caller-lost`: the job's receiver, or the connection of its caller, is lost.
+ * - `grant-ending`: the job's receiver has not confirmed a heartbeat of the leader for some time.
  * - `unclaimed`: workers list runs of the job that an earlier leader started, and no receiver has submitted it yet.
  * - `stopping`: the job was given up, and its runs have not ended yet.
  */
 export type ReturnCause =
-	'receiver-lost' | 'caller-lost' | 'unclaimed' | 'stopping';
+	'receiver-lost' | 'caller-lost' | 'grant-ending' | 'unclaimed' | 'stopping';
 
 /** A job with runs whose caller may submit it to the leader of another zone. */
 export type ReturnableJob = {
@@ -76,10 +77,11 @@
 	announceDelayMs: {
 		'receiver-lost': 0,
 		'caller-lost': 0,
+		'grant-ending': 0,
 		unclaimed: 60,
 		stopping: 100,
 	},
-	stopDelayMs: {'caller-lost': 1070, unclaimed: 200},
+	stopDelayMs: {'caller-lost': 1070, 'grant-ending': 300, unclaimed: 200},
 	refreshMs: 300,
 	resendMs: 60,
 	confirmationMs: 600,
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -722,7 +722,11 @@
 		this.#returnableExchange.update(
 			{
 				ledZones: this.#leadership.ledZones,
-				findOtherLeaders: () => this.#leadership.findOtherLeaders(now),
+				findOtherLeaders: () =>
+					this.#leadership.findOtherLeaders(
+						(name) => this.#scheduler.isConfirming(name, now),
+						now,
+					),
 				findRecipients: () =>
 					selectLossRecipients(
 						[],
--- a/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
@@ -324,6 +324,22 @@
 		});
 	});
 
+	it('does not leave a job of a lost caller running for its copy in a zone that was cut off, while the entry VMs of the zone count as live', () => {
+		expectNoOverlapUnderOneLeader((stage) => {
+			planLateCutOfZoneC(stage);
+			stage.sendJob(7300, 'moved', 4000, ['zone-a-entry-2', 'zone-c-entry-2']);
+			stage.resetCaller(7700, 'moved');
+		});
+	});
+
+	it('does not leave a job of a lost receiver running for its copy in the zone that was cut off with it', () => {
+		expectNoOverlapUnderOneLeader((stage) => {
+			planLateCutOfZoneC(stage);
+			stage.sendJob(7300, 'moved', 4000, ['zone-c-entry-2', 'zone-c-entry-3']);
+			stage.lose(7650, ['zone-c-entry-2'], 3000);
+		});
+	});
+
 	it('does not start a task again whose run the leader of a zone that was cut off has adopted, while the receiver counts as live', () => {
 		expectNoOverlapUnderOneLeader((stage) => {
 			// The first zone is full, so that the job runs in zone-c.
--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -484,7 +484,11 @@
 		this.#returnableExchange.update(
 			{
 				ledZones: this.leadership.ledZones,
-				findOtherLeaders: () => this.leadership.findOtherLeaders(now),
+				findOtherLeaders: () =>
+					this.leadership.findOtherLeaders(
+						(name) => this.scheduler.isConfirming(name, now),
+						now,
+					),
 				findRecipients: () =>
 					selectLossRecipients([], this.leadership.livePeers(now), this.name),
 			},
@@ -1183,6 +1187,7 @@
 			return;
 		}
 
+		const isCut = link.cutUntilMs > this.events.now && !link.isCutDelaying;
 		link.isOpen = false;
 		link.epoch += 1;
 		for (const [name, peer] of [
@@ -1194,7 +1199,7 @@
 			this.#lastDeliveryMs.delete(`${peer} ${name}`);
 			const process = this.#processes.get(name);
 			const delayMs = 3 * this.random();
-			if (!isConcealed) {
+			if (!isConcealed && !isCut) {
 				this.events.add(this.events.now + delayMs, () => {
 					process?.handle(() => {
 						process.handleLost(peer);
