Tell the next leader which jobs a receiver has given up behind a cut

What callers could see: a copy runs beside the first run, for as long as the lease of that run lasts, if its worker does not get the stop.

Cause: a receiver whose caller has left, or that has had no leader for 0.9 s, gives the job up and forgets it. The leader that follows on its side of a cut has never had the job, and starts the copy at once. The stop by the former leader bounds its run, but a worker that gets no stop keeps it up to 1.17 s longer.

Evidence: the new script of zone-leaders-model.test.ts silences the worker after an extension and before the stop.

Why it works: the receiver is the one that knows until when another leader may run the job.

--- a/packages/core/src/message-check.ts
+++ b/packages/core/src/message-check.ts
@@ -148,6 +148,16 @@
 	'lost-runs': {lostRuns: isLostRuns},
 	'caller-lost': {id: isShortText, lostForMs: isOptional(isCount)},
 	'caller-returned': {id: isShortText},
+	'left-jobs': {
+		jobs: isListOf(
+			isObjectOf({
+				id: isShortText,
+				earlierToken: isCount,
+				earlierGrantAgeMs: isDuration,
+			}),
+			maxListLength,
+		),
+	},
 	'returnable-jobs': {
 		sequence: isCount,
 		held: isListOf(isShortText, maxListLength),
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -559,6 +559,21 @@
 		return this.pool.hasOrphans;
 	}
 
+	/**
+	 * Records jobs that another leader may run for a while, and that their callers may submit here, as their receiver has given
+	 * them up.
+	 */
+	recordLeftJobs(
+		jobs: ReadonlyArray<
+			Pick<PoolJob, 'id' | 'earlierToken' | 'earlierGrantAgeMs'>
+		>,
+		now: number,
+	): void {
+		for (const job of jobs) {
+			this.#recordJobOfOtherLeader(job, now);
+		}
+	}
+
 	/**
 	 * Whether an entry VM confirms the heartbeats of this leader, so that it has not lost it, and none of its peers has claimed its
 	 * zone for that.
@@ -1440,7 +1455,7 @@
 	 * confirmed to that leader, if it tells.
 	 */
 	#computeOtherRunsEndByMs(
-		{earlierGrantAgeMs}: PoolJob,
+		{earlierGrantAgeMs}: Pick<PoolJob, 'earlierGrantAgeMs'>,
 		receivedAtMs: number,
 	): number {
 		return earlierGrantAgeMs === undefined
@@ -1521,8 +1536,11 @@
 		this.#heldReceivers = held;
 	}
 
-	/** Keeps the bound on the runs of other leaders of a job that a receiver has moved here, until they have ended. */
-	#recordJobOfOtherLeader(job: PoolJob, receivedAtMs: number): void {
+	/** Keeps the bound on the runs of other leaders of a job that may be submitted here, until they have ended. */
+	#recordJobOfOtherLeader(
+		job: Pick<PoolJob, 'id' | 'earlierToken' | 'earlierGrantAgeMs'>,
+		receivedAtMs: number,
+	): void {
 		const known = this.#jobsOfOtherLeaders.get(job.id);
 		this.#jobsOfOtherLeaders.set(job.id, {
 			otherRunsEndByMs: Math.max(
--- a/packages/core/src/tests/message-check.test.ts
+++ b/packages/core/src/tests/message-check.test.ts
@@ -41,6 +41,10 @@
 	{type: 'lost-runs', lostRuns: [lostRun]},
 	{type: 'caller-lost', id: 'j1'},
 	{type: 'caller-returned', id: 'j1'},
+	{
+		type: 'left-jobs',
+		jobs: [{id: 'j1', earlierToken: 7, earlierGrantAgeMs: 400}],
+	},
 	{
 		type: 'returnable-jobs',
 		sequence: 1,
--- a/packages/peer/src/pool-message.ts
+++ b/packages/peer/src/pool-message.ts
@@ -29,6 +29,15 @@
 	readonly ageMs: number;
 };
 
+/** A job that its receiver has given up, and that a leader which it was submitted to may run for a while. */
+export type LeftJob = {
+	readonly id: string;
+	/** Highest fencing token of the leaders that may run it. */
+	readonly earlierToken: number;
+	/** Milliseconds since the receiver read the newest heartbeat that it can have confirmed to one of them. */
+	readonly earlierGrantAgeMs: number;
+};
+
 /** A message between entry VMs. A message can be lost with its stream; the transport does not resend it. */
 export type PoolMessage =
 	| {
@@ -87,6 +96,11 @@
 	  }
 	/** Tells it that a caller has submitted the job to the same receiver since. Entry VMs of the last build ignore it. */
 	| {readonly type: 'caller-returned'; readonly id: string}
+	/**
+	 * Tells the leader of the sender's zone of jobs that it may get from their callers, and that another leader may run for a
+	 * while. Entry VMs of the last build ignore it.
+	 */
+	| {readonly type: 'left-jobs'; readonly jobs: readonly LeftJob[]}
 	/**
 	 * Tells the leaders of other zones, and those that may succeed them, of jobs whose callers may submit them there. Entry VMs
 	 * of the last build ignore it.
--- a/packages/verbenarouter/src/pool/job-receiver.ts
+++ b/packages/verbenarouter/src/pool/job-receiver.ts
@@ -12,6 +12,7 @@
 import {type LogFields} from '../logger.js';
 import {GivenUpJobs, type GiveUpReason} from './given-up-jobs.js';
 import {LeaderGrants} from './leader-grants.js';
+import {LeftJobs} from './left-jobs.js';
 import {PendingJobs, type PendingJob} from './pending-jobs.js';
 import {
 	ZoneRouter,
@@ -30,7 +31,10 @@
 /** A message from the receiver of a job to a leader. */
 export type ReceiverMessage = Extract<
 	PoolMessage,
-	{readonly type: 'submit' | 'cancel' | 'caller-lost' | 'caller-returned'}
+	{
+		readonly type:
+			'submit' | 'cancel' | 'caller-lost' | 'caller-returned' | 'left-jobs';
+	}
 >;
 
 /** What a receiver needs of its entry VM. */
@@ -71,6 +75,7 @@
 	readonly #options: JobReceiverOptions;
 	readonly #pendingJobs = new PendingJobs();
 	readonly #givenUpJobs = new GivenUpJobs();
+	readonly #leftJobs = new LeftJobs();
 	readonly #zoneRouter: ZoneRouter;
 	readonly #grants: LeaderGrants;
 
@@ -198,6 +203,7 @@
 
 	/** Submits the jobs of the own zone to its leader, which has changed. */
 	handleOwnLeaderChange(now: number): void {
+		this.#sendLeftJobs(now);
 		this.#resubmit(({overflowZone}) => overflowZone === undefined, now);
 	}
 
@@ -222,6 +228,10 @@
 			this.#options.send(name, {type: 'cancel', id, reason}, now);
 		}
 
+		if (name === this.#options.findOwnLeader()) {
+			this.#sendLeftJobs(now);
+		}
+
 		this.#resubmit(
 			(pending) =>
 				this.#findLeaderFor(pending, now) === name ||
@@ -343,6 +353,15 @@
 		}
 	}
 
+	/** Tells the leader of the own zone which jobs its callers may submit to it while another leader runs them. */
+	#sendLeftJobs(now: number): void {
+		const leader = this.#options.findOwnLeader();
+		const jobs = this.#leftJobs.list(now);
+		if (leader !== undefined && jobs.length > 0 && this.#canReach(leader)) {
+			this.#options.send(leader, {type: 'left-jobs', jobs}, now);
+		}
+	}
+
 	/** Has a leader give up a job that is moved to another one, and ends the grant under which the leader has it. */
 	#moveAway(pending: PendingJob, leader: string, now: number): void {
 		pending.movedGrantAtMs = Math.max(
@@ -547,5 +566,32 @@
 				this.#giveUpAtLeader(leader, pending, 'caller-left', now);
 			}
 		}
+
+		if (answeredBy === undefined && pending.sentTo !== undefined) {
+			this.#keepLeft(pending, pending.sentTo, now);
+		}
+	}
+
+	/** Keeps what the next leader has to know of a job that is given up here; a present one that has not had it is told. */
+	#keepLeft(
+		{job, earlierToken = 0, movedGrantAtMs = 0, leaders}: PendingJob,
+		sentTo: string,
+		now: number,
+	): void {
+		this.#leftJobs.add(
+			job.id,
+			{
+				earlierToken,
+				grantAtMs: Math.max(
+					movedGrantAtMs,
+					this.#grants.latestConfirmationMs(sentTo) ?? now,
+				),
+			},
+			now,
+		);
+		const leader = this.#options.findOwnLeader();
+		if (leader !== undefined && !leaders.has(leader)) {
+			this.#sendLeftJobs(now);
+		}
 	}
 }
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -1059,6 +1059,11 @@
 				break;
 			}
 
+			case 'left-jobs': {
+				this.#scheduler.recordLeftJobs(message.jobs, now);
+				break;
+			}
+
 			case 'returnable-jobs':
 			case 'returnable-jobs-noted': {
 				this.#returnableExchange.receive(from, message, now);
@@ -1398,6 +1403,11 @@
 				this.#scheduler.markCallerReturned(message.id, leader, now);
 				break;
 			}
+
+			case 'left-jobs': {
+				this.#scheduler.recordLeftJobs(message.jobs, now);
+				break;
+			}
 		}
 
 		return true;
--- a/packages/verbenarouter/src/tests/job-receiver.test.ts
+++ b/packages/verbenarouter/src/tests/job-receiver.test.ts
@@ -128,28 +128,29 @@
 	takeSubmissions(): ReadonlyArray<
 		{readonly to: string} & ReceiverMessage & {readonly type: 'submit'}
 	> {
-		return this.#take().flatMap(({to, message}) =>
+		return this.takeMessages().flatMap(({to, message}) =>
 			message.type === 'submit' ? [{to, ...message}] : [],
 		);
 	}
 
 	/** Returns whom the other messages since the last call were sent to, with their reasons. */
 	takeCancellations(): readonly string[] {
-		return this.#take().flatMap(({to, message}) =>
+		return this.takeMessages().flatMap(({to, message}) =>
 			message.type === 'cancel' ? [`${to} ${message.reason}`] : [],
 		);
 	}
 
 	/** Returns whom the messages about callers since the last call were sent to, with their types. */
 	takeCallerMessages(): readonly string[] {
-		return this.#take().flatMap(({to, message}) =>
+		return this.takeMessages().flatMap(({to, message}) =>
 			message.type === 'caller-lost' || message.type === 'caller-returned'
 				? [`${to} ${message.type}`]
 				: [],
 		);
 	}
 
-	#take() {
+	/** Returns all messages since the last call. */
+	takeMessages() {
 		const sent = this.#sent;
 		this.#sent = [];
 		return sent;
@@ -529,3 +530,58 @@
 		).toEqual(['home leader-a undefined', 'overflowed leader-b 2']);
 	});
 });
+
+describe('a job that a receiver gives up', () => {
+	/** Returns the jobs that were told to a leader, as `id leader age`. */
+	function takeLeft(fixture: ReceiverFixture): readonly string[] {
+		return fixture
+			.takeMessages()
+			.flatMap(({to, message}) =>
+				message.type === 'left-jobs'
+					? message.jobs.map(
+							({id, earlierGrantAgeMs}) => `${id} ${to} ${earlierGrantAgeMs}`,
+						)
+					: [],
+			);
+	}
+
+	it('without its caller is told to the next leader, with the age of the grant to the former one', () => {
+		const fixture = new ReceiverFixture();
+		fixture.heartbeats.set('leader-a', {sentAtMs: 50, receivedAtMs: 900});
+		fixture.receive('j1');
+		fixture.receiver.handleCallerDisconnect('j1', true, startMs + 100);
+		fixture.changeLeader(undefined, startMs + 300);
+		expect(takeLeft(fixture)).toEqual([]);
+		fixture.changeLeader('next-a', startMs + 400);
+		expect(takeLeft(fixture)).toEqual(['j1 next-a 500']);
+	});
+
+	it('since it had no leader for long is told to the next leader too', () => {
+		const fixture = new ReceiverFixture();
+		fixture.heartbeats.set('leader-a', {sentAtMs: 50, receivedAtMs: 900});
+		fixture.receive('j1');
+		fixture.changeLeader(undefined, startMs + 100);
+		fixture.receiver.answerExpiredJobs(startMs + 1100);
+		expect(fixture.answers).toEqual([
+			{kind: 'may-have-run', reason: 'leader-lost'},
+		]);
+		fixture.changeLeader('next-a', startMs + 1200);
+		expect(takeLeft(fixture)).toEqual(['j1 next-a 1300']);
+	});
+
+	it('is told to nobody when the leader itself has answered it, or has never had it', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('answered');
+		fixture.receiver.receiveAnswer(
+			'leader-a',
+			'answered',
+			{kind: 'completed'},
+			startMs + 10,
+		);
+		fixture.unreachable.add('leader-a');
+		fixture.receive('unsent', startMs + 20);
+		fixture.receiver.handleCallerDisconnect('unsent', false, startMs + 30);
+		fixture.changeLeader('next-a', startMs + 400);
+		expect(takeLeft(fixture)).toEqual([]);
+	});
+});
--- a/packages/verbenarouter/src/tests/receiver-model.ts
+++ b/packages/verbenarouter/src/tests/receiver-model.ts
@@ -222,6 +222,11 @@
 				scheduler.markCallerReturned(message.id, leader, now);
 				break;
 			}
+
+			case 'left-jobs': {
+				scheduler.recordLeftJobs(message.jobs, now);
+				break;
+			}
 		}
 
 		return true;
--- a/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.test.ts
@@ -369,4 +369,15 @@
 			stage.silenceWorkersOf(8500, 'moved', 700);
 		});
 	});
+
+	it('does not start a copy of a job that its receiver has given up behind a cut, while the lease of the run lasts on a worker that gets no stop', () => {
+		expectNoOverlapUnderOneLeader((stage) => {
+			stage.sendJob(7100, 'moved', 3600, ['zone-c-entry-2', 'zone-c-entry-3']);
+			stage.plan(7600, ({cutZone}) => {
+				cutZone('zone-c', 2500, false);
+			});
+			stage.resetCaller(7650, 'moved');
+			stage.silenceWorkersOf(8340, 'moved', 900);
+		});
+	});
 });
--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -422,6 +422,11 @@
 				break;
 			}
 
+			case 'left-jobs': {
+				this.scheduler.recordLeftJobs(message.jobs, this.#now);
+				break;
+			}
+
 			case 'returnable-jobs':
 			case 'returnable-jobs-noted': {
 				this.#returnableExchange.receive(from, message, this.#now);
