Hold a cancelling while the stream to a leader opens

With nothing failing, a DELETE in another zone than the job's waits 0.8 s and gets 410, and the job goes on.

Cause: above 12 entry VMs not all are connected. The entry VM that gets the DELETE opens a stream to the leader of the other zone and sends `cancel` in the same turn. A link holds some types of messages until the stream is open; `cancel` was not among them, so it was dropped, and the missing reply became 410.

Change: `cancel` is held too, for 0.5 s, as `ask` and `reply` are. A cancelling is of use late.

--- a/packages/peer/src/pool-link.ts
+++ b/packages/peer/src/pool-link.ts
@@ -136,6 +136,7 @@
 const heldTypes: ReadonlySet<PoolMessage['type']> = new Set([
 	'answer',
 	'ask',
+	'cancel',
 	'progress',
 	'reply',
 ]);
