Let all that may lead know of a cancelling, and answer 410 only if all leaders have replied

Cause: the knowledge of a cancelling was with one leader, in its memory. It was lost with that leader, was never recorded for a job that the leader did not know yet, and a leader that did not reply counted as one that does not have the job, though the receiver in the same process had it.

The receiver that keeps the job for its caller cancels it if no leader has. DELETE gets 410 only if all leaders have replied that there is no such job, and 202 if one has not; it is told later.

Ruled out: a DELETE that waits for the leader, as a freeze lasts up to 4 s; records in the store.

--- a/packages/core/src/message-check.ts
+++ b/packages/core/src/message-check.ts
@@ -148,6 +148,7 @@
 	'lost-runs': {lostRuns: isLostRuns},
 	'caller-lost': {id: isShortText, lostForMs: isOptional(isCount)},
 	'caller-returned': {id: isShortText},
+	'cancelled-jobs': {ids: isListOf(isShortText, maxListLength)},
 	'left-jobs': {
 		jobs: isListOf(
 			isObjectOf({
--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -475,6 +475,30 @@
 		return true;
 	}
 
+	/**
+	 * Cancels a job for a caller. One that is not known here is remembered as cancelled, as its submission may be on its way, or
+	 * be repeated: `unknown`. Returns `over` if the job has ended with a result, which stays.
+	 */
+	cancelForCaller(id: string, now: number): 'cancelled' | 'over' | 'unknown' {
+		this.#begin(now);
+		const job = this.#jobs.get(id);
+		if (job !== undefined) {
+			this.#abandonJob(job, {kind: 'cancelled'}, now);
+			this.#placeWaitingTasks(now);
+			return 'cancelled';
+		}
+
+		const answer = this.#answeredJobs.findAnswer(id);
+		if (answer !== undefined) {
+			return answer.kind === 'cancelled' ? 'cancelled' : 'over';
+		}
+
+		this.#answeredJobs.recordAnswer(id, '', {kind: 'cancelled'}, now);
+		this.#answeredJobs.evict(now);
+		this.pool.abandonOrphans(id);
+		return 'unknown';
+	}
+
 	/**
 	 * Gives up a job without an answer because its receiver has submitted it to another leader, and stops its runs. Ignored
 	 * if another receiver has submitted the job here since.
--- a/packages/core/src/tests/message-check.test.ts
+++ b/packages/core/src/tests/message-check.test.ts
@@ -41,6 +41,7 @@
 	{type: 'lost-runs', lostRuns: [lostRun]},
 	{type: 'caller-lost', id: 'j1'},
 	{type: 'caller-returned', id: 'j1'},
+	{type: 'cancelled-jobs', ids: ['j1']},
 	{
 		type: 'left-jobs',
 		jobs: [{id: 'j1', earlierToken: 7, earlierGrantAgeMs: 400}],
--- a/packages/peer/src/pool-message.ts
+++ b/packages/peer/src/pool-message.ts
@@ -96,6 +96,11 @@
 	  }
 	/** Tells it that a caller has submitted the job to the same receiver since. Entry VMs of the last build ignore it. */
 	| {readonly type: 'caller-returned'; readonly id: string}
+	/**
+	 * Tells all leaders, and those that may succeed them, of jobs of which callers are told that they are cancelled. Entry VMs of
+	 * the last build ignore it.
+	 */
+	| {readonly type: 'cancelled-jobs'; readonly ids: readonly string[]}
 	/**
 	 * Tells the leader of the sender's zone of jobs that it may get from their callers, and that another leader may run for a
 	 * while. Entry VMs of the last build ignore it.
--- a/packages/peer/src/pool-traffic.ts
+++ b/packages/peer/src/pool-traffic.ts
@@ -28,6 +28,7 @@
 	'lost-runs': true,
 	'caller-lost': true,
 	'caller-returned': true,
+	'cancelled-jobs': true,
 	'left-jobs': true,
 	'returnable-jobs': true,
 	'returnable-jobs-noted': true,
--- a/packages/platform/src/caller-server.ts
+++ b/packages/platform/src/caller-server.ts
@@ -15,6 +15,15 @@
 import {decodeJob, encodeAnswer, type EncodedResponse} from './job-record.js';
 import {OpenRequests, isLastOnConnection} from './open-requests.js';
 
+/**
+ * What has become of a job that a caller cancels.
+ *
+ * - `cancelled`: nothing of it is started any more.
+ * - `unknown`: there is no such job, or it has ended.
+ * - `unconfirmed`: a leader that may have it has not replied, and is told of the cancelling as soon as it can be reached.
+ */
+export type CancelOutcome = 'cancelled' | 'unknown' | 'unconfirmed';
+
 /** The dispatcher as used by the server for callers. */
 export type JobDispatcher = {
 	/** Returns the current desired state; `undefined` before the first one is received. */
@@ -25,8 +34,8 @@
 	submit(job: Omit<PoolJob, 'attempt'>): Promise<PoolAnswer>;
 	/** Handles that the caller's connection closed before the response; `isReset` if it closed with an error. */
 	handleCallerDisconnect(id: string, isReset: boolean): void;
-	/** Cancels a job; resolves with whether the job exists. */
-	cancel(id: string): Promise<boolean>;
+	/** Cancels a job. */
+	cancel(id: string): Promise<CancelOutcome>;
 	/** Returns the state of a job; `undefined` if there is no such job. */
 	getJobState(id: string): Promise<string | undefined>;
 	/** Counts the jobs of a queue of which no task has started; `undefined` if there is no leader or it does not reply. */
@@ -52,6 +61,11 @@
 const defaultRetryAfterMs = 1000;
 /** Time for which a request without a desired state waits for the first one. */
 const firstStateWaitMs = 400;
+const cancelStatuses = {
+	cancelled: 200,
+	unconfirmed: 202,
+	unknown: 410,
+} as const satisfies Readonly<Record<CancelOutcome, number>>;
 const jobIdPattern = /^[\da-f]{16}$/v;
 
 /**
@@ -333,8 +347,11 @@
 	response: ServerResponse,
 	id: string,
 ): Promise<void> {
-	const isKnown = await dispatcher.cancel(id);
-	sendResponse(dispatcher, response, {status: isKnown ? 200 : 410, body: '{}'});
+	const outcome = await dispatcher.cancel(id);
+	sendResponse(dispatcher, response, {
+		status: cancelStatuses[outcome],
+		body: '{}',
+	});
 }
 
 function sendResponse(
--- a/packages/platform/src/tests/caller-server.test.ts
+++ b/packages/platform/src/tests/caller-server.test.ts
@@ -55,7 +55,7 @@
 			waitForDesiredState: async () => state,
 			submit: async () => ({kind: 'completed'}),
 			handleCallerDisconnect: () => undefined,
-			cancel: async () => false,
+			cancel: async () => 'unknown' as const,
 			getJobState: async () => undefined,
 			countPendingJobs: async () => undefined,
 			isStopping: () => false,
@@ -231,3 +231,18 @@
 		await expect.poll(() => openRequests.readCount).toBe(0);
 	});
 });
+
+describe('a request that cancels a job', () => {
+	it.each([
+		['cancelled', 200],
+		['unconfirmed', 202],
+		['unknown', 410],
+	] as const)(
+		'of which the dispatcher tells that it is %s gets %i',
+		async (outcome, status) => {
+			await listen(createDispatcher({cancel: async () => outcome}).dispatcher);
+			const {statusCode} = await sendDelete();
+			expect(statusCode).toBe(status);
+		},
+	);
+});
--- a/packages/verbenarouter/src/pool/given-up-jobs.ts
+++ b/packages/verbenarouter/src/pool/given-up-jobs.ts
@@ -1,5 +1,5 @@
-/** Why a receiver has a leader give up a job: it has submitted it to another leader, or no caller waits for it. */
-export type GiveUpReason = 'moved' | 'caller-left';
+/** Why a receiver has a leader give up a job: it has submitted it to another leader, no caller waits for it, or one cancels it. */
+export type GiveUpReason = 'moved' | 'caller-left' | 'cancelled';
 
 /** Largest number of jobs that are kept; the oldest are forgotten first. */
 const maxKeptJobs = 20_000;
--- a/packages/verbenarouter/src/pool/job-receiver.ts
+++ b/packages/verbenarouter/src/pool/job-receiver.ts
@@ -169,6 +169,16 @@
 		this.#cancelAtLeaders(pending, undefined, now);
 	}
 
+	/** Cancels a job of which no leader has told that it is cancelled; returns whether the job has no answer yet. */
+	cancel(id: string, now: number): boolean {
+		const pending = this.#pendingJobs.answer(id, {kind: 'cancelled'});
+		for (const leader of pending?.leaders ?? []) {
+			this.#giveUpAtLeader(leader, pending!, 'cancelled', now);
+		}
+
+		return pending !== undefined;
+	}
+
 	/** Answers all remaining jobs at the end of a stop; an answer informs callers better than a broken connection. */
 	answerRemainingJobs(now: number): void {
 		for (const pending of this.#pendingJobs.all) {
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -23,12 +23,14 @@
 import {
 	StoreClient,
 	WorkerClient,
+	type CancelOutcome,
 	type EntrySettings,
 	type JobDispatcher,
 } from '@verbenarouter/platform';
 import {droppedLines} from '../logger.js';
 import {type MetricSample} from '../metrics.js';
 import {OverlayNode, type NodeState} from '../overlay/overlay-node.js';
+import {CancelledJobs} from './cancelled-jobs.js';
 import {DecisionCounts} from './decision-counts.js';
 import {JobReceiver, type ReceiverMessage} from './job-receiver.js';
 import {
@@ -129,6 +131,7 @@
 	readonly #zoneReporter: ZoneReporter;
 	readonly #returnableExchange: ReturnableExchange;
 	readonly #lossRelay = new LossRelay();
+	readonly #cancelledJobs = new CancelledJobs();
 
 	constructor(settings: EntrySettings, log: PoolLog, now: () => number) {
 		this.#settings = settings;
@@ -284,6 +287,7 @@
 					this.#knowledgeExchange.handleOpen(name);
 					this.#jobReceiver.handleOpen(name, now());
 					this.#sendRecentLostRuns([name]);
+					this.#sendCancelled([name], this.#cancelledJobs.list(now()));
 				},
 				onElectionChange: () => {
 					this.#scheduleLeadershipUpdate();
@@ -539,18 +543,24 @@
 		this.#jobReceiver.handleCallerDisconnect(id, isReset, this.#now());
 	}
 
-	async cancel(id: string): Promise<boolean> {
+	async cancel(id: string): Promise<CancelOutcome> {
 		const replies = await this.#requestFromLeaders(
-			() =>
-				this.#scheduler.cancel(
-					id,
-					'cancelled',
-					this.#settings.name,
-					this.#now(),
-				),
+			() => this.#cancelAsLeader(id, this.#now()),
 			(question) => ({type: 'cancel', id, reason: 'cancelled', question}),
 		);
-		return replies.includes(true);
+		const isCancelledHere =
+			!replies.includes('over') && this.#jobReceiver.cancel(id, this.#now());
+		if (replies.includes(true) || isCancelledHere) {
+			this.#passOnCancelled(id, this.#now());
+			return 'cancelled';
+		}
+
+		if (replies.length > 0 && !replies.includes(undefined)) {
+			return 'unknown';
+		}
+
+		this.#passOnCancelled(id, this.#now());
+		return 'unconfirmed';
 	}
 
 	async getJobState(id: string): Promise<string | undefined> {
@@ -558,7 +568,9 @@
 			() => toStateText(this.#scheduler.getJobState(id)),
 			(question) => ({type: 'ask', question, about: 'state', name: id}),
 		);
-		return replies.find((state) => typeof state === 'string');
+		const states = replies.filter((state) => typeof state === 'string');
+		// Leaders of zones that have not had a job remember that it was cancelled, whatever has become of it in its own one.
+		return states.find((state) => state !== 'cancelled') ?? states[0];
 	}
 
 	async countPendingJobs(queue: string): Promise<number | undefined> {
@@ -905,6 +917,33 @@
 		});
 	}
 
+	/**
+	 * Cancels a job for a caller, and lets those that may succeed this leader know. Returns whether the job was known, or `over`
+	 * if it has ended with a result.
+	 */
+	#cancelAsLeader(id: string, now: number): boolean | 'over' {
+		const outcome = this.#scheduler.cancelForCaller(id, now);
+		if (outcome === 'over') {
+			return outcome;
+		}
+
+		this.#passOnCancelled(id, now);
+		return outcome === 'cancelled';
+	}
+
+	/** Tells all leaders and candidates that a job is cancelled, now and when they can be reached again. */
+	#passOnCancelled(id: string, now: number): void {
+		const added = this.#cancelledJobs.add([id], now);
+		this.#scheduler.cancelForCaller(id, now);
+		this.#sendCancelled(this.#selectLossRecipients([]), added);
+	}
+
+	#sendCancelled(names: readonly string[], ids: readonly string[]): void {
+		if (ids.length > 0) {
+			this.#overlayNode.sendToAll(names, {type: 'cancelled-jobs', ids});
+		}
+	}
+
 	/** Passes on the lost runs of the last seconds. */
 	#sendRecentLostRuns(names: readonly string[]): void {
 		const lostRuns = this.#lossRelay.recent(this.#now());
@@ -1059,6 +1098,14 @@
 				break;
 			}
 
+			case 'cancelled-jobs': {
+				for (const id of this.#cancelledJobs.add(message.ids, now)) {
+					this.#scheduler.cancelForCaller(id, now);
+				}
+
+				break;
+			}
+
 			case 'left-jobs': {
 				this.#scheduler.recordLeftJobs(message.jobs, now);
 				break;
@@ -1077,12 +1124,10 @@
 					break;
 				}
 
-				const isKnown = this.#scheduler.cancel(
-					message.id,
-					message.reason,
-					from,
-					now,
-				);
+				const isKnown =
+					message.reason === 'cancelled'
+						? this.#cancelAsLeader(message.id, now)
+						: this.#scheduler.cancel(message.id, message.reason, from, now);
 				if (message.question !== undefined) {
 					this.#overlayNode.send(from, {
 						type: 'reply',
@@ -1382,6 +1427,8 @@
 			case 'cancel': {
 				if (message.reason === 'moved') {
 					this.#scheduler.release(message.id, leader, now);
+				} else if (message.reason === 'cancelled') {
+					this.#scheduler.cancelForCaller(message.id, now);
 				} else {
 					this.#scheduler.cancel(message.id, message.reason, leader, now);
 				}
@@ -1424,7 +1471,7 @@
 
 	/**
 	 * Gets the replies of all leaders to a request, of this entry VM itself from `answer`: a job may be with the leader of
-	 * any zone. A reply that does not arrive in time is `undefined`.
+	 * any zone. A reply that does not arrive in time, or of a zone without a known leader, is `undefined`.
 	 */
 	async #requestFromLeaders<Reply>(
 		answer: () => Reply,
@@ -1432,17 +1479,16 @@
 	): Promise<readonly unknown[]> {
 		const now = this.#now();
 		const leaders = new Set(
-			this.#settings.zones.flatMap((zone) => {
-				const leader = this.#overlayNode.findLeader(zone, now)?.name;
+			this.#settings.zones.map((zone) => {
 				this.#overlayNode.useLeader(zone, now);
-				return leader === undefined ? [] : [leader];
+				return this.#overlayNode.findLeader(zone, now)?.name;
 			}),
 		);
 		return Promise.all(
 			[...leaders].map(async (leader) =>
 				leader === this.#settings.name
 					? answer()
-					: this.#requestFromLeader(leader, createMessage),
+					: leader && this.#requestFromLeader(leader, createMessage),
 			),
 		);
 	}
--- a/packages/verbenarouter/src/pool/warm-up.ts
+++ b/packages/verbenarouter/src/pool/warm-up.ts
@@ -136,7 +136,7 @@
 				scheduler.submit({...job, attempt: job.id}, host, false, now());
 			}),
 		handleCallerDisconnect: () => undefined,
-		cancel: async () => false,
+		cancel: async () => 'unknown',
 		getJobState: async () => undefined,
 		countPendingJobs: async () => undefined,
 		isStopping: () => false,
--- a/packages/verbenarouter/src/tests/job-receiver.test.ts
+++ b/packages/verbenarouter/src/tests/job-receiver.test.ts
@@ -585,3 +585,39 @@
 		expect(takeLeft(fixture)).toEqual([]);
 	});
 });
+
+describe('a job that its caller cancels', () => {
+	it('without a reply of its leader is answered as cancelled, and cancelled at the leaders that may have it', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.changeLeader('next-a', startMs + 100);
+		fixture.takeMessages();
+		expect(fixture.receiver.cancel('j1', startMs + 200)).toBe(true);
+		expect(fixture.answers).toEqual([{kind: 'cancelled'}]);
+		expect(fixture.takeCancellations()).toEqual([
+			'leader-a cancelled',
+			'next-a cancelled',
+		]);
+	});
+
+	it('is cancelled again when a stream to a leader opens, as the message may be lost', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.receiver.cancel('j1', startMs + 100);
+		fixture.takeMessages();
+		fixture.receiver.handleOpen('leader-a', startMs + 500);
+		expect(fixture.takeCancellations()).toEqual(['leader-a cancelled']);
+	});
+
+	it('is not known to a receiver that has answered it', () => {
+		const fixture = new ReceiverFixture();
+		fixture.receive('j1');
+		fixture.receiver.receiveAnswer(
+			'leader-a',
+			'j1',
+			{kind: 'completed'},
+			startMs + 50,
+		);
+		expect(fixture.receiver.cancel('j1', startMs + 100)).toBe(false);
+	});
+});
--- a/packages/verbenarouter/src/tests/process-stop.test.ts
+++ b/packages/verbenarouter/src/tests/process-stop.test.ts
@@ -62,7 +62,7 @@
 				resolvers.push(resolve);
 			}),
 		handleCallerDisconnect: () => undefined,
-		cancel: async () => false,
+		cancel: async () => 'unknown' as const,
 		getJobState: async () => 'completed',
 		countPendingJobs: async () => undefined,
 		isStopping: () => acceptsRequest !== undefined,
--- a/packages/verbenarouter/src/tests/zone-leaders-model.ts
+++ b/packages/verbenarouter/src/tests/zone-leaders-model.ts
@@ -435,6 +435,7 @@
 
 			case 'answer':
 			case 'ask':
+			case 'cancelled-jobs':
 			case 'knowledge':
 			case 'learned':
 			case 'progress':
