Grant the right to run jobs to the leader of the own zone only

What callers would have seen: above 12 entry VMs, jobs that overflow to the leader of another zone are answered 504 although its workers are idle.

Cause: the leader of another zone sends its heartbeats to such a receiver 0.4 s apart, and so does the receiver, so that a grant of 0.9 s runs out between two confirmations.

Change: a job that overflows has no grant, and is bounded in the other zone by its 1.2 s and by announcements, as before. If it is moved from there, its next leader counts from the move.

Ruled out: fast heartbeats to leaders that are used for overflow, as they cost 20 messages a second for each pair.

--- a/packages/verbenarouter/src/pool/job-receiver.ts
+++ b/packages/verbenarouter/src/pool/job-receiver.ts
@@ -113,7 +113,9 @@
 	listGrants(): Readonly<Record<string, ReceiverGrant>> {
 		const leaders = new Set([
 			this.#options.findOwnLeader(),
-			...this.#pendingJobs.all.map(({sentTo}) => sentTo),
+			...this.#pendingJobs.all
+				.filter(({sentEpoch}) => sentEpoch !== undefined)
+				.map(({sentTo}) => sentTo),
 		]);
 		return Object.fromEntries(
 			[...leaders].flatMap((leader) => {
@@ -374,11 +376,11 @@
 
 	/** Has a leader give up a job that is moved to another one, and ends the grant under which the leader has it. */
 	#moveAway(pending: PendingJob, leader: string, now: number): void {
-		pending.movedGrantAtMs = Math.max(
-			pending.movedGrantAtMs ?? 0,
-			this.#grants.latestConfirmationMs(leader) ?? now,
-		);
-		this.#grants.end(leader, pending.sentEpoch);
+		pending.movedGrantAtMs = this.#findLatestGrantMs(pending, leader, now);
+		if (pending.sentEpoch !== undefined) {
+			this.#grants.end(leader, pending.sentEpoch);
+		}
+
 		this.#giveUpAtLeader(leader, pending, 'moved', now);
 	}
 
@@ -398,8 +400,10 @@
 			{name: leader, token: leaderToken},
 			this.#findZonesForJob(pending, leader, now),
 		);
-		pending.sentEpoch = this.#grants.epochOf(leader);
-		const grant = this.#findGrant(leader);
+		// The leader of another zone, to which a job overflows, sends this receiver heartbeats too rarely.
+		const grant =
+			pending.overflowZone === undefined ? this.#findGrant(leader) : undefined;
+		pending.sentEpoch = grant?.epoch;
 		const {doneTasks, zones, refusedBy, isBalanced, lostRuns} = pending;
 		const refusingZones = refusedBy.length + Number(isBalanced);
 		const job: PoolJob = {
@@ -459,18 +463,23 @@
 			pending.withoutLeaderSinceMs ??= now;
 			this.#sendToLeader(pending, now);
 		}
-
-		this.#resubmitWithoutGrant(now);
 	}
 
-	/** Submits again the jobs that stay with a leader from which others were moved, as that has ended its grant. */
-	#resubmitWithoutGrant(now: number): void {
-		for (const pending of this.#pendingJobs.all.filter(
-			({sentTo, sentEpoch}) =>
-				sentTo !== undefined && sentEpoch !== this.#grants.epochOf(sentTo),
-		)) {
-			this.#sendToLeader(pending, now);
-		}
+	/**
+	 * Returns when the newest heartbeat arrived that can have been confirmed to a leader of a job, which has it now or had it before;
+	 * the present time if that leader has no grant.
+	 */
+	#findLatestGrantMs(
+		{sentEpoch, movedGrantAtMs = 0}: PendingJob,
+		leader: string,
+		now: number,
+	): number {
+		return sentEpoch === undefined
+			? now
+			: Math.max(
+					movedGrantAtMs,
+					this.#grants.latestConfirmationMs(leader) ?? now,
+				);
 	}
 
 	/** Returns the grant to a leader; an entry VM needs none for the jobs that it has received itself. */
@@ -583,19 +592,13 @@
 	}
 
 	/** Keeps what the next leader has to know of a job that is given up here; a present one that has not had it is told. */
-	#keepLeft(
-		{job, earlierToken = 0, movedGrantAtMs = 0, leaders}: PendingJob,
-		sentTo: string,
-		now: number,
-	): void {
+	#keepLeft(pending: PendingJob, sentTo: string, now: number): void {
+		const {job, earlierToken = 0, leaders} = pending;
 		this.#leftJobs.add(
 			job.id,
 			{
 				earlierToken,
-				grantAtMs: Math.max(
-					movedGrantAtMs,
-					this.#grants.latestConfirmationMs(sentTo) ?? now,
-				),
+				grantAtMs: this.#findLatestGrantMs(pending, sentTo, now),
 			},
 			now,
 		);
--- a/packages/verbenarouter/src/pool/pending-jobs.ts
+++ b/packages/verbenarouter/src/pool/pending-jobs.ts
@@ -30,8 +30,8 @@
 	sentTo: string | undefined;
 	/** Highest fencing token of the leaders to which the job was sent; `undefined` before the first. */
 	earlierToken: number | undefined;
-	/** Epoch of the grant to that leader when the job was last sent to it. */
-	sentEpoch: number;
+	/** Epoch of the grant under which that leader has the job; `undefined` if it has none. */
+	sentEpoch: number | undefined;
 	/**
 	 * When the newest heartbeat arrived that can have been confirmed to a leader which the job was moved away from; `undefined`
 	 * if it was not moved.
@@ -93,7 +93,7 @@
 			callerLostAtMs: undefined,
 			sentTo: undefined,
 			earlierToken: undefined,
-			sentEpoch: 0,
+			sentEpoch: undefined,
 			movedGrantAtMs: undefined,
 			leaders: new Set(),
 			zones: [],
