Tell a remembered cancelling from that of a job which is there

What callers would have seen: DELETE of an unknown job gets 200.

Cause: a leader that did not know the job told the others of the cancelling before they were asked, and they took what they had just remembered for a job that they had cancelled.

Change: only a leader that had the job tells at once; the entry VM that got the DELETE tells all after their replies.

--- a/packages/core/src/pool-scheduler.ts
+++ b/packages/core/src/pool-scheduler.ts
@@ -476,8 +476,8 @@
 	}
 
 	/**
-	 * Cancels a job for a caller. One that is not known here is remembered as cancelled, as its submission may be on its way, or
-	 * be repeated: `unknown`. Returns `over` if the job has ended with a result, which stays.
+	 * Cancels a job for a caller. One that is not known here, or is cancelled already, is remembered as cancelled, as its submission
+	 * may be on its way, or be repeated: `unknown`. Returns `over` if the job has ended with a result, which stays.
 	 */
 	cancelForCaller(id: string, now: number): 'cancelled' | 'over' | 'unknown' {
 		this.#begin(now);
@@ -489,8 +489,8 @@
 		}
 
 		const answer = this.#answeredJobs.findAnswer(id);
-		if (answer !== undefined) {
-			return answer.kind === 'cancelled' ? 'cancelled' : 'over';
+		if (answer !== undefined && answer.kind !== 'cancelled') {
+			return 'over';
 		}
 
 		this.#answeredJobs.recordAnswer(id, '', {kind: 'cancelled'}, now);
--- a/packages/verbenarouter/src/pool/pool-node.ts
+++ b/packages/verbenarouter/src/pool/pool-node.ts
@@ -550,17 +550,18 @@
 		);
 		const isCancelledHere =
 			!replies.includes('over') && this.#jobReceiver.cancel(id, this.#now());
-		if (replies.includes(true) || isCancelledHere) {
-			this.#passOnCancelled(id, this.#now());
-			return 'cancelled';
-		}
-
-		if (replies.length > 0 && !replies.includes(undefined)) {
+		if (replies.includes('over')) {
 			return 'unknown';
 		}
 
 		this.#passOnCancelled(id, this.#now());
-		return 'unconfirmed';
+		if (replies.includes(true) || isCancelledHere) {
+			return 'cancelled';
+		}
+
+		return replies.length > 0 && !replies.includes(undefined)
+			? 'unknown'
+			: 'unconfirmed';
 	}
 
 	async getJobState(id: string): Promise<string | undefined> {
@@ -917,27 +918,40 @@
 		});
 	}
 
-	/**
-	 * Cancels a job for a caller, and lets those that may succeed this leader know. Returns whether the job was known, or `over`
-	 * if it has ended with a result.
-	 */
+	/** Cancels a job for a caller; returns whether the job was known, or `over` if it has ended with a result. */
 	#cancelAsLeader(id: string, now: number): boolean | 'over' {
 		const outcome = this.#scheduler.cancelForCaller(id, now);
-		if (outcome === 'over') {
-			return outcome;
+		if (outcome === 'cancelled') {
+			this.#passOnCancelled(id, now);
 		}
 
-		this.#passOnCancelled(id, now);
-		return outcome === 'cancelled';
+		return outcome === 'over' ? outcome : outcome === 'cancelled';
 	}
 
-	/** Tells all leaders and candidates that a job is cancelled, now and when they can be reached again. */
+	/** Cancels a job and tells all leaders and candidates of it, now and when they can be reached again. */
 	#passOnCancelled(id: string, now: number): void {
-		const added = this.#cancelledJobs.add([id], now);
-		this.#scheduler.cancelForCaller(id, now);
+		const added = this.#addCancelled([id], now);
 		this.#sendCancelled(this.#selectLossRecipients([]), added);
 	}
 
+	/** Cancels jobs as other entry VMs tell; a leader passes them on to those that may succeed it. */
+	#handleCancelled(ids: readonly string[], now: number): void {
+		const added = this.#addCancelled(ids, now);
+		if (this.#leadership.ledZones.size > 0) {
+			this.#sendCancelled(this.#selectLossRecipients([]), added);
+		}
+	}
+
+	/** Cancels jobs, and returns those that were not known to be cancelled. */
+	#addCancelled(ids: readonly string[], now: number): readonly string[] {
+		const added = this.#cancelledJobs.add(ids, now);
+		for (const id of added) {
+			this.#scheduler.cancelForCaller(id, now);
+		}
+
+		return added;
+	}
+
 	#sendCancelled(names: readonly string[], ids: readonly string[]): void {
 		if (ids.length > 0) {
 			this.#overlayNode.sendToAll(names, {type: 'cancelled-jobs', ids});
@@ -1099,10 +1113,7 @@
 			}
 
 			case 'cancelled-jobs': {
-				for (const id of this.#cancelledJobs.add(message.ids, now)) {
-					this.#scheduler.cancelForCaller(id, now);
-				}
-
+				this.#handleCancelled(message.ids, now);
 				break;
 			}
 
