--- a/packages/verbenarouter/src/tests/job-receiver.test.ts
+++ b/packages/verbenarouter/src/tests/job-receiver.test.ts
@@ -520,9 +520,7 @@
 		fixture.receive('overflowed');
 		fixture.receiver.receiveAnswer('leader-a', 'overflowed', refusal, startMs);
 		expect(
-			fixture
-				.takeSubmissions()
-				.map(({to, job}) => `${to} ${job.grant?.epoch}`),
+			fixture.takeSubmissions().map(({to, job}) => `${to} ${job.grant?.epoch}`),
 		).toEqual(['leader-a undefined', 'leader-b undefined']);
 		expect(fixture.receiver.listGrants()).toEqual({});
 	});
