--- a/packages/verbenarouter/src/tests/region-leader-model.test.ts
+++ b/packages/verbenarouter/src/tests/region-leader-model.test.ts
@@ -123,6 +123,7 @@
 		['regionLeaderCuts', [1, 101]],
 		['regionResets', [1, 101]],
 		['regionLateWorkers', [1, 281]],
+		['regionZoneLosses', [1]],
 		['regionLateZoneCuts', [10, 26, 31, 44, 78, 237]],
 	] as const)(
 		'never has a task run twice at the same time on model days of the kind %s',
